--- /dev/null
+++ b/cmd/godwitcartd/main.go
@@ -0,0 +1,6 @@
+// Command godwitcartd is not yet wired.
+package main
+
+import _ "net"
+
+func main() {}
--- /dev/null
+++ b/cmd/godwitctl/main.go
@@ -0,0 +1,6 @@
+// Command godwitctl is not yet wired.
+package main
+
+import _ "net"
+
+func main() {}
--- /dev/null
+++ b/internal/deps/deps.go
@@ -0,0 +1,31 @@
+// Package deps keeps the module list whole while the packages that use it are being written.
+package deps
+
+import (
+	_ "github.com/HdrHistogram/hdrhistogram-go"
+	_ "github.com/alecthomas/kong"
+	_ "github.com/alecthomas/participle/v2"
+	_ "github.com/anishathalye/porcupine"
+	_ "github.com/cespare/xxhash/v2"
+	_ "github.com/charmbracelet/log"
+	_ "github.com/cockroachdb/errors"
+	_ "github.com/goccy/go-yaml"
+	_ "github.com/openai/openai-go/v3"
+	_ "github.com/prometheus/client_golang/prometheus/promhttp"
+	_ "github.com/rcrowley/go-metrics"
+	_ "github.com/stretchr/testify/require"
+	_ "golang.org/x/sync/errgroup"
+	_ "golang.org/x/time/rate"
+	_ "gonum.org/v1/plot"
+	_ "gonum.org/v1/plot/plotter"
+	_ "gonum.org/v1/plot/vg"
+	_ "gonum.org/v1/plot/vg/vgimg"
+	_ "gonum.org/v1/plot/vg/vgsvg"
+	_ "google.golang.org/protobuf/proto"
+	_ "pgregory.net/rapid"
+	_ "storj.io/drpc/drpcconn"
+	_ "storj.io/drpc/drpcmigrate"
+	_ "storj.io/drpc/drpcmux"
+	_ "storj.io/drpc/drpcpool"
+	_ "storj.io/drpc/drpcserver"
+)
