--- /dev/null
+++ b/internal/dispatch/follow.go
@@ -0,0 +1,202 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"godwitcart/internal/apierror"
+	"godwitcart/internal/request"
+	"godwitcart/internal/target"
+	"godwitcart/internal/wire/enginewire"
+)
+
+// errCallerGone says that the sink could not be written to.
+var errCallerGone = errors.New("the caller's connection is closed")
+
+// follower delivers the tokens of one attempt, and resumes it when its stream breaks or stalls.
+type follower struct {
+	*Dispatcher
+	record  *request.Record
+	sink    Sink
+	binding Binding
+	relay   *request.Relay
+	// progress is told of new tokens.
+	progress func(tokens int)
+
+	bound bool
+	ready []enginewire.TokenEvent
+}
+
+// follow reads stream to the attempt's end, and continues on a new stream when it breaks.
+func (f *follower) follow(ctx context.Context, stream *target.Stream) error {
+	for {
+		err := f.read(stream)
+		stream.Close()
+		if err == nil || !isBroken(err) || ctx.Err() != nil {
+			return err
+		}
+		stream, err = f.reopen(ctx, err)
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// resume follows an attempt whose stream is not open, after cause.
+func (f *follower) resume(ctx context.Context, cause error) error {
+	stream, err := f.reopen(ctx, cause)
+	if err != nil {
+		return err
+	}
+	return f.follow(ctx, stream)
+}
+
+// read delivers events until the attempt ends.
+func (f *follower) read(stream *target.Stream) error {
+	for !f.relay.Done() {
+		event, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return &endedEarlyError{}
+		}
+		if err != nil {
+			return err
+		}
+		if err := f.accept(event); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// endedEarlyError says that a stream closed in good order before the last event.
+type endedEarlyError struct{}
+
+func (e *endedEarlyError) Error() string { return "the target closed the stream before its last event" }
+
+// isBroken reports whether a stream ended in a way after which the attempt may still be running.
+func isBroken(err error) bool {
+	var broken *target.BrokenError
+	var early *endedEarlyError
+	return errors.As(err, &broken) || errors.As(err, &early)
+}
+
+func (f *follower) accept(event enginewire.TokenEvent) error {
+	if event.Preempted {
+		f.move(request.StatePreempted, "the target is short of memory")
+		return callerError(f.sink.Idle())
+	}
+	ready, err := f.relay.Accept(event, f.ready[:0])
+	f.ready = ready
+	if err != nil {
+		return err
+	}
+	for _, next := range ready {
+		if err := f.deliver(next); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *follower) deliver(event enginewire.TokenEvent) error {
+	if !f.bound {
+		if err := f.sink.Bind(f.binding); err != nil {
+			return callerError(err)
+		}
+		f.bound = true
+	}
+	if event.FinishReason == enginewire.FinishCanceled {
+		return apierror.New(apierror.KindGenerationLost, "the target canceled the generation",
+			"send the request again").WithRetryAfter(retryAfterFailure)
+	}
+	if event.FinishReason != "" {
+		return callerError(f.sink.Finish(event.FinishReason, event.Index))
+	}
+	if f.record.State() != request.StateStreaming {
+		f.move(request.StateStreaming, "tokens arrive")
+	}
+	f.record.AddTokens(1)
+	f.progress(1)
+	return callerError(f.sink.Token(event.Index, event.Text))
+}
+
+func callerError(err error) error {
+	if err == nil {
+		return nil
+	}
+	return errors.Mark(err, errCallerGone)
+}
+
+func (f *follower) move(state request.State, reason string) {
+	if f.record.State() == state {
+		return
+	}
+	moveRecord(f.record, request.Step{
+		At: time.Now(), State: state, Target: f.binding.Address.Name, Attempt: f.binding.Attempt, Reason: reason,
+	})
+}
+
+// reopen asks the target for the attempt's stream until it answers or the resume window has
+// passed. It returns a BrokenError when the attempt's fate remains unknown.
+func (f *follower) reopen(ctx context.Context, cause error) (*target.Stream, error) {
+	window, cancel := context.WithTimeout(ctx, f.options.ResumeWindow)
+	defer cancel()
+	wait := firstResumeWait
+	for {
+		stream, err := f.options.Engines.Resume(ctx, f.binding.Address, f.binding.Attempt, f.relay.Next())
+		if err == nil {
+			return stream, nil
+		}
+		if target.IsUnknownAttempt(err) {
+			return nil, target.NewBrokenError(f.binding.Address.Name, err)
+		}
+		if sleep(window, wait) != nil {
+			return nil, target.NewBrokenError(f.binding.Address.Name, errors.CombineErrors(cause, err))
+		}
+		wait = min(2*wait, maxResumeWait)
+	}
+}
+
+func sleep(ctx context.Context, wait time.Duration) error {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// Resume continues an answer that another entry VM began, from the token with the index from.
+func (d *Dispatcher) Resume(ctx context.Context, record *request.Record, binding Binding, from int, sink Sink) error {
+	follower := &follower{
+		Dispatcher: d, record: record, sink: sink, binding: binding,
+		relay: request.NewRelay(binding.Attempt, from), progress: func(int) {},
+	}
+	moveRecord(record, request.Step{
+		At: time.Now(), State: request.StateDispatched, Target: binding.Address.Name,
+		Attempt: binding.Attempt, Reason: "resumed with the caller's cursor",
+	})
+	err := follower.resume(ctx, errors.New("resumed by the caller"))
+	err = resumeError(ctx, err)
+	moveRecord(record, finalStep(err, record.State(), true))
+	return err
+}
+
+func resumeError(ctx context.Context, err error) error {
+	if err == nil {
+		return nil
+	}
+	if ended := contextError(ctx); ended != nil {
+		return ended
+	}
+	if errors.Is(err, errCallerGone) {
+		return apierror.Wrap(err, apierror.KindCanceled, "the caller closed its connection", "resume with the last cursor")
+	}
+	return apierror.Wrap(err, apierror.KindGenerationLost, "the generation cannot be continued",
+		"discard what was received and send the request again").WithRetryAfter(retryAfterFailure)
+}
--- /dev/null
+++ b/internal/dispatch/plain.go
@@ -0,0 +1,143 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"godwitcart/internal/apierror"
+	"godwitcart/internal/request"
+	"godwitcart/internal/target"
+)
+
+// PlainCaller is what the dispatcher needs of plain services.
+type PlainCaller interface {
+	Call(ctx context.Context, address target.Address, call target.PlainCall) (*http.Response, error)
+}
+
+// Body is a caller's body that may be sent again as long as nothing of it was lost.
+type Body interface {
+	// Open returns the body from its start, or false when it has been read and was not kept.
+	Open() (io.Reader, bool)
+	// Length is the body's length in bytes, or -1 when it is not known.
+	Length() int64
+}
+
+// Answer is the answer of a plain service. Close must be called when its body has been read.
+type Answer struct {
+	*http.Response
+	finish func(err error)
+}
+
+// Finish ends the answer: err is nil when its body reached the caller whole.
+func (a *Answer) Finish(err error) {
+	a.Response.Body.Close()
+	a.finish(err)
+}
+
+// plainRun is the state of one call to a plain service while it is driven.
+type plainRun struct {
+	*Dispatcher
+	request *request.Request
+	record  *request.Record
+	call    target.PlainCall
+	body    Body
+
+	attempts   int
+	excluded   []string
+	mayHaveRun bool
+}
+
+// Call answers one call to a plain service. On success the caller of Call must Finish the answer.
+func (d *Dispatcher) Call(ctx context.Context, r *request.Request, record *request.Record, call target.PlainCall, body Body) (*Answer, error) {
+	d.options.Budget.Earn(r.Service)
+	run := &plainRun{Dispatcher: d, request: r, record: record, call: call, body: body}
+	run.call.RunOnce = r.NonIdempotent
+	run.call.RequestID = r.ID
+	run.call.ContentLength = body.Length()
+	answer, err := run.run(ctx)
+	if err == nil {
+		return answer, nil
+	}
+	err = run.finalError(ctx, err)
+	moveRecord(record, finalStep(err, record.State(), run.mayHaveRun))
+	return nil, err
+}
+
+func (p *plainRun) run(ctx context.Context) (*Answer, error) {
+	for {
+		answer, err := p.attempt(ctx)
+		if err == nil {
+			return answer, nil
+		}
+		var failed *attemptError
+		if !errors.As(err, &failed) || ctx.Err() != nil || !p.mayRetry(failed) {
+			return nil, err
+		}
+		p.move(request.StateWaiting, "", "retry: "+failed.Error())
+	}
+}
+
+func (p *plainRun) mayRetry(failed *attemptError) bool {
+	p.excluded = append(p.excluded, failed.target)
+	if !request.MayRetry(failed.state, p.request.NonIdempotent, 0) || p.attempts >= maxAttempts {
+		return false
+	}
+	if _, whole := p.body.Open(); !whole {
+		return false
+	}
+	return target.IsLeaving(failed.cause) || p.options.Budget.Spend(p.request.Service)
+}
+
+func (p *plainRun) attempt(ctx context.Context) (*Answer, error) {
+	placement, err := p.options.Placer.Place(ctx, p.request, p.excluded, p.attempts > 0)
+	if err != nil {
+		return nil, err
+	}
+	p.attempts++
+	call := p.call
+	call.AttemptID = p.options.NewID()
+	call.Body, _ = p.body.Open()
+	address := placement.Address()
+	p.move(request.StateDispatched, address.Name, placement.Reason())
+	response, err := p.options.Plain.Call(ctx, address, call)
+	if err == nil {
+		return p.answer(response, placement), nil
+	}
+	state := target.AttemptState(err)
+	p.mayHaveRun = p.mayHaveRun || !state.DidNotRun()
+	placement.Release(Outcome{State: state, Err: err})
+	return nil, &attemptError{state: state, target: address.Name, cause: err}
+}
+
+func (p *plainRun) answer(response *http.Response, placement Placement) *Answer {
+	finish := func(err error) {
+		placement.Release(Outcome{State: endState(err), Err: err})
+		moveRecord(p.record, finalStep(err, p.record.State(), true))
+	}
+	return &Answer{Response: response, finish: finish}
+}
+
+func (p *plainRun) move(state request.State, targetName, reason string) {
+	moveRecord(p.record, request.Step{At: time.Now(), State: state, Target: targetName, Reason: reason})
+}
+
+func (p *plainRun) finalError(ctx context.Context, err error) error {
+	if ended := contextError(ctx); ended != nil {
+		return ended
+	}
+	var failed *attemptError
+	switch {
+	case !errors.As(err, &failed) && !p.mayHaveRun:
+		return err
+	case p.mayHaveRun:
+		return apierror.Wrap(err, apierror.KindOutcomeUnknown, "the call was sent and its answer was not received",
+			"repeat it if running it twice is harmless, else ask the service whether it ran").WithRetryAfter(retryAfterFailure)
+	default:
+		return apierror.Wrap(err, apierror.KindNotRun, "no target took the call; it did not run",
+			"send it again").WithRetryAfter(retryAfterFailure)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/record.go
@@ -0,0 +1,37 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"godwitcart/internal/apierror"
+	"godwitcart/internal/request"
+)
+
+// badTransitions counts transitions that the state machine refused; it stays zero.
+var badTransitions = metrics.GetOrRegisterCounter("request.bad_transitions", nil)
+
+func moveRecord(record *request.Record, step request.Step) {
+	if err := record.Move(step); err != nil {
+		badTransitions.Inc(1)
+	}
+}
+
+// finalStep returns the last step of a request that ended with err in state from.
+func finalStep(err error, from request.State, mayHaveRun bool) request.Step {
+	step := request.Step{At: time.Now(), State: request.StateAnswered, Reason: "answered"}
+	if err == nil {
+		return step
+	}
+	step.Reason = err.Error()
+	switch {
+	case apierror.Is(err, apierror.KindCanceled):
+		step.State = request.StateCanceled
+	case from == request.StateWaiting && !mayHaveRun:
+		step.State = request.StateRefused
+	default:
+		step.State = request.StateFailed
+	}
+	return step
+}
