--- /dev/null
+++ b/internal/object/client_test.go
@@ -0,0 +1,118 @@
+package object_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitcart/internal/apierror"
+	"godwitcart/internal/object"
+	"godwitcart/internal/wire/platformwire"
+)
+
+// answer is one canned answer; a zero status breaks the connection.
+type answer struct {
+	status int
+	body   any
+}
+
+// newServer answers its calls in turn and repeats the last answer; calls counts them.
+func newServer(t *testing.T, answers ...answer) (client *object.Client, calls *atomic.Int64) {
+	t.Helper()
+	calls = new(atomic.Int64)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		next := answers[min(int(calls.Add(1)), len(answers))-1]
+		if next.status == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(next.status)
+		if text, ok := next.body.(string); ok {
+			_, _ = w.Write([]byte(text))
+			return
+		}
+		_ = json.NewEncoder(w).Encode(next.body)
+	}))
+	t.Cleanup(server.Close)
+	return object.NewClient(object.Options{BaseURL: server.URL + "/"}), calls
+}
+
+var refusal = platformwire.ErrorResponse{Message: "later", RetryAfterMillis: 70}
+
+func TestWritesAreSentOnceAndClassified(t *testing.T) {
+	current := platformwire.Object{Key: "k", Version: 9, Value: []byte("v")}
+	tests := []struct {
+		name   string
+		answer answer
+		want   apierror.Kind
+	}{
+		{"conflict", answer{409, platformwire.ErrorResponse{Current: &current}}, apierror.KindConflict},
+		{"not found", answer{404, refusal}, apierror.KindNotFound},
+		{"throttled", answer{429, refusal}, apierror.KindUnavailable},
+		{"outage", answer{503, refusal}, apierror.KindUnavailable},
+		{"foreign 503", answer{503, "<html>"}, apierror.KindOutcomeUnknown},
+		{"server error", answer{500, refusal}, apierror.KindOutcomeUnknown},
+		{"broken connection", answer{}, apierror.KindOutcomeUnknown},
+		{"garbled answer", answer{200, "{"}, apierror.KindOutcomeUnknown},
+		{"too large", answer{413, refusal}, apierror.KindTooLarge},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			client, calls := newServer(t, test.answer)
+			_, err := client.Put(t.Context(), "k", []byte("x"), 3)
+			require.Equal(t, test.want, apierror.KindOf(err), "%v", err)
+			require.EqualValues(t, 1, calls.Load())
+			if conflict, ok := object.AsConflict(err); ok {
+				require.Equal(t, object.Object(current), conflict.Current)
+			}
+			if unavailable, ok := object.AsUnavailable(err); ok {
+				require.Equal(t, 70*time.Millisecond, unavailable.RetryAfter)
+			}
+		})
+	}
+}
+
+func TestReadsAreRepeatedWithinBounds(t *testing.T) {
+	stored := platformwire.Object{Key: "a/b c", Version: 1, Value: []byte("v")}
+	client, calls := newServer(t, answer{}, answer{503, refusal}, answer{200, stored})
+	got, err := client.Get(t.Context(), "a/b c")
+	require.NoError(t, err)
+	require.Equal(t, object.Object(stored), got)
+	require.EqualValues(t, 3, calls.Load())
+
+	client, calls = newServer(t, answer{503, refusal})
+	_, err = client.List(t.Context(), "a/")
+	require.Equal(t, apierror.KindUnavailable, apierror.KindOf(err))
+	require.EqualValues(t, 4, calls.Load())
+
+	client, calls = newServer(t, answer{404, refusal})
+	_, err = client.Get(t.Context(), "k")
+	require.True(t, object.IsNotFound(err))
+	require.EqualValues(t, 1, calls.Load())
+}
+
+func TestCallsThatAreNotSentAreUnavailable(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	server.Close()
+	client := object.NewClient(object.Options{BaseURL: server.URL})
+	_, err := client.Put(t.Context(), "k", nil, 0)
+	require.Equal(t, apierror.KindUnavailable, apierror.KindOf(err), "%v", err)
+	_, err = client.Put(t.Context(), "k", make([]byte, platformwire.MaxValueBytes+1), 0)
+	require.Equal(t, apierror.KindTooLarge, apierror.KindOf(err))
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.Equal(t, apierror.KindUnavailable, apierror.KindOf(client.Delete(ended, "k", 1)))
+}
+
+func TestWatchAndListConvert(t *testing.T) {
+	events := []platformwire.Object{{Key: "a", Version: 4, Deleted: true}}
+	client, _ := newServer(t, answer{200, platformwire.WatchResponse{Revision: 4, Events: events}})
+	batch, err := client.Watch(t.Context(), "a", 3)
+	require.NoError(t, err)
+	require.Equal(t, object.Batch{Revision: 4, Events: []object.Object{{Key: "a", Version: 4, Deleted: true}}}, batch)
+}
