--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -128,7 +128,7 @@
 	if err == nil {
 		return nil
 	}
-	g.abandon(ctx, binding, state)
+	g.abandon(ctx, err, binding, state)
 	if ctx.Err() != nil || errors.Is(err, errCallerGone) {
 		g.mayHaveRun = g.mayHaveRun || !state.DidNotRun()
 		return err
@@ -160,11 +160,11 @@
 
 // abandon cancels an attempt that may be running and that nobody will read. An attempt whose
 // caller may come back with its cursor is left to the engine, which ends it when no reader returns.
-func (g *generation) abandon(ctx context.Context, binding Binding, state request.AttemptState) {
+func (g *generation) abandon(ctx context.Context, err error, binding Binding, state request.AttemptState) {
 	if state.DidNotRun() {
 		return
 	}
-	callerLeft := errors.Is(context.Cause(ctx), context.Canceled)
+	callerLeft := errors.Is(err, errCallerGone) || errors.Is(context.Cause(ctx), context.Canceled)
 	if callerLeft && (g.request.Resumable || g.claimed) {
 		return
 	}
--- /dev/null
+++ b/internal/gateway/errors.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"godwitcart/internal/apierror"
+)
+
+// errorBody is the one shape in which callers receive errors.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Type    apierror.Kind `json:"type"`
+	Code    apierror.Kind `json:"code"`
+	Message string        `json:"message"`
+	Remedy  string        `json:"remedy"`
+	// RetryAfterSeconds is absent when repeating the same request does not help.
+	RetryAfterSeconds float64 `json:"retry_after_seconds,omitempty"`
+	RequestID         string  `json:"request_id"`
+}
+
+// typedError returns the apierror.Error of err. Anything else is a fault of this program, whose
+// text stays inside.
+func typedError(err error) *apierror.Error {
+	var typed *apierror.Error
+	if errors.As(err, &typed) {
+		return typed
+	}
+	return apierror.Wrap(err, apierror.KindInternal, "godwitcart failed", "report the request id to the operators")
+}
+
+func newErrorBody(id string, typed *apierror.Error) errorBody {
+	return errorBody{Error: errorDetail{
+		Type: typed.Kind, Code: typed.Kind, Message: typed.Message, Remedy: typed.Remedy,
+		RetryAfterSeconds: typed.RetryAfter.Seconds(), RequestID: id,
+	}}
+}
+
+// writeError answers with an error. Once the answer has begun, it only ends the connection.
+func writeError(x *exchange, err error) {
+	if errors.Is(err, errAnswerBegun) {
+		return
+	}
+	typed := typedError(err)
+	header := x.w.Header()
+	header.Set("Content-Type", "application/json")
+	if typed.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(typed.RetryAfter.Seconds()))))
+	}
+	if !safeToRepeat(x, typed.Kind) {
+		header.Set(HeaderShouldRetry, "false")
+	}
+	x.w.WriteHeader(typed.Kind.HTTPStatus())
+	_ = json.NewEncoder(x.w).Encode(newErrorBody(x.id, typed))
+}
+
+// safeToRepeat reports whether a client library may send the request again on its own.
+func safeToRepeat(x *exchange, kind apierror.Kind) bool {
+	switch kind {
+	case apierror.KindNotRun, apierror.KindOverloaded, apierror.KindRateLimited, apierror.KindUnavailable:
+		return true
+	case apierror.KindOutcomeUnknown, apierror.KindGenerationLost, apierror.KindInternal, apierror.KindDeadlineExceeded:
+		return !x.nonIdempotent
+	default:
+		return false
+	}
+}
+
+// errAnswerBegun marks an error that the caller has been told inside its answer.
+var errAnswerBegun = errors.New("the answer has begun")
+
+// maxEchoedBytes bounds what an error message repeats of the caller's input.
+const maxEchoedBytes = 80
+
+func truncate(text string) string {
+	if len(text) <= maxEchoedBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxEchoedBytes], "") + "…"
+}
+
+func bearerToken(r *http.Request) string {
+	token, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !found {
+		return ""
+	}
+	return strings.TrimSpace(token)
+}
--- /dev/null
+++ b/internal/gateway/generate.go
@@ -0,0 +1,164 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"godwitcart/internal/apierror"
+	"godwitcart/internal/dispatch"
+	"godwitcart/internal/request"
+	"godwitcart/internal/request/cursorpb"
+)
+
+func (g *Gateway) completions(x *exchange) error {
+	if x.r.Header.Get(HeaderLastEvent) != "" {
+		return g.resume(x)
+	}
+	body, digest, err := g.readBody(x)
+	if err != nil {
+		return err
+	}
+	prompt, err := completionPrompt(body.Prompt)
+	if err != nil {
+		return err
+	}
+	return g.generate(x, body, prompt, digest, textFormat)
+}
+
+func (g *Gateway) chatCompletions(x *exchange) error {
+	if x.r.Header.Get(HeaderLastEvent) != "" {
+		return g.resume(x)
+	}
+	body, digest, err := g.readBody(x)
+	if err != nil {
+		return err
+	}
+	prompt, err := chatPrompt(body.Messages)
+	if err != nil {
+		return err
+	}
+	return g.generate(x, body, prompt, digest, chatFormat)
+}
+
+func (g *Gateway) generate(x *exchange, body *generationBody, prompt, digest string, format answerFormat) error {
+	r, err := x.newRequest(body, prompt, digest)
+	if err != nil {
+		return err
+	}
+	ctx, record, end := g.begin(x, r)
+	defer end()
+	meta := answerMeta{id: x.id, model: body.Model, promptTokens: r.PromptTokens, format: format, created: r.ReceivedAt}
+	if !body.Stream {
+		return g.generateWhole(ctx, x, r, record, meta)
+	}
+	meta.includeUsage = body.StreamOptions.IncludeUsage
+	cursor := &cursorpb.Cursor{
+		Account: r.Account, RequestId: r.ID, Service: r.Service, Model: body.Model, Class: r.Class,
+		Chat: format == chatFormat, CreatedUnixSeconds: r.ReceivedAt.Unix(),
+		DeadlineUnixMillis: r.Deadline.UnixMilli(), IncludeUsage: meta.includeUsage, PromptTokens: int64(r.PromptTokens),
+	}
+	sink := newStreamSink(g, x, meta, cursor, r.Resumable)
+	return sink.end(g.options.Dispatcher.Generate(ctx, r, record, sink))
+}
+
+func (g *Gateway) generateWhole(ctx context.Context, x *exchange, r *request.Request, record *request.Record, meta answerMeta) error {
+	sink := &wholeSink{}
+	if err := g.options.Dispatcher.Generate(ctx, r, record, sink); err != nil {
+		return err
+	}
+	return writeJSON(x.w, meta.whole(sink.text.String(), sink.reason, sink.tokens))
+}
+
+// begin enters the request in the registry and returns a context that ends with the caller, the
+// deadline or an operator's cancellation.
+func (g *Gateway) begin(x *exchange, r *request.Request) (context.Context, *request.Record, func()) {
+	ctx, cancelCause := context.WithCancelCause(x.r.Context())
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	record := g.options.Registry.Begin(r, func(reason string) {
+		cancelCause(apierror.New(apierror.KindCanceled, "an operator canceled the request: "+reason,
+			"ask the operators before sending it again"))
+	})
+	return ctx, record, func() {
+		cancel()
+		cancelCause(context.Canceled)
+	}
+}
+
+// resume continues a stream from the cursor in Last-Event-ID.
+func (g *Gateway) resume(x *exchange) error {
+	cursor, from, err := g.openCursor(x)
+	if err != nil {
+		return err
+	}
+	r := &request.Request{
+		ID: cursor.RequestId, Account: cursor.Account, Class: cursor.Class, Service: cursor.Service,
+		Resumable: true, ReceivedAt: time.Now(), Deadline: time.UnixMilli(cursor.DeadlineUnixMillis),
+	}
+	r.Variant.Model = cursor.Model
+	x.id = r.ID
+	x.w.Header().Set(HeaderRequest, r.ID)
+	ctx, record, end := g.begin(x, r)
+	defer end()
+	meta := answerMeta{
+		id: r.ID, model: cursor.Model, promptTokens: int(cursor.PromptTokens), format: textFormat,
+		created: time.Unix(cursor.CreatedUnixSeconds, 0), includeUsage: cursor.IncludeUsage,
+	}
+	if cursor.Chat {
+		meta.format = chatFormat
+	}
+	binding := dispatch.Binding{Attempt: cursor.AttemptId}
+	binding.Address.Name = cursor.Target
+	binding.Address.HostPort = cursor.Address
+	sink := newStreamSink(g, x, meta, cursor, true)
+	return sink.end(g.options.Dispatcher.Resume(ctx, record, binding, from, sink))
+}
+
+func (g *Gateway) openCursor(x *exchange) (*cursorpb.Cursor, int, error) {
+	text := x.r.Header.Get(HeaderLastEvent)
+	if text == "" {
+		return nil, 0, badRequest("Last-Event-ID is missing",
+			"send the id of the last event that was received, or POST a new request")
+	}
+	cursor, from, err := g.options.Sealer.Open(text)
+	if err != nil {
+		return nil, 0, err
+	}
+	if cursor.Account != x.account.Name {
+		return nil, 0, apierror.New(apierror.KindForbidden, "the cursor belongs to another client account",
+			"resume with the API key of the account that sent the request")
+	}
+	return cursor, from, nil
+}
+
+// modelList is the answer of GET /v1/models.
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (g *Gateway) models(x *exchange) error {
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for _, name := range x.index.Models() {
+		list.Data = append(list.Data, modelEntry{ID: name, Object: "model", OwnedBy: "godwitcart"})
+	}
+	return writeJSON(x.w, list)
+}
+
+func writeJSON(w http.ResponseWriter, value any) error {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return apierror.Wrap(err, apierror.KindInternal, "encode the answer", "report this")
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(append(text, '\n'))
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/parse.go
@@ -0,0 +1,241 @@
+package gateway
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"godwitcart/internal/apierror"
+	"godwitcart/internal/request"
+	"godwitcart/internal/wire/enginewire"
+)
+
+// The bounds of callers' input.
+const (
+	// defaultDeadline bounds a request when neither the caller nor its class does.
+	defaultDeadline = 10 * time.Minute
+	maxDeadline     = time.Hour
+	maxTokensLimit  = 1 << 20
+	maxKeyBytes     = 255
+	// bytesPerToken estimates the number of tokens of a prompt.
+	bytesPerToken = 4
+)
+
+// generationBody holds the fields of both generation interfaces that are used.
+// Other fields of the OpenAI interface are accepted and ignored.
+type generationBody struct {
+	Model               string          `json:"model"`
+	Prompt              json.RawMessage `json:"prompt"`
+	Messages            []chatMessage   `json:"messages"`
+	MaxTokens           *int            `json:"max_tokens"`
+	MaxCompletionTokens *int            `json:"max_completion_tokens"`
+	Seed                uint64          `json:"seed"`
+	N                   *int            `json:"n"`
+	Stream              bool            `json:"stream"`
+	StreamOptions       struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// readBody reads and decodes a generation's body, and returns its digest.
+func (g *Gateway) readBody(x *exchange) (*generationBody, string, error) {
+	text, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, g.options.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, "", apierror.Newf(apierror.KindTooLarge, "send a shorter prompt",
+			"the body exceeds %d bytes", tooLarge.Limit)
+	}
+	if err != nil {
+		return nil, "", badRequest("the body could not be read", "send the request again")
+	}
+	body := &generationBody{}
+	if err := json.Unmarshal(text, body); err != nil {
+		return nil, "", badRequest("the body is not the expected JSON: "+truncate(err.Error()), "correct the named field")
+	}
+	digest := strconv.FormatUint(xxhash.Sum64(text), 16) + "-" + strconv.Itoa(len(text))
+	return body, digest, nil
+}
+
+func badRequest(message, remedy string) error {
+	return apierror.New(apierror.KindBadRequest, message, remedy)
+}
+
+// newRequest resolves a generation's body and headers into a request.
+func (x *exchange) newRequest(body *generationBody, prompt, digest string) (*request.Request, error) {
+	if err := checkBody(body, prompt); err != nil {
+		return nil, err
+	}
+	resolution, err := x.index.Resolve(body.Model, x.r.Header.Get(HeaderService))
+	if err != nil {
+		return nil, err
+	}
+	r, err := x.commonRequest(resolution.Service.Name, resolution.Service.NonIdempotent)
+	if err != nil {
+		return nil, err
+	}
+	r.Variant = resolution.Variants[0]
+	r.Digest = digest
+	r.Prompt = prompt
+	r.PromptTokens = len(prompt)/bytesPerToken + 1
+	r.PrefixHashes = prefixHashes(prompt)
+	r.MaxTokens = tokenLimit(body)
+	r.Seed = body.Seed
+	return r, nil
+}
+
+func checkBody(body *generationBody, prompt string) error {
+	if body.Model == "" {
+		return badRequest("the model is missing", "set model to one that GET /v1/models lists")
+	}
+	if prompt == "" {
+		return badRequest("the prompt is empty", "set prompt, or messages for a chat")
+	}
+	if body.N != nil && *body.N != 1 {
+		return badRequest("n must be 1", "send one request for each answer")
+	}
+	for _, limit := range []*int{body.MaxTokens, body.MaxCompletionTokens} {
+		if limit != nil && (*limit < 1 || *limit > maxTokensLimit) {
+			return badRequest("the limit on tokens must be between 1 and "+strconv.Itoa(maxTokensLimit),
+				"correct max_tokens or max_completion_tokens")
+		}
+	}
+	return nil
+}
+
+func tokenLimit(body *generationBody) int {
+	if body.MaxCompletionTokens != nil {
+		return *body.MaxCompletionTokens
+	}
+	if body.MaxTokens != nil {
+		return *body.MaxTokens
+	}
+	return 0
+}
+
+// commonRequest reads the headers that all requests share.
+func (x *exchange) commonRequest(service string, nonIdempotent bool) (*request.Request, error) {
+	class, err := x.index.Class(x.account, x.r.Header.Get(HeaderClass))
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	limit := class.Deadline
+	if limit <= 0 {
+		limit = defaultDeadline
+	}
+	if limit, err = headerDeadline(x.r.Header, limit); err != nil {
+		return nil, err
+	}
+	if nonIdempotent, err = headerNonIdempotent(x.r.Header, nonIdempotent); err != nil {
+		return nil, err
+	}
+	key := x.r.Header.Get(HeaderKey)
+	if len(key) > maxKeyBytes || strings.ContainsRune(key, 0) {
+		return nil, badRequest("the Idempotency-Key is longer than 255 bytes or has a zero byte", "send a shorter key")
+	}
+	x.nonIdempotent = nonIdempotent
+	return &request.Request{
+		ID: x.id, Account: x.account.Name, Class: class.Name, Priority: class.Priority, Service: service,
+		Key: key, NonIdempotent: nonIdempotent, Resumable: x.r.Header.Get(HeaderResumable) == "true",
+		ReceivedAt: now, Deadline: now.Add(limit),
+	}, nil
+}
+
+func headerDeadline(header http.Header, standard time.Duration) (time.Duration, error) {
+	text := header.Get(HeaderDeadline)
+	if text == "" {
+		return standard, nil
+	}
+	millis, err := strconv.ParseInt(text, 10, 64)
+	limit := time.Duration(millis) * time.Millisecond
+	if err != nil || millis < 1 || millis > maxDeadline.Milliseconds() {
+		return 0, badRequest(HeaderDeadline+" must be a number of milliseconds between 1 and "+
+			strconv.FormatInt(maxDeadline.Milliseconds(), 10), "correct or omit the header")
+	}
+	return limit, nil
+}
+
+func headerNonIdempotent(header http.Header, standard bool) (bool, error) {
+	switch strings.ToLower(header.Get(HeaderIdempotent)) {
+	case "":
+		return standard, nil
+	case "true":
+		return false, nil
+	case "false":
+		return true, nil
+	default:
+		return false, badRequest(HeaderIdempotent+" must be true or false", "correct or omit the header")
+	}
+}
+
+// completionPrompt accepts a string or a list with one string.
+func completionPrompt(raw json.RawMessage) (string, error) {
+	var text string
+	if json.Unmarshal(raw, &text) == nil {
+		return text, nil
+	}
+	var list []string
+	if json.Unmarshal(raw, &list) == nil && len(list) == 1 {
+		return list[0], nil
+	}
+	return "", badRequest("prompt must be a string or a list with one string", "send one request for each prompt")
+}
+
+// chatPrompt joins the messages of a chat.
+func chatPrompt(messages []chatMessage) (string, error) {
+	var prompt strings.Builder
+	for _, message := range messages {
+		content, err := messageText(message.Content)
+		if err != nil {
+			return "", err
+		}
+		prompt.WriteString(message.Role + ": " + content + "\n")
+	}
+	return prompt.String(), nil
+}
+
+func messageText(raw json.RawMessage) (string, error) {
+	var text string
+	if json.Unmarshal(raw, &text) == nil {
+		return text, nil
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if json.Unmarshal(raw, &parts) != nil {
+		return "", badRequest("a message's content must be a string or a list of text parts", "correct messages")
+	}
+	var joined strings.Builder
+	for _, part := range parts {
+		if part.Type != "text" {
+			return "", badRequest("a message has a part of type "+truncate(part.Type), "send text parts only")
+		}
+		joined.WriteString(part.Text)
+	}
+	return joined.String(), nil
+}
+
+// prefixHashes returns the hash of the prompt up to the end of each whole block.
+func prefixHashes(prompt string) []uint64 {
+	blocks := len(prompt) / enginewire.PrefixBlockBytes
+	hashes := make([]uint64, 0, blocks)
+	digest := xxhash.New()
+	for block := range blocks {
+		start := block * enginewire.PrefixBlockBytes
+		_, _ = digest.WriteString(prompt[start : start+enginewire.PrefixBlockBytes])
+		hashes = append(hashes, digest.Sum64())
+	}
+	return hashes
+}
