Add thin stand-ins: platform, model engine, plain service

Ruled out: a cluster simulator, and one shared fake for all tests; each stand-in is a library with Handler and ControlHandler, and a subcommand of godwitstand. Change: internal/stand/{platform,engine,service,standhttp} and cmd/godwitstand. enginewire gains RefusalKind.HTTPStatus and CacheEvents.Incarnation (compatible).

--- a/cmd/godwitstand/main.go
+++ b/cmd/godwitstand/main.go
@@ -1,6 +1,40 @@
-// Command godwitstand is not yet wired.
+// Command godwitstand runs the stand-ins of the systems around godwitcart: the platform,
+// model engines and plain services. They are for tests, demos and measurements.
 package main
 
-import _ "net"
+import (
+	"context"
+	_ "net"
+	"os"
+	"os/signal"
+	"syscall"
 
-func main() {}
+	"github.com/alecthomas/kong"
+	"github.com/charmbracelet/log"
+)
+
+// commandLine lists the stand-ins, one subcommand each.
+type commandLine struct {
+	Platform platformCommand `cmd:"" help:"Run the platform: object API, list of VMs, weight store."`
+	Engine   engineCommand   `cmd:"" help:"Run a model engine."`
+	Service  serviceCommand  `cmd:"" help:"Run a plain service."`
+}
+
+// listeners are the addresses that every stand-in needs.
+type listeners struct {
+	Listen  string `default:"127.0.0.1:0" help:"Host and port for traffic."`
+	Control string `default:"127.0.0.1:0" help:"Host and port for control calls."`
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	// A second signal ends the process at once.
+	context.AfterFunc(ctx, stop)
+	parsed := kong.Parse(&commandLine{}, kong.Name("godwitstand"), kong.UsageOnError(),
+		kong.Description("Stand-ins of the systems around godwitcart."))
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	if err := parsed.Run(); err != nil {
+		log.Error("stopped", "error", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/stand/platform/store.go
@@ -0,0 +1,142 @@
+package platform
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"godwitcart/internal/wire/platformwire"
+)
+
+// maxEvents is how many changes a watch can look back.
+const maxEvents = 20_000
+
+// store keeps versioned objects and the log of their changes.
+// Invariant: events are in the order of their versions, and revision is the version of the last one.
+type store struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]platformwire.Object
+	events   []platformwire.Object
+	// compacted is the version of the newest event that was dropped.
+	compacted uint64
+	// changed is closed and replaced at every change.
+	changed chan struct{}
+}
+
+func newStore() *store {
+	return &store{
+		objects: make(map[string]platformwire.Object),
+		changed: make(chan struct{}),
+	}
+}
+
+// get returns the object; a Version of zero means that there is none.
+func (s *store) get(key string) platformwire.Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current(key)
+}
+
+func (s *store) current(key string) platformwire.Object {
+	object, ok := s.objects[key]
+	if !ok {
+		return platformwire.Object{Key: key}
+	}
+	return object
+}
+
+// put stores the value when the object's version is expected. It returns the object as it
+// stands afterwards and whether the write took effect.
+func (s *store) put(key string, value []byte, expected uint64) (platformwire.Object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := s.current(key)
+	if current.Version != expected {
+		return current, false
+	}
+	object := platformwire.Object{Key: key, Version: s.revision + 1, Value: value}
+	s.objects[key] = object
+	s.record(object)
+	return object, true
+}
+
+// remove deletes the object when its version is expected.
+func (s *store) remove(key string, expected uint64) (platformwire.Object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := s.current(key)
+	if current.Version == 0 || current.Version != expected {
+		return current, false
+	}
+	delete(s.objects, key)
+	tombstone := platformwire.Object{Key: key, Version: s.revision + 1, Deleted: true}
+	s.record(tombstone)
+	return tombstone, true
+}
+
+func (s *store) record(event platformwire.Object) {
+	s.revision = event.Version
+	s.events = append(s.events, event)
+	if len(s.events) > maxEvents {
+		dropped := maxEvents / 2
+		s.compacted = s.events[dropped-1].Version
+		s.events = append([]platformwire.Object(nil), s.events[dropped:]...)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) list(prefix string) platformwire.ListResponse {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	response := platformwire.ListResponse{Revision: s.revision, Objects: []platformwire.Object{}}
+	for key, object := range s.objects {
+		if strings.HasPrefix(key, prefix) {
+			response.Objects = append(response.Objects, object)
+		}
+	}
+	sort.Slice(response.Objects, func(i, j int) bool {
+		return response.Objects[i].Key < response.Objects[j].Key
+	})
+	return response
+}
+
+// watch returns the changes under prefix after a revision, as soon as there is one,
+// and an empty response when wait is over or ctx has ended.
+func (s *store) watch(ctx context.Context, prefix string, after uint64, wait time.Duration) platformwire.WatchResponse {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		response, changed := s.changesAfter(prefix, after)
+		if len(response.Events) > 0 || response.Compacted {
+			return response
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return response
+		case <-ctx.Done():
+			return response
+		}
+	}
+}
+
+func (s *store) changesAfter(prefix string, after uint64) (platformwire.WatchResponse, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	response := platformwire.WatchResponse{Revision: s.revision, Events: []platformwire.Object{}}
+	if after < s.compacted || after > s.revision {
+		response.Compacted = true
+		return response, s.changed
+	}
+	first := sort.Search(len(s.events), func(i int) bool { return s.events[i].Version > after })
+	for _, event := range s.events[first:] {
+		if strings.HasPrefix(event.Key, prefix) {
+			response.Events = append(response.Events, event)
+		}
+	}
+	return response, s.changed
+}
--- /dev/null
+++ b/internal/stand/standhttp/standhttp.go
@@ -0,0 +1,103 @@
+// Package standhttp holds what the HTTP servers of the stand-ins share: JSON bodies
+// and a pair of listeners, one for traffic and one for control.
+package standhttp
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// maxBodyBytes bounds the JSON bodies that a stand-in reads.
+const maxBodyBytes = 8 << 20
+
+// readHeaderTimeout bounds how long a connection may take to send its headers.
+const readHeaderTimeout = 10 * time.Second
+
+// closeTimeout bounds how long the listeners wait for open calls after Drain has returned.
+const closeTimeout = 2 * time.Second
+
+// WriteJSON answers with the status and the value as JSON.
+func WriteJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The client may be gone; nobody is left to tell.
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// ReadJSON decodes the request's body into value, keeping the fields that the body omits.
+func ReadJSON(w http.ResponseWriter, r *http.Request, value any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	return errors.Wrap(decoder.Decode(value), "decode the JSON body")
+}
+
+// Program is one stand-in as a process.
+type Program struct {
+	// Name appears in the log line that says the program listens.
+	Name string
+	// Listen and Control are host:port of the traffic and the control listener.
+	Listen, Control string
+	Traffic         http.Handler
+	Operate         http.Handler
+	// Drain, when set, is called when ctx ends and returns when the running work has ended.
+	Drain func()
+}
+
+// Run serves until ctx ends, drains, and closes both listeners.
+func (p Program) Run(ctx context.Context) error {
+	traffic, err := net.Listen("tcp", p.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen for traffic; choose a free --listen address")
+	}
+	control, err := net.Listen("tcp", p.Control)
+	if err != nil {
+		_ = traffic.Close()
+		return errors.Wrap(err, "listen for control; choose a free --control address")
+	}
+	log.Info("listening", "stand_in", p.Name, "traffic", traffic.Addr(), "control", control.Addr())
+	return p.serve(ctx, traffic, control)
+}
+
+func (p Program) serve(ctx context.Context, traffic, control net.Listener) error {
+	servers := []*http.Server{
+		{Handler: p.Traffic, ReadHeaderTimeout: readHeaderTimeout},
+		{Handler: p.Operate, ReadHeaderTimeout: readHeaderTimeout},
+	}
+	group, groupCtx := errgroup.WithContext(ctx)
+	for i, listener := range []net.Listener{traffic, control} {
+		group.Go(func() error { return ignoreClosed(servers[i].Serve(listener)) })
+	}
+	group.Go(func() error {
+		<-groupCtx.Done()
+		if p.Drain != nil {
+			p.Drain()
+		}
+		shutdown(servers)
+		return nil
+	})
+	return group.Wait()
+}
+
+// shutdown lets open calls end within closeTimeout and then cuts them off.
+func shutdown(servers []*http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	for _, server := range servers {
+		if server.Shutdown(ctx) != nil {
+			_ = server.Close()
+		}
+	}
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- a/internal/wire/enginewire/enginewire.go
+++ b/internal/wire/enginewire/enginewire.go
@@ -3,6 +3,8 @@
 // the token index and whose data is a TokenEvent.
 package enginewire
 
+import "net/http"
+
 // The paths of a model engine.
 const (
 	// PathCompletions takes a POST of GenerationRequest and streams TokenEvent.
@@ -88,6 +90,22 @@
 	RefusedWeightStore      RefusalKind = "weight_store"
 )
 
+// HTTPStatus returns the status code that a refusal of the kind is answered with.
+func (k RefusalKind) HTTPStatus() int {
+	switch k {
+	case RefusedBadRequest:
+		return http.StatusBadRequest
+	case RefusedUnknownAttempt:
+		return http.StatusNotFound
+	case RefusedNotLoaded, RefusedDuplicateAttempt, RefusedStaleFencing:
+		return http.StatusConflict
+	case RefusedQueueFull:
+		return http.StatusTooManyRequests
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
 // Loaded names one loaded model variant.
 type Loaded struct {
 	Model   string `json:"model"`
@@ -116,7 +134,9 @@
 
 // CacheEvents is a page of prefix cache events. A jump in Sequence is a gap.
 type CacheEvents struct {
-	Events []CacheEvent `json:"events"`
+	// Incarnation tells restarts of the engine apart; sequences of two incarnations do not compare.
+	Incarnation string       `json:"incarnation,omitempty"`
+	Events      []CacheEvent `json:"events"`
 }
 
 // CacheEvent says that the engine stored or evicted one block of a prompt prefix.
