Read settings from YAML, with file, line and remedy in each error

Cause: every process needs its addresses, zone and keys from one checked file. Ruled out: an include mechanism for the example deployments (line numbers of faults would need a file stack); relative paths resolved against the settings file (surprises with a working directory set by the service manager). Conclusion: the other packages can start from settings.Load.

--- /dev/null
+++ b/internal/settings/load.go
@@ -0,0 +1,122 @@
+package settings
+
+import (
+	"encoding/hex"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+
+	"godwitcart/internal/apierror"
+)
+
+// maxFileBytes bounds a settings file.
+const maxFileBytes = 1 << 20
+
+// Load reads the file at path, fills in the defaults and checks the result. The error is an
+// apierror.Error that joins every problem found, each with its file, line and remedy.
+func Load(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, apierror.Wrap(err, apierror.KindBadRequest, "cannot read settings "+path, "name a settings file that the process may read")
+	}
+	return Parse(path, text)
+}
+
+// Parse is Load on the text of the file that path names.
+func Parse(path string, text []byte) (*Settings, error) {
+	if len(text) > maxFileBytes {
+		return nil, apierror.Newf(apierror.KindBadRequest, "name a settings file", "%s: larger than %d bytes", path, maxFileBytes)
+	}
+	s := Default()
+	if err := yaml.UnmarshalWithOptions(text, s, yaml.DisallowUnknownField()); err != nil {
+		return nil, syntaxError(path, err)
+	}
+	if problems := Check(s); len(problems) > 0 {
+		return nil, problemsError(path, text, problems)
+	}
+	return s, nil
+}
+
+// syntaxError turns an error of the YAML library into one with file, line and remedy.
+func syntaxError(path string, err error) error {
+	var located yaml.Error
+	if !errors.As(err, &located) || located.GetToken() == nil {
+		return apierror.Wrap(err, apierror.KindBadRequest, path, "correct the YAML text")
+	}
+	line := located.GetToken().Position.Line
+	remedy := "correct the value"
+	var unknown *yaml.UnknownFieldError
+	if errors.As(err, &unknown) {
+		remedy = "remove the key or correct its spelling (see docs/settings.md)"
+	}
+	return apierror.Newf(apierror.KindBadRequest, remedy, "%s:%d: %s", path, line, located.GetMessage())
+}
+
+// problemsError lists the problems, one a line.
+func problemsError(path string, text []byte, problems []Problem) error {
+	file, err := parser.ParseBytes(text, 0)
+	if err != nil {
+		return syntaxError(path, err)
+	}
+	lines := make([]string, 0, len(problems))
+	for _, p := range problems {
+		lines = append(lines, fmt.Sprintf("%s:%d: %s: %s; %s", path, lineOf(file, p.Key), p.Key, p.Message, p.Remedy))
+	}
+	return apierror.New(apierror.KindBadRequest, strings.Join(lines, "\n"), "correct the settings and start again")
+}
+
+// lineOf returns the line of the setting, or of the closest section around it that the file has.
+func lineOf(file *ast.File, key string) int {
+	for key != "" {
+		if line, found := findLine(file, key); found {
+			return line
+		}
+		key = key[:max(strings.LastIndexAny(key, ".["), 0)]
+	}
+	return 1
+}
+
+func findLine(file *ast.File, key string) (int, bool) {
+	path, err := yaml.PathString("$." + key)
+	if err != nil {
+		return 0, false
+	}
+	node, err := path.FilterFile(file)
+	if err != nil || node == nil || node.GetToken() == nil {
+		return 0, false
+	}
+	return node.GetToken().Position.Line, true
+}
+
+// ReadCursorKeys returns the cursor keys, from CursorKeysFile where that is set.
+func (s *Settings) ReadCursorKeys() ([][]byte, error) {
+	texts := s.CursorKeys
+	if s.CursorKeysFile != "" {
+		content, err := os.ReadFile(s.CursorKeysFile)
+		if err != nil {
+			return nil, apierror.Wrap(err, apierror.KindBadRequest, "cannot read cursor_keys_file", "name a file that the process may read")
+		}
+		texts = strings.Fields(string(content))
+	}
+	if len(texts) == 0 {
+		return nil, apierror.New(apierror.KindBadRequest, "there is no cursor key", "write one key a line into cursor_keys_file")
+	}
+	return decodeKeys(texts)
+}
+
+func decodeKeys(texts []string) ([][]byte, error) {
+	keys := make([][]byte, 0, len(texts))
+	for i, text := range texts {
+		key, err := hex.DecodeString(text)
+		if err != nil || len(key) != CursorKeyBytes {
+			return nil, apierror.Newf(apierror.KindBadRequest, "write 64 hexadecimal digits", "cursor key %d is malformed", i+1)
+		}
+		keys = append(keys, key)
+	}
+	return keys, nil
+}
