--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,167 @@
+package gateway_test
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitcart/internal/stand/engine"
+	"godwitcart/internal/wire/enginewire"
+)
+
+const streamBody = `{"model":"sheet","prompt":"len=30","stream":true}`
+
+func joinTokens(t testing.TB, events []event) string {
+	var text strings.Builder
+	for _, e := range events {
+		if e.data != "[DONE]" && e.name == "" {
+			text.WriteString(e.text(t))
+		}
+	}
+	return text.String()
+}
+
+func TestStreamDeliversOneWholeGeneration(t *testing.T) {
+	h := newHarness(t)
+	response := h.do(call{path: "/v1/completions", body: streamBody})
+	require.Equal(t, "text/event-stream", response.Header.Get("Content-Type"))
+	events := readEvents(t, response.Body, 1000)
+	require.Equal(t, "[DONE]", events[len(events)-1].data)
+	requireWhole(t, joinTokens(t, events), 30)
+}
+
+func TestWholeAnswerAndUsage(t *testing.T) {
+	h := newHarness(t)
+	response := h.do(call{path: "/v1/chat/completions", body: `{"model":"sheet","messages":[{"role":"user","content":"len=12"}]}`})
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	var answer struct {
+		Choices []struct {
+			Message struct{ Content string }
+		}
+		Usage struct {
+			CompletionTokens int `json:"completion_tokens"`
+		}
+	}
+	require.NoError(t, json.NewDecoder(response.Body).Decode(&answer))
+	requireWhole(t, answer.Choices[0].Message.Content, 12)
+	require.Equal(t, 12, answer.Usage.CompletionTokens)
+}
+
+// TestResumeThroughAnotherEntry loses the caller's connection after five tokens and continues with
+// the last cursor at another entry VM: the two parts make one whole generation.
+func TestResumeThroughAnotherEntry(t *testing.T) {
+	h := newHarness(t)
+	first := h.do(call{path: "/v1/completions", body: streamBody, header: map[string]string{"Godwitcart-Resumable": "true"}})
+	events := readEvents(t, first.Body, 5)
+	first.Body.Close()
+	second := h.do(call{
+		entry: 1, method: http.MethodGet, path: "/v1/completions",
+		header: map[string]string{"Last-Event-ID": events[4].id},
+	})
+	require.Equal(t, first.Header.Get("Godwitcart-Request"), second.Header.Get("Godwitcart-Request"))
+	events = append(events, readEvents(t, second.Body, 1000)...)
+	requireWhole(t, joinTokens(t, events), 30)
+	require.Len(t, h.ran(), 1)
+}
+
+func TestBrokenStreamsAreResumedUnseen(t *testing.T) {
+	h := newHarness(t)
+	h.engines[0].SetFaults(engine.Faults{BreakStreams: 5})
+	events := readEvents(t, h.do(call{path: "/v1/completions", body: streamBody}).Body, 1000)
+	requireWhole(t, joinTokens(t, events), 30)
+	require.Len(t, h.ran(), 1)
+}
+
+// TestLostAnswerRunsOnceWhenNonIdempotent takes the submission and loses the answer: the attempt is
+// found again by its id instead of being sent a second time.
+func TestLostAnswerRunsOnceWhenNonIdempotent(t *testing.T) {
+	h := newHarness(t)
+	h.engines[0].SetFaults(engine.Faults{LoseAnswers: 1})
+	response := h.do(call{path: "/v1/completions", body: `{"model":"letter","prompt":"len=8"}`})
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Len(t, h.ran(), 1)
+}
+
+func TestRefusalMovesToAnotherTarget(t *testing.T) {
+	h := newHarness(t)
+	h.engines[0].SetFaults(engine.Faults{Refuse: enginewire.RefusedLeaving})
+	response := h.do(call{path: "/v1/completions", body: `{"model":"letter","prompt":"len=8"}`})
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Empty(t, h.engines[1].Ran().Attempts[0].Refused)
+}
+
+func TestRefusedEverywhereIsNotRun(t *testing.T) {
+	h := newHarness(t)
+	for _, stand := range h.engines {
+		stand.SetFaults(engine.Faults{Refuse: enginewire.RefusedQueueFull})
+	}
+	response := h.do(call{path: "/v1/completions", body: `{"model":"letter","prompt":"len=8"}`})
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+}
+
+func TestPlainCallPassesMethodPathAndBody(t *testing.T) {
+	h := newHarness(t)
+	response := h.do(call{method: http.MethodPut, path: "/services/counter-api/a%2Fb?q=1", body: "hello"})
+	text, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode, string(text))
+	ran := h.service.Ran()
+	require.Len(t, ran.Calls, 1)
+	require.Equal(t, http.MethodPut, ran.Calls[0].Method)
+	require.Contains(t, string(text), "hello")
+}
+
+// TestBadInput lists the answers to bad input; none of it reaches a target. The callers' guide
+// shows the same table.
+func TestBadInput(t *testing.T) {
+	h := newHarness(t)
+	foreign := readEvents(t, h.do(call{path: "/v1/completions", body: streamBody, key: otherKey}).Body, 1)[0].id
+	before := len(h.ran())
+	cases := []struct {
+		name   string
+		call   call
+		status int
+		kind   string
+	}{
+		{"no key", call{path: "/v1/completions", body: streamBody, key: "wrong"}, 401, "bad_key"},
+		{"broken JSON", call{path: "/v1/completions", body: `{"model":`}, 400, "bad_request"},
+		{"body too large", call{path: "/v1/completions", body: strings.Repeat("x", 1<<17)}, 413, "too_large"},
+		{"no model", call{path: "/v1/completions", body: `{"prompt":"x"}`}, 400, "bad_request"},
+		{"unknown model", call{path: "/v1/completions", body: `{"model":"none","prompt":"x"}`}, 404, "unknown_model"},
+		{"no prompt", call{path: "/v1/completions", body: `{"model":"sheet"}`}, 400, "bad_request"},
+		{"two prompts", call{path: "/v1/completions", body: `{"model":"sheet","prompt":["a","b"]}`}, 400, "bad_request"},
+		{"an image", call{path: "/v1/chat/completions", body: `{"model":"sheet","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`}, 400, "bad_request"},
+		{"negative limit", call{path: "/v1/completions", body: `{"model":"sheet","prompt":"x","max_tokens":-1}`}, 400, "bad_request"},
+		{"several answers", call{path: "/v1/completions", body: `{"model":"sheet","prompt":"x","n":2}`}, 400, "bad_request"},
+		{"unknown class", call{path: "/v1/completions", body: streamBody, header: map[string]string{"Godwitcart-Class": "gold"}}, 400, "bad_request"},
+		{"foreign class", call{path: "/v1/completions", body: streamBody, key: otherKey, header: map[string]string{"Godwitcart-Class": "paid"}}, 403, "forbidden"},
+		{"bad deadline", call{path: "/v1/completions", body: streamBody, header: map[string]string{"Godwitcart-Deadline-Ms": "-5"}}, 400, "bad_request"},
+		{"bad idempotent mark", call{path: "/v1/completions", body: streamBody, header: map[string]string{"Godwitcart-Idempotent": "maybe"}}, 400, "bad_request"},
+		{"long key", call{path: "/v1/completions", body: streamBody, header: map[string]string{"Idempotency-Key": strings.Repeat("k", 256)}}, 400, "bad_request"},
+		{"forged cursor", call{method: http.MethodGet, path: "/v1/completions", header: map[string]string{"Last-Event-ID": "a.b.c"}}, 400, "bad_request"},
+		{"foreign cursor", call{method: http.MethodGet, path: "/v1/completions", header: map[string]string{"Last-Event-ID": foreign}}, 403, "forbidden"},
+		{"no cursor", call{method: http.MethodGet, path: "/v1/completions"}, 400, "bad_request"},
+		{"unknown service", call{method: http.MethodGet, path: "/services/none/x"}, 404, "not_found"},
+		{"engine as plain", call{method: http.MethodGet, path: "/services/godwit-lm/x"}, 400, "bad_request"},
+		{"unknown path", call{method: http.MethodGet, path: "/nowhere"}, 404, "not_found"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			response := h.do(c.call)
+			var body struct {
+				Error struct{ Type, Message, Remedy string }
+			}
+			require.NoError(t, json.NewDecoder(response.Body).Decode(&body))
+			require.Equal(t, c.status, response.StatusCode)
+			require.Equal(t, c.kind, body.Error.Type)
+			require.NotEmpty(t, body.Error.Remedy)
+		})
+	}
+	require.Len(t, h.ran(), before)
+	require.Empty(t, h.service.Ran().Calls)
+}
--- /dev/null
+++ b/internal/gateway/harness_test.go
@@ -0,0 +1,255 @@
+package gateway_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitcart/internal/apierror"
+	"godwitcart/internal/dispatch"
+	"godwitcart/internal/gateway"
+	"godwitcart/internal/policy"
+	"godwitcart/internal/request"
+	"godwitcart/internal/stand/engine"
+	"godwitcart/internal/stand/service"
+	"godwitcart/internal/target"
+	"godwitcart/internal/wire/enginewire"
+)
+
+const (
+	acmeKey  = "acme-secret"
+	otherKey = "other-secret"
+)
+
+const testConfiguration = `
+version: 1
+services:
+  godwit-lm: {kind: engine, runs: [{model: sheet}]}
+  letters: {kind: engine, non_idempotent: true, runs: [{model: letter}]}
+  counter-api: {kind: plain}
+classes:
+  standard: {priority: 10}
+  paid: {priority: 20}
+models:
+  sheet: {versions: ["1"]}
+  letter: {versions: ["1"]}
+accounts:
+  acme: {key_hashes: [%ACME%], share: 1, classes: [standard, paid]}
+  other: {key_hashes: [%OTHER%], share: 1, classes: [standard]}
+`
+
+// fixedPolicy serves one configuration.
+type fixedPolicy struct{ index *policy.Index }
+
+func (p fixedPolicy) Index() (*policy.Index, error) { return p.index, nil }
+
+func newPolicy(t testing.TB) fixedPolicy {
+	t.Helper()
+	text := strings.NewReplacer("%ACME%", policy.HashKey(acmeKey), "%OTHER%", policy.HashKey(otherKey)).Replace(testConfiguration)
+	configuration, err := policy.Parse([]byte(text))
+	require.NoError(t, err)
+	return fixedPolicy{index: policy.NewIndex(configuration)}
+}
+
+// orderedPlacer places on the first target of the service that is not excluded.
+type orderedPlacer map[string][]target.Address
+
+type fixedPlacement struct{ address target.Address }
+
+func (p fixedPlacement) Address() target.Address  { return p.address }
+func (p fixedPlacement) Reason() string           { return "first in order" }
+func (p fixedPlacement) Progress(int)             {}
+func (p fixedPlacement) Release(dispatch.Outcome) {}
+
+func (p orderedPlacer) Place(_ context.Context, r *request.Request, excluded []string, _ bool) (dispatch.Placement, error) {
+	for _, address := range p[r.Service] {
+		if !slices.Contains(excluded, address.Name) {
+			return fixedPlacement{address: address}, nil
+		}
+	}
+	return nil, apierror.New(apierror.KindOverloaded, "no target is left", "come back").WithRetryAfter(time.Second)
+}
+
+// harness is a gateway before stand-in engines and a stand-in service.
+type harness struct {
+	t       testing.TB
+	engines []*engine.Engine
+	service *service.Service
+	placer  orderedPlacer
+	sealer  *request.Sealer
+	policy  fixedPolicy
+	entries []*httptest.Server
+	gates   []*gateway.Gateway
+}
+
+const (
+	testEngines = 2
+	testEntries = 2
+)
+
+func newHarness(t testing.TB) *harness {
+	t.Helper()
+	sealer, err := request.NewSealer([][]byte{bytes.Repeat([]byte{7}, request.MinCursorKeyBytes)})
+	require.NoError(t, err)
+	h := &harness{t: t, placer: orderedPlacer{}, sealer: sealer, policy: newPolicy(t)}
+	for i := range testEngines {
+		h.addEngine("engine-" + string(rune('a'+i)))
+	}
+	h.addService()
+	for range testEntries {
+		h.addEntry()
+	}
+	return h
+}
+
+func (h *harness) addEngine(name string) {
+	stand := engine.New(engine.Options{
+		Name: name, Text: engine.TextAttempt, StepBase: time.Millisecond, StepPerSequence: time.Microsecond,
+		MedianTokens: 20, Sigma: 0.1, Loaded: []enginewire.Loaded{{Model: "sheet"}, {Model: "letter"}},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go stand.Run(ctx)
+	server := httptest.NewServer(stand.Handler())
+	h.t.Cleanup(func() {
+		cancel()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	h.engines = append(h.engines, stand)
+	address := target.Address{Name: name, HostPort: server.Listener.Addr().String()}
+	h.placer["godwit-lm"] = append(h.placer["godwit-lm"], address)
+	h.placer["letters"] = append(h.placer["letters"], address)
+}
+
+func (h *harness) addService() {
+	h.service = service.New(service.Options{Name: "counter-a"})
+	server := httptest.NewServer(h.service.Handler())
+	h.t.Cleanup(server.Close)
+	address := target.Address{Name: "counter-a", HostPort: server.Listener.Addr().String()}
+	h.placer["counter-api"] = append(h.placer["counter-api"], address)
+}
+
+func (h *harness) addEntry() {
+	timeouts := target.Timeouts{Connect: time.Second, Answer: time.Second, Progress: time.Second}
+	dispatcher := dispatch.New(dispatch.Options{
+		Engines: target.NewEngineClient(timeouts), Plain: target.NewPlainClient(timeouts), Placer: h.placer,
+		Budget: dispatch.NewRetryBudget(), VM: "vm", ResumeWindow: 3 * time.Second, NewID: rand.Text,
+	})
+	gate := gateway.New(gateway.Options{
+		Policy: h.policy, Dispatcher: dispatcher, Registry: request.NewRegistry(), Sealer: h.sealer, MaxBodyBytes: 1 << 16,
+	})
+	server := httptest.NewServer(gate)
+	h.t.Cleanup(server.Close)
+	h.entries = append(h.entries, server)
+	h.gates = append(h.gates, gate)
+}
+
+// call is one request to an entry.
+type call struct {
+	entry  int
+	method string
+	path   string
+	body   string
+	key    string
+	header map[string]string
+}
+
+func (h *harness) do(c call) *http.Response {
+	h.t.Helper()
+	if c.method == "" {
+		c.method = http.MethodPost
+	}
+	if c.key == "" {
+		c.key = acmeKey
+	}
+	outbound, err := http.NewRequest(c.method, h.entries[c.entry].URL+c.path, strings.NewReader(c.body))
+	require.NoError(h.t, err)
+	outbound.Header.Set("Authorization", "Bearer "+c.key)
+	for name, value := range c.header {
+		outbound.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(outbound)
+	require.NoError(h.t, err)
+	h.t.Cleanup(func() { response.Body.Close() })
+	return response
+}
+
+// event is one server-sent event as a caller reads it.
+type event struct {
+	name string
+	id   string
+	data string
+}
+
+// text returns the token text of a completion chunk.
+func (e event) text(t testing.TB) string {
+	var chunk struct {
+		Choices []struct {
+			Text string `json:"text"`
+		} `json:"choices"`
+	}
+	require.NoError(t, json.Unmarshal([]byte(e.data), &chunk))
+	if len(chunk.Choices) == 0 {
+		return ""
+	}
+	return chunk.Choices[0].Text
+}
+
+// readEvents reads events until limit or the end of the stream.
+func readEvents(t testing.TB, body io.Reader, limit int) []event {
+	t.Helper()
+	var events []event
+	var current event
+	lines := bufio.NewScanner(body)
+	for len(events) < limit && lines.Scan() {
+		line := lines.Text()
+		switch {
+		case strings.HasPrefix(line, "id: "):
+			current.id = line[len("id: "):]
+		case strings.HasPrefix(line, "event: "):
+			current.name = line[len("event: "):]
+		case strings.HasPrefix(line, "data: "):
+			current.data = line[len("data: "):]
+		case line == "" && current.data != "":
+			events = append(events, current)
+			current = event{}
+		}
+	}
+	return events
+}
+
+// requireWhole checks that the texts are tokens 0 to count-1 of one attempt, once and in order.
+func requireWhole(t testing.TB, text string, count int) string {
+	t.Helper()
+	fields := strings.Fields(text)
+	require.Len(t, fields, count)
+	attempt, _, _ := strings.Cut(fields[0], ":")
+	for i, field := range fields {
+		require.Equal(t, attempt+":"+itoa(i), field)
+	}
+	return attempt
+}
+
+func itoa(n int) string {
+	text, _ := json.Marshal(n)
+	return string(text)
+}
+
+func (h *harness) ran() []engine.Attempt {
+	var attempts []engine.Attempt
+	for _, stand := range h.engines {
+		attempts = append(attempts, stand.Ran().Attempts...)
+	}
+	return attempts
+}
