--- a/internal/stand/engine/api.go
+++ b/internal/stand/engine/api.go
@@ -32,7 +32,7 @@
 		e.refuse(w, enginewire.RefusedBadRequest)
 		return
 	}
-	a, refused := e.submit(request, time.Now())
+	_, refused := e.submit(request, time.Now())
 	if refused != "" {
 		e.refuse(w, refused)
 		return
@@ -40,7 +40,7 @@
 	if e.faults.takeLostAnswer() {
 		panic(http.ErrAbortHandler)
 	}
-	if a = e.attach(request.AttemptID, time.Now()); a != nil {
+	if a := e.attach(request.AttemptID, time.Now()); a != nil {
 		e.serveStream(w, r, a, 0)
 	}
 }
--- /dev/null
+++ b/internal/stand/service/service_test.go
@@ -0,0 +1,72 @@
+package service
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitcart/internal/wire/enginewire"
+)
+
+func call(t *testing.T, s *Service, attempt string) (recorder *httptest.ResponseRecorder, aborted bool) {
+	request := httptest.NewRequestWithContext(t.Context(), http.MethodPut, "/cards/7", strings.NewReader("body "+attempt))
+	request.Header.Set(enginewire.HeaderAttempt, attempt)
+	recorder = httptest.NewRecorder()
+	defer func() { aborted = recover() != nil }()
+	s.Handler().ServeHTTP(recorder, request)
+	return recorder, false
+}
+
+func TestEchoesAndRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Options{Name: "cardstat-1"})
+		answer, _ := call(t, s, "a1")
+		require.Equal(t, "body a1", answer.Body.String())
+		require.Equal(t, "/cards/7", answer.Header().Get("Echo-Path"))
+		record := s.Ran().Calls[0]
+		require.Equal(t, "a1", record.AttemptID)
+		require.Equal(t, "body a1", record.BodyHead)
+		require.True(t, record.Ended)
+	})
+}
+
+func TestConcurrencyAndLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Options{Concurrency: 1, Latency: time.Second})
+		var group sync.WaitGroup
+		group.Go(func() {
+			answer, _ := call(t, s, "runs")
+			require.Equal(t, http.StatusOK, answer.Code)
+		})
+		synctest.Wait()
+		answer, _ := call(t, s, "full")
+		require.Equal(t, string(enginewire.RefusedQueueFull), answer.Header().Get(enginewire.HeaderRefused))
+		s.Drain()
+		group.Wait()
+		answer, _ = call(t, s, "late")
+		require.Equal(t, string(enginewire.RefusedLeaving), answer.Header().Get(enginewire.HeaderRefused))
+		require.Equal(t, enginewire.RefusedLeaving, s.Ran().Calls[2].Refused)
+	})
+}
+
+func TestFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Options{})
+		s.SetFaults(Faults{LoseAnswers: 1})
+		_, aborted := call(t, s, "lost")
+		require.True(t, aborted)
+		require.True(t, s.Ran().Calls[0].Ended, "it ran")
+		s.SetFaults(Faults{Stall: true})
+		time.AfterFunc(time.Minute, func() { s.SetFaults(Faults{}) })
+		started := time.Now()
+		answer, _ := call(t, s, "stalled")
+		require.Equal(t, http.StatusOK, answer.Code)
+		require.Equal(t, time.Minute+DefaultLatency, time.Since(started))
+	})
+}
