Decide targets and admission: routing table, queues, lengths, prefix view

Ruled out: choosing the target on arrival and queueing at it, since the choice ages while the request waits; one queue over all services, since plain calls would wait behind generations. Change: lengths keeps decayed histograms with back-off from account to class to service; prefix keeps a fixed-size view of each engine's cache that distrusts entries from before a gap; routing filters, samples, scores and reserves under one lock a service; admission holds queues by class and account and asks routing in the order of priority, age and share. Limits hold over VMs by exchanged usage. Conclusion: the interfaces are ready to be wired; constants are first values, to be set by measurement.

--- /dev/null
+++ b/internal/admission/accounts.go
@@ -0,0 +1,194 @@
+package admission
+
+import (
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"godwitcart/internal/apierror"
+)
+
+const (
+	accountShards = 16
+	// usageWindow is the time over which an account's rate of requests is averaged.
+	usageWindow = 5 * time.Second
+	// burstSeconds is how many seconds' worth of its rate an account may use at once.
+	burstSeconds = 1
+	// maxAccounts bounds the idle accounts that a shard remembers.
+	maxAccounts = 256
+)
+
+// Usage is one account's use of one entry VM.
+type Usage struct {
+	Account           string
+	InProgress        int
+	RequestsPerSecond float64
+}
+
+// account is the use of one client account on this VM and what other VMs told of it.
+type account struct {
+	inProgress int
+	rate       requestRate
+	limiter    *rate.Limiter
+	others     Usage
+}
+
+// requestRate averages an account's requests per second.
+type requestRate struct {
+	perSecond float64
+	pending   int
+	since     time.Time
+}
+
+// count notes one request.
+func (r *requestRate) count(now time.Time) {
+	if r.since.IsZero() {
+		r.since = now
+	}
+	r.pending++
+	r.roll(now)
+}
+
+// roll folds a finished second into the average.
+func (r *requestRate) roll(now time.Time) {
+	elapsed := now.Sub(r.since)
+	if elapsed < time.Second || r.since.IsZero() {
+		return
+	}
+	weight := min(elapsed.Seconds()/usageWindow.Seconds(), 1)
+	r.perSecond += weight * (float64(r.pending)/elapsed.Seconds() - r.perSecond)
+	r.pending = 0
+	r.since = now
+}
+
+// accounts holds all accounts in shards, each under its own lock.
+type accounts struct {
+	shards [accountShards]accountShard
+	peers  peers
+}
+
+type accountShard struct {
+	mu       sync.Mutex
+	accounts map[string]*account
+}
+
+func (a *accounts) shard(name string) *accountShard {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(name))
+	return &a.shards[hash.Sum32()%accountShards]
+}
+
+// get returns the account, which is made on first use. The caller holds the lock.
+func (s *accountShard) get(name string) *account {
+	found := s.accounts[name]
+	if found == nil {
+		s.forgetIdle()
+		found = &account{}
+		if s.accounts == nil {
+			s.accounts = make(map[string]*account)
+		}
+		s.accounts[name] = found
+	}
+	return found
+}
+
+func (s *accountShard) forgetIdle() {
+	if len(s.accounts) < maxAccounts {
+		return
+	}
+	for name, a := range s.accounts {
+		if a.inProgress == 0 && a.others.InProgress == 0 && a.others.RequestsPerSecond == 0 {
+			delete(s.accounts, name)
+		}
+	}
+}
+
+// enter counts a request in progress, and returns false when the account is at its limit.
+func (a *accounts) enter(ticket *Ticket, _ time.Time) bool {
+	s := a.shard(ticket.Account)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := s.get(ticket.Account)
+	limit := ticket.Limits.Concurrency
+	if limit > 0 {
+		live := a.peers.live()
+		if found.inProgress >= localConcurrency(limit, found.inProgress, found.others.InProgress, live) {
+			return false
+		}
+	}
+	found.inProgress++
+	return true
+}
+
+// leave ends a request in progress.
+func (a *accounts) leave(name string) {
+	s := a.shard(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := s.get(name)
+	found.inProgress = max(found.inProgress-1, 0)
+}
+
+// allow takes one request from the account's rate, or refuses it.
+func (a *accounts) allow(ticket *Ticket, now time.Time) error {
+	s := a.shard(ticket.Account)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := s.get(ticket.Account)
+	limit := ticket.Limits.RequestsPerSecond
+	if limit <= 0 {
+		found.rate.count(now)
+		return nil
+	}
+	found.rate.roll(now)
+	share := localShare(limit, found.rate.perSecond, found.others.RequestsPerSecond, a.peers.live())
+	found.setRate(share, now)
+	reservation := found.limiter.ReserveN(now, 1)
+	if wait := reservation.DelayFrom(now); wait > 0 {
+		reservation.CancelAt(now)
+		return apierror.Newf(apierror.KindRateLimited, "come back after the time given; the request did not run",
+			"account %q sends more than its %g requests a second", ticket.Account, limit).WithRetryAfter(max(wait, minRetryAfter))
+	}
+	found.rate.count(now)
+	return nil
+}
+
+// setRate sets the account's rate on this VM.
+func (a *account) setRate(perSecond float64, now time.Time) {
+	burst := max(int(perSecond*burstSeconds), 1)
+	if a.limiter == nil {
+		a.limiter = rate.NewLimiter(rate.Limit(perSecond), burst)
+		return
+	}
+	a.limiter.SetLimitAt(now, rate.Limit(perSecond))
+	a.limiter.SetBurstAt(now, burst)
+}
+
+// usages returns what each account uses on this VM.
+func (a *accounts) usages(now time.Time) []Usage {
+	var usages []Usage
+	for i := range a.shards {
+		s := &a.shards[i]
+		s.mu.Lock()
+		for name, found := range s.accounts {
+			found.rate.roll(now)
+			if found.inProgress > 0 || found.rate.perSecond > 0 {
+				usages = append(usages, Usage{Account: name, InProgress: found.inProgress, RequestsPerSecond: found.rate.perSecond})
+			}
+		}
+		s.mu.Unlock()
+	}
+	return usages
+}
+
+// adjust adds to what other VMs told of the account's use.
+func (a *accounts) adjust(usage Usage, sign int) {
+	s := a.shard(usage.Account)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := s.get(usage.Account)
+	found.others.InProgress = max(found.others.InProgress+sign*usage.InProgress, 0)
+	found.others.RequestsPerSecond = max(found.others.RequestsPerSecond+float64(sign)*usage.RequestsPerSecond, 0)
+}
--- /dev/null
+++ b/internal/admission/controller_test.go
@@ -0,0 +1,179 @@
+package admission
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitcart/internal/apierror"
+	"godwitcart/internal/routing"
+)
+
+// slots is a Picker with room for a number of attempts.
+type slots struct {
+	mu   sync.Mutex
+	free int
+}
+
+func (s *slots) Pick(routing.Query, time.Time) (routing.Choice, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.free == 0 {
+		return routing.Choice{}, apierror.New(apierror.KindOverloaded, "full", "wait")
+	}
+	s.free--
+	return routing.Choice{Target: "t0"}, nil
+}
+
+func (s *slots) Progress(routing.Choice, int)        {}
+func (s *slots) Preempted(routing.Choice, time.Time) {}
+func (s *slots) Done(routing.Choice, routing.Outcome, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.free++
+}
+
+// served submits the tickets to a full picker, then frees it one attempt at a time and returns
+// the request ids in the order of their grants.
+func served(t *testing.T, options Options, tickets []Ticket, spacing time.Duration) []string {
+	var order []string
+	synctest.Test(t, func(t *testing.T) {
+		picker := &slots{free: 1}
+		c := NewController(options, picker)
+		var held *Grant
+		c.Submit(Ticket{Service: "s", Class: "first"}, func(g *Grant, err error) { held = g })
+		for _, ticket := range tickets {
+			ticket.Service = "s"
+			c.Submit(ticket, func(g *Grant, err error) {
+				require.NoError(t, err)
+				order = append(order, ticket.RequestID)
+				held = g
+			})
+			time.Sleep(spacing)
+		}
+		for range tickets {
+			held.Release(routing.OutcomeCompleted)
+		}
+		held.Release(routing.OutcomeCompleted)
+		synctest.Wait()
+		require.Empty(t, c.Rows())
+	})
+	return order
+}
+
+func TestOrderOfService(t *testing.T) {
+	low := func(id, account string) Ticket {
+		return Ticket{RequestID: id, Account: account, Class: "low", Priority: 1}
+	}
+	high := func(id string) Ticket { return Ticket{RequestID: id, Account: "a", Class: "high", Priority: 9} }
+	weighted := func(id, account string, share int) Ticket {
+		ticket := low(id, account)
+		ticket.Share = share
+		return ticket
+	}
+	retry := low("retry", "a")
+	retry.Retry = true
+	cases := map[string]struct {
+		tickets []Ticket
+		options Options
+		spacing time.Duration
+		want    []string
+	}{
+		"higher class first":     {tickets: []Ticket{low("1", "a"), high("2")}, want: []string{"2", "1"}},
+		"accounts take turns":    {tickets: []Ticket{low("1", "a"), low("2", "a"), low("3", "a"), low("4", "b")}, want: []string{"1", "4", "2", "3"}},
+		"shares weigh":           {tickets: []Ticket{weighted("1", "a", 1), weighted("2", "a", 1), weighted("3", "b", 2), weighted("4", "b", 2), weighted("5", "b", 2)}, want: []string{"1", "3", "4", "2", "5"}},
+		"a retry goes first":     {tickets: []Ticket{low("1", "a"), low("2", "b"), retry}, want: []string{"retry", "1", "2"}},
+		"long waits gain a rank": {tickets: []Ticket{low("1", "a"), high("2")}, options: Options{AgeStep: time.Second}, spacing: 3 * time.Second, want: []string{"1", "2"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, c.want, served(t, c.options, c.tickets, c.spacing))
+		})
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewController(Options{MaxWaiting: 1}, &slots{})
+		limited := Ticket{Service: "s", Account: "a", Class: "low", Limits: Limits{RequestsPerSecond: 1}, Deadline: time.Now().Add(time.Second)}
+		first := make(chan error, 1)
+		go func() {
+			_, err := c.Acquire(t.Context(), limited)
+			first <- err
+		}()
+		synctest.Wait()
+		_, err := c.Acquire(t.Context(), limited)
+		require.True(t, apierror.Is(err, apierror.KindRateLimited), "%v", err)
+		_, err = c.Acquire(t.Context(), Ticket{Service: "s", Account: "b", Class: "low"})
+		require.True(t, apierror.Is(err, apierror.KindOverloaded), "%v", err)
+		require.True(t, apierror.Is(<-first, apierror.KindDeadlineExceeded))
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, err = c.Acquire(ctx, Ticket{Service: "s", Account: "b", Class: "low"})
+		require.True(t, apierror.Is(err, apierror.KindCanceled), "%v", err)
+		require.Equal(t, Counters{RateLimited: 1, Overloaded: 1, DeadlineExceeded: 1, Canceled: 1}, c.Counters())
+	})
+}
+
+func TestHigherClassTakesThePlaceInAFullQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewController(Options{MaxWaiting: 1}, &slots{})
+		var refused error
+		c.Submit(Ticket{Service: "s", Account: "a", Class: "low"}, func(_ *Grant, err error) { refused = err })
+		cancel := c.Submit(Ticket{Service: "s", Account: "b", Class: "high", Priority: 1}, nil)
+		require.True(t, apierror.Is(refused, apierror.KindOverloaded))
+		require.Equal(t, "high", c.Rows()[0].Class)
+		require.True(t, cancel())
+		time.Sleep(time.Second)
+	})
+}
+
+func TestConcurrencyLimitHoldsTheAccountOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewController(Options{}, &slots{free: 9})
+		limited := Ticket{Service: "s", Account: "a", Class: "low", Limits: Limits{Concurrency: 1}}
+		grant, err := c.Acquire(t.Context(), limited)
+		require.NoError(t, err)
+		second := make(chan *Grant, 1)
+		c.Submit(limited, func(g *Grant, _ error) { second <- g })
+		require.Equal(t, WaitConcurrency, c.Rows()[0].Reason)
+		other, err := c.Acquire(t.Context(), Ticket{Service: "s", Account: "b", Class: "low"})
+		require.NoError(t, err)
+		grant.Release(routing.OutcomeCompleted)
+		(<-second).Release(routing.OutcomeCompleted)
+		other.Release(routing.OutcomeCompleted)
+		time.Sleep(time.Second)
+	})
+}
+
+func TestLocalShareSumsToTheLimit(t *testing.T) {
+	for _, usages := range [][]float64{{0, 0, 0}, {10, 0, 0}, {5, 20, 1}, {70, 60, 10}} {
+		sum := 0.0
+		for i, own := range usages {
+			var others []float64
+			others = append(append(others, usages[:i]...), usages[i+1:]...)
+			sum += LocalShare(100, own, others, len(usages))
+		}
+		require.InDelta(t, 100, sum, 1e-9, "%v", usages)
+	}
+}
+
+func TestUsageOfOtherVMsShrinksTheShare(t *testing.T) {
+	c := NewController(Options{}, &slots{free: 100})
+	c.SetEntries([]string{"e2"})
+	c.ObserveUsage("e2", []Usage{{Account: "a", InProgress: 8}}, time.Now())
+	granted := 0
+	for range 10 {
+		c.Submit(Ticket{Service: "s", Account: "a", Limits: Limits{Concurrency: 10}}, func(g *Grant, _ error) {
+			if g != nil {
+				granted++
+			}
+		})
+	}
+	require.LessOrEqual(t, granted, 2)
+	require.Positive(t, granted)
+}
--- /dev/null
+++ b/internal/routing/room.go
@@ -0,0 +1,41 @@
+package routing
+
+const (
+	// unknownMemory is the token memory assumed of an engine that has not reported any.
+	unknownMemory = 16384
+	// headroomPerRank is the share of memory kept free for each higher priority.
+	headroomPerRank = 0.06
+	// deviations is the margin in standard deviations of the forecast for the highest priority,
+	// and deviationsPerRank is added for each higher priority.
+	deviations        = 0.5
+	deviationsPerRank = 0.5
+)
+
+// load returns the expected share of the target's memory in use with the query's attempt, and
+// whether there is room for it at its priority.
+func (s *shard) load(state *search, t *target) (float64, bool) {
+	memory := float64(t.report.MemoryTokens)
+	if memory == 0 {
+		memory = unknownMemory
+	}
+	higher := s.below(state.rank)
+	if state.query.Aged {
+		higher = 0
+	}
+	if higher > 0 && state.now.Before(t.pressuredUntil) {
+		return 0, false
+	}
+	counted := 0
+	if state.query.Preempt {
+		counted = state.rank
+	}
+	expected := t.expected(counted)
+	expected.add(&state.demand, 1)
+	load := expected.mean[middleHorizon] / memory
+	usable := memory * (1 - headroomPerRank*float64(higher))
+	if counted == 0 && float64(t.tokensNow()+state.query.PromptTokens) > usable {
+		return load, false
+	}
+	margin := deviations + deviationsPerRank*float64(higher)
+	return load, expected.fits(usable, margin)
+}
--- /dev/null
+++ b/internal/routing/table_test.go
@@ -0,0 +1,179 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitcart/internal/apierror"
+	"godwitcart/internal/membership"
+	"godwitcart/internal/policy"
+	"godwitcart/internal/wire/enginewire"
+)
+
+var (
+	start    = time.Unix(1_000_000, 0)
+	godwitLM = policy.Variant{Model: "godwit-7b"}
+)
+
+// newFleet returns a table of engines, of which each has reported that it is idle.
+func newFleet(zones ...string) *Table {
+	table := NewTable(Options{Zone: zones[0], Seed: 1})
+	table.SetPriorities([]int{1, 5})
+	var vms []membership.VM
+	for i, zone := range zones {
+		vms = append(vms, membership.VM{Name: fmt.Sprintf("t%d", i), Zone: zone, State: membership.StateLive, ConfirmedAt: start})
+	}
+	table.SetTargets("godwit-lm", vms, start)
+	for _, vm := range vms {
+		table.ApplyReport(vm.Name, idle(start), start)
+	}
+	return table
+}
+
+func idle(asOf time.Time) enginewire.LoadReport {
+	return enginewire.LoadReport{
+		Incarnation: "a", AsOfUnixMillis: asOf.UnixMilli(), MemoryTokens: 8192,
+		Loaded: []enginewire.Loaded{{Model: "godwit-7b"}},
+	}
+}
+
+func query() Query {
+	return Query{Service: "godwit-lm", Variant: godwitLM, Priority: 5, PromptTokens: 100}
+}
+
+func TestPickFillsOwnZoneThenOthersThenRefuses(t *testing.T) {
+	table := newFleet("regina-a", "regina-b")
+	var zones []string
+	for {
+		choice, err := table.Pick(query(), start)
+		if err != nil {
+			require.True(t, apierror.Is(err, apierror.KindOverloaded), err)
+			break
+		}
+		zones = append(zones, choice.Zone)
+	}
+	require.Equal(t, "regina-a", zones[0])
+	require.Contains(t, zones, "regina-b")
+	require.Less(t, len(zones), 2*8192/100)
+}
+
+func TestLowerClassLeavesHeadroom(t *testing.T) {
+	count := func(priority int) int {
+		table := newFleet("regina-a")
+		q := query()
+		q.Priority = priority
+		n := 0
+		for ; ; n++ {
+			if _, err := table.Pick(q, start); err != nil {
+				return n
+			}
+		}
+	}
+	require.Less(t, count(1), count(5))
+}
+
+func TestDoneFreesTheReservation(t *testing.T) {
+	table := newFleet("regina-a")
+	var last Choice
+	for {
+		choice, err := table.Pick(query(), start)
+		if err != nil {
+			break
+		}
+		last = choice
+	}
+	table.Progress(last, 40)
+	table.Done(last, OutcomeCompleted, start)
+	table.Done(last, OutcomeCompleted, start)
+	_, err := table.Pick(query(), start)
+	require.NoError(t, err)
+}
+
+func TestTargetsThatMustNotBeChosen(t *testing.T) {
+	later := start.Add(time.Second)
+	cases := map[string]struct {
+		change func(*Table)
+		query  func(*Query)
+		now    time.Time
+		kind   apierror.Kind
+	}{
+		"marked leaving": {change: func(table *Table) { table.MarkLeaving("t0") }, now: start, kind: apierror.KindNotRun},
+		"reports leaving": {change: func(table *Table) {
+			report := idle(later)
+			report.Leaving = true
+			table.ApplyReport("t0", report, later)
+		}, now: later, kind: apierror.KindNotRun},
+		"not confirmed":   {now: start.Add(4 * time.Second), kind: apierror.KindNotRun},
+		"excluded":        {query: func(q *Query) { q.Excluded = []string{"t0"} }, now: start, kind: apierror.KindNotRun},
+		"not loaded":      {query: func(q *Query) { q.Variant.Model = "other" }, now: start, kind: apierror.KindNotRun},
+		"unknown service": {query: func(q *Query) { q.Service = "other" }, now: start, kind: apierror.KindUnknownModel},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := newFleet("regina-a")
+			if c.change != nil {
+				c.change(table)
+			}
+			q := query()
+			if c.query != nil {
+				c.query(&q)
+			}
+			_, err := table.Pick(q, c.now)
+			require.True(t, apierror.Is(err, c.kind), "%v", err)
+		})
+	}
+}
+
+func TestLeavingHoldsWithinAnIncarnation(t *testing.T) {
+	table := newFleet("regina-a")
+	table.MarkLeaving("t0")
+	later := start.Add(time.Second)
+	table.ApplyReport("t0", idle(later), later)
+	_, err := table.Pick(query(), later)
+	require.Error(t, err)
+	restarted := idle(later.Add(time.Second))
+	restarted.Incarnation = "b"
+	table.ApplyReport("t0", restarted, later.Add(time.Second))
+	choice, err := table.Pick(query(), later.Add(time.Second))
+	require.NoError(t, err)
+	require.Equal(t, "b", choice.Incarnation)
+}
+
+func TestCircuitOpensAndProbesOnce(t *testing.T) {
+	table := newFleet("regina-a")
+	for range failuresToOpen {
+		choice, err := table.Pick(query(), start)
+		require.NoError(t, err)
+		table.Done(choice, OutcomeFailed, start)
+	}
+	_, err := table.Pick(query(), start)
+	require.True(t, apierror.Is(err, apierror.KindNotRun))
+	probeAt := start.Add(minOpenFor)
+	probe, err := table.Pick(query(), probeAt)
+	require.NoError(t, err)
+	_, err = table.Pick(query(), probeAt)
+	require.Error(t, err, "a second attempt during the probe")
+	table.Done(probe, OutcomeCompleted, probeAt)
+	_, err = table.Pick(query(), probeAt)
+	require.NoError(t, err)
+}
+
+func TestPlainServiceTakesTheLeastBusy(t *testing.T) {
+	table := NewTable(Options{Zone: "regina-a", Seed: 1, PlainConcurrency: 2})
+	table.SetTargets("counter-api", []membership.VM{
+		{Name: "c0", Zone: "regina-a", State: membership.StateLive, ConfirmedAt: start},
+		{Name: "c1", Zone: "regina-a", State: membership.StateLive, ConfirmedAt: start},
+	}, start)
+	counts := map[string]int{}
+	for range 4 {
+		choice, err := table.Pick(Query{Service: "counter-api"}, start)
+		require.NoError(t, err)
+		counts[choice.Target]++
+	}
+	require.Equal(t, map[string]int{"c0": 2, "c1": 2}, counts)
+	_, err := table.Pick(Query{Service: "counter-api"}, start)
+	require.True(t, apierror.Is(err, apierror.KindOverloaded))
+}
