--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -38,8 +38,10 @@
 	Address() target.Address
 	// Reason says in a sentence fragment why this target was chosen.
 	Reason() string
-	// Progress reports the tokens generated since the last call.
+	// Progress reports the number of tokens generated so far.
 	Progress(tokens int)
+	// Preempted reports that the target preempted the attempt.
+	Preempted()
 	// Release gives the reservation back. It is called once.
 	Release(outcome Outcome)
 }
--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -23,13 +23,24 @@
 	sink    Sink
 	binding Binding
 	relay   *request.Relay
-	// progress is told of new tokens.
-	progress func(tokens int)
+	observer observer
 
 	bound bool
 	ready []enginewire.TokenEvent
 }
 
+// observer is told how an attempt goes.
+type observer interface {
+	Progress(tokens int)
+	Preempted()
+}
+
+// noObserver watches an attempt that this VM holds no reservation for.
+type noObserver struct{}
+
+func (noObserver) Progress(int) {}
+func (noObserver) Preempted()   {}
+
 // follow reads stream to the attempt's end, and continues on a new stream when it breaks.
 func (f *follower) follow(ctx context.Context, stream *target.Stream) error {
 	for {
@@ -85,6 +96,7 @@
 
 func (f *follower) accept(event enginewire.TokenEvent) error {
 	if event.Preempted {
+		f.observer.Preempted()
 		f.move(request.StatePreempted, "the target is short of memory")
 		return callerError(f.sink.Idle())
 	}
@@ -119,7 +131,7 @@
 		f.move(request.StateStreaming, "tokens arrive")
 	}
 	f.record.AddTokens(1)
-	f.progress(1)
+	f.observer.Progress(event.Index + 1)
 	return callerError(f.sink.Token(event.Index, event.Text))
 }
 
@@ -175,7 +187,7 @@
 func (d *Dispatcher) Resume(ctx context.Context, record *request.Record, binding Binding, from int, sink Sink) error {
 	follower := &follower{
 		Dispatcher: d, record: record, sink: sink, binding: binding,
-		relay: request.NewRelay(binding.Attempt, from), progress: func(int) {},
+		relay: request.NewRelay(binding.Attempt, from), observer: noObserver{},
 	}
 	moveRecord(record, request.Step{
 		At: time.Now(), State: request.StateDispatched, Target: binding.Address.Name,
@@ -200,3 +212,6 @@
 	return apierror.Wrap(err, apierror.KindGenerationLost, "the generation cannot be continued",
 		"discard what was received and send the request again").WithRetryAfter(retryAfterFailure)
 }
+
+// IsCallerGone reports whether an attempt ended because its caller could not be written to.
+func IsCallerGone(err error) bool { return errors.Is(err, errCallerGone) }
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -115,7 +115,7 @@
 func (g *generation) drive(ctx context.Context, placement Placement, binding Binding) error {
 	follower := &follower{
 		Dispatcher: g.Dispatcher, record: g.record, sink: g.sink, binding: binding,
-		relay: request.NewRelay(binding.Attempt, 0), progress: placement.Progress,
+		relay: request.NewRelay(binding.Attempt, 0), observer: placement,
 	}
 	stream, err := g.options.Engines.Start(ctx, binding.Address, g.wire(binding))
 	if err == nil {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -70,6 +70,7 @@
 func (p fixedPlacement) Address() target.Address  { return p.address }
 func (p fixedPlacement) Reason() string           { return "first in order" }
 func (p fixedPlacement) Progress(int)             {}
+func (p fixedPlacement) Preempted()               {}
 func (p fixedPlacement) Release(dispatch.Outcome) {}
 
 func (p orderedPlacer) Place(_ context.Context, r *request.Request, excluded []string, _ bool) (dispatch.Placement, error) {
