Refuse YAML anchors and aliases in settings

Cause: a fuzz run ended by stack exhaustion; the YAML library's decoder recurses without end on recursive aliases. Ruled out: bounding the decoder from outside, which cannot stop a stack overflow. Change: anchors, aliases and merge keys are refused with file and line before the text is decoded. Conclusion: malformed settings end in an error that names the remedy.

--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -32,6 +32,9 @@
 	if len(text) > maxFileBytes {
 		return nil, apierror.Newf(apierror.KindBadRequest, "name a settings file", "%s: larger than %d bytes", path, maxFileBytes)
 	}
+	if err := refuseAliases(path, text); err != nil {
+		return nil, err
+	}
 	s := Default()
 	if err := yaml.UnmarshalWithOptions(text, s, yaml.DisallowUnknownField()); err != nil {
 		return nil, syntaxError(path, err)
@@ -42,6 +45,41 @@
 	return s, nil
 }
 
+// refuseAliases keeps YAML aliases from the decoder, which does not end on recursive ones.
+func refuseAliases(path string, text []byte) error {
+	file, err := parser.ParseBytes(text, 0)
+	if err != nil {
+		return syntaxError(path, err)
+	}
+	finder := &aliasFinder{}
+	for _, document := range file.Docs {
+		ast.Walk(finder, document)
+	}
+	if finder.line == 0 {
+		return nil
+	}
+	return apierror.Newf(apierror.KindBadRequest, "write the value out", "%s:%d: YAML anchors and aliases are not supported", path, finder.line)
+}
+
+// aliasFinder remembers the line of an anchor, alias or merge key.
+type aliasFinder struct {
+	line int
+}
+
+// Visit implements ast.Visitor.
+func (f *aliasFinder) Visit(node ast.Node) ast.Visitor {
+	if node == nil {
+		return nil
+	}
+	switch node.Type() {
+	case ast.AnchorType, ast.AliasType, ast.MergeKeyType:
+		f.line = node.GetToken().Position.Line
+		return nil
+	default:
+		return f
+	}
+}
+
 // syntaxError turns an error of the YAML library into one with file, line and remedy.
 func syntaxError(path string, err error) error {
 	var located yaml.Error
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -71,6 +71,7 @@
 		"wrong type":     {"plain_text: true", "plain_text: perhaps", "s.yaml:8:"},
 		"duplicate key":  {"platform:", "peers: {}\nplatform:", "s.yaml:"},
 		"missing":        {"  zone: regina-a\n", "", "s.yaml:3: vm.zone: it is missing; set it"},
+		"alias":          {"  zone: regina-a", "  zone: &a [*a]", "s.yaml:4: YAML anchors and aliases are not supported; write"},
 		"no security":    {"  listen: 127.0.0.1:7101\n  plain_text: true", "  listen: 127.0.0.1:7101", "callers: exactly one of tls and plain_text"},
 		"both":           {"  listen: 127.0.0.1:7301", "  listen: 127.0.0.1:7301\n  tls: {cert: a, key: b, ca: c}", "peers: exactly one of"},
 		"same port":      {"127.0.0.1:7301", "127.0.0.1:7101", "peers.listen: 127.0.0.1:7101 is used by callers.listen too"},
