Add godwitstand load: callers with resume, repeats and duplicates

Ruled out: a closed loop, which hides waiting; retries after not_run, which would blur what was refused. Change: internal/stand/load and the subcommand; entry VMs are chosen as the balancer does, from their readiness. Figures: go test -race -count=3 of the package passes; no load was measured.

--- a/cmd/godwitstand/main.go
+++ b/cmd/godwitstand/main.go
@@ -1,5 +1,5 @@
 // Command godwitstand runs the stand-ins of the systems around godwitcart: the platform,
-// model engines and plain services. They are for tests, demos and measurements.
+// model engines, plain services and callers. They are for tests, demos and measurements.
 package main
 
 import (
@@ -18,6 +18,7 @@
 	Platform platformCommand `cmd:"" help:"Run the platform: object API, list of VMs, weight store."`
 	Engine   engineCommand   `cmd:"" help:"Run a model engine."`
 	Service  serviceCommand  `cmd:"" help:"Run a plain service."`
+	Load     loadCommand     `cmd:"" help:"Send the load of many callers and print a summary."`
 }
 
 // listeners are the addresses that every stand-in needs.
--- /dev/null
+++ b/internal/stand/load/load_test.go
@@ -0,0 +1,180 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// stubTokens is how many tokens the stub's streams have.
+const stubTokens = 6
+
+func testOptions(entries ...*httptest.Server) Options {
+	options := Options{Keys: []string{"secret"}, Model: "m", Deadline: 5 * time.Second, Silence: 200 * time.Millisecond}
+	for _, entry := range entries {
+		options.Entries = append(options.Entries, entry.URL)
+	}
+	return options
+}
+
+func sendOne(t *testing.T, options Options, request Request) Answer {
+	t.Helper()
+	request.Tag, request.Key, request.Account = "tag=1-1", "key-1", "secret"
+	client := newClient()
+	defer client.CloseIdleConnections()
+	c := &caller{options: options, client: client, entries: newEntryList(client, options.Entries, nil), request: request}
+	return c.run(t.Context())
+}
+
+// stubStream serves stubTokens tokens from the cursor on, at most limit of them a call.
+func stubStream(limit int, after func(w http.ResponseWriter, r *http.Request)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		next := 0
+		_, _ = fmt.Sscanf(r.Header.Get(headerLastEvent), "c%d", &next)
+		w.Header().Set("Content-Type", "text/event-stream")
+		for sent := 0; next < stubTokens; sent++ {
+			if sent == limit {
+				_ = http.NewResponseController(w).Flush()
+				after(w, r)
+				return
+			}
+			next++
+			fmt.Fprintf(w, "id: c%d\ndata: {\"choices\":[{\"text\":\"t%d \"}]}\n\n", next, next)
+		}
+		fmt.Fprint(w, "data: [DONE]\n\n")
+	}
+}
+
+func TestStreamResumesElsewhere(t *testing.T) {
+	afters := map[string]func(http.ResponseWriter, *http.Request){
+		"break": func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"stall": func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+		"half an event": func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, "id: c99\ndata: {\"choices\":[{\"text\":\"half")
+		},
+		"handed over": func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, "event: reconnect\nretry: 0\ndata: {}\n\n")
+		},
+	}
+	for name, after := range afters {
+		t.Run(name, func(t *testing.T) {
+			first := httptest.NewServer(stubStream(2, after))
+			defer first.Close()
+			second := httptest.NewServer(stubStream(2, after))
+			defer second.Close()
+			answer := sendOne(t, testOptions(first, second), Request{Kind: KindStream})
+			require.Equal(t, OutcomeAnswered, answer.Outcome)
+			require.Equal(t, "t1 t2 t3 t4 t5 t6 ", answer.Text)
+			require.Len(t, answer.Gaps, 5)
+			require.Len(t, answer.Tries, 3)
+			require.Equal(t, name == "handed over", answer.Tries[0].Break == "")
+			require.NotEqual(t, answer.Tries[0].Entry, answer.Tries[1].Entry)
+		})
+	}
+}
+
+func TestErrorsAreFinal(t *testing.T) {
+	streamed := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		fmt.Fprint(w, "event: error\ndata: {\"error\":{\"type\":\"generation_lost\",\"message\":\"gone\"}}\n\n")
+	}))
+	defer streamed.Close()
+	answer := sendOne(t, testOptions(streamed), Request{Kind: KindStream})
+	require.Equal(t, "generation_lost", answer.ErrorKind)
+	require.False(t, answer.NotRun())
+
+	refusing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		fmt.Fprint(w, `{"error":{"type":"not_run","message":"later"}}`)
+	}))
+	defer refusing.Close()
+	answer = sendOne(t, testOptions(refusing), Request{Kind: KindWhole})
+	require.True(t, answer.NotRun())
+	require.Len(t, answer.Tries, 1)
+}
+
+func TestRepeatsWithItsKeyUntilTheDeadline(t *testing.T) {
+	var calls atomic.Int32
+	flaky := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		require.Equal(t, "key-1", r.Header.Get(headerKey))
+		require.Equal(t, "false", r.Header.Get(headerIdempotent))
+		if calls.Add(1) == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		body, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(body)
+	}))
+	defer flaky.Close()
+	answer := sendOne(t, testOptions(flaky), Request{Kind: KindPlain, Service: "s", NonIdempotent: true, Tokens: 3})
+	require.Equal(t, "tag=1-1 len=3 ", answer.Text)
+	require.Len(t, answer.Tries, 2)
+
+	dead := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer dead.Close()
+	options := testOptions(dead)
+	options.Deadline = 100 * time.Millisecond
+	answer = sendOne(t, options, Request{Kind: KindWhole})
+	require.Equal(t, OutcomeNone, answer.Outcome)
+}
+
+func TestRunFollowsThePlan(t *testing.T) {
+	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, pathServices) {
+			_, _ = io.Copy(w, r.Body)
+			return
+		}
+		var body generationBody
+		_ = json.NewDecoder(r.Body).Decode(&body)
+		if body.Stream {
+			stubStream(stubTokens, nil)(w, r)
+			return
+		}
+		fmt.Fprint(w, `{"choices":[{"text":"t1 "}]}`)
+	}))
+	defer entry.Close()
+	options := testOptions(entry)
+	options.Rate, options.Duration, options.Seed = 1000, 100*time.Millisecond, 7
+	options.Mix = Mix{Stream: 1, Whole: 1, Plain: 1}
+	options.Services, options.MedianTokens, options.MaxTokens = []string{"s"}, 10, 100
+	options.NonIdempotent, options.Duplicated = 0.5, 0.5
+
+	records := Run(t.Context(), options)
+	planned := plan(options)
+	require.Len(t, records, len(planned))
+	for i, record := range records {
+		require.Equal(t, planned[i], record.Request)
+	}
+	summary := Summarize(records)
+	require.Greater(t, summary.Requests, len(records), "some are sent twice")
+	require.Equal(t, summary.Requests, summary.Answered)
+	require.Positive(t, summary.FirstToken.P99)
+	require.Positive(t, summary.Plain.P50)
+}
+
+func TestEntryListFollowsReadiness(t *testing.T) {
+	var down atomic.Bool
+	check := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if down.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}))
+	defer check.Close()
+	list := newEntryList(http.DefaultClient, []string{"a", "b"}, []string{check.URL, check.URL})
+	require.NotEqual(t, list.choose(""), list.choose(""))
+	require.Equal(t, "b", list.choose("a"))
+	require.True(t, list.check(context.Background(), check.URL))
+	down.Store(true)
+	require.False(t, list.check(context.Background(), check.URL))
+	list.ready = []bool{false, true}
+	require.Equal(t, "b", list.choose(""))
+	require.Equal(t, "b", list.choose("b"), "it is the only one")
+}
--- /dev/null
+++ b/internal/stand/load/sse.go
@@ -0,0 +1,51 @@
+package load
+
+import (
+	"bufio"
+	"io"
+	"strings"
+)
+
+// sseEvent is one server-sent event; a comment has only Comment set.
+type sseEvent struct {
+	ID, Name, Data string
+	Comment        bool
+}
+
+// sseReader reads server-sent events.
+type sseReader struct {
+	lines *bufio.Reader
+}
+
+func newSSEReader(r io.Reader) *sseReader { return &sseReader{lines: bufio.NewReader(r)} }
+
+// next returns the next event. An event that breaks off before its empty line is not returned.
+func (s *sseReader) next() (sseEvent, error) {
+	var event sseEvent
+	for {
+		line, err := s.lines.ReadString('\n')
+		if err != nil {
+			return sseEvent{}, err
+		}
+		line = strings.TrimRight(line, "\r\n")
+		if line == "" {
+			return event, nil
+		}
+		event.add(line)
+	}
+}
+
+func (e *sseEvent) add(line string) {
+	field, value, _ := strings.Cut(line, ":")
+	value = strings.TrimPrefix(value, " ")
+	switch field {
+	case "":
+		e.Comment = true
+	case "id":
+		e.ID = value
+	case "event":
+		e.Name = value
+	case "data":
+		e.Data += value
+	}
+}
