Accept a configuration on every entry VM or on none

Ruled out: a conditional update without staging, because a VM that is cut off just then would serve the old meaning without knowing; one staging round, because a VM that restarts after it has forgotten the proposal; one undecided proposal per VM, because two racing operators could refuse each other. Change: acceptance.Manager stages at every VM that the platform or any VM knows, twice, then updates the root object conditionally. Lost answers are settled with object.Settle by the proposal's id. History is archived before the root is replaced; rolling back is a new version.

--- /dev/null
+++ b/internal/acceptance/cluster_test.go
@@ -0,0 +1,295 @@
+package acceptance_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"godwitcart/internal/acceptance"
+	"godwitcart/internal/object"
+	"godwitcart/internal/object/objecttest"
+	"godwitcart/internal/peer/peerpb"
+	"godwitcart/internal/policy"
+)
+
+const testKey = "key-a"
+
+var errCut = errors.New("cut off")
+
+// cluster is a set of Managers on one store, inside a synctest bubble. VMs are numbered
+// from zero; a link is cut when both ends are in different groups.
+type cluster struct {
+	store *objecttest.Store
+	vms   []*vm
+	// mu guards the fields below and the managers of vms.
+	mu sync.Mutex
+	// group is each VM's side of a cut; the platform is on side 0.
+	group []int
+	// slowStage delays every Stage call to another VM.
+	slowStage time.Duration
+	// dropAnswers makes the answers of Stage and Conclude calls be lost.
+	dropAnswers bool
+}
+
+// vm is one VM over its restarts.
+type vm struct {
+	name string
+	// current is nil until the VM has started.
+	current *acceptance.Manager
+	cancel  context.CancelFunc
+	done    chan struct{}
+	// highest is the highest version that any incarnation had in force.
+	highest uint64
+}
+
+func newCluster(t *testing.T, size int) *cluster {
+	c := &cluster{store: objecttest.NewStore(), group: make([]int, size)}
+	for i := range size {
+		c.vms = append(c.vms, &vm{name: fmt.Sprintf("vm-%d", i)})
+	}
+	for i := range c.vms {
+		c.start(i)
+	}
+	t.Cleanup(c.stop)
+	return c
+}
+
+func (c *cluster) start(i int) {
+	member := c.vms[i]
+	ctx, cancel := context.WithCancel(context.Background())
+	manager := acceptance.New(acceptance.Options{
+		VM:        member.name,
+		Store:     &cutStore{cluster: c, vm: i},
+		Peers:     &cutPeers{cluster: c, vm: i},
+		Directory: &directory{cluster: c, vm: i},
+		Seed:      seed(),
+		Metrics:   metrics.NewRegistry(),
+		Logger:    log.New(io.Discard),
+	})
+	done := make(chan struct{})
+	c.mu.Lock()
+	member.current = manager
+	c.mu.Unlock()
+	member.cancel = cancel
+	member.done = done
+	go func() {
+		defer close(done)
+		_ = manager.Run(ctx)
+	}()
+}
+
+func (c *cluster) manager(i int) *acceptance.Manager {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.vms[i].current
+}
+
+// cut moves a VM to a side.
+func (c *cluster) cut(i, side int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.group[i] = side
+}
+
+func (c *cluster) onPlatformSide(i int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.group[i] == 0
+}
+
+// linked reports whether VM i can call VM j, and whether answers arrive.
+func (c *cluster) linked(i, j int) (calls, answered bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	calls = c.group[i] == c.group[j] && c.vms[j].current != nil
+	return calls, calls && !c.dropAnswers
+}
+
+func (c *cluster) setPeerFaults(slowStage time.Duration, dropAnswers bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.slowStage = slowStage
+	c.dropAnswers = dropAnswers
+}
+
+func (c *cluster) restart(i int) {
+	c.vms[i].cancel()
+	<-c.vms[i].done
+	c.start(i)
+}
+
+func (c *cluster) stop() {
+	for _, member := range c.vms {
+		member.cancel()
+		<-member.done
+	}
+}
+
+func (c *cluster) heal() {
+	for i := range c.vms {
+		c.cut(i, 0)
+	}
+	c.store.SetOutage(false)
+	c.store.SetFaults(nil)
+	c.store.Flush()
+	c.setPeerFaults(0, false)
+}
+
+func seed() *policy.Configuration {
+	return &policy.Configuration{
+		Services: map[string]policy.Service{"cardstat": {Name: "cardstat", Kind: policy.KindPlain}},
+		Accounts: map[string]policy.Account{"a": {Name: "a", KeyHashes: []string{policy.HashKey(testKey)}, Share: 1, Classes: []string{"kiosk", "batch"}}},
+		Classes:  map[string]policy.Class{"kiosk": {Name: "kiosk", Priority: 1000}, "batch": {Name: "batch"}},
+		Models:   map[string]policy.Model{},
+	}
+}
+
+// setShare is a change that gives account a another share.
+func setShare(operator string, share int) acceptance.Change {
+	return acceptance.Change{
+		Operator: operator,
+		Summary:  fmt.Sprintf("change account a share=%d", share),
+		Apply: func(c *policy.Configuration) error {
+			account := c.Accounts["a"]
+			account.Share = share
+			c.Accounts["a"] = account
+			return nil
+		},
+	}
+}
+
+// setBatch is a change that bears on requests of class batch alone.
+func setBatch(operator string, deadline time.Duration) acceptance.Change {
+	return acceptance.Change{Operator: operator, Summary: "change class batch", Apply: func(c *policy.Configuration) error {
+		c.Classes["batch"] = policy.Class{Name: "batch", Deadline: deadline}
+		return nil
+	}}
+}
+
+// cutStore is the store as seen by one VM.
+type cutStore struct {
+	cluster *cluster
+	vm      int
+}
+
+func (s *cutStore) check() error {
+	if !s.cluster.onPlatformSide(s.vm) {
+		return object.NewUnavailableError(time.Second, false, errCut)
+	}
+	return nil
+}
+
+func (s *cutStore) Get(ctx context.Context, key string) (object.Object, error) {
+	if err := s.check(); err != nil {
+		return object.Object{}, err
+	}
+	return s.cluster.store.Get(ctx, key)
+}
+
+func (s *cutStore) List(ctx context.Context, prefix string) (object.Listing, error) {
+	if err := s.check(); err != nil {
+		return object.Listing{}, err
+	}
+	return s.cluster.store.List(ctx, prefix)
+}
+
+func (s *cutStore) Put(ctx context.Context, key string, value []byte, expected uint64) (object.Object, error) {
+	if err := s.check(); err != nil {
+		return object.Object{}, err
+	}
+	written, err := s.cluster.store.Put(ctx, key, value, expected)
+	if s.check() != nil {
+		return object.Object{}, object.NewUnknownOutcomeError(key, errCut)
+	}
+	return written, err
+}
+
+func (s *cutStore) Delete(ctx context.Context, key string, expected uint64) error {
+	if err := s.check(); err != nil {
+		return err
+	}
+	return s.cluster.store.Delete(ctx, key, expected)
+}
+
+func (s *cutStore) Watch(ctx context.Context, prefix string, after uint64) (object.Batch, error) {
+	if err := s.check(); err != nil {
+		return object.Batch{}, err
+	}
+	batch, err := s.cluster.store.Watch(ctx, prefix, after)
+	if cut := s.check(); cut != nil {
+		return object.Batch{}, cut
+	}
+	return batch, err
+}
+
+// cutPeers calls the other Managers directly, unless the link is cut.
+type cutPeers struct {
+	cluster *cluster
+	vm      int
+}
+
+// call makes one call over the link and loses its answer if the link is cut meanwhile.
+func call[Q, R any](p *cutPeers, name string, method func(*acceptance.Manager) func(context.Context, Q) (R, error), request Q) (R, error) {
+	var none R
+	c := p.cluster
+	to := slices.IndexFunc(c.vms, func(member *vm) bool { return member.name == name })
+	if calls, _ := c.linked(p.vm, to); !calls {
+		return none, errCut
+	}
+	reply, err := method(c.manager(to))(context.Background(), request)
+	if _, answered := c.linked(p.vm, to); !answered {
+		return none, errCut
+	}
+	return reply, err
+}
+
+func (p *cutPeers) Stage(ctx context.Context, name string, request *peerpb.StageRequest) (*peerpb.StageReply, error) {
+	p.cluster.mu.Lock()
+	wait := p.cluster.slowStage
+	p.cluster.mu.Unlock()
+	time.Sleep(wait)
+	return call(p, name, func(m *acceptance.Manager) func(context.Context, *peerpb.StageRequest) (*peerpb.StageReply, error) {
+		return m.Stage
+	}, request)
+}
+
+func (p *cutPeers) Conclude(_ context.Context, name string, request *peerpb.ConcludeRequest) (*peerpb.ConcludeReply, error) {
+	return call(p, name, func(m *acceptance.Manager) func(context.Context, *peerpb.ConcludeRequest) (*peerpb.ConcludeReply, error) {
+		return m.Conclude
+	}, request)
+}
+
+func (p *cutPeers) Configuration(_ context.Context, name string, request *peerpb.ConfigurationRequest) (*peerpb.ConfigurationReply, error) {
+	return call(p, name, func(m *acceptance.Manager) func(context.Context, *peerpb.ConfigurationRequest) (*peerpb.ConfigurationReply, error) {
+		return m.Configuration
+	}, request)
+}
+
+// directory lists every VM, also those that are cut off: the platform's list lags.
+type directory struct {
+	cluster *cluster
+	vm      int
+}
+
+func (d *directory) Listed(context.Context) ([]string, error) {
+	if !d.cluster.onPlatformSide(d.vm) {
+		return nil, errCut
+	}
+	return d.Known(), nil
+}
+
+func (d *directory) Known() []string {
+	var names []string
+	for _, member := range d.cluster.vms {
+		names = append(names, member.name)
+	}
+	return names
+}
--- /dev/null
+++ b/internal/acceptance/propose.go
@@ -0,0 +1,331 @@
+package acceptance
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"godwitcart/internal/apierror"
+	"godwitcart/internal/object"
+	"godwitcart/internal/peer/peerpb"
+	"godwitcart/internal/policy"
+)
+
+// stageRounds is the least number of times that every VM is asked to stage a proposal. The
+// second round reaches a VM that restarted after the first and forgot it.
+const stageRounds = 2
+
+// maxStageRounds bounds the rounds in which VMs name further VMs.
+const maxStageRounds = 5
+
+// Change is what an operator wants changed.
+type Change struct {
+	Operator string
+	// Summary is the operator's command, for the history.
+	Summary string
+	// Apply edits a copy of the accepted configuration.
+	Apply func(*policy.Configuration) error
+	// DryRun validates and compares without proposing.
+	DryRun bool
+}
+
+// Outcome tells what a proposal did, or would do.
+type Outcome struct {
+	// Version is the accepted version; for a dry run, the version that it was compared with.
+	Version  uint64          `json:"version"`
+	Proposal string          `json:"proposal,omitempty"`
+	Changes  []policy.Change `json:"changes"`
+}
+
+// attempt is one proposal on its way.
+type attempt struct {
+	change   Change
+	base     *root
+	revision uint64
+	next     *root
+	deadline time.Time
+}
+
+func (a *attempt) id() string { return a.next.Latest.Proposal }
+
+// Propose makes a change take effect on every VM, or returns why it is rejected. An error of
+// kind KindOutcomeUnknown means that the platform went away in between: "show history" tells.
+func (m *Manager) Propose(ctx context.Context, change Change) (Outcome, error) {
+	if !m.isReady() {
+		return Outcome{}, m.reject(notReady())
+	}
+	a, err := m.prepare(ctx, change)
+	if err != nil {
+		return Outcome{}, m.reject(err)
+	}
+	outcome := Outcome{Version: a.base.version(), Changes: a.next.Latest.Changes}
+	if change.DryRun || len(outcome.Changes) == 0 {
+		return outcome, nil
+	}
+	outcome.Proposal = a.id()
+	staged, err := m.stageEverywhere(ctx, a)
+	if err == nil {
+		err = m.accept(ctx, a)
+	}
+	if err != nil {
+		if !apierror.Is(err, apierror.KindOutcomeUnknown) {
+			m.conclude(ctx, staged, &peerpb.ConcludeRequest{ProposalId: a.id()})
+		}
+		return Outcome{}, m.reject(err)
+	}
+	outcome.Version = a.next.version()
+	m.counters.accepted.Inc(1)
+	m.conclude(ctx, staged, a.acceptedRequest())
+	prune(ctx, m.options.Store, outcome.Version)
+	return outcome, nil
+}
+
+func (a *attempt) acceptedRequest() *peerpb.ConcludeRequest {
+	return &peerpb.ConcludeRequest{
+		ProposalId:    a.id(),
+		Accepted:      true,
+		Version:       a.next.version(),
+		Configuration: policy.Encode(a.next.Configuration),
+	}
+}
+
+func notReady() error {
+	return apierror.New(apierror.KindUnavailable, "this VM has not learnt the configuration yet",
+		"repeat the command in a few seconds or send it to another VM").WithRetryAfter(retryInterval)
+}
+
+func (m *Manager) reject(err error) error {
+	m.counters.rejected.Inc(1)
+	return err
+}
+
+// prepare reads the accepted version, applies the change and validates the result.
+func (m *Manager) prepare(ctx context.Context, change Change) (*attempt, error) {
+	deadline := time.Now().Add(proposalLifetime)
+	base, revision, err := readRoot(ctx, m.options.Store)
+	if err != nil {
+		return nil, platformAway(err)
+	}
+	if base == nil {
+		return nil, apierror.New(apierror.KindUnavailable, "the platform holds no configuration",
+			"start an entry VM with a seed configuration")
+	}
+	if base.version() < m.Version() {
+		return nil, apierror.Newf(apierror.KindUnavailable, "restore the object "+rootKey+" on the platform",
+			"the platform holds version %d of the configuration, but version %d was accepted", base.version(), m.Version())
+	}
+	m.adoptRoot(base)
+	next := base.Configuration.Clone()
+	if err := change.Apply(next); err != nil {
+		return nil, err
+	}
+	next.Version = base.version() + 1
+	if err := policy.Validate(*next); err != nil {
+		return nil, err
+	}
+	acceptance := Acceptance{
+		Version:  next.Version,
+		Proposal: rand.Text(),
+		Operator: change.Operator,
+		VM:       m.options.VM,
+		At:       time.Now().UTC(),
+		Summary:  change.Summary,
+		Changes:  policy.Diff(base.Configuration, next),
+	}
+	return &attempt{change: change, base: base, revision: revision, next: base.next(next, acceptance), deadline: deadline}, nil
+}
+
+func platformAway(err error) error {
+	if apierror.KindOf(err) != apierror.KindUnavailable {
+		return err
+	}
+	return apierror.Wrap(err, apierror.KindUnavailable, "the change is rejected: the platform cannot be reached, and only it can accept a change",
+		"repeat the command when the platform is back; serving goes on with the version in force").WithRetryAfter(time.Second)
+}
+
+// stageEverywhere stages the attempt at every VM that the platform or any VM knows, and
+// returns the VMs that may hold it.
+func (m *Manager) stageEverywhere(ctx context.Context, a *attempt) ([]string, error) {
+	listed, err := m.options.Directory.Listed(ctx)
+	if err != nil {
+		return nil, platformAway(err)
+	}
+	vms := map[string]bool{m.options.VM: true}
+	add(vms, listed)
+	add(vms, m.options.Directory.Known())
+	request := &peerpb.StageRequest{
+		ProposalId:    a.id(),
+		BaseVersion:   a.base.version(),
+		Configuration: policy.Encode(a.next.Configuration),
+	}
+	for round := 1; round <= maxStageRounds; round++ {
+		asked := slices.Sorted(maps.Keys(vms))
+		replies, err := m.stageRound(ctx, asked, request)
+		if overtaken(replies, a) {
+			return asked, m.lostBefore(ctx, a)
+		}
+		if err != nil {
+			return asked, err
+		}
+		for _, reply := range replies {
+			add(vms, reply.KnownVms)
+		}
+		if round >= stageRounds && len(vms) == len(asked) {
+			return asked, nil
+		}
+	}
+	return slices.Sorted(maps.Keys(vms)), apierror.New(apierror.KindUnavailable,
+		"the change is rejected: new VMs kept appearing while it was staged", "repeat the command in a few seconds")
+}
+
+func add(vms map[string]bool, names []string) {
+	for _, name := range names {
+		vms[name] = true
+	}
+}
+
+// overtaken reports whether a VM already has a version in force that follows the attempt's base.
+func overtaken(replies []*peerpb.StageReply, a *attempt) bool {
+	return slices.ContainsFunc(replies, func(reply *peerpb.StageReply) bool {
+		return reply != nil && reply.KnownVersion > a.base.version()
+	})
+}
+
+// lostBefore tells which change was accepted before the attempt was sent to the platform.
+func (m *Manager) lostBefore(ctx context.Context, a *attempt) error {
+	held, err := m.options.Store.Get(ctx, rootKey)
+	if err != nil {
+		return platformAway(err)
+	}
+	return m.lost(held, a)
+}
+
+// stageRound asks the VMs in parallel and fails unless all of them hold the proposal. It
+// returns the replies also when it fails; a VM that did not answer has none.
+func (m *Manager) stageRound(ctx context.Context, vms []string, request *peerpb.StageRequest) ([]*peerpb.StageReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
+	defer cancel()
+	replies := make([]*peerpb.StageReply, len(vms))
+	failures := make([]string, len(vms))
+	var group sync.WaitGroup
+	for i, vm := range vms {
+		group.Go(func() {
+			reply, err := m.stageAt(ctx, vm, request)
+			switch {
+			case err != nil:
+				failures[i] = fmt.Sprintf("%s cannot be reached (%v)", vm, err)
+			case !reply.Staged:
+				failures[i] = fmt.Sprintf("%s refuses it: %s", vm, reply.Reason)
+			}
+			replies[i] = reply
+		})
+	}
+	group.Wait()
+	failures = slices.DeleteFunc(failures, func(text string) bool { return text == "" })
+	if len(failures) > 0 {
+		return replies, apierror.New(apierror.KindUnavailable,
+			"the change is rejected, because not every entry VM can hold it: "+strings.Join(failures, "; "),
+			"repeat the command when these VMs can be reached, or once they have left the platform's list").WithRetryAfter(time.Second)
+	}
+	return replies, nil
+}
+
+func (m *Manager) stageAt(ctx context.Context, vm string, request *peerpb.StageRequest) (*peerpb.StageReply, error) {
+	if vm == m.options.VM {
+		return m.Stage(ctx, request)
+	}
+	return m.options.Peers.Stage(ctx, vm, request)
+}
+
+// accept makes the staged attempt the accepted version by one conditional update.
+func (m *Manager) accept(ctx context.Context, a *attempt) error {
+	if err := archive(ctx, m.options.Store, a.base); err != nil {
+		return platformAway(err)
+	}
+	if time.Now().After(a.deadline) {
+		return apierror.New(apierror.KindUnavailable, "the change is rejected: staging it took too long",
+			"repeat the command; \"show vms\" names the slow VMs")
+	}
+	value := a.next.encode()
+	_, err := m.options.Store.Put(ctx, rootKey, value, a.revision)
+	if err == nil {
+		m.adoptRoot(a.next)
+		return nil
+	}
+	if conflict, lost := object.AsConflict(err); lost {
+		return m.lost(conflict.Current, a)
+	}
+	if object.IsUnknownOutcome(err) {
+		return m.settle(ctx, a, value)
+	}
+	return platformAway(err)
+}
+
+// settle finds out whether the root update took effect, whose answer was lost.
+func (m *Manager) settle(ctx context.Context, a *attempt, value []byte) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	defer cancel()
+	held, applied, err := object.Settle(ctx, m.options.Store, rootKey, value, a.revision, func(held object.Object) bool {
+		current, err := decodeRoot(held.Value)
+		return err == nil && current.accepted(a.id())
+	})
+	switch {
+	case err != nil:
+		return apierror.Wrap(err, apierror.KindOutcomeUnknown,
+			fmt.Sprintf("the platform went away while version %d was being accepted", a.next.version()),
+			"look for the proposal "+a.id()+" in \"show history\" when the platform is back")
+	case applied:
+		m.adoptRoot(a.next)
+		return nil
+	default:
+		return m.lost(held, a)
+	}
+}
+
+// lost tells which change was accepted in place of the attempt.
+func (m *Manager) lost(held object.Object, a *attempt) error {
+	current, err := decodeRoot(held.Value)
+	if err != nil {
+		return apierror.Wrap(err, apierror.KindInternal, "the stored configuration cannot be read",
+			"restore the object "+rootKey+" on the platform")
+	}
+	m.adoptRoot(current)
+	winner := current.Latest
+	for _, acceptance := range current.Recent {
+		if acceptance.Version == a.next.version() {
+			winner = acceptance
+		}
+	}
+	return apierror.Newf(apierror.KindConflict,
+		"look at \"show history\" and repeat the command if it still applies",
+		"the change is rejected: %s accepted version %d first (%s) through %s",
+		winner.Operator, winner.Version, winner.Summary, winner.VM)
+}
+
+// conclude tells the VMs the outcome; those that do not hear learn it from the root.
+func (m *Manager) conclude(ctx context.Context, vms []string, request *peerpb.ConcludeRequest) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stageTimeout)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, vm := range vms {
+		group.Go(func() {
+			var err error
+			if vm == m.options.VM {
+				_, err = m.Conclude(ctx, request)
+			} else {
+				_, err = m.options.Peers.Conclude(ctx, vm, request)
+			}
+			if err != nil && !errors.Is(err, context.DeadlineExceeded) {
+				m.options.Logger.Debug("peer not told the outcome of a change", "vm", vm, "err", err)
+			}
+		})
+	}
+	group.Wait()
+}
--- /dev/null
+++ b/internal/acceptance/state.go
@@ -0,0 +1,131 @@
+package acceptance
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"godwitcart/internal/policy"
+)
+
+// maxConcluded bounds the remembered outcomes, which keep a late Stage call from being held.
+const maxConcluded = 64
+
+// proposal is a configuration that was staged and is not decided yet.
+type proposal struct {
+	id     string
+	base   uint64
+	index  *policy.Index
+	staged time.Time
+}
+
+// state is the decisions of one VM about its configuration. It is not safe for concurrent use.
+// Invariant: the version of current never falls.
+type state struct {
+	current   *policy.Index
+	staged    []proposal
+	concluded []string
+}
+
+func newState() state { return state{} }
+
+// version returns the version of the current configuration, or zero.
+func (s *state) version() uint64 {
+	if s.current == nil {
+		return 0
+	}
+	return s.current.Configuration().Version
+}
+
+// adopt replaces the current configuration by a newer accepted one and drops the proposals
+// that it decides; it reports whether the current configuration changed. accepted lists the
+// ids of the proposals that led to it.
+func (s *state) adopt(index *policy.Index, accepted []string) bool {
+	version := index.Configuration().Version
+	newer := version > s.version()
+	if newer {
+		s.current = index
+	}
+	for _, id := range accepted {
+		s.forget(id)
+	}
+	// The conditional update of a proposal can only succeed on its base, which is now passed.
+	s.staged = slices.DeleteFunc(s.staged, func(p proposal) bool {
+		decided := p.base < s.version()
+		if decided {
+			s.remember(p.id)
+		}
+		return decided
+	})
+	return newer
+}
+
+// stage holds a proposal, or says why not. Staging a held proposal again is no error.
+func (s *state) stage(p proposal) error {
+	if p.base < s.version() {
+		return fmt.Errorf("version %d is in force, the change was made for version %d", s.version(), p.base)
+	}
+	if slices.Contains(s.concluded, p.id) {
+		return fmt.Errorf("the proposal %s is already decided", p.id)
+	}
+	for _, held := range s.staged {
+		if held.id == p.id {
+			return nil
+		}
+	}
+	if len(s.staged) >= maxStaged {
+		return fmt.Errorf("%d other changes are undecided", len(s.staged))
+	}
+	s.staged = append(s.staged, p)
+	return nil
+}
+
+// drop forgets a proposal that was rejected.
+func (s *state) drop(id string) { s.forget(id) }
+
+func (s *state) forget(id string) {
+	s.staged = slices.DeleteFunc(s.staged, func(p proposal) bool { return p.id == id })
+	s.remember(id)
+}
+
+func (s *state) remember(id string) {
+	if slices.Contains(s.concluded, id) {
+		return
+	}
+	s.concluded = append(s.concluded, id)
+	if len(s.concluded) > maxConcluded {
+		s.concluded = slices.Delete(s.concluded, 0, len(s.concluded)-maxConcluded)
+	}
+}
+
+// oldest returns the base and staging time of the longest undecided proposal.
+func (s *state) oldest() (base uint64, staged time.Time, undecided bool) {
+	for _, p := range s.staged {
+		if !undecided || p.staged.Before(staged) {
+			base, staged, undecided = p.base, p.staged, true
+		}
+	}
+	return base, staged, undecided
+}
+
+// view returns an immutable copy for readers.
+func (s *state) view() *view {
+	return &view{current: s.current, staged: slices.Clone(s.staged)}
+}
+
+// view is what requests read. It is immutable.
+type view struct {
+	current *policy.Index
+	staged  []proposal
+}
+
+// inDoubt returns the proposals that have been undecided for too long at now.
+func (v *view) inDoubt(now time.Time) []proposal {
+	var doubtful []proposal
+	for _, p := range v.staged {
+		if now.Sub(p.staged) >= doubtAfter {
+			doubtful = append(doubtful, p)
+		}
+	}
+	return doubtful
+}
