--- a/cmd/godwitcartd/main.go
+++ b/cmd/godwitcartd/main.go
@@ -1,6 +1,121 @@
-// Command godwitcartd is not yet wired.
+// Command godwitcartd is the daemon that runs on every entry VM.
 package main
 
-import _ "net"
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
 
-func main() {}
+	"github.com/alecthomas/kong"
+	"github.com/charmbracelet/log"
+
+	"godwitcart/internal/apierror"
+	"godwitcart/internal/daemon"
+	"godwitcart/internal/settings"
+)
+
+// arguments are the command line; each overrides what the settings file says.
+type arguments struct {
+	Settings      string `help:"Settings file." required:"" type:"existingfile" env:"GODWITCART_SETTINGS"`
+	CheckSettings bool   `help:"Check the settings file and exit."`
+	LogLevel      string `help:"Log level: debug, info, warn or error." env:"GODWITCART_LOG_LEVEL"`
+	LogFormat     string `help:"Log format: text or json." env:"GODWITCART_LOG_FORMAT"`
+	Listen        string `help:"host:port for callers." env:"GODWITCART_LISTEN"`
+	AdminListen   string `help:"host:port for operators." env:"GODWITCART_ADMIN_LISTEN"`
+	PeerListen    string `help:"host:port for the other entry VMs." env:"GODWITCART_PEER_LISTEN"`
+	Platform      string `help:"Base URL of the platform." env:"GODWITCART_PLATFORM"`
+	Seed          string `help:"YAML file with the configuration that a new system starts with." env:"GODWITCART_SEED"`
+}
+
+// exitUsage is the exit code for settings that are refused.
+const exitUsage = 2
+
+func main() {
+	var args arguments
+	kong.Parse(&args, kong.Name("godwitcartd"), kong.Description("Serves callers on one entry VM."))
+	loaded, err := load(&args)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "godwitcartd:", err)
+		os.Exit(exitUsage)
+	}
+	if args.CheckSettings {
+		fmt.Println("godwitcartd: settings are valid:", args.Settings)
+		return
+	}
+	logger := newLogger(loaded.Log)
+	if err := run(loaded, logger); err != nil {
+		logger.Error("stopped", "error", err)
+		os.Exit(1)
+	}
+}
+
+func load(args *arguments) (*settings.Settings, error) {
+	loaded, err := settings.Load(args.Settings)
+	if err != nil {
+		return nil, err
+	}
+	override(&loaded.Log.Level, args.LogLevel)
+	override(&loaded.Log.Format, args.LogFormat)
+	override(&loaded.Callers.Listen, args.Listen)
+	override(&loaded.Operators.Listen, args.AdminListen)
+	override(&loaded.Peers.Listen, args.PeerListen)
+	override(&loaded.Platform.URL, args.Platform)
+	override(&loaded.ConfigurationSeed, args.Seed)
+	if problems := settings.Check(loaded); len(problems) > 0 {
+		return nil, apierror.New(apierror.KindBadRequest, "the command line: "+problems[0].Key+" "+problems[0].Message, problems[0].Remedy)
+	}
+	return loaded, nil
+}
+
+func override(setting *string, argument string) {
+	if argument != "" {
+		*setting = argument
+	}
+}
+
+func newLogger(options settings.Log) *log.Logger {
+	logger := log.NewWithOptions(os.Stderr, log.Options{ReportTimestamp: true, TimeFormat: "2006-01-02T15:04:05.000Z07:00"})
+	if options.Format == "json" {
+		logger.SetFormatter(log.JSONFormatter)
+	}
+	if level, err := log.ParseLevel(options.Level); err == nil {
+		logger.SetLevel(level)
+	}
+	return logger
+}
+
+// run serves until a first SIGTERM or SIGINT has led to a graceful shutdown, or a second one ends it
+// at once. SIGUSR1 writes the state dump to standard error.
+func run(loaded *settings.Settings, logger *log.Logger) error {
+	d, err := daemon.New(loaded, logger)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	stop, stopNow := context.WithCancel(context.Background())
+	defer stopNow()
+	go handleSignals(d, signals, logger, stopNow)
+	return d.Run(stop)
+}
+
+func handleSignals(d *daemon.Daemon, signals <-chan os.Signal, logger *log.Logger, stopNow func()) {
+	stopping := false
+	for received := range signals {
+		switch {
+		case received == syscall.SIGUSR1:
+			if err := d.DumpState(os.Stderr); err != nil {
+				logger.Warn("state dump failed", "error", err)
+			}
+		case !stopping:
+			stopping = true
+			logger.Info("graceful shutdown begins", "signal", received.String(), "in_progress", d.Active())
+			d.Shutdown()
+		default:
+			logger.Warn("second signal: ending at once", "cut_off", d.Active())
+			stopNow()
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,216 @@
+// Package daemon wires the parts of one godwitcartd: listeners, configuration, membership, routing,
+// admission, claims and dispatch.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"golang.org/x/sync/errgroup"
+
+	"godwitcart/internal/acceptance"
+	"godwitcart/internal/admission"
+	"godwitcart/internal/dispatch"
+	"godwitcart/internal/gateway"
+	"godwitcart/internal/lengths"
+	"godwitcart/internal/object"
+	"godwitcart/internal/request"
+	"godwitcart/internal/routing"
+	"godwitcart/internal/settings"
+	"godwitcart/internal/target"
+)
+
+// resumeWindow bounds the time for which a broken attempt is asked for at its target.
+const resumeWindow = 10 * time.Second
+
+// Daemon is one godwitcartd.
+type Daemon struct {
+	settings *settings.Settings
+	logger   *log.Logger
+
+	store         object.Store
+	configuration *acceptance.Manager
+	table         *routing.Table
+	controller    *admission.Controller
+	registry      *request.Registry
+	engines       *target.EngineClient
+	plain         *target.PlainClient
+	gateway       *gateway.Gateway
+
+	// notReady is set once the balancer must lead no new callers here.
+	notReady     atomic.Bool
+	shutdown     chan struct{}
+	shutdownOnce sync.Once
+}
+
+// New builds a daemon; it opens no listener and calls nobody.
+func New(s *settings.Settings, logger *log.Logger) (*Daemon, error) {
+	keys, err := s.ReadCursorKeys()
+	if err != nil {
+		return nil, err
+	}
+	sealer, err := request.NewSealer(keys)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{settings: s, logger: logger, shutdown: make(chan struct{})}
+	d.store = object.NewClient(object.Options{BaseURL: s.Platform.URL, Timeout: s.Platform.Timeout})
+	d.buildTargets()
+	if err := d.buildConfiguration(); err != nil {
+		return nil, err
+	}
+	d.buildGateway(sealer)
+	return d, nil
+}
+
+func (d *Daemon) buildTargets() {
+	timeouts := target.Timeouts{
+		Connect: d.settings.Timeouts.Connect, Answer: d.settings.Timeouts.FirstToken, Progress: d.settings.Timeouts.Progress,
+	}
+	d.engines = target.NewEngineClient(timeouts)
+	d.plain = target.NewPlainClient(timeouts)
+	book := lengths.NewBook(0)
+	d.table = routing.NewTable(routing.Options{Zone: d.settings.VM.Zone, Seed: seedOf(d.settings.VM.Name), Lengths: book})
+	d.controller = admission.NewController(admission.Options{Lengths: book}, d.table)
+}
+
+func (d *Daemon) buildGateway(sealer *request.Sealer) {
+	d.registry = request.NewRegistry()
+	dispatcher := dispatch.New(dispatch.Options{
+		Engines: d.engines, Plain: d.plain, Placer: &placer{controller: d.controller},
+		Budget: dispatch.NewRetryBudget(), VM: d.settings.VM.Name, ResumeWindow: resumeWindow, NewID: rand.Text,
+	})
+	d.gateway = gateway.New(gateway.Options{
+		Policy: d.configuration, Dispatcher: dispatcher, Registry: d.registry, Sealer: sealer,
+		MaxBodyBytes: d.settings.Callers.MaxBodyBytes,
+	})
+}
+
+// Active returns the number of callers' requests in progress.
+func (d *Daemon) Active() int { return d.gateway.Active() }
+
+// Shutdown starts a graceful shutdown; Run returns when it is complete.
+func (d *Daemon) Shutdown() {
+	d.shutdownOnce.Do(func() { close(d.shutdown) })
+}
+
+// Run serves until a graceful shutdown is complete or stop ends.
+func (d *Daemon) Run(stop context.Context) error {
+	ctx, cancel := context.WithCancel(stop)
+	defer cancel()
+	servers, err := d.openListeners()
+	if err != nil {
+		return err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return d.configuration.Run(ctx) })
+	group.Go(func() error { return d.watchTargets(ctx) })
+	for _, server := range servers {
+		group.Go(server.serve)
+	}
+	group.Go(func() error {
+		select {
+		case <-d.shutdown:
+			d.drain(ctx)
+		case <-ctx.Done():
+		}
+		for _, server := range servers {
+			server.stop()
+		}
+		cancel()
+		return nil
+	})
+	err = group.Wait()
+	if stop.Err() != nil || isShutdown(d.shutdown) {
+		return nil
+	}
+	return err
+}
+
+func isShutdown(shutdown <-chan struct{}) bool {
+	select {
+	case <-shutdown:
+		return true
+	default:
+		return false
+	}
+}
+
+// drain fails the balancer's check, waits until the balancer has seen it, then turns new requests
+// away and waits for those in progress.
+func (d *Daemon) drain(ctx context.Context) {
+	d.notReady.Store(true)
+	sleep(ctx, d.settings.Drain.ReadinessDelay)
+	bounded, cancel := context.WithTimeout(ctx, d.settings.Drain.Timeout)
+	defer cancel()
+	if left := d.gateway.Drain(bounded); left > 0 {
+		d.logger.Warn("drain timeout: requests are cut off", "cut_off", left)
+		return
+	}
+	d.logger.Info("graceful shutdown is complete")
+}
+
+func sleep(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// Ready reports whether this VM may be led callers, and why not.
+func (d *Daemon) Ready() (ready bool, reason string) {
+	switch {
+	case d.notReady.Load():
+		return false, "shutting down"
+	case d.configuration.Index() == nil:
+		return false, "no configuration is known yet"
+	default:
+		return true, "ready"
+	}
+}
+
+// stateDump is the state of the whole process. It holds no keys.
+type stateDump struct {
+	VM            string              `json:"vm"`
+	Zone          string              `json:"zone"`
+	Ready         bool                `json:"ready"`
+	Configuration any                 `json:"configuration"`
+	Targets       []routing.TargetRow `json:"targets"`
+	Admission     admission.Counters  `json:"admission"`
+	Requests      []request.View      `json:"requests"`
+}
+
+// DumpState writes the state of the process as JSON.
+func (d *Daemon) DumpState(w io.Writer) error {
+	ready, _ := d.Ready()
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(stateDump{
+		VM: d.settings.VM.Name, Zone: d.settings.VM.Zone, Ready: ready, Configuration: d.configuration.State(),
+		Targets: d.table.Rows(time.Now()), Admission: d.controller.Counters(), Requests: d.registry.Views(),
+	})
+}
+
+func (d *Daemon) operatorsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /readyz", d.serveReadiness)
+	return mux
+}
+
+func (d *Daemon) serveReadiness(w http.ResponseWriter, _ *http.Request) {
+	ready, reason := d.Ready()
+	if !ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_, _ = io.WriteString(w, reason+"\n")
+}
--- /dev/null
+++ b/internal/daemon/listen.go
@@ -0,0 +1,91 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"godwitcart/internal/apierror"
+	"godwitcart/internal/settings"
+)
+
+// stopTimeout bounds the closing of a listener whose requests have ended.
+const stopTimeout = 2 * time.Second
+
+// httpListener is one HTTP server with its open listener.
+type httpListener struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+func (d *Daemon) openListeners() ([]*httpListener, error) {
+	callers, err := listen(d.settings.Callers.Listen, d.settings.Callers.Security, d.gateway)
+	if err != nil {
+		return nil, err
+	}
+	callers.server.MaxHeaderBytes = d.settings.Callers.MaxHeaderBytes
+	callers.server.ReadHeaderTimeout = d.settings.Callers.ReadHeaderTimeout
+	callers.server.IdleTimeout = d.settings.Callers.IdleTimeout
+	operators, err := listen(d.settings.Operators.Listen, d.settings.Operators.Security, d.operatorsHandler())
+	if err != nil {
+		callers.listener.Close()
+		return nil, err
+	}
+	operators.server.ReadHeaderTimeout = settings.DefaultReadHeaderTimeout
+	d.logger.Info("listening", "callers", callers.listener.Addr().String(), "operators", operators.listener.Addr().String())
+	return []*httpListener{callers, operators}, nil
+}
+
+func listen(address string, security settings.Security, handler http.Handler) (*httpListener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, apierror.Wrap(err, apierror.KindUnavailable, "cannot listen on "+address,
+			"choose a free address in the settings or stop the process that uses it")
+	}
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(security.PlainText)
+	server := &http.Server{Handler: handler, Protocols: protocols}
+	if security.TLS != nil {
+		config, err := serverTLS(security.TLS)
+		if err != nil {
+			listener.Close()
+			return nil, err
+		}
+		server.TLSConfig = config
+	}
+	return &httpListener{server: server, listener: listener}, nil
+}
+
+func serverTLS(files *settings.TLS) (*tls.Config, error) {
+	certificate, err := tls.LoadX509KeyPair(files.Cert, files.Key)
+	if err != nil {
+		return nil, apierror.Wrap(err, apierror.KindBadRequest, "cannot read the certificate "+files.Cert,
+			"name a PEM certificate and its private key")
+	}
+	return &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}, nil
+}
+
+func (l *httpListener) serve() error {
+	serve := l.server.Serve
+	if l.server.TLSConfig != nil {
+		serve = func(listener net.Listener) error { return l.server.ServeTLS(listener, "", "") }
+	}
+	if err := serve(l.listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func (l *httpListener) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if l.server.Shutdown(ctx) != nil {
+		l.server.Close()
+	}
+}
--- a/internal/daemon/placer.go
+++ b/internal/daemon/placer.go
@@ -8,33 +8,19 @@
 
 	"godwitcart/internal/admission"
 	"godwitcart/internal/dispatch"
-	"godwitcart/internal/policy"
 	"godwitcart/internal/request"
 	"godwitcart/internal/routing"
 	"godwitcart/internal/target"
 )
 
 // placer finds targets for the dispatcher by the admission controller.
-type placer struct {
-	controller *admission.Controller
-	policy     indexSource
-}
-
-// indexSource gives the configuration in force.
-type indexSource interface {
-	Index() (*policy.Index, error)
-}
+type placer struct{ controller *admission.Controller }
 
 // Place implements dispatch.Placer.
 func (p *placer) Place(ctx context.Context, r *request.Request, excluded []string, retry bool) (dispatch.Placement, error) {
-	index, err := p.policy.Index()
-	if err != nil {
-		return nil, err
-	}
-	account := index.Configuration().Accounts[r.Account]
 	grant, err := p.controller.Acquire(ctx, admission.Ticket{
-		RequestID: r.ID, Account: r.Account, Class: r.Class, Priority: r.Priority, Share: account.Share,
-		Limits:  admission.Limits{RequestsPerSecond: account.RequestsPerSecond, Concurrency: account.Concurrency},
+		RequestID: r.ID, Account: r.Account, Class: r.Class, Priority: r.Priority, Share: r.Share,
+		Limits:  admission.Limits{RequestsPerSecond: r.RequestsPerSecond, Concurrency: r.Concurrency},
 		Service: r.Service, Variant: r.Variant, PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens,
 		PrefixHashes: r.PrefixHashes, Deadline: r.Deadline, Excluded: excluded, Retry: retry,
 	})
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -43,7 +43,7 @@
 }
 
 func (g *Gateway) generate(x *exchange, body *generationBody, prompt, digest string, format answerFormat) error {
-	r, err := x.newRequest(body, prompt, digest)
+	r, err := g.newRequest(x, body, prompt, digest)
 	if err != nil {
 		return err
 	}
@@ -125,7 +125,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	if cursor.Account != x.account.Name {
+	if cursor.Account != x.account {
 		return nil, 0, apierror.New(apierror.KindForbidden, "the cursor belongs to another client account",
 			"resume with the API key of the account that sent the request")
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -38,11 +38,13 @@
 	HeaderShouldRetry = "X-Should-Retry"
 )
 
-// Policy gives the configuration to decide a request by.
+// Policy is the configuration in force on this VM.
 type Policy interface {
-	// Index returns the configuration in force; an error of kind not_run or unavailable when there is
-	// none yet.
-	Index() (*policy.Index, error)
+	// Index returns the lookups of the configuration, or nil before one is known.
+	Index() *policy.Index
+	// Decide answers what the configuration says about a request. It refuses, as not run, while the
+	// answer depends on a change whose outcome is not known.
+	Decide(query policy.Query) (policy.Decision, error)
 }
 
 // Dispatcher drives the requests.
@@ -93,9 +95,10 @@
 	w http.ResponseWriter
 	r *http.Request
 	// id is the request's id.
-	id      string
-	index   *policy.Index
-	account policy.Account
+	id    string
+	index *policy.Index
+	// account is the name of the caller's client account.
+	account string
 	// nonIdempotent is set once it is known that the request may run at most once.
 	nonIdempotent bool
 }
@@ -130,12 +133,13 @@
 }
 
 func (g *Gateway) authenticate(x *exchange) error {
-	index, err := g.options.Policy.Index()
-	if err != nil {
-		return err
+	x.index = g.options.Policy.Index()
+	if x.index == nil {
+		return apierror.New(apierror.KindNotRun, "this entry VM has not learnt the configuration yet",
+			"send the request again").WithRetryAfter(time.Second)
 	}
-	x.index = index
-	x.account, err = index.AccountByKey(bearerToken(x.r))
+	account, err := x.index.AccountByKey(bearerToken(x.r))
+	x.account = account.Name
 	return err
 }
 
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -52,7 +52,11 @@
 // fixedPolicy serves one configuration.
 type fixedPolicy struct{ index *policy.Index }
 
-func (p fixedPolicy) Index() (*policy.Index, error) { return p.index, nil }
+func (p fixedPolicy) Index() *policy.Index { return p.index }
+
+func (p fixedPolicy) Decide(query policy.Query) (policy.Decision, error) {
+	return p.index.Decide(query)
+}
 
 func newPolicy(t testing.TB) fixedPolicy {
 	t.Helper()
--- a/internal/gateway/parse.go
+++ b/internal/gateway/parse.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"godwitcart/internal/apierror"
+	"godwitcart/internal/policy"
 	"godwitcart/internal/request"
 	"godwitcart/internal/wire/enginewire"
 )
@@ -72,19 +73,19 @@
 }
 
 // newRequest resolves a generation's body and headers into a request.
-func (x *exchange) newRequest(body *generationBody, prompt, digest string) (*request.Request, error) {
+func (g *Gateway) newRequest(x *exchange, body *generationBody, prompt, digest string) (*request.Request, error) {
 	if err := checkBody(body, prompt); err != nil {
 		return nil, err
 	}
-	resolution, err := x.index.Resolve(body.Model, x.r.Header.Get(HeaderService))
+	decision, err := g.decide(x, body.Model, x.r.Header.Get(HeaderService))
 	if err != nil {
 		return nil, err
 	}
-	r, err := x.commonRequest(resolution.Service.Name, resolution.Service.NonIdempotent)
+	r, err := x.commonRequest(decision, decision.Service.NonIdempotent)
 	if err != nil {
 		return nil, err
 	}
-	r.Variant = resolution.Variants[0]
+	r.Variant = decision.Variants[0]
 	r.Digest = digest
 	r.Prompt = prompt
 	r.PromptTokens = len(prompt)/bytesPerToken + 1
@@ -123,18 +124,22 @@
 	return 0
 }
 
+// decide asks the configuration about the request. An empty model means a plain service.
+func (g *Gateway) decide(x *exchange, model, service string) (policy.Decision, error) {
+	return g.options.Policy.Decide(policy.Query{
+		Key: bearerToken(x.r), Model: model, Service: service, Class: x.r.Header.Get(HeaderClass),
+	})
+}
+
 // commonRequest reads the headers that all requests share.
-func (x *exchange) commonRequest(service string, nonIdempotent bool) (*request.Request, error) {
-	class, err := x.index.Class(x.account, x.r.Header.Get(HeaderClass))
-	if err != nil {
-		return nil, err
-	}
+func (x *exchange) commonRequest(decision policy.Decision, nonIdempotent bool) (*request.Request, error) {
 	now := time.Now()
-	limit := class.Deadline
+	limit := decision.Class.Deadline
 	if limit <= 0 {
 		limit = defaultDeadline
 	}
-	if limit, err = headerDeadline(x.r.Header, limit); err != nil {
+	limit, err := headerDeadline(x.r.Header, limit)
+	if err != nil {
 		return nil, err
 	}
 	if nonIdempotent, err = headerNonIdempotent(x.r.Header, nonIdempotent); err != nil {
@@ -146,7 +151,9 @@
 	}
 	x.nonIdempotent = nonIdempotent
 	return &request.Request{
-		ID: x.id, Account: x.account.Name, Class: class.Name, Priority: class.Priority, Service: service,
+		ID: x.id, Account: decision.Account.Name, Share: decision.Account.Share,
+		RequestsPerSecond: decision.Account.RequestsPerSecond, Concurrency: decision.Account.Concurrency,
+		Class: decision.Class.Name, Priority: decision.Class.Priority, Service: decision.Service.Name,
 		Key: key, NonIdempotent: nonIdempotent, Resumable: x.r.Header.Get(HeaderResumable) == "true",
 		ReceivedAt: now, Deadline: now.Add(limit),
 	}, nil
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -18,14 +18,15 @@
 
 // plain forwards a call to a plain service.
 func (g *Gateway) plain(x *exchange) error {
-	service, err := x.index.Service(x.r.PathValue("service"))
+	decision, err := g.decide(x, "", x.r.PathValue("service"))
 	if err != nil {
 		return err
 	}
+	service := decision.Service
 	if service.Kind != policy.KindPlain {
 		return badRequest("service "+service.Name+" runs models", "use /v1/completions or /v1/chat/completions")
 	}
-	r, err := x.commonRequest(service.Name, service.NonIdempotent || !idempotentMethod(x.r.Method))
+	r, err := x.commonRequest(decision, service.NonIdempotent || !idempotentMethod(x.r.Method))
 	if err != nil {
 		return err
 	}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -14,7 +14,12 @@
 type Request struct {
 	ID      string
 	Account string
-	Class   string
+	// Share is the account's weight among accounts of its class.
+	Share int
+	// RequestsPerSecond and Concurrency limit the account over all entry VMs; zero means no limit.
+	RequestsPerSecond float64
+	Concurrency       int
+	Class             string
 	// Priority is the priority of Class; the higher number is served first.
 	Priority int
 	Service  string
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,10 +19,13 @@
 	// first seals new cursors; all of them open cursors, so that keys can be rotated.
 	CursorKeys []string `yaml:"cursor_keys,omitempty"`
 	// CursorKeysFile names a file with one key a line, in place of CursorKeys.
-	CursorKeysFile string   `yaml:"cursor_keys_file,omitempty"`
-	Drain          Drain    `yaml:"drain"`
-	Timeouts       Timeouts `yaml:"timeouts"`
-	Log            Log      `yaml:"log"`
+	CursorKeysFile string `yaml:"cursor_keys_file,omitempty"`
+	// ConfigurationSeed names a YAML file with the configuration that becomes version 1 when neither
+	// the platform nor a peer holds one; empty starts with a configuration without objects.
+	ConfigurationSeed string   `yaml:"configuration_seed,omitempty"`
+	Drain             Drain    `yaml:"drain"`
+	Timeouts          Timeouts `yaml:"timeouts"`
+	Log               Log      `yaml:"log"`
 }
 
 // VM says where the process runs.
