--- a/cmd/godwitstand/commands.go
+++ b/cmd/godwitstand/commands.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"os"
 	"strings"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/goccy/go-yaml"
 
 	"godwitcart/internal/stand/engine"
+	"godwitcart/internal/stand/journal"
 	"godwitcart/internal/stand/platform"
 	"godwitcart/internal/stand/service"
 	"godwitcart/internal/stand/standhttp"
@@ -25,6 +27,8 @@
 	ReadsPerSecond   float64       `default:"2000" help:"Reads that the object API takes a second."`
 	WeightsPerSecond float64       `default:"2" help:"Reads that the weight store takes a second."`
 	Seed             uint64        `default:"1" help:"Seed of the answers that are lost."`
+	// View is for the failure runs, where availability zones reach each other by faulted links.
+	View map[string]string `help:"Further traffic listeners: host:port=FILE, where the YAML file maps VM names to the addresses seen there."`
 }
 
 // Run serves until ctx ends.
@@ -38,24 +42,46 @@
 		WritesPerSecond: c.WritesPerSecond, ReadsPerSecond: c.ReadsPerSecond,
 		WeightsPerSecond: c.WeightsPerSecond,
 	})
+	views, err := loadViews(c.View, stand)
+	if err != nil {
+		return err
+	}
 	return standhttp.Program{
-		Name: "platform", Listen: c.Listen, Control: c.Control,
+		Name: "platform", More: views, Listen: c.Listen, Control: c.Control,
 		Traffic: stand.Handler(), Operate: stand.ControlHandler(),
 	}.Run(ctx)
 }
 
+// loadViews returns the handler of each further listener.
+func loadViews(files map[string]string, stand *platform.Platform) (map[string]http.Handler, error) {
+	handlers := make(map[string]http.Handler, len(files))
+	for address, path := range files {
+		var view platform.View
+		if err := loadYAML(path, &view); err != nil {
+			return nil, err
+		}
+		handlers[address] = stand.HandlerFor(view)
+	}
+	return handlers, nil
+}
+
+func loadYAML(path string, value any) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "read the file")
+	}
+	err = yaml.UnmarshalWithOptions(data, value, yaml.Strict())
+	return errors.Wrapf(err, "parse %s", path)
+}
+
 // loadVMs reads a platformwire.VMList; an empty path means an empty list.
 func loadVMs(path string) (platformwire.VMList, error) {
 	var list platformwire.VMList
 	if path == "" {
 		return list, nil
 	}
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return list, errors.Wrap(err, "read the list of VMs")
-	}
-	err = yaml.UnmarshalWithOptions(data, &list, yaml.Strict())
-	return list, errors.Wrapf(err, "parse %s; it holds a list \"vms\"", path)
+	err := loadYAML(path, &list)
+	return list, errors.Wrap(err, "load the list of VMs, a list \"vms\"")
 }
 
 type engineCommand struct {
@@ -83,10 +109,15 @@
 	ChecksFencing   bool          `help:"Refuse orders with an old fencing number."`
 	Weights         string        `help:"URL of the platform whose weight store loads read from."`
 	LoadTime        time.Duration `default:"1s" help:"Time of a load."`
+	Journal         string        `help:"File to which what runs is appended."`
 }
 
 // Run serves until ctx ends and the running work has ended.
 func (c *engineCommand) Run(ctx context.Context) error {
+	out, err := journal.Open(c.Journal)
+	if err != nil {
+		return err
+	}
 	stand := engine.New(engine.Options{
 		Name: c.Name, Zone: c.Zone, Loaded: parseLoaded(c.Load), Role: c.Role,
 		MemoryTokens: c.MemoryTokens, MaxWaiting: c.MaxWaiting, MaxBatch: c.MaxBatch,
@@ -96,6 +127,7 @@
 		CacheEventLag: c.CacheEventLag, CacheEventLoss: c.CacheEventLoss,
 		OrphanTimeout: c.OrphanTimeout, Retention: c.Retention,
 		ChecksFencing: c.ChecksFencing, Weights: c.Weights, LoadTime: c.LoadTime,
+		Journal: out,
 	})
 	generating, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -123,11 +155,18 @@
 	Zone        string        `help:"Availability zone."`
 	Latency     time.Duration `default:"5ms" help:"Time of a call."`
 	Concurrency int           `default:"64" help:"Calls that run at once."`
+	Journal     string        `help:"File to which what runs is appended."`
 }
 
 // Run serves until ctx ends and the running calls have ended.
 func (c *serviceCommand) Run(ctx context.Context) error {
-	stand := service.New(service.Options{Name: c.Name, Latency: c.Latency, Concurrency: c.Concurrency})
+	out, err := journal.Open(c.Journal)
+	if err != nil {
+		return err
+	}
+	stand := service.New(service.Options{
+		Name: c.Name, Latency: c.Latency, Concurrency: c.Concurrency, Journal: out,
+	})
 	return standhttp.Program{
 		Name: c.Name, Listen: c.Listen, Control: c.Control,
 		Traffic: stand.Handler(), Operate: stand.ControlHandler(), Drain: stand.Drain,
--- a/cmd/godwitstand/load.go
+++ b/cmd/godwitstand/load.go
@@ -31,6 +31,7 @@
 	MaxTokens     int           `default:"4096" help:"Longest output."`
 	PromptBytes   int           `default:"256" help:"Length of prompts."`
 	Deadline      time.Duration `default:"60s" help:"Deadline of a request."`
+	Grace         time.Duration `default:"2s" help:"How long a caller waits past its deadline to be told of it."`
 	Silence       time.Duration `default:"10s" help:"Time without a byte after which a caller tries elsewhere."`
 }
 
@@ -45,7 +46,7 @@
 		Mix:           load.Mix{Stream: c.Stream, Whole: c.Whole, Plain: c.Plain},
 		NonIdempotent: c.NonIdempotent, Duplicated: c.Duplicated,
 		MedianTokens: c.MedianTokens, Sigma: c.Sigma, MaxTokens: c.MaxTokens, PromptBytes: c.PromptBytes,
-		Deadline: c.Deadline, Silence: c.Silence,
+		Deadline: c.Deadline, Grace: c.Grace, Silence: c.Silence,
 	})
 	return json.NewEncoder(os.Stdout).Encode(load.Summarize(records))
 }
--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"godwitcart/internal/stand/journal"
 	"godwitcart/internal/wire/enginewire"
 )
 
@@ -35,7 +36,8 @@
 	reports     reportHistory
 	orders      orderBook
 
-	faults faultSwitch
+	faults  faultSwitch
+	journal *journal.Writer
 }
 
 // New returns an idle engine.
@@ -50,6 +52,7 @@
 		orders:      newOrderBook(options.Loaded, options.Role),
 		faults:      newFaultSwitch(),
 	}
+	engine.journal = journal.NewWriter(options.Journal, options.Name, engine.incarnation)
 	engine.reports.add(time.Now(), engine.report())
 	return engine
 }
@@ -96,18 +99,30 @@
 	defer e.mu.Unlock()
 	if refused := e.refusal(request); refused != "" {
 		e.records = append(e.records, refusedRecord(request, refused, now))
+		e.log(journal.EventRefused, request, refused, now)
 		return nil, refused
 	}
 	e.arrivals++
 	a := newAttempt(e.options, request, e.arrivals, now)
 	e.attempts[request.AttemptID] = a
 	e.records = append(e.records, &record{attempt: a})
+	e.log(journal.EventTaken, request, "", now)
 	e.enqueue(a)
 	e.reports.add(now, e.report())
 	e.wakeUp()
 	return a, ""
 }
 
+func (e *Engine) log(event journal.Event, request enginewire.GenerationRequest, refused enginewire.RefusalKind, now time.Time) {
+	e.journal.Append(journal.Entry{
+		Event:     event,
+		RequestID: request.RequestID,
+		AttemptID: request.AttemptID,
+		Head:      promptHead(request.Prompt),
+		Refused:   refused,
+	}, now)
+}
+
 func (e *Engine) enqueue(a *attempt) {
 	at, _ := slices.BinarySearchFunc(e.waiting, a, servedBefore)
 	e.waiting = slices.Insert(e.waiting, at, a)
@@ -169,6 +184,7 @@
 	defer e.mu.Unlock()
 	if e.leaving.IsZero() {
 		e.leaving = time.Now()
+		e.journal.Append(journal.Entry{Event: journal.EventLeaving}, e.leaving)
 	}
 }
 
--- a/internal/stand/engine/engine_test.go
+++ b/internal/stand/engine/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -229,7 +230,8 @@
 
 func TestDrainFinishesWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		engine := start(t, Options{})
+		var out bytes.Buffer
+		engine := start(t, Options{Journal: &out})
 		var drained sync.WaitGroup
 		drained.Go(func() {
 			time.Sleep(20 * time.Millisecond)
@@ -238,6 +240,12 @@
 		requireWhole(t, generate(t.Context(), engine, generation("a", 0, 100)), "a", 0, 100)
 		drained.Wait()
 		require.True(t, engine.Load().Leaving)
+		generate(t.Context(), engine, generation("late", 0, 1))
+		for _, event := range []string{"taken", "started", "leaving", "refused"} {
+			line, err := out.ReadString('\n')
+			require.NoError(t, err)
+			require.Contains(t, line, `"event":"`+event+`"`)
+		}
 	})
 }
 
--- a/internal/stand/engine/options.go
+++ b/internal/stand/engine/options.go
@@ -5,6 +5,7 @@
 package engine
 
 import (
+	"io"
 	"time"
 
 	"godwitcart/internal/wire/enginewire"
@@ -81,6 +82,9 @@
 	Weights string
 	// LoadTime is how long a load takes after the weight store has let it through.
 	LoadTime time.Duration
+
+	// Journal, when set, receives what the engine runs, see package journal.
+	Journal io.Writer
 }
 
 func (o Options) withDefaults() Options {
--- a/internal/stand/engine/ran.go
+++ b/internal/stand/engine/ran.go
@@ -51,12 +51,14 @@
 	return Attempt{
 		RequestID:          request.RequestID,
 		AttemptID:          request.AttemptID,
-		PromptHead:         request.Prompt[:min(len(request.Prompt), promptHeadBytes)],
+		PromptHead:         promptHead(request.Prompt),
 		ReceivedUnixMillis: received.UnixMilli(),
 		Priority:           request.Priority,
 	}
 }
 
+func promptHead(prompt string) string { return prompt[:min(len(prompt), promptHeadBytes)] }
+
 func (r *record) entry() Attempt {
 	if r.attempt == nil {
 		return r.refusal
--- a/internal/stand/engine/step.go
+++ b/internal/stand/engine/step.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"godwitcart/internal/stand/journal"
 	"godwitcart/internal/wire/enginewire"
 )
 
@@ -29,6 +30,9 @@
 	defer e.mu.Unlock()
 	for _, a := range slices.Clone(e.running) {
 		a.produced++
+		if a.produced == 1 {
+			e.log(journal.EventStarted, a.request, "", now)
+		}
 		if a.produced >= a.target {
 			e.finish(a, a.reason, now)
 			continue
--- /dev/null
+++ b/internal/stand/journal/journal_test.go
@@ -0,0 +1,34 @@
+package journal
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestJournalOutlivesABrokenLastLine(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "journal")
+	out, err := Open(path)
+	require.NoError(t, err)
+	at := time.Unix(7, 5)
+	NewWriter(out, "engine-1", "i1").Append(Entry{Event: EventTaken, AttemptID: "a"}, at)
+	require.NoError(t, os.WriteFile(path, append(read(t, path), `{"event":"sta`...), 0o600))
+
+	entries, err := Read(path)
+	require.NoError(t, err)
+	require.Equal(t, []Entry{{
+		Event: EventTaken, Target: "engine-1", Incarnation: "i1", UnixNanos: at.UnixNano(), AttemptID: "a",
+	}}, entries)
+	require.True(t, entries[0].At().Equal(at))
+	NewWriter(nil, "", "").Append(Entry{}, at)
+}
+
+func read(t *testing.T, path string) []byte {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	require.NoError(t, err)
+	return data
+}
--- a/internal/stand/load/caller.go
+++ b/internal/stand/load/caller.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -58,11 +59,11 @@
 
 // run tries entry VMs until an answer is final or the deadline has passed.
 func (c *caller) run(ctx context.Context) Answer {
-	ctx, cancel := context.WithTimeout(ctx, c.options.Deadline)
+	ctx, cancel := context.WithTimeout(ctx, c.options.Deadline+c.options.Grace)
 	defer cancel()
 	c.answer.Started = time.Now()
 	rest := firstRest
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && time.Since(c.answer.Started) < c.options.Deadline {
 		c.try(ctx)
 		if c.ended {
 			break
@@ -100,6 +101,7 @@
 	defer watchdog.Stop()
 	if err := c.exchange(ctx, entry, &try, watchdog); err != nil {
 		try.Break = err.Error()
+		try.NotSent = isDialError(err)
 		if context.Cause(ctx) == errSilence {
 			try.Break = errSilence.Error()
 		}
@@ -119,6 +121,11 @@
 
 var errSilence = errors.New("the entry VM sent nothing for too long")
 
+func isDialError(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
 // lastTry returns the newest try; the zero Try when there is none.
 func (c *caller) lastTry() Try {
 	if len(c.answer.Tries) == 0 {
--- a/internal/stand/load/plan.go
+++ b/internal/stand/load/plan.go
@@ -59,6 +59,8 @@
 
 	// Deadline bounds a request; it is sent along.
 	Deadline time.Duration
+	// Grace is how long after the deadline a caller still waits to be told of it.
+	Grace time.Duration
 	// Silence is how long a caller waits for the next byte before it tries another entry VM.
 	Silence time.Duration
 }
--- a/internal/stand/load/record.go
+++ b/internal/stand/load/record.go
@@ -51,6 +51,8 @@
 	Ended     time.Time
 	// Break says how the exchange broke off; it is empty when it ended in order.
 	Break string
+	// NotSent tells that no connection could be made, so that nothing was sent.
+	NotSent bool
 	// HandedOver tells that the entry VM asked the caller to resume elsewhere.
 	HandedOver bool
 }
--- a/internal/stand/platform/api.go
+++ b/internal/stand/platform/api.go
@@ -17,15 +17,28 @@
 // outageRetryAfter is what callers are told during an outage.
 const outageRetryAfter = time.Second
 
+// View gives some VMs other addresses, as an availability zone sees them whose links to other
+// zones are faulted in the test. It is by the VM's name; empty addresses change nothing.
+type View map[string]Addresses
+
+// Addresses are the host:port of one VM in a View.
+type Addresses struct {
+	Address     string `yaml:"address,omitempty"`
+	PeerAddress string `yaml:"peer_address,omitempty"`
+}
+
 // Handler serves the platform's interface, see platformwire.
-func (p *Platform) Handler() http.Handler {
+func (p *Platform) Handler() http.Handler { return p.HandlerFor(nil) }
+
+// HandlerFor is Handler with the list of VMs as in the view.
+func (p *Platform) HandlerFor(view View) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platformwire.PathObject+"{key...}", p.read(p.getObject))
 	mux.HandleFunc("PUT "+platformwire.PathObject+"{key...}", p.write(p.putObject))
 	mux.HandleFunc("DELETE "+platformwire.PathObject+"{key...}", p.write(p.deleteObject))
 	mux.HandleFunc("GET "+platformwire.PathList, p.read(p.list))
 	mux.HandleFunc("GET "+platformwire.PathWatch, p.read(p.watch))
-	mux.HandleFunc("GET "+platformwire.PathVMs, p.read(p.listVMs))
+	mux.HandleFunc("GET "+platformwire.PathVMs, p.read(p.listVMs(view)))
 	mux.HandleFunc("POST "+platformwire.PathWeights, p.guard(p.weights, p.readWeights))
 	return mux
 }
@@ -149,8 +162,24 @@
 	standhttp.WriteJSON(w, http.StatusOK, response)
 }
 
-func (p *Platform) listVMs(w http.ResponseWriter, _ *http.Request) {
-	standhttp.WriteJSON(w, http.StatusOK, p.vms.list(time.Now()))
+func (p *Platform) listVMs(view View) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		list := p.vms.list(time.Now())
+		for i := range list.VMs {
+			view.apply(&list.VMs[i])
+		}
+		standhttp.WriteJSON(w, http.StatusOK, list)
+	}
+}
+
+func (v View) apply(vm *platformwire.VM) {
+	addresses := v[vm.Name]
+	if addresses.Address != "" {
+		vm.Address = addresses.Address
+	}
+	if addresses.PeerAddress != "" {
+		vm.PeerAddress = addresses.PeerAddress
+	}
 }
 
 func (p *Platform) readWeights(w http.ResponseWriter, r *http.Request) {
--- a/internal/stand/platform/platform_test.go
+++ b/internal/stand/platform/platform_test.go
@@ -144,3 +144,12 @@
 		require.Equal(t, []platformwire.VM{{Name: "a", Leaving: true}, {Name: "c"}}, list())
 	})
 }
+
+func TestViewChangesAddresses(t *testing.T) {
+	p := New(Options{VMs: []platformwire.VM{{Name: "a", Address: "x:1"}, {Name: "b", Address: "x:2", PeerAddress: "x:3"}}})
+	view := View{"a": {Address: "y:1"}, "b": {PeerAddress: "y:3"}}
+	recorder := httptest.NewRecorder()
+	p.HandlerFor(view).ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/v1/vms", nil))
+	seen := decode[platformwire.VMList](t, recorder.Body.Bytes()).VMs
+	require.Equal(t, []platformwire.VM{{Name: "a", Address: "y:1"}, {Name: "b", Address: "x:2", PeerAddress: "y:3"}}, seen)
+}
--- a/internal/stand/service/service.go
+++ b/internal/stand/service/service.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"godwitcart/internal/stand/journal"
 	"godwitcart/internal/stand/standhttp"
 	"godwitcart/internal/wire/enginewire"
 )
@@ -35,6 +36,8 @@
 	Latency time.Duration
 	// Concurrency is how many calls run at once; more are refused as queue_full.
 	Concurrency int
+	// Journal, when set, receives what the service runs, see package journal.
+	Journal io.Writer
 }
 
 // Faults are the failures that the control listener switches on. The zero value is none.
@@ -84,6 +87,7 @@
 	leaving time.Time
 	running int
 	calls   []*Call
+	journal *journal.Writer
 }
 
 // New returns a service that is ready to serve.
@@ -94,7 +98,9 @@
 	if options.Concurrency <= 0 {
 		options.Concurrency = DefaultConcurrency
 	}
-	return &Service{options: options, incarnation: rand.Text(), changed: make(chan struct{})}
+	service := &Service{options: options, incarnation: rand.Text(), changed: make(chan struct{})}
+	service.journal = journal.NewWriter(options.Journal, options.Name, service.incarnation)
+	return service
 }
 
 // Leave refuses calls from now on; running ones go on.
@@ -103,6 +109,7 @@
 	defer s.mu.Unlock()
 	if s.leaving.IsZero() {
 		s.leaving = time.Now()
+		s.journal.Append(journal.Entry{Event: journal.EventLeaving}, s.leaving)
 	}
 }
 
@@ -197,10 +204,23 @@
 	call := newCall(r, body)
 	call.Refused = s.refusal()
 	s.calls = append(s.calls, call)
-	if call.Refused == "" {
-		s.running++
+	if call.Refused != "" {
+		s.log(journal.EventRefused, call)
+		return call, call.Refused
 	}
-	return call, call.Refused
+	s.running++
+	s.log(journal.EventStarted, call)
+	return call, ""
+}
+
+func (s *Service) log(event journal.Event, call *Call) {
+	s.journal.Append(journal.Entry{
+		Event:     event,
+		RequestID: call.RequestID,
+		AttemptID: call.AttemptID,
+		Head:      call.BodyHead,
+		Refused:   call.Refused,
+	}, call.Received)
 }
 
 func newCall(r *http.Request, body []byte) *Call {
--- a/internal/stand/standhttp/standhttp.go
+++ b/internal/stand/standhttp/standhttp.go
@@ -45,33 +45,29 @@
 	Listen, Control string
 	Traffic         http.Handler
 	Operate         http.Handler
+	// More are further traffic listeners, by host:port.
+	More map[string]http.Handler
 	// Drain, when set, is called when ctx ends and returns when the running work has ended.
 	Drain func()
 }
 
 // Run serves until ctx ends, drains, and closes both listeners.
 func (p Program) Run(ctx context.Context) error {
-	traffic, err := net.Listen("tcp", p.Listen)
-	if err != nil {
-		return errors.Wrap(err, "listen for traffic; choose a free --listen address")
-	}
-	control, err := net.Listen("tcp", p.Control)
-	if err != nil {
-		_ = traffic.Close()
-		return errors.Wrap(err, "listen for control; choose a free --control address")
-	}
-	log.Info("listening", "stand_in", p.Name, "traffic", traffic.Addr(), "control", control.Addr())
-	return p.serve(ctx, traffic, control)
-}
-
-func (p Program) serve(ctx context.Context, traffic, control net.Listener) error {
-	servers := []*http.Server{
-		{Handler: p.Traffic, ReadHeaderTimeout: readHeaderTimeout},
-		{Handler: p.Operate, ReadHeaderTimeout: readHeaderTimeout},
-	}
+	var servers []*http.Server
 	group, groupCtx := errgroup.WithContext(ctx)
-	for i, listener := range []net.Listener{traffic, control} {
-		group.Go(func() error { return ignoreClosed(servers[i].Serve(listener)) })
+	serve := func(address string, handler http.Handler) (net.Addr, error) {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, errors.Wrap(err, "listen; choose a free address")
+		}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+		servers = append(servers, server)
+		group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
+		return listener.Addr(), nil
+	}
+	if err := p.listen(serve); err != nil {
+		shutdown(servers)
+		return err
 	}
 	group.Go(func() error {
 		<-groupCtx.Done()
@@ -95,6 +91,25 @@
 	}
 }
 
+// listen starts all listeners and logs where they are.
+func (p Program) listen(serve func(string, http.Handler) (net.Addr, error)) error {
+	traffic, err := serve(p.Listen, p.Traffic)
+	if err != nil {
+		return err
+	}
+	control, err := serve(p.Control, p.Operate)
+	if err != nil {
+		return err
+	}
+	for address, handler := range p.More {
+		if _, err := serve(address, handler); err != nil {
+			return err
+		}
+	}
+	log.Info("listening", "stand_in", p.Name, "traffic", traffic, "control", control)
+	return nil
+}
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
