--- /dev/null
+++ b/internal/language/help.go
@@ -0,0 +1,37 @@
+package language
+
+// Usage describes one form of statement.
+type Usage struct {
+	Form    string
+	Meaning string
+}
+
+// Queries lists the forms of a Query.
+func Queries() []Usage {
+	return []Usage{
+		{"show TABLE [where COLUMN = VALUE [and …]] [order by COLUMN [desc], …] [limit N]", "list rows of a table"},
+		{"count TABLE [where …] [by COLUMN, …]", "count rows, for each value of the columns"},
+		{"explain REQUEST", "tell one request's whole life and the reason of each decision"},
+	}
+}
+
+// Commands lists the forms of a Command.
+func Commands() []Usage {
+	return []Usage{
+		{"create service|account|class|model NAME FIELD=VALUE …", "create an object of the configuration"},
+		{"change service|account|class|model NAME FIELD=VALUE …", "change fields; += and -= add to a list and remove from it"},
+		{"delete service|account|class|model NAME", "delete an object of the configuration"},
+		{"roll back to VERSION", "make an earlier version's content the newest version"},
+		{"drain target NAME", "give a target no new work"},
+		{"undrain target NAME", "give a drained target work again"},
+		{"load MODEL on TARGET", "load a model, adapter or version (MODEL[:ADAPTER][@VERSION])"},
+		{"unload MODEL on TARGET", "unload it once its requests have ended"},
+		{"cancel REQUEST", "cancel a request"},
+	}
+}
+
+// Keywords lists the words that a statement can begin with, for completion.
+func Keywords() []string {
+	return []string{"show", "count", "explain", "create", "change", "delete", "roll back to", "drain target",
+		"undrain target", "load", "unload", "cancel"}
+}
