--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -19,10 +19,10 @@
 // follower delivers the tokens of one attempt, and resumes it when its stream breaks or stalls.
 type follower struct {
 	*Dispatcher
-	record  *request.Record
-	sink    Sink
-	binding Binding
-	relay   *request.Relay
+	record   *request.Record
+	sink     Sink
+	binding  Binding
+	relay    *request.Relay
 	observer observer
 
 	bound bool
