--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -2,20 +2,153 @@
 
 import (
 	"context"
+	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"godwitcart/internal/apierror"
+	"godwitcart/internal/claim"
 	"godwitcart/internal/request"
+	"godwitcart/internal/target"
 )
 
-// Claims is what the dispatcher needs of the claims on non-idempotent requests.
-type Claims interface{}
+// Claims is what the dispatcher needs of the claims on non-idempotent requests; *claim.Book
+// implements it.
+type Claims interface {
+	Claim(ctx context.Context, record claim.Record) (existing claim.Record, won bool, err error)
+	Rebind(ctx context.Context, key, oldAttempt, newAttempt, newTarget string) error
+	End(key, attempt string, ending claim.Ending)
+	Release(key, attempt string)
+}
 
-// claim is thin for now: it claims nothing.
-func (g *generation) claim(ctx context.Context, binding Binding) (*Binding, error) {
+// Locator finds the address of a target that a claim names.
+type Locator interface {
+	Locate(targetName string) (target.Address, bool)
+}
+
+// claimant holds the claim of one request.
+//
+// Invariant: an attempt of a request that needs a claim is sent only after take returned nil, nil
+// for it.
+type claimant struct {
+	claims  Claims
+	request *request.Request
+	vm      string
+	// held is the attempt that the claim names; empty while nothing is claimed.
+	held string
+}
+
+func (d *Dispatcher) newClaimant(r *request.Request) claimant {
+	return claimant{claims: d.options.Claims, request: r, vm: d.options.VM}
+}
+
+// take claims the request for the attempt, or moves the claim to it from an attempt that did not
+// run. It returns the record of a copy that came first, if there is one.
+func (c *claimant) take(ctx context.Context, binding Binding) (*claim.Record, error) {
+	if !c.request.NeedsClaim() {
+		return nil, nil
+	}
+	if c.held != "" {
+		return nil, c.rebind(ctx, binding)
+	}
+	existing, won, err := c.claims.Claim(ctx, c.record(binding))
+	if err != nil {
+		return nil, err
+	}
+	if !won {
+		return &existing, nil
+	}
+	c.held = binding.Attempt
 	return nil, nil
 }
 
-func (g *generation) join(ctx context.Context, existing *Binding) error { return nil }
+func (c *claimant) record(binding Binding) claim.Record {
+	return claim.Record{
+		Key: c.request.ClaimKey(), Digest: c.request.Digest, Account: c.request.Account, RequestID: c.request.ID,
+		AttemptID: binding.Attempt, Target: binding.Address.Name, VM: c.vm, ClaimedAt: time.Now(),
+		State: claim.StateClaimed,
+	}
+}
 
-func (g *generation) settleClaim(err error) {}
+// rebind gives both attempts up when the claim cannot be moved: neither was sent.
+func (c *claimant) rebind(ctx context.Context, binding Binding) error {
+	err := c.claims.Rebind(ctx, c.request.ClaimKey(), c.held, binding.Attempt, binding.Address.Name)
+	if err != nil {
+		c.claims.Release(c.request.ClaimKey(), c.held)
+		c.claims.Release(c.request.ClaimKey(), binding.Attempt)
+		c.held = ""
+		return err
+	}
+	c.held = binding.Attempt
+	return nil
+}
+
+// settle records how the claimed request ended. mayHaveRun tells whether any attempt may have run.
+func (c *claimant) settle(err error, mayHaveRun bool, ending claim.Ending) {
+	if c.held == "" {
+		return
+	}
+	if err != nil && !mayHaveRun {
+		c.claims.Release(c.request.ClaimKey(), c.held)
+		return
+	}
+	ending.Outcome = claim.OutcomeAnswered
+	if err != nil {
+		ending.Outcome = claim.OutcomeUnknown
+		ending.Error = apierror.KindOf(err)
+	}
+	c.claims.End(c.request.ClaimKey(), c.held, ending)
+}
+
+// checkCopy refuses a key that was used for other content.
+func checkCopy(r *request.Request, existing *claim.Record) error {
+	if existing.Digest == r.Digest {
+		return nil
+	}
+	return apierror.New(apierror.KindConflict, "the Idempotency-Key was used for a request with other content",
+		"use a new key for a new request")
+}
+
+// join answers a copy of a claimed request from the generation of the first: the engine keeps it
+// for a while, from its first token on.
+func (g *generation) join(ctx context.Context, existing *claim.Record) error {
+	if err := checkCopy(g.request, existing); err != nil {
+		return err
+	}
+	address, known := g.options.Locator.Locate(existing.Target)
+	if !known {
+		return copyError(existing, nil)
+	}
+	g.joined = true
+	g.mayHaveRun = true
+	g.lastAttempt = existing.AttemptID
+	g.move(request.StateDispatched, address.Name, "joined the attempt of an earlier copy of the request")
+	follower := &follower{
+		Dispatcher: g.Dispatcher, record: g.record, sink: g.sink, observer: noObserver{},
+		binding: Binding{Address: address, Attempt: existing.AttemptID},
+		relay:   request.NewRelay(existing.AttemptID, 0),
+	}
+	err := follower.resume(ctx, errors.New("the answer of an earlier copy is not available"))
+	if err == nil || ctx.Err() != nil || IsCallerGone(err) {
+		return err
+	}
+	if g.sink.Delivered() > 0 {
+		return resumeError(ctx, err)
+	}
+	return copyError(existing, err)
+}
 
-var _ = request.AttemptEnded
+// copyError tells a copy how the first request stands when its answer cannot be had.
+func copyError(existing *claim.Record, cause error) error {
+	switch {
+	case existing.State == claim.StateClaimed:
+		return apierror.Wrap(cause, apierror.KindOutcomeUnknown, "a copy of the request was sent and its outcome is not known",
+			"repeat the request with the same Idempotency-Key later").WithRetryAfter(retryAfterFailure)
+	case existing.Ending != nil && existing.Ending.Outcome == claim.OutcomeAnswered:
+		return apierror.Wrap(cause, apierror.KindConflict, "the request ran to its end and its answer is no longer kept",
+			"use the answer that the first copy received; a new key would run the request again")
+	default:
+		return apierror.Wrap(cause, apierror.KindOutcomeUnknown, "the request may have run and its answer was lost",
+			"find out whether it took effect before sending it with a new key")
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -81,6 +81,7 @@
 	Plain   PlainCaller
 	Placer  Placer
 	Claims  Claims
+	Locator Locator
 	Budget  *RetryBudget
 	// VM is the name of this VM, entered in claims.
 	VM string
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"godwitcart/internal/apierror"
+	"godwitcart/internal/claim"
 	"godwitcart/internal/request"
 	"godwitcart/internal/target"
 	"godwitcart/internal/wire/enginewire"
@@ -23,19 +24,21 @@
 	excluded []string
 	// mayHaveRun is set once an attempt has an outcome that is not "did not run".
 	mayHaveRun bool
-	claimed    bool
-	// lastAttempt is the attempt that the claim names.
+	claimant   claimant
+	// joined is set when the answer comes from an earlier copy of the request.
+	joined bool
+	// lastAttempt is the attempt that the request's record names.
 	lastAttempt string
+	tokens      int
 }
 
 // Generate answers one generation request into sink and returns the final error, if any.
 // The record ends in the state that the caller is told.
 func (d *Dispatcher) Generate(ctx context.Context, r *request.Request, record *request.Record, sink Sink) error {
 	d.options.Budget.Earn(r.Service)
-	g := &generation{Dispatcher: d, request: r, record: record, sink: sink}
-	err := g.run(ctx)
-	g.settleClaim(err)
-	err = g.finalError(ctx, err)
+	g := &generation{Dispatcher: d, request: r, record: record, sink: sink, claimant: d.newClaimant(r)}
+	err := g.finalError(ctx, g.run(ctx))
+	g.claimant.settle(err, g.mayHaveRun, claim.Ending{Tokens: g.tokens})
 	g.recordEnd(err)
 	return err
 }
@@ -43,9 +46,9 @@
 // run makes attempts until one ends or no other may follow.
 func (g *generation) run(ctx context.Context) error {
 	for {
-		joined, err := g.attempt(ctx)
-		if err == nil || joined {
-			return err
+		err := g.attempt(ctx)
+		if err == nil {
+			return nil
 		}
 		var failed *attemptError
 		if !errors.As(err, &failed) {
@@ -70,9 +73,6 @@
 
 // checkRetry returns nil when another attempt may follow the failed one.
 func (g *generation) checkRetry(failed *attemptError) error {
-	if !failed.state.DidNotRun() {
-		g.mayHaveRun = true
-	}
 	g.excluded = append(g.excluded, failed.target)
 	if !request.MayRetry(failed.state, g.request.NonIdempotent, g.sink.Delivered()) {
 		return failed
@@ -87,28 +87,28 @@
 	return nil
 }
 
-// attempt places and drives one attempt. joined reports that the answer came from an earlier copy
-// of the request, so that its end is final.
-func (g *generation) attempt(ctx context.Context) (joined bool, err error) {
+// attempt places and drives one attempt, or joins that of an earlier copy of the request. Only an
+// attemptError may be followed by another attempt.
+func (g *generation) attempt(ctx context.Context) error {
 	placement, err := g.options.Placer.Place(ctx, g.request, g.excluded, g.attempts > 0)
 	if err != nil {
-		return false, err
+		return err
 	}
 	binding := Binding{Address: placement.Address(), Attempt: g.options.NewID()}
-	existing, err := g.claim(ctx, binding)
+	existing, err := g.claimant.take(ctx, binding)
 	if err != nil || existing != nil {
 		placement.Release(Outcome{State: request.AttemptNotSent})
 	}
 	if err != nil {
-		return false, err
+		return err
 	}
 	if existing != nil {
-		return true, g.join(ctx, existing)
+		return g.join(ctx, existing)
 	}
 	g.attempts++
 	g.lastAttempt = binding.Attempt
 	g.move(request.StateDispatched, binding.Address.Name, placement.Reason())
-	return false, g.drive(ctx, placement, binding)
+	return g.drive(ctx, placement, binding)
 }
 
 // drive starts the attempt and follows it to its end.
@@ -124,13 +124,14 @@
 		err = follower.resume(ctx, err)
 	}
 	state := endState(err)
-	placement.Release(Outcome{State: state, Tokens: follower.relay.Next(), Err: err})
+	g.tokens = follower.relay.Next()
+	placement.Release(Outcome{State: state, Tokens: g.tokens, Err: err})
 	if err == nil {
 		return nil
 	}
+	g.mayHaveRun = g.mayHaveRun || !state.DidNotRun()
 	g.abandon(ctx, err, binding, state)
 	if ctx.Err() != nil || errors.Is(err, errCallerGone) {
-		g.mayHaveRun = g.mayHaveRun || !state.DidNotRun()
 		return err
 	}
 	return &attemptError{state: state, target: binding.Address.Name, cause: err}
@@ -165,7 +166,7 @@
 		return
 	}
 	callerLeft := errors.Is(err, errCallerGone) || errors.Is(context.Cause(ctx), context.Canceled)
-	if callerLeft && (g.request.Resumable || g.claimed) {
+	if callerLeft && (g.request.Resumable || g.claimant.held != "") {
 		return
 	}
 	g.cancelAttempt(binding)
@@ -192,7 +193,7 @@
 // refusal passes on an error of placing or claiming, but never as "not run" when an earlier
 // attempt may have run.
 func (g *generation) refusal(err error) error {
-	if !g.mayHaveRun {
+	if !g.mayHaveRun || g.joined {
 		return err
 	}
 	return apierror.Wrap(err, apierror.KindOutcomeUnknown,
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"godwitcart/internal/apierror"
+	"godwitcart/internal/claim"
 	"godwitcart/internal/request"
 	"godwitcart/internal/target"
 )
@@ -49,12 +50,13 @@
 	attempts   int
 	excluded   []string
 	mayHaveRun bool
+	claimant   claimant
 }
 
 // Call answers one call to a plain service. On success the caller of Call must Finish the answer.
 func (d *Dispatcher) Call(ctx context.Context, r *request.Request, record *request.Record, call target.PlainCall, body Body) (*Answer, error) {
 	d.options.Budget.Earn(r.Service)
-	run := &plainRun{Dispatcher: d, request: r, record: record, call: call, body: body}
+	run := &plainRun{Dispatcher: d, request: r, record: record, call: call, body: body, claimant: d.newClaimant(r)}
 	run.call.RunOnce = r.NonIdempotent
 	run.call.RequestID = r.ID
 	run.call.ContentLength = body.Length()
@@ -63,6 +65,7 @@
 		return answer, nil
 	}
 	err = run.finalError(ctx, err)
+	run.claimant.settle(err, run.mayHaveRun, claim.Ending{})
 	moveRecord(record, finalStep(err, record.State(), run.mayHaveRun))
 	return nil, err
 }
@@ -97,11 +100,16 @@
 	if err != nil {
 		return nil, err
 	}
+	address := placement.Address()
+	binding := Binding{Address: address, Attempt: p.options.NewID()}
+	if err := p.claim(ctx, binding); err != nil {
+		placement.Release(Outcome{State: request.AttemptNotSent})
+		return nil, err
+	}
 	p.attempts++
 	call := p.call
-	call.AttemptID = p.options.NewID()
+	call.AttemptID = binding.Attempt
 	call.Body, _ = p.body.Open()
-	address := placement.Address()
 	p.move(request.StateDispatched, address.Name, placement.Reason())
 	response, err := p.options.Plain.Call(ctx, address, call)
 	if err == nil {
@@ -113,8 +121,22 @@
 	return nil, &attemptError{state: state, target: address.Name, cause: err}
 }
 
+// claim claims the call for the attempt. The answer of a plain service is not kept, so a copy is told
+// only how the first call stands.
+func (p *plainRun) claim(ctx context.Context, binding Binding) error {
+	existing, err := p.claimant.take(ctx, binding)
+	if err != nil || existing == nil {
+		return err
+	}
+	if err := checkCopy(p.request, existing); err != nil {
+		return err
+	}
+	return copyError(existing, nil)
+}
+
 func (p *plainRun) answer(response *http.Response, placement Placement) *Answer {
 	finish := func(err error) {
+		p.claimant.settle(err, true, claim.Ending{Status: response.StatusCode})
 		placement.Release(Outcome{State: endState(err), Err: err})
 		moveRecord(p.record, finalStep(err, p.record.State(), true))
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -5,8 +5,11 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/dispatch"
 	"godwitcart/internal/policy"
@@ -34,6 +37,7 @@
 	if err != nil {
 		return err
 	}
+	r.Digest = callDigest(x.r, body)
 	ctx, record, end := g.begin(x, r)
 	defer end()
 	call := target.PlainCall{Method: x.r.Method, Path: servicePath(x.r.URL, service.Name), Header: plainHeader(x.r.Header)}
@@ -44,6 +48,14 @@
 	return forwardAnswer(x, answer)
 }
 
+// callDigest identifies a plain call by its method, path and the part of its body that is kept.
+func callDigest(r *http.Request, body *body) string {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(r.Method + " " + r.URL.RequestURI() + "\n")
+	_, _ = digest.Write(body.kept)
+	return strconv.FormatUint(digest.Sum64(), 16)
+}
+
 // idempotentMethod reports whether RFC 9110 defines the method as idempotent.
 func idempotentMethod(method string) bool {
 	switch method {
