--- /dev/null
+++ b/internal/measure/result.go
@@ -0,0 +1,136 @@
+package measure
+
+import (
+	"math"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ClassResult is what the callers of one class saw.
+type ClassResult struct {
+	Class                string  `json:"class"`
+	Requests             int     `json:"requests"`
+	Answered             int     `json:"answered"`
+	Refused              int     `json:"refused"`
+	Lost                 int     `json:"lost"`
+	OnTimeShare          float64 `json:"on_time_share"`
+	StallSeconds         float64 `json:"stall_seconds"`
+	StallP99Seconds      float64 `json:"stall_p99_seconds"`
+	Preemptions          int     `json:"preemptions"`
+	FirstTokenP95Seconds float64 `json:"first_token_p95_seconds"`
+	GapP99Milliseconds   float64 `json:"gap_p99_ms"`
+}
+
+// Result is the outcome of one run. Times are virtual.
+type Result struct {
+	Policy                 string        `json:"policy"`
+	Deployment             string        `json:"deployment"`
+	Seed                   uint64        `json:"seed"`
+	OfferedLoad            float64       `json:"offered_load"`
+	Requests               int           `json:"requests"`
+	Answered               int           `json:"answered"`
+	Refused                int           `json:"refused"`
+	Lost                   int           `json:"lost"`
+	CutOff                 int           `json:"cut_off"`
+	OnTimeShare            float64       `json:"on_time_share"`
+	GoodputTokensPerSecond float64       `json:"goodput_tokens_per_second"`
+	StallSeconds           float64       `json:"stall_seconds"`
+	Preemptions            int           `json:"preemptions"`
+	Inversions             int           `json:"higher_preempted_while_lower_ran"`
+	GapP50Milliseconds     float64       `json:"gap_p50_ms"`
+	GapP95Milliseconds     float64       `json:"gap_p95_ms"`
+	GapP99Milliseconds     float64       `json:"gap_p99_ms"`
+	GapsWithinShare        float64       `json:"gaps_within_41_ms_share"`
+	FirstTokenP95Seconds   float64       `json:"first_token_p95_seconds"`
+	FirstTokensWithinShare float64       `json:"first_tokens_within_660_ms_share"`
+	LookupIdleP99          float64       `json:"lookup_idle_p99_ms"`
+	LookupFloodP99         float64       `json:"lookup_flood_p99_ms"`
+	Classes                []ClassResult `json:"classes"`
+}
+
+// Policies lists the names of the policies in the order in which they are compared.
+func Policies() []string {
+	return []string{"round_robin", "least_loaded", "two_choices", "godwitcart", "clairvoyant"}
+}
+
+func newPolicy(name string, seed uint64) (strategy, error) {
+	switch name {
+	case "round_robin":
+		return &baseline{choose: (*baseline).chooseRoundRobin}, nil
+	case "least_loaded":
+		return &baseline{choose: (*baseline).chooseLeastLoaded}, nil
+	case "two_choices":
+		return &baseline{choose: (*baseline).chooseOfTwo}, nil
+	case "godwitcart":
+		return &decisions{seed: seed}, nil
+	case "clairvoyant":
+		return &clairvoyant{}, nil
+	default:
+		return nil, errors.Newf("unknown policy %q: use one of %v", name, Policies())
+	}
+}
+
+// Run plays the seeded work of the deployment under the named policy.
+func Run(d Deployment, policyName string, seed uint64) (Result, error) {
+	p, err := newPolicy(policyName, seed)
+	if err != nil {
+		return Result{}, err
+	}
+	s := newRun(&d, seed, p).play()
+	return s.result(policyName, seed), nil
+}
+
+func (s *score) result(policyName string, seed uint64) Result {
+	r := Result{
+		Policy: policyName, Deployment: s.d.Name, Seed: seed, OfferedLoad: s.d.load, CutOff: s.cut,
+		Inversions:             s.inversions,
+		GapP50Milliseconds:     s.gaps.milliseconds(50),
+		GapP95Milliseconds:     s.gaps.milliseconds(95),
+		GapP99Milliseconds:     s.gaps.milliseconds(99),
+		GapsWithinShare:        share(float64(s.gapsWithin), float64(s.gapsAll)),
+		FirstTokenP95Seconds:   s.firstTokens.seconds(95),
+		FirstTokensWithinShare: share(float64(s.firstWithin), float64(s.firstAll)),
+		LookupIdleP99:          s.lookups.milliseconds(99),
+		LookupFloodP99:         s.flooded.milliseconds(99),
+		GoodputTokensPerSecond: round(float64(s.onTimeTokens)/s.d.Duration.Seconds(), 1),
+	}
+	onTime := 0
+	var stall time.Duration
+	for i := range s.classes {
+		c := &s.classes[i]
+		r.Requests += c.requests
+		r.Answered += c.answered
+		r.Refused += c.refused
+		r.Lost += c.lost
+		r.Preemptions += c.preemptions
+		onTime += c.onTime
+		stall += c.stall
+		r.Classes = append(r.Classes, c.result(s.d.classes[i].name))
+	}
+	r.StallSeconds = round(stall.Seconds(), 10)
+	r.OnTimeShare = share(float64(onTime), float64(r.Requests))
+	return r
+}
+
+func (c *classScore) result(name string) ClassResult {
+	return ClassResult{
+		Class: name, Requests: c.requests, Answered: c.answered, Refused: c.refused, Lost: c.lost,
+		OnTimeShare:          share(float64(c.onTime), float64(c.requests)),
+		StallSeconds:         round(c.stall.Seconds(), 10),
+		StallP99Seconds:      c.stalls.seconds(99),
+		Preemptions:          c.preemptions,
+		FirstTokenP95Seconds: c.firstTokens.seconds(95),
+		GapP99Milliseconds:   c.gaps.milliseconds(99),
+	}
+}
+
+func share(part, whole float64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return round(part/whole, 10000)
+}
+
+// round rounds to a multiple of 1/steps.
+func round(value, steps float64) float64 { return math.Round(value*steps) / steps }
