Compare targets by their whole load also when lower work may give way

Cause: a request that may preempt was scored by the load of its own rank alone, so it went to targets full of lower work while others had room. Ruled out: waiting before preempting; paid classes would stall first. Change: the score counts all work; a target where lower work would have to give way costs preempt_cost more, and its room counts the kept ranks only.

--- a/internal/routing/room.go
+++ b/internal/routing/room.go
@@ -9,6 +9,9 @@
 	// and deviationsPerRank is added for each higher priority.
 	deviations        = 0.5
 	deviationsPerRank = 0.5
+	// preemptCost is added to the score of a target on which work of lower priority would have to
+	// give way, in shares of its memory.
+	preemptCost = 1
 )
 
 // load returns the expected share of the target's memory in use with the query's attempt, and
@@ -25,17 +28,19 @@
 	if higher > 0 && state.now.Before(t.pressuredUntil) {
 		return 0, false
 	}
-	counted := 0
-	if state.query.Preempt {
-		counted = state.rank
-	}
-	expected := t.expected(counted)
+	expected := t.expected(0)
 	expected.add(&state.demand, 1)
 	load := expected.mean[middleHorizon] / memory
 	usable := memory * (1 - headroomPerRank*float64(higher))
-	if counted == 0 && float64(t.tokensNow()+state.query.PromptTokens) > usable {
+	margin := deviations + deviationsPerRank*float64(higher)
+	inUse := float64(t.tokensNow() + state.query.PromptTokens)
+	if inUse <= usable && expected.fits(usable, margin) {
+		return load, true
+	}
+	if !state.query.Preempt || state.rank == 0 {
 		return load, false
 	}
-	margin := deviations + deviationsPerRank*float64(higher)
-	return load, expected.fits(usable, margin)
+	kept := t.expected(state.rank)
+	kept.add(&state.demand, 1)
+	return load + preemptCost, kept.fits(usable, margin)
 }
