Start the measured fleet as one that is known

Cause: the first reports arrived after a second, so godwitcart alone held the first second of paid requests back; the other policies need no report. Change: every policy is told one idle report at the start.

--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -115,6 +115,9 @@
 	r.scheduleArrivals(0)
 	for i, n := range r.nodes {
 		if n.engine != nil {
+			// The fleet was up before the run, so that its targets are known.
+			first := r.read(n.engine)
+			r.policy.reported(i, &first, nil)
 			r.scheduleReports(i, time.Duration(i)*reportEvery/time.Duration(len(r.nodes)))
 		}
 	}
@@ -154,13 +157,19 @@
 		if e.dead || lost {
 			return
 		}
-		report := e.report()
-		report.Loaded = []enginewire.Loaded{{Model: r.d.services[e.service].model}}
+		report := r.read(e)
 		events := r.thin(e.cache.take())
 		r.clock.after(reportLag, func() { r.policy.reported(index, &report, events) })
 	})
 }
 
+// read returns the engine's report as it is.
+func (r *run) read(e *engine) enginewire.LoadReport {
+	report := e.report()
+	report.Loaded = []enginewire.Loaded{{Model: r.d.services[e.service].model}}
+	return report
+}
+
 // thin drops some events.
 func (r *run) thin(events []enginewire.CacheEvent) []enginewire.CacheEvent {
 	var kept []enginewire.CacheEvent
