Prove that copies of a letter run once, through any entry VM

Cause: claims were wired without a test. Change: copies through another VM while the first runs, after its caller was cut off and after it ended; a key with other content; a platform outage; refusals that release; plain calls.

--- /dev/null
+++ b/internal/gateway/copies_test.go
@@ -0,0 +1,111 @@
+package gateway_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitcart/internal/stand/engine"
+	"godwitcart/internal/wire/enginewire"
+)
+
+const letterBody = `{"model":"letter","prompt":"len=40 renewal","stream":true}`
+
+func keyed(entry int, body string) call {
+	return call{entry: entry, path: "/v1/completions", body: body, header: map[string]string{"Idempotency-Key": "k-1"}}
+}
+
+// TestCopyThroughAnotherVMJoinsTheRunningAnswer repeats a letter through another entry VM while the
+// first is still read: both callers get the same whole generation and it runs once.
+func TestCopyThroughAnotherVMJoinsTheRunningAnswer(t *testing.T) {
+	h := newHarness(t)
+	first := h.do(keyed(0, letterBody))
+	head := readEvents(t, first.Body, 3)
+	second := readEvents(t, h.do(keyed(1, letterBody)).Body, 1000)
+	rest := readEvents(t, first.Body, 1000)
+	require.Equal(t,
+		requireWhole(t, joinTokens(t, append(head, rest...)), 40),
+		requireWhole(t, joinTokens(t, second), 40))
+	require.Len(t, h.ran(), 1)
+}
+
+// TestCopyAfterTheCallerLostItsVM cuts the first caller off; its repeat gets the whole answer.
+func TestCopyAfterTheCallerLostItsVM(t *testing.T) {
+	h := newHarness(t)
+	first := h.do(keyed(0, letterBody))
+	readEvents(t, first.Body, 3)
+	h.entries[0].CloseClientConnections()
+	requireWhole(t, joinTokens(t, readEvents(t, h.do(keyed(1, letterBody)).Body, 1000)), 40)
+	require.Len(t, h.ran(), 1)
+}
+
+func TestCopyOfAnEndedRequestGetsItsAnswer(t *testing.T) {
+	h := newHarness(t)
+	whole := `{"model":"letter","prompt":"len=6 renewal"}`
+	var answers [2]struct {
+		Choices []struct{ Text string }
+	}
+	for entry := range answers {
+		response := h.do(keyed(entry, whole))
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		require.NoError(t, json.NewDecoder(response.Body).Decode(&answers[entry]))
+	}
+	require.Equal(t, answers[0], answers[1])
+	require.Len(t, h.ran(), 1)
+}
+
+func requireError(t *testing.T, response *http.Response, status int, kind string) {
+	t.Helper()
+	var body struct {
+		Error struct{ Type, Remedy string }
+	}
+	require.NoError(t, json.NewDecoder(response.Body).Decode(&body))
+	require.Equal(t, status, response.StatusCode)
+	require.Equal(t, kind, body.Error.Type)
+	require.NotEmpty(t, body.Error.Remedy)
+}
+
+func TestKeyReusedForOtherContentIsRefused(t *testing.T) {
+	h := newHarness(t)
+	readEvents(t, h.do(keyed(0, letterBody)).Body, 1000)
+	requireError(t, h.do(keyed(1, `{"model":"letter","prompt":"another"}`)), http.StatusConflict, "conflict")
+	require.Len(t, h.ran(), 1)
+}
+
+// TestClaimsAreRefusedAsNotRunWhileThePlatformIsAway also checks that nothing reached a target, that
+// the caller is told when to come back, and that it succeeds then.
+func TestClaimsAreRefusedAsNotRunWhileThePlatformIsAway(t *testing.T) {
+	h := newHarness(t)
+	h.store.SetOutage(true)
+	response := h.do(keyed(0, letterBody))
+	requireError(t, response, http.StatusServiceUnavailable, "not_run")
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+	require.Empty(t, h.ran())
+	h.store.SetOutage(false)
+	require.Eventually(t, func() bool { return h.do(keyed(0, letterBody)).StatusCode == http.StatusOK }, patience, poll)
+}
+
+// TestRefusedEverywhereReleasesTheClaim lets a copy run later.
+func TestRefusedEverywhereReleasesTheClaim(t *testing.T) {
+	h := newHarness(t)
+	for _, stand := range h.engines {
+		stand.SetFaults(engine.Faults{Refuse: enginewire.RefusedLeaving})
+	}
+	requireError(t, h.do(keyed(0, letterBody)), http.StatusServiceUnavailable, "overloaded")
+	for _, stand := range h.engines {
+		stand.SetFaults(engine.Faults{})
+	}
+	require.Eventually(t, func() bool { return h.do(keyed(1, letterBody)).StatusCode == http.StatusOK }, patience, poll)
+}
+
+// TestCopyOfAPlainCallIsTold repeats a call that may run once.
+func TestCopyOfAPlainCallIsTold(t *testing.T) {
+	h := newHarness(t)
+	c := call{path: "/services/counter-api/margin", body: "check", header: map[string]string{"Idempotency-Key": "m-1"}}
+	require.Equal(t, http.StatusOK, h.do(c).StatusCode)
+	c.entry = 1
+	require.Contains(t, []int{http.StatusConflict, http.StatusBadGateway}, h.do(c).StatusCode)
+	require.Len(t, h.service.Ran().Calls, 1)
+}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -11,14 +11,17 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"godwitcart/internal/apierror"
+	"godwitcart/internal/claim"
 	"godwitcart/internal/dispatch"
 	"godwitcart/internal/gateway"
+	"godwitcart/internal/object/objecttest"
 	"godwitcart/internal/policy"
 	"godwitcart/internal/request"
 	"godwitcart/internal/stand/engine"
@@ -86,6 +89,18 @@
 	return nil, apierror.New(apierror.KindOverloaded, "no target is left", "come back").WithRetryAfter(time.Second)
 }
 
+// Locate implements dispatch.Locator.
+func (p orderedPlacer) Locate(name string) (target.Address, bool) {
+	for _, addresses := range p {
+		for _, address := range addresses {
+			if address.Name == name {
+				return address, true
+			}
+		}
+	}
+	return target.Address{}, false
+}
+
 // harness is a gateway before stand-in engines and a stand-in service.
 type harness struct {
 	t       testing.TB
@@ -94,6 +109,7 @@
 	placer  orderedPlacer
 	sealer  *request.Sealer
 	policy  fixedPolicy
+	store   *objecttest.Store
 	entries []*httptest.Server
 	gates   []*gateway.Gateway
 }
@@ -107,7 +123,7 @@
 	t.Helper()
 	sealer, err := request.NewSealer([][]byte{bytes.Repeat([]byte{7}, request.MinCursorKeyBytes)})
 	require.NoError(t, err)
-	h := &harness{t: t, placer: orderedPlacer{}, sealer: sealer, policy: newPolicy(t)}
+	h := &harness{t: t, placer: orderedPlacer{}, sealer: sealer, policy: newPolicy(t), store: objecttest.NewStore()}
 	for i := range testEngines {
 		h.addEngine("engine-" + string(rune('a'+i)))
 	}
@@ -147,8 +163,17 @@
 
 func (h *harness) addEntry() {
 	timeouts := target.Timeouts{Connect: time.Second, Answer: time.Second, Progress: time.Second}
+	book := claim.NewBook(claim.Options{Store: h.store})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = book.Run(ctx) })
+	h.t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
 	dispatcher := dispatch.New(dispatch.Options{
 		Engines: target.NewEngineClient(timeouts), Plain: target.NewPlainClient(timeouts), Placer: h.placer,
+		Claims: book, Locator: h.placer,
 		Budget: dispatch.NewRetryBudget(), VM: "vm", ResumeWindow: 3 * time.Second, NewID: rand.Text,
 	})
 	gate := gateway.New(gateway.Options{
@@ -258,3 +283,9 @@
 	}
 	return attempts
 }
+
+// The bounds of waiting for something that happens soon.
+const (
+	patience = 10 * time.Second
+	poll     = 20 * time.Millisecond
+)
