--- /dev/null
+++ b/cmd/godwitstand/failures.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"godwitcart/internal/stand/failures"
+)
+
+type failuresCommand struct {
+	Seed     uint64  `default:"1" help:"Seed of load and faults."`
+	Seconds  float64 `default:"60" help:"How long requests start."`
+	Binaries string  `default:"bin" type:"existingdir" help:"Directory of the programs."`
+	Out      string  `help:"Directory for logs, settings and the journal; without it they are kept only when a promise was violated."`
+	NoFaults bool    `help:"Run the load without faults."`
+	Baseline bool    `help:"Run the same load without faults first, and report its availability too."`
+	Verbose  bool    `help:"Log each fault."`
+}
+
+// Run prints a failures.Report as one JSON line and fails when a promise was violated.
+func (c *failuresCommand) Run(ctx context.Context) error {
+	if c.Seconds <= 0 {
+		return errors.New("--seconds must be above zero")
+	}
+	if c.Verbose {
+		log.SetLevel(log.DebugLevel)
+	}
+	directory, err := c.directory()
+	if err != nil {
+		return err
+	}
+	report, err := c.run(ctx, directory)
+	if err != nil {
+		return errors.Wrap(err, "the run failed; logs are in "+directory)
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(report); err != nil {
+		return errors.Wrap(err, "print the report")
+	}
+	if !report.Clean() {
+		return errors.Newf("a promise was violated; logs are in %s", directory)
+	}
+	if c.Out == "" {
+		return errors.Wrap(os.RemoveAll(directory), "remove the logs")
+	}
+	return nil
+}
+
+func (c *failuresCommand) directory() (string, error) {
+	if c.Out == "" {
+		directory, err := os.MkdirTemp("", "godwitcart-failures-")
+		return directory, errors.Wrap(err, "make a directory for logs")
+	}
+	return c.Out, errors.Wrap(os.MkdirAll(c.Out, 0o755), "make the --out directory")
+}
+
+func (c *failuresCommand) run(ctx context.Context, directory string) (failures.Report, error) {
+	options := failures.Options{
+		Binaries: c.Binaries, Directory: directory, Seed: c.Seed,
+		Duration: time.Duration(c.Seconds * float64(time.Second)), Faults: !c.NoFaults,
+	}
+	if !c.Baseline {
+		return failures.Run(ctx, options)
+	}
+	calm := options
+	calm.Faults = false
+	calm.Directory = filepath.Join(directory, "baseline")
+	if err := os.MkdirAll(calm.Directory, 0o755); err != nil {
+		return failures.Report{}, errors.Wrap(err, "make the baseline's directory")
+	}
+	baseline, err := failures.Run(ctx, calm)
+	if err != nil {
+		return failures.Report{}, err
+	}
+	report, err := failures.Run(ctx, options)
+	report.Baseline = &baseline.Availability
+	return report, err
+}
--- a/cmd/godwitstand/main.go
+++ b/cmd/godwitstand/main.go
@@ -19,6 +19,7 @@
 	Engine   engineCommand   `cmd:"" help:"Run a model engine."`
 	Service  serviceCommand  `cmd:"" help:"Run a plain service."`
 	Load     loadCommand     `cmd:"" help:"Send the load of many callers and print a summary."`
+	Failures failuresCommand `cmd:"" help:"Run godwitcartd and the stand-ins under faults and judge the answers."`
 }
 
 // listeners are the addresses that every stand-in needs.
--- /dev/null
+++ b/internal/stand/failures/fleet.go
@@ -0,0 +1,213 @@
+package failures
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+	"golang.org/x/sync/errgroup"
+
+	"godwitcart/internal/stand/platform"
+	"godwitcart/internal/wire/platformwire"
+)
+
+// zones are the availability zones of every run; the members of each kind are spread over them
+// in turn.
+var zones = []string{"zone-a", "zone-b", "zone-c"}
+
+// The size of the fleet.
+const (
+	entryCount   = 4
+	engineCount  = 4
+	serviceCount = 2
+)
+
+// The services of the configuration.
+const (
+	engineService = "godwit-lm"
+	plainService  = "counter-api"
+)
+
+// member is one entry VM or target of the fleet.
+type member struct {
+	*program
+	vm platformwire.VM
+	// control is the host:port of a target's control listener.
+	control string
+}
+
+// fleet is everything that runs.
+type fleet struct {
+	directory string
+	binaries  string
+	seed      uint64
+	ports     *portPool
+	spawner   *spawner
+
+	platform        *program
+	platformControl string
+	platformListen  string
+	// platformViews is where each zone's view of the platform listens.
+	platformViews map[string]string
+
+	entries, engines, services []*member
+	// links are by the zone that a connection comes from and the destination's name.
+	links map[linkKey]*link
+}
+
+type linkKey struct {
+	zone, destination string
+}
+
+// platformName is the platform as the destination of links.
+const platformName = "platform"
+
+// newFleet lays out addresses and files; nothing runs yet.
+func newFleet(binaries, directory string, seed uint64) (*fleet, error) {
+	f := &fleet{
+		directory: directory, binaries: binaries, seed: seed, ports: newPortPool(), spawner: newSpawner(),
+		platformViews: make(map[string]string), links: make(map[linkKey]*link),
+	}
+	steps := []func() error{f.layOutMembers, f.layOutPlatform, f.layOutLinks, f.writeFiles}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// addresses fills each field with an address of its own.
+func (f *fleet) addresses(fields ...*string) error {
+	for _, field := range fields {
+		address, err := f.ports.address()
+		if err != nil {
+			return err
+		}
+		*field = address
+	}
+	return nil
+}
+
+func (f *fleet) members() []*member {
+	var all []*member
+	all = append(all, f.entries...)
+	all = append(all, f.engines...)
+	return append(all, f.services...)
+}
+
+func (f *fleet) targets() []*member {
+	return append(append([]*member(nil), f.engines...), f.services...)
+}
+
+// layOutLinks makes a link from each zone to each destination.
+func (f *fleet) layOutLinks() error {
+	for _, zone := range zones {
+		if err := f.addLink(zone, platformName, f.platformViews[zone]); err != nil {
+			return err
+		}
+		for _, m := range f.members() {
+			destination := m.vm.Address
+			if m.vm.PeerAddress != "" {
+				destination = m.vm.PeerAddress
+			}
+			if err := f.addLink(zone, m.name, destination); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (f *fleet) addLink(zone, destination, address string) error {
+	listen, err := f.ports.address()
+	if err != nil {
+		return err
+	}
+	made, err := newLink(listen, address)
+	f.links[linkKey{zone, destination}] = made
+	return err
+}
+
+// linksTo returns the links of all zones to a member.
+func (f *fleet) linksTo(name string) []*link {
+	var found []*link
+	for _, zone := range zones {
+		found = append(found, f.links[linkKey{zone, name}])
+	}
+	return found
+}
+
+// linksAcross returns the links between a zone and everything outside it.
+func (f *fleet) linksAcross(zone string) []*link {
+	found := []*link{f.links[linkKey{zone, platformName}]}
+	for _, m := range f.members() {
+		for _, from := range zones {
+			if (from == zone) != (m.vm.Zone == zone) {
+				found = append(found, f.links[linkKey{from, m.name}])
+			}
+		}
+	}
+	return found
+}
+
+// view returns the addresses that a zone is given: those of its links.
+func (f *fleet) view(zone string) platform.View {
+	view := make(platform.View)
+	for _, m := range f.members() {
+		through := f.links[linkKey{zone, m.name}].listen
+		if m.vm.PeerAddress != "" {
+			view[m.name] = platform.Addresses{PeerAddress: through}
+		} else {
+			view[m.name] = platform.Addresses{Address: through}
+		}
+	}
+	return view
+}
+
+func (f *fleet) file(name string) string { return filepath.Join(f.directory, name) }
+
+func (f *fleet) writeYAML(name string, value any) error {
+	text, err := yaml.Marshal(value)
+	if err != nil {
+		return errors.Wrap(err, "encode "+name)
+	}
+	return f.writeText(name, string(text))
+}
+
+func (f *fleet) writeText(name, text string) error {
+	return errors.Wrap(os.WriteFile(f.file(name), []byte(text), 0o644), "write "+name)
+}
+
+// start runs the stand-ins, then the entry VMs, and waits until all are ready.
+func (f *fleet) start(ctx context.Context) error {
+	if err := f.platform.start(ctx); err != nil {
+		return err
+	}
+	if err := startAll(ctx, f.targets()); err != nil {
+		return err
+	}
+	return startAll(ctx, f.entries)
+}
+
+func startAll(ctx context.Context, members []*member) error {
+	var group errgroup.Group
+	for _, m := range members {
+		group.Go(func() error { return m.start(ctx) })
+	}
+	return group.Wait()
+}
+
+// stop ends everything at once.
+func (f *fleet) stop() {
+	for _, m := range f.members() {
+		m.kill()
+	}
+	f.platform.kill()
+	for _, l := range f.links {
+		l.close()
+	}
+	close(f.spawner.requests)
+}
--- /dev/null
+++ b/internal/stand/failures/inject.go
@@ -0,0 +1,208 @@
+package failures
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+)
+
+// reclaimNotice is how long a reclaimed target has between the notice and its end.
+const reclaimNotice = 2 * time.Second
+
+// controlTimeout bounds one control call to a stand-in.
+const controlTimeout = 5 * time.Second
+
+// injector carries out actions on a fleet and keeps what was done.
+type injector struct {
+	fleet  *fleet
+	random *drawer
+
+	mu     sync.Mutex
+	faults []Fault
+	err    error
+}
+
+// do carries out one action and lifts it. An action on a program that another one acts on is
+// left out.
+func (i *injector) do(ctx context.Context, a action) {
+	busy := i.lockOf(a)
+	if busy != nil {
+		if !busy.TryLock() {
+			return
+		}
+		defer busy.Unlock()
+	}
+	fault := Fault{Kind: a.kind, Subject: a.subject, From: time.Now()}
+	err := i.apply(ctx, a)
+	fault.To = time.Now()
+	log.Debug("fault", "what", fault)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.faults = append(i.faults, fault)
+	i.err = errors.CombineErrors(i.err, errors.Wrap(err, fault.String()))
+}
+
+// lockOf returns the lock of the program that the action acts on; links have none.
+func (i *injector) lockOf(a action) *sync.Mutex {
+	if a.subject == platformName {
+		return &i.fleet.platform.busy
+	}
+	for _, m := range i.fleet.members() {
+		if m.name == a.subject {
+			return &m.busy
+		}
+	}
+	return nil
+}
+
+func (i *injector) member(name string) *member {
+	for _, m := range i.fleet.members() {
+		if m.name == name {
+			return m
+		}
+	}
+	return nil
+}
+
+// apply carries out the action, holds it and lifts it. What ctx interrupts is lifted at once.
+func (i *injector) apply(ctx context.Context, a action) error {
+	m := i.member(a.subject)
+	switch a.kind {
+	case KillEntry, KillTarget:
+		return i.killAndRestart(ctx, m, a.hold)
+	case FreezeEntry, FreezeTarget:
+		m.signal(syscall.SIGSTOP)
+		hold(ctx, a.hold)
+		m.signal(syscall.SIGCONT)
+		return nil
+	case ReclaimTarget:
+		if err := control(m.control, "/leave", ""); err != nil {
+			return err
+		}
+		hold(ctx, reclaimNotice)
+		return i.killAndRestart(ctx, m, a.hold)
+	case StallLink, CutLink, CutZone, CutPlatform:
+		return i.applyToLinks(ctx, a)
+	default:
+		return i.applyByControl(ctx, a, m)
+	}
+}
+
+func (i *injector) killAndRestart(ctx context.Context, m *member, down time.Duration) error {
+	links := i.fleet.linksTo(m.name)
+	m.kill()
+	cutAll(links)
+	hold(ctx, down)
+	// The run's end must not leave a program half started.
+	if err := m.start(context.WithoutCancel(ctx)); err != nil {
+		return err
+	}
+	return restoreAll(links)
+}
+
+func cutAll(links []*link) {
+	for _, l := range links {
+		l.cut()
+	}
+}
+
+func restoreAll(links []*link) error {
+	var result error
+	for _, l := range links {
+		result = errors.CombineErrors(result, l.restore())
+	}
+	return result
+}
+
+func (i *injector) applyToLinks(ctx context.Context, a action) error {
+	links := i.linksOf(a)
+	if a.kind == StallLink {
+		for _, l := range links {
+			l.stall()
+		}
+		hold(ctx, a.hold)
+		for _, l := range links {
+			l.unstall()
+		}
+		return nil
+	}
+	cutAll(links)
+	hold(ctx, a.hold)
+	return restoreAll(links)
+}
+
+func (i *injector) linksOf(a action) []*link {
+	switch a.kind {
+	case CutZone:
+		return i.fleet.linksAcross(a.subject)
+	case CutPlatform:
+		return []*link{i.fleet.links[linkKey{a.subject, platformName}]}
+	default:
+		zone, destination, _ := strings.Cut(a.subject, linkSeparator)
+		return []*link{i.fleet.links[linkKey{zone, destination}]}
+	}
+}
+
+// controlFaults are the bodies that switch a stand-in's fault on and off.
+var controlFaults = map[FaultKind]struct{ on, off string }{
+	PlatformOutage:  {`{"outage":true}`, `{"outage":false}`},
+	PlatformFreeze:  {`{"freeze":true}`, `{"freeze":false}`},
+	PlatformSlow:    {`{"delay_millis":400}`, `{"delay_millis":0}`},
+	LoseWriteAnswer: {`{"lose_probability":0.5}`, `{"lose_probability":0}`},
+	StallStreams:    {`{"stall_streams":true}`, `{"stall_streams":false}`},
+	BreakStreams:    {`{"break_streams":5}`, `{"break_streams":0}`},
+	LoseAnswers:     {`{"lose_answers":3}`, `{"lose_answers":0}`},
+}
+
+func (i *injector) applyByControl(ctx context.Context, a action, m *member) error {
+	address := i.fleet.platformControl
+	if m != nil {
+		address = m.control
+	}
+	bodies := controlFaults[a.kind]
+	if err := control(address, "/faults", bodies.on); err != nil {
+		return err
+	}
+	hold(ctx, a.hold)
+	return control(address, "/faults", bodies.off)
+}
+
+// control posts to a stand-in's control listener.
+func control(address, path, body string) error {
+	return controlMethod(http.MethodPost, address, path, []byte(body))
+}
+
+func controlMethod(method, address, path string, body []byte) error {
+	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "control a stand-in")
+	}
+	defer response.Body.Close()
+	if response.StatusCode/100 != 2 {
+		return fmt.Errorf("control call %s answered %s", path, response.Status)
+	}
+	return nil
+}
+
+func hold(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/stand/failures/layout.go
@@ -0,0 +1,206 @@
+package failures
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"time"
+
+	"godwitcart/internal/policy"
+	"godwitcart/internal/wire/platformwire"
+)
+
+// What the fleet runs with.
+const (
+	model        = "ledger-small"
+	modelVersion = "1"
+	vmLag        = 10 * time.Second
+	drainTimeout = 40 * time.Second
+	memoryTokens = 1500
+	longClass    = "sheet"
+	shortClass   = "counter"
+)
+
+// accountNames are the client accounts; the API key of each is its name with accountKeySuffix.
+var accountNames = []string{"brandon-depot", "regina-grocers", "moosejaw-cash-desk"}
+
+const accountKeySuffix = "-key"
+
+func accountKeys() []string {
+	var keys []string
+	for _, name := range accountNames {
+		keys = append(keys, name+accountKeySuffix)
+	}
+	return keys
+}
+
+// configuration is the first one of the run.
+func configuration() policy.Configuration {
+	c := policy.Configuration{
+		Version: 1,
+		Services: map[string]policy.Service{
+			engineService: {
+				Name: engineService, Kind: policy.KindEngine, ChecksFencing: true,
+				Runs: []policy.Variant{{Model: model, Version: modelVersion}},
+			},
+			plainService: {Name: plainService, Kind: policy.KindPlain},
+		},
+		Accounts: map[string]policy.Account{},
+		Classes: map[string]policy.Class{
+			shortClass: {Name: shortClass, Priority: 30},
+			longClass:  {Name: longClass, Priority: 20},
+		},
+		Models: map[string]policy.Model{model: {Name: model, Versions: []string{modelVersion}}},
+	}
+	for _, name := range accountNames {
+		digest := sha256.Sum256([]byte(name + accountKeySuffix))
+		c.Accounts[name] = policy.Account{
+			Name: name, KeyHashes: []string{hex.EncodeToString(digest[:])}, Share: 1,
+			Classes: []string{shortClass, longClass},
+		}
+	}
+	return c
+}
+
+// settingsTemplate is the settings file of one entry VM: name, zone, callers, operators, peers,
+// platform and the drain's timeout.
+const settingsTemplate = `vm: {name: %s, zone: %s, region: region-1}
+callers: {listen: %q, plain_text: true}
+operators:
+  listen: %q
+  plain_text: true
+  tokens:
+    # The token is "failures".
+    - {name: failures, role: change, sha256: %s}
+peers: {listen: %q, plain_text: true}
+platform: {url: "http://%s"}
+cursor_keys: ["5abf835463950bfb194935c05bfedda1c2d4caca0dedd9d3ae60e2384d25cbf7"]
+drain: {timeout: %v, readiness_delay: 1s}
+timeouts: {first_token: 10s}
+log: {level: info}
+`
+
+func (f *fleet) settings(m *member) string {
+	digest := sha256.Sum256([]byte("failures"))
+	through := f.links[linkKey{m.vm.Zone, platformName}].listen
+	return fmt.Sprintf(settingsTemplate, m.name, m.vm.Zone, m.vm.Address, m.vm.AdminAddress,
+		hex.EncodeToString(digest[:]), m.vm.PeerAddress, through, drainTimeout)
+}
+
+func (f *fleet) layOutMembers() error {
+	for i := range entryCount {
+		if err := f.addEntry(i); err != nil {
+			return err
+		}
+	}
+	for i := range engineCount {
+		if err := f.addEngine(i); err != nil {
+			return err
+		}
+	}
+	for i := range serviceCount {
+		if err := f.addService(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fleet) newMember(kind string, i int, role, service, binary string) *member {
+	name := kind + "-" + strconv.Itoa(i+1)
+	return &member{
+		program: &program{name: name, path: f.binaries + "/" + binary, logPath: f.file(name + ".log"), spawner: f.spawner},
+		vm:      platformwire.VM{Name: name, Role: role, Region: "region-1", Zone: zones[i%len(zones)], Service: service},
+	}
+}
+
+func (f *fleet) addEntry(i int) error {
+	m := f.newMember("entry", i, "entry", "", "godwitcartd")
+	if err := f.addresses(&m.vm.Address, &m.vm.PeerAddress, &m.vm.AdminAddress); err != nil {
+		return err
+	}
+	m.args = []string{"--settings", f.file(m.name + ".yaml"), "--seed", f.file("configuration.yaml")}
+	m.readyURL = "http://" + m.vm.AdminAddress + "/readyz"
+	f.entries = append(f.entries, m)
+	return nil
+}
+
+func (f *fleet) addEngine(i int) error {
+	m := f.newMember("engine", i, "target", engineService, "godwitstand")
+	if err := f.addresses(&m.vm.Address, &m.control); err != nil {
+		return err
+	}
+	m.args = []string{
+		"engine", "--listen", m.vm.Address, "--control", m.control, "--name", m.name, "--zone", m.vm.Zone,
+		"--load", model + "@" + modelVersion, "--text", "attempt", "--checks-fencing",
+		"--memory-tokens", strconv.Itoa(memoryTokens), "--journal", f.file("journal"),
+	}
+	m.readyURL = "http://" + m.control + "/faults"
+	f.engines = append(f.engines, m)
+	return nil
+}
+
+func (f *fleet) addService(i int) error {
+	m := f.newMember("service", i, "target", plainService, "godwitstand")
+	if err := f.addresses(&m.vm.Address, &m.control); err != nil {
+		return err
+	}
+	m.args = []string{
+		"service", "--listen", m.vm.Address, "--control", m.control, "--name", m.name, "--zone", m.vm.Zone,
+		"--latency", "30ms", "--journal", f.file("journal"),
+	}
+	m.readyURL = "http://" + m.control + "/faults"
+	f.services = append(f.services, m)
+	return nil
+}
+
+func (f *fleet) layOutPlatform() error {
+	if err := f.addresses(&f.platformListen, &f.platformControl); err != nil {
+		return err
+	}
+	args := []string{
+		"platform", "--listen", f.platformListen, "--control", f.platformControl, "--vms", f.file("vms.yaml"),
+		"--vm-lag", vmLag.String(), "--seed", strconv.FormatUint(f.seed, 10),
+	}
+	for _, zone := range zones {
+		address, err := f.ports.address()
+		if err != nil {
+			return err
+		}
+		f.platformViews[zone] = address
+		args = append(args, "--view", address+"="+f.file(zone+".yaml"))
+	}
+	f.platform = &program{
+		name: platformName, path: f.binaries + "/godwitstand", args: args, logPath: f.file("platform.log"),
+		readyURL: "http://" + f.platformControl + "/faults", spawner: f.spawner,
+	}
+	return nil
+}
+
+// writeFiles writes what the programs read at their start.
+func (f *fleet) writeFiles() error {
+	var list platformwire.VMList
+	for _, m := range f.members() {
+		list.VMs = append(list.VMs, m.vm)
+	}
+	if err := f.writeYAML("vms.yaml", list); err != nil {
+		return err
+	}
+	for _, zone := range zones {
+		if err := f.writeYAML(zone+".yaml", f.view(zone)); err != nil {
+			return err
+		}
+	}
+	for _, m := range f.entries {
+		if err := f.writeText(m.name+".yaml", f.settings(m)); err != nil {
+			return err
+		}
+	}
+	first := configuration()
+	text, err := policy.YAML(&first)
+	if err != nil {
+		return err
+	}
+	return f.writeText("configuration.yaml", string(text))
+}
--- /dev/null
+++ b/internal/stand/failures/stops.go
@@ -0,0 +1,94 @@
+package failures
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// stopTimeout bounds a planned stop; it exceeds the time that the programs give themselves.
+const stopTimeout = drainTimeout + 10*time.Second
+
+// leavingNotice is how long a target says that it is leaving before it is stopped.
+const leavingNotice = time.Second
+
+// plannedStops restarts every entry VM and drains every target, one at a time, until ctx ends.
+func (i *injector) plannedStops(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, m := range i.fleet.entries {
+			i.plan(ctx, StopEntry, m, i.restartEntry)
+		}
+		for _, m := range i.fleet.targets() {
+			i.plan(ctx, DrainTarget, m, i.drainTarget)
+		}
+	}
+}
+
+func (i *injector) plan(ctx context.Context, kind FaultKind, m *member, stop func(context.Context, *member) error) {
+	if ctx.Err() != nil {
+		return
+	}
+	m.busy.Lock()
+	defer m.busy.Unlock()
+	fault := Fault{Kind: kind, Subject: m.name, From: time.Now()}
+	if kind == StopEntry {
+		fault.Entry = "http://" + m.vm.Address
+	}
+	err := stop(context.WithoutCancel(ctx), m)
+	fault.To = time.Now()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.faults = append(i.faults, fault)
+	i.err = errors.CombineErrors(i.err, errors.Wrap(err, fault.String()))
+}
+
+// restartEntry stops an entry VM by SIGTERM and starts it again.
+func (i *injector) restartEntry(ctx context.Context, m *member) error {
+	if err := i.stopAndRefuse(m); err != nil {
+		return err
+	}
+	if err := m.start(ctx); err != nil {
+		return err
+	}
+	return restoreAll(i.fleet.linksTo(m.name))
+}
+
+// drainTarget announces on the platform and at the target that it leaves, stops it by SIGTERM
+// and starts a new one in its place.
+func (i *injector) drainTarget(ctx context.Context, m *member) error {
+	err := control(i.fleet.platformControl, "/vms/"+m.name+"/leaving", "")
+	if err = errors.CombineErrors(err, control(m.control, "/leave", "")); err != nil {
+		return err
+	}
+	hold(ctx, leavingNotice)
+	if err := i.stopAndRefuse(m); err != nil {
+		return err
+	}
+	body, err := json.Marshal(m.vm)
+	if err != nil {
+		return errors.Wrap(err, "encode a VM")
+	}
+	if err := controlMethod(http.MethodPut, i.fleet.platformControl, "/vms/"+m.name, body); err != nil {
+		return err
+	}
+	if err := m.start(ctx); err != nil {
+		return err
+	}
+	return restoreAll(i.fleet.linksTo(m.name))
+}
+
+// stopAndRefuse sends SIGTERM, waits for the end and closes the links of a program that has ended.
+func (i *injector) stopAndRefuse(m *member) error {
+	m.signal(syscall.SIGTERM)
+	if !m.waitEnd(stopTimeout) {
+		m.kill()
+		cutAll(i.fleet.linksTo(m.name))
+		return errors.Newf("%s did not end %v after SIGTERM", m.name, stopTimeout)
+	}
+	cutAll(i.fleet.linksTo(m.name))
+	return nil
+}
--- a/internal/stand/service/service.go
+++ b/internal/stand/service/service.go
@@ -157,8 +157,31 @@
 	return s.faults
 }
 
-// Handler serves calls of any method and path.
-func (s *Service) Handler() http.Handler { return http.HandlerFunc(s.serve) }
+// healthPath answers health checks, which are no calls: they are not recorded.
+const healthPath = "/healthz"
+
+// Handler serves calls of any method and path, and health checks, which a leaving service
+// refuses.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+healthPath, s.health)
+	mux.HandleFunc("/", s.serve)
+	return mux
+}
+
+func (s *Service) health(w http.ResponseWriter, r *http.Request) {
+	if !s.waitWhileStalled(r.Context()) {
+		return
+	}
+	s.mu.Lock()
+	leaving := !s.leaving.IsZero()
+	s.mu.Unlock()
+	if leaving {
+		s.refuse(w, enginewire.RefusedLeaving)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
 
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
--- a/internal/stand/service/service_test.go
+++ b/internal/stand/service/service_test.go
@@ -23,6 +23,12 @@
 	return recorder, false
 }
 
+func health(s *Service) int {
+	recorder := httptest.NewRecorder()
+	s.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, healthPath, nil))
+	return recorder.Code
+}
+
 func TestEchoesAndRecords(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := New(Options{Name: "cardstat-1"})
@@ -47,7 +53,9 @@
 		synctest.Wait()
 		answer, _ := call(t, s, "full")
 		require.Equal(t, string(enginewire.RefusedQueueFull), answer.Header().Get(enginewire.HeaderRefused))
+		require.Equal(t, http.StatusOK, health(s))
 		s.Drain()
+		require.Equal(t, http.StatusServiceUnavailable, health(s))
 		group.Wait()
 		answer, _ = call(t, s, "late")
 		require.Equal(t, string(enginewire.RefusedLeaving), answer.Header().Get(enginewire.HeaderRefused))
