Know VMs and targets: monotonic facts, freshness, probing, digests

Ruled out: the list's mark as a fact for good (the list lags, so a mark may mean the incarnation before; it is permanent only for an incarnation known for longer than the lag); a refused connection as 'gone' (it withdraws the confirmation instead, so a broken link heals); ages on pushed messages (a message may be under way for long, so only answers to a question confirm, and ages count from when the question was asked). Change: Directory in 16 shards, facts per incarnation merged by maximum, Targets only with a confirmation of at most 3 s, digests with short reports as columns, two watchers a target by rendezvous hashing, a Poller with bounded probes. Conclusion: the bound of 3 s follows from the age of the confirmation, whichever routes are cut.

--- /dev/null
+++ b/internal/membership/digest.go
@@ -0,0 +1,217 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"godwitcart/internal/peer/peerpb"
+)
+
+const (
+	// ageUnit is the resolution of ages and lags on the wire.
+	ageUnit = 50 * time.Millisecond
+	// ageUnknown asks for the whole report of a target.
+	ageUnknown = 255
+	// worthTelling is how much younger a report must be than what the asker has.
+	worthTelling = 500 * time.Millisecond
+	// newsOnly bounds the age of what is told to an asker whose list of targets differs.
+	newsOnly = time.Second
+	// recentFacts is how long a fact is repeated in answers after it became known.
+	recentFacts = 10 * time.Second
+	// maxAge bounds the ages that are believed.
+	maxAge = 24 * time.Hour
+	// maxFacts, maxWholeReports and maxForeignReports bound one answer.
+	maxFacts          = 64
+	maxWholeReports   = 64
+	maxForeignReports = 32
+)
+
+// Ask returns a digest that asks a peer for news of the targets of a zone.
+func (d *Directory) Ask(zone string, now time.Time) *peerpb.Digest {
+	order := d.layout.Load().zones[zone]
+	ages := make([]byte, len(order.targets))
+	for i, name := range order.targets {
+		ages[i] = d.knownAge(name, now)
+	}
+	return &peerpb.Digest{WantedZone: zone, OrderChecksum: order.checksum, Ages: ages}
+}
+
+func (d *Directory) knownAge(name string, now time.Time) byte {
+	s := d.shard(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[name]
+	if e == nil || e.resync {
+		return ageUnknown
+	}
+	confirmed := e.confirmedAt()
+	if confirmed.IsZero() {
+		return ageUnknown
+	}
+	return byte(min(max(now.Sub(confirmed)/ageUnit, 0), ageUnknown))
+}
+
+// Answer returns what this VM knows better than the asker: recent facts, and reports of the targets
+// of the wanted zone. Of a zone other than this VM's own, large ones are told in part: the least
+// loaded targets of each service.
+func (d *Directory) Answer(ask *peerpb.Digest, now time.Time) *peerpb.Digest {
+	answer := &peerpb.Digest{Facts: d.RecentFacts(now)}
+	order := d.layout.Load().zones[ask.WantedZone]
+	known := ask.Ages
+	if order.checksum != ask.OrderChecksum || len(known) != len(order.targets) {
+		known = nil
+	}
+	candidates := d.newerReports(order, known, now)
+	if ask.Zone != ask.WantedZone && len(candidates) > maxForeignReports {
+		candidates = leastLoaded(candidates, maxForeignReports)
+	}
+	reports := &peerpb.Reports{}
+	for _, c := range candidates {
+		if c.whole && len(answer.Loads) < maxWholeReports {
+			answer.Loads = append(answer.Loads, wholeReport(c, now))
+			continue
+		}
+		appendShort(reports, c, now)
+	}
+	if len(reports.Target) > 0 {
+		answer.Reports = reports
+	}
+	return answer
+}
+
+// told is one report that an asker should get.
+type told struct {
+	entry
+	confirmed time.Time
+	whole     bool
+}
+
+// newerReports returns copies of the entries that the asker knows less well. Without the asker's
+// ages it returns what was confirmed a moment ago.
+func (d *Directory) newerReports(order zoneOrder, known []byte, now time.Time) []told {
+	var newer []told
+	for i, name := range order.targets {
+		theirs := time.Duration(0)
+		if known != nil {
+			theirs = time.Duration(known[i]) * ageUnit
+		}
+		if c, found := d.confirmedCopy(name); found && isWorthTelling(now.Sub(c.confirmed), theirs, known != nil) {
+			c.whole = known != nil && known[i] == ageUnknown
+			newer = append(newer, c)
+		}
+	}
+	return newer
+}
+
+func isWorthTelling(ours, theirs time.Duration, known bool) bool {
+	if !known {
+		return ours < newsOnly
+	}
+	return ours+worthTelling <= theirs
+}
+
+func (d *Directory) confirmedCopy(name string) (told, bool) {
+	s := d.shard(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[name]
+	if e == nil || e.confirmedAt().IsZero() {
+		return told{}, false
+	}
+	copied := told{entry: *e, confirmed: e.confirmedAt()}
+	copied.facts = slices.Clone(e.facts[:1])
+	return copied, true
+}
+
+// leastLoaded returns at most limit reports, taking the services in turn.
+func leastLoaded(reports []told, limit int) []told {
+	slices.SortFunc(reports, func(a, b told) int {
+		return cmp.Or(cmp.Compare(a.load.Waiting, b.load.Waiting), cmp.Compare(a.load.UsedTokens, b.load.UsedTokens))
+	})
+	rank := make(map[string]int)
+	ranks := make(map[string]int, len(reports))
+	for _, r := range reports {
+		ranks[r.vm.Name] = rank[r.vm.Service]
+		rank[r.vm.Service]++
+	}
+	slices.SortStableFunc(reports, func(a, b told) int { return cmp.Compare(ranks[a.vm.Name], ranks[b.vm.Name]) })
+	return reports[:limit]
+}
+
+// RecentFacts returns the facts that this VM learnt a short time ago, the newest first.
+func (d *Directory) RecentFacts(now time.Time) []*peerpb.Fact {
+	var recent []told
+	d.each(func(e *entry) {
+		if e.current().state >= StateLeaving && now.Sub(e.changedAt) <= recentFacts {
+			recent = append(recent, told{entry: entry{vm: e.vm, changedAt: e.changedAt, facts: slices.Clone(e.facts[:1])}})
+		}
+	})
+	slices.SortFunc(recent, func(a, b told) int {
+		return cmp.Or(b.changedAt.Compare(a.changedAt), cmp.Compare(a.vm.Name, b.vm.Name))
+	})
+	facts := make([]*peerpb.Fact, 0, min(len(recent), maxFacts))
+	for _, r := range recent[:min(len(recent), maxFacts)] {
+		facts = append(facts, factMessage(r.vm.Name, r.current(), now))
+	}
+	return facts
+}
+
+func factMessage(name string, f fact, now time.Time) *peerpb.Fact {
+	return &peerpb.Fact{
+		Name: name, Incarnation: f.incarnation, State: int32(f.state),
+		AgeMillis: max(now.Sub(f.aliveAt).Milliseconds(), 0),
+	}
+}
+
+// MergeAnswer takes a peer's answer to a question asked at the given time. Ages count from then, so
+// what is learnt is never taken as younger than it is, however long the answer was under way.
+func (d *Directory) MergeAnswer(answer *peerpb.Digest, asked time.Time) {
+	d.MergeFacts(answer.Facts, asked)
+	for _, load := range answer.Loads {
+		d.mergeWhole(load, asked)
+	}
+	if answer.Reports != nil {
+		d.mergeShort(answer.Reports, asked)
+	}
+}
+
+// MergeFacts takes facts that a peer told in an answer to a question asked at the given time, or by
+// itself, when asked is zero. Only leaving and gone count: a late message must not confirm anything.
+func (d *Directory) MergeFacts(facts []*peerpb.Fact, asked time.Time) {
+	now := time.Now()
+	changed := false
+	for _, f := range facts {
+		state := State(f.State)
+		if state != StateLeaving && state != StateGone {
+			continue
+		}
+		told := fact{incarnation: f.Incarnation, state: state, firstSeen: now, aliveAt: spokeAt(f, asked)}
+		changed = d.mergeFact(f.Name, told, now) || changed
+	}
+	if changed {
+		d.notify()
+	}
+}
+
+// spokeAt returns when the incarnation spoke. A message that nobody asked for may have been under way
+// for long, so its age tells nothing.
+func spokeAt(f *peerpb.Fact, asked time.Time) time.Time {
+	if asked.IsZero() || f.AgeMillis < 0 || f.AgeMillis > maxAge.Milliseconds() {
+		return time.Time{}
+	}
+	return asked.Add(-time.Duration(f.AgeMillis) * time.Millisecond)
+}
+
+func (d *Directory) mergeFact(name string, told fact, now time.Time) bool {
+	s := d.shard(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[name]
+	if e == nil {
+		return false
+	}
+	before := e.state()
+	e.merge(told)
+	return e.noteChange(before, now)
+}
--- /dev/null
+++ b/internal/membership/directory_test.go
@@ -0,0 +1,193 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	_ "godwitcart/internal/rapidseed"
+	"godwitcart/internal/wire/enginewire"
+	"godwitcart/internal/wire/platformwire"
+)
+
+var start = time.Date(2026, 12, 3, 5, 0, 0, 0, time.UTC)
+
+func listOf(leaving bool) platformwire.VMList {
+	return platformwire.VMList{VMs: []platformwire.VM{
+		{Name: "a-1", Role: "entry", Zone: "a", PeerAddress: "127.0.0.1:1"},
+		{Name: "a-2", Role: "entry", Zone: "a", PeerAddress: "127.0.0.1:2"},
+		{Name: "lm-1", Role: "target", Zone: "a", Service: "lm", Leaving: leaving},
+	}}
+}
+
+func newDirectory(t require.TestingT, self string) *Directory {
+	d := New(Options{Self: self, Zone: "a"})
+	require.NoError(t, d.ApplyList(listOf(false), start))
+	return d
+}
+
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+func TestTargetGetsWorkOnlyWhileLiveAndConfirmed(t *testing.T) {
+	list := func(leaving bool, seconds float64) func(*Directory) {
+		return func(d *Directory) { _ = d.ApplyList(listOf(leaving), at(seconds)) }
+	}
+	sign := func(s Sign) func(*Directory) { return func(d *Directory) { d.Observe(s) } }
+	absent := func(d *Directory) {
+		_ = d.ApplyList(platformwire.VMList{VMs: listOf(false).VMs[:2]}, at(20))
+	}
+	cases := map[string]struct {
+		steps []func(*Directory)
+		now   float64
+		want  bool
+	}{
+		"listed only":               {nil, 0, false},
+		"confirmed":                 {[]func(*Directory){sign(Live("lm-1", "x", at(1)))}, 4, true},
+		"confirmation too old":      {[]func(*Directory){sign(Live("lm-1", "x", at(1)))}, 4.1, false},
+		"leaving":                   {[]func(*Directory){sign(Live("lm-1", "x", at(1))), sign(Leaving("lm-1", "x", at(1.5)))}, 2, false},
+		"leaving then live":         {[]func(*Directory){sign(Leaving("lm-1", "x", at(1))), sign(Live("lm-1", "x", at(2)))}, 2, false},
+		"next incarnation":          {[]func(*Directory){sign(Leaving("lm-1", "x", at(1))), sign(Live("lm-1", "y", at(2)))}, 2, true},
+		"late word of an old one":   {[]func(*Directory){sign(Live("lm-1", "y", at(2))), sign(Leaving("lm-1", "x", at(1)))}, 3, true},
+		"unnamed refusal":           {[]func(*Directory){sign(Live("lm-1", "x", at(1))), sign(Leaving("lm-1", "", at(2)))}, 2, false},
+		"unreachable":               {[]func(*Directory){sign(Live("lm-1", "x", at(1))), sign(Unreachable("lm-1", at(2)))}, 2, false},
+		"reachable again":           {[]func(*Directory){sign(Unreachable("lm-1", at(1))), sign(Live("lm-1", "x", at(2)))}, 3, true},
+		"plain service restarted":   {[]func(*Directory){sign(Leaving("lm-1", "", at(1))), sign(Live("lm-1", "", at(2)))}, 3, true},
+		"old incarnation marked":    {[]func(*Directory){sign(Live("lm-1", "x", at(1))), list(true, 20), list(false, 22), sign(Live("lm-1", "x", at(23)))}, 23, false},
+		"after the mark, restarted": {[]func(*Directory){sign(Live("lm-1", "x", at(1))), list(true, 20), sign(Live("lm-1", "y", at(23)))}, 23, true},
+		"young incarnation marked":  {[]func(*Directory){sign(Live("lm-1", "x", at(1))), list(true, 4)}, 4, false},
+		"mark was of the one before": {[]func(*Directory){sign(Live("lm-1", "x", at(1))), list(true, 4), list(false, 6),
+			sign(Live("lm-1", "x", at(7)))}, 7, true},
+		"young one, then the next": {[]func(*Directory){sign(Live("lm-1", "x", at(1))), list(true, 4), sign(Live("lm-1", "y", at(5)))}, 5, true},
+		"no longer listed":         {[]func(*Directory){sign(Live("lm-1", "x", at(19))), absent}, 20, false},
+		"listed again":             {[]func(*Directory){absent, list(false, 21), sign(Live("lm-1", "x", at(21)))}, 21, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := newDirectory(t, "a-1")
+			for _, step := range c.steps {
+				step(d)
+			}
+			require.Equal(t, c.want, len(d.Targets("lm", at(c.now))) == 1)
+			require.Equal(t, c.want, d.MayDispatch("lm-1", at(c.now)))
+		})
+	}
+}
+
+func TestEmptyListIsRefused(t *testing.T) {
+	d := newDirectory(t, "a-1")
+	require.Error(t, d.ApplyList(platformwire.VMList{}, at(1)))
+	require.Len(t, d.Entries(at(1)), 2)
+}
+
+func TestSubscribersHearOfChangesOnly(t *testing.T) {
+	d := newDirectory(t, "a-1")
+	changes, cancel := d.Subscribe()
+	defer cancel()
+	d.Observe(Live("lm-1", "x", at(1)))
+	require.Len(t, changes, 1)
+	<-changes
+	d.Observe(Live("lm-1", "x", at(2)))
+	require.Empty(t, changes)
+}
+
+// drawFacts draws facts of a few incarnations at a few times.
+func drawFacts(t *rapid.T) []fact {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fact {
+		return fact{
+			incarnation: rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "incarnation"),
+			state:       rapid.SampledFrom([]State{StateLive, StateLeaving, StateGone}).Draw(t, "state"),
+			aliveAt:     at(float64(rapid.IntRange(0, 5).Draw(t, "second"))),
+		}
+	}), 0, 12).Draw(t, "facts")
+}
+
+func merged(facts []fact) *entry {
+	e := &entry{list: listed{present: true}}
+	for _, f := range facts {
+		e.merge(f)
+	}
+	return e
+}
+
+func TestMergeIsCommutativeIdempotentAndMonotonic(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		facts := drawFacts(t)
+		want := merged(facts)
+		require.Equal(t, want.facts, merged(rapid.Permutation(facts).Draw(t, "order")).facts)
+		require.Equal(t, want.facts, merged(append(facts, facts...)).facts)
+		e := merged(nil)
+		highest := map[string]State{}
+		for _, f := range facts {
+			e.merge(f)
+			highest[f.incarnation] = max(highest[f.incarnation], f.state)
+			for _, known := range e.facts {
+				require.Equal(t, highest[known.incarnation], known.state)
+			}
+		}
+	})
+}
+
+func TestNoSignRevivesAnIncarnation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := newDirectory(t, "a-1")
+		left := map[string]bool{}
+		for i := range rapid.IntRange(1, 20).Draw(t, "signs") {
+			sign := Sign{
+				VM: "lm-1", Incarnation: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "incarnation"),
+				State: rapid.SampledFrom([]State{StateUnknown, StateLive, StateLeaving}).Draw(t, "state"),
+				At:    at(float64(i) - rapid.Float64Range(0, 4).Draw(t, "delay")),
+			}
+			d.Observe(sign)
+			left[sign.Incarnation] = left[sign.Incarnation] || sign.State == StateLeaving
+			for _, vm := range d.Targets("lm", at(float64(i))) {
+				require.False(t, left[vm.Incarnation])
+			}
+		}
+	})
+}
+
+func TestAnswerBringsReportsAndFacts(t *testing.T) {
+	watcher, asker := newDirectory(t, "a-1"), newDirectory(t, "a-2")
+	report := enginewire.LoadReport{Incarnation: "x", MemoryTokens: 100, UsedTokens: 7, Loaded: []enginewire.Loaded{{Model: "m"}}}
+	exchange := func(asked, answered time.Time) {
+		ask := asker.Ask("a", asked)
+		ask.Zone = "a"
+		asker.MergeAnswer(watcher.Answer(ask, answered), asked)
+	}
+	watcher.Observe(Reported("lm-1", report, at(1)))
+	exchange(at(1.1), at(9))
+	require.Empty(t, asker.Targets("lm", at(9)), "a slow answer must not make a report young")
+	exchange(at(1.1), at(1.2))
+	load, _ := asker.Load("lm-1")
+	require.Equal(t, report.Loaded, load.Loaded)
+
+	report.UsedTokens = 9
+	watcher.Observe(Reported("lm-1", report, at(3)))
+	exchange(at(3.1), at(3.1))
+	load, _ = asker.Load("lm-1")
+	require.Equal(t, 9, load.UsedTokens)
+	require.Len(t, asker.Targets("lm", at(5.9)), 1)
+
+	report.Loaded = nil
+	watcher.Observe(Reported("lm-1", report, at(5)))
+	exchange(at(5.1), at(5.1))
+	exchange(at(5.2), at(5.2))
+	load, _ = asker.Load("lm-1")
+	require.Empty(t, load.Loaded, "a changed identity is asked for as a whole")
+
+	watcher.Observe(Leaving("lm-1", "x", at(6)))
+	asker.MergeFacts(watcher.RecentFacts(at(6)), time.Time{})
+	require.Empty(t, asker.Targets("lm", at(6)))
+}
+
+func TestEachTargetHasTwoWatchersOfItsZone(t *testing.T) {
+	entries := []VM{{Name: "a-1", Zone: "a"}, {Name: "a-2", Zone: "a"}, {Name: "a-3", Zone: "a"}, {Name: "b-1", Zone: "b"}}
+	require.NotContains(t, watchers(VM{Name: "t", Zone: "a"}, entries), "b-1")
+	require.Equal(t, "b-1", watchers(VM{Name: "t", Zone: "b"}, entries)[0])
+	require.Len(t, watchers(VM{Name: "t", Zone: "b"}, entries), WatchersPerTarget)
+	entries[0].State = StateLeaving
+	require.Empty(t, duties("a-1", nil, entries))
+	require.NotEmpty(t, duties("a-2", []VM{{Name: "t", Zone: "a"}}, entries))
+}
--- /dev/null
+++ b/internal/membership/layout.go
@@ -0,0 +1,48 @@
+package membership
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"godwitcart/internal/wire/platformwire"
+)
+
+// zoneOrder is the order of one zone's targets, which peers that read the same list share.
+type zoneOrder struct {
+	targets []string
+	// checksum tells two orders apart.
+	checksum uint32
+}
+
+// layout is what the last list says of zones. It is immutable.
+type layout struct {
+	zones map[string]zoneOrder
+	// targets finds a target by the hash of its name.
+	targets map[uint32]string
+}
+
+func newLayout(vms []platformwire.VM) *layout {
+	l := &layout{zones: make(map[string]zoneOrder), targets: make(map[uint32]string)}
+	names := make(map[string][]string)
+	for _, vm := range vms {
+		if Role(vm.Role) == RoleTarget {
+			names[vm.Zone] = append(names[vm.Zone], vm.Name)
+			l.targets[hashName(vm.Name)] = vm.Name
+		}
+	}
+	for zone, targets := range names {
+		slices.Sort(targets)
+		l.zones[zone] = zoneOrder{targets: targets, checksum: hashName(strings.Join(targets, "\n"))}
+	}
+	return l
+}
+
+func hashName(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
+// Zones returns the availability zones that have targets, in order.
+func (d *Directory) Zones() []string {
+	return slices.Sorted(maps.Keys(d.layout.Load().zones))
+}
--- /dev/null
+++ b/internal/membership/poller.go
@@ -0,0 +1,233 @@
+package membership
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"godwitcart/internal/wire/enginewire"
+	"godwitcart/internal/wire/platformwire"
+)
+
+// The rhythm of a Poller.
+const (
+	// pollTick is how often a Poller looks what is due.
+	pollTick = 200 * time.Millisecond
+	// minProbeInterval and maxProbeInterval bound the pause between two probes of a target by one watcher.
+	minProbeInterval = time.Second
+	maxProbeInterval = 2 * time.Second
+	// probesPerSecond is what the probes of one VM are spread to within these bounds.
+	probesPerSecond = 2.5
+	// ProbeTimeout bounds one probe.
+	ProbeTimeout = 500 * time.Millisecond
+	// staleAfter is the age of a confirmation at which a VM that is no watcher probes by itself.
+	staleAfter = 2500 * time.Millisecond
+	// staleProbesPerSecond bounds those probes.
+	staleProbesPerSecond = 5
+	// maxFullZone is the largest zone whose targets are all kept fresh from other zones.
+	maxFullZone = 32
+	// maxProbes bounds the probes in flight.
+	maxProbes = 32
+	// DefaultListInterval is the pause between two reads of the platform's list.
+	DefaultListInterval = 2 * time.Second
+	// DefaultListTimeout bounds one read of the list.
+	DefaultListTimeout = 2 * time.Second
+)
+
+// Prober asks targets for their own word.
+type Prober interface {
+	// Probe returns the target's load report. A plain service that answers has an empty report, and one
+	// that refuses because it is leaving has Leaving set. An error means that it could not be reached.
+	Probe(ctx context.Context, target VM) (enginewire.LoadReport, error)
+}
+
+// Lister reads the platform's list of VMs.
+type Lister interface {
+	List(ctx context.Context) (platformwire.VMList, error)
+}
+
+// PollerOptions configures a Poller. Zero durations stand for the defaults.
+type PollerOptions struct {
+	Directory    *Directory
+	Prober       Prober
+	Lister       Lister
+	ListInterval time.Duration
+	ListTimeout  time.Duration
+}
+
+// Poller keeps a Directory fresh: it reads the platform's list, probes the targets that this VM
+// watches, and probes, within a bound, others that no watcher has confirmed for too long.
+type Poller struct {
+	options PollerOptions
+	metrics *pollerMetrics
+	stale   *rate.Limiter
+
+	mu      sync.Mutex
+	probing map[string]bool
+	probed  map[string]time.Time
+	watched map[string]int
+	running sync.WaitGroup
+}
+
+// NewPoller returns a Poller that Run starts.
+func NewPoller(options PollerOptions) *Poller {
+	if options.ListInterval <= 0 {
+		options.ListInterval = DefaultListInterval
+	}
+	if options.ListTimeout <= 0 {
+		options.ListTimeout = DefaultListTimeout
+	}
+	return &Poller{
+		options: options,
+		metrics: newPollerMetrics(),
+		stale:   rate.NewLimiter(staleProbesPerSecond, staleProbesPerSecond),
+		probing: make(map[string]bool),
+		probed:  make(map[string]time.Time),
+	}
+}
+
+// Run polls until ctx ends and then waits for what is in flight.
+func (p *Poller) Run(ctx context.Context) {
+	p.running.Go(func() { p.readLists(ctx) })
+	changes, cancel := p.options.Directory.Subscribe()
+	defer cancel()
+	ticker := time.NewTicker(pollTick)
+	defer ticker.Stop()
+	p.assign()
+	for {
+		select {
+		case <-ctx.Done():
+			p.running.Wait()
+			return
+		case <-changes:
+			p.assign()
+		case <-ticker.C:
+			p.probeDue(ctx, time.Now())
+		}
+	}
+}
+
+// readLists reads the platform's list again and again. While the platform is away the last list stays.
+func (p *Poller) readLists(ctx context.Context) {
+	for ctx.Err() == nil {
+		p.readList(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(p.options.ListInterval):
+		}
+	}
+}
+
+func (p *Poller) readList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, p.options.ListTimeout)
+	defer cancel()
+	list, err := p.options.Lister.List(ctx)
+	if err == nil {
+		err = p.options.Directory.ApplyList(list, time.Now())
+	}
+	if err != nil {
+		p.metrics.listFailures.Inc(1)
+		return
+	}
+	p.metrics.listReads.Inc(1)
+}
+
+// assign works out anew which targets this VM watches.
+func (p *Poller) assign() {
+	d := p.options.Directory
+	now := time.Now()
+	watched := duties(d.options.Self, d.AllTargets(now), d.Entries(now))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.watched = watched
+	for name := range p.probed {
+		if _, known := d.Get(name); !known {
+			delete(p.probed, name)
+		}
+	}
+	p.metrics.watched.Update(int64(len(watched)))
+}
+
+// probeDue starts the probes that are due.
+func (p *Poller) probeDue(ctx context.Context, now time.Time) {
+	p.options.Directory.eachTarget(func(target VM) {
+		if target.State < StateLeaving && p.takeDue(target, now) {
+			p.running.Go(func() { p.probe(ctx, target) })
+		}
+	})
+}
+
+// takeDue reports whether the target is due and takes the probe on.
+func (p *Poller) takeDue(target VM, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.probing[target.Name] || len(p.probing) >= maxProbes {
+		return false
+	}
+	rank, watched := p.watched[target.Name]
+	if !p.isDue(target, rank, watched, now) {
+		return false
+	}
+	p.probing[target.Name] = true
+	p.probed[target.Name] = now
+	return true
+}
+
+func (p *Poller) isDue(target VM, rank int, watched bool, now time.Time) bool {
+	last, before := p.probed[target.Name]
+	if watched && !before {
+		// The second watcher begins half an interval later, so that probes are spread.
+		p.probed[target.Name] = now.Add(-p.interval() + time.Duration(rank)*p.interval()/WatchersPerTarget)
+		return rank == 0
+	}
+	if watched {
+		return now.Sub(last) >= p.interval()
+	}
+	if now.Sub(last) < minProbeInterval || now.Sub(target.ConfirmedAt) < staleAfter || !p.keepsFresh(target) {
+		return false
+	}
+	return p.stale.AllowN(now, 1)
+}
+
+// interval spreads this VM's probes. The caller holds the lock.
+func (p *Poller) interval() time.Duration {
+	spread := time.Duration(float64(len(p.watched)) / probesPerSecond * float64(time.Second))
+	return min(max(spread, minProbeInterval), maxProbeInterval)
+}
+
+// keepsFresh reports whether this VM keeps the target's zone fresh as a whole.
+func (p *Poller) keepsFresh(target VM) bool {
+	d := p.options.Directory
+	return target.Zone == d.options.Zone || len(d.layout.Load().zones[target.Zone].targets) <= maxFullZone
+}
+
+func (p *Poller) probe(ctx context.Context, target VM) {
+	defer p.release(target.Name)
+	probeCtx, cancel := context.WithTimeout(ctx, ProbeTimeout)
+	defer cancel()
+	_ = Confirm(probeCtx, p.options.Directory, p.options.Prober, target)
+	p.metrics.probes.Inc(1)
+}
+
+func (p *Poller) release(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.probing, name)
+}
+
+// Confirm probes a target and tells the directory what it said. A dispatcher uses it before it sends
+// to a target that has no fresh confirmation. The error says why the target could not be reached.
+func Confirm(ctx context.Context, d *Directory, prober Prober, target VM) error {
+	asked := time.Now()
+	report, err := prober.Probe(ctx, target)
+	if err != nil {
+		if context.Cause(ctx) != context.Canceled {
+			d.Observe(Unreachable(target.Name, asked))
+		}
+		return err
+	}
+	d.Observe(Reported(target.Name, report, asked))
+	return nil
+}
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -48,16 +48,21 @@
 type VM struct {
 	Name string
 	Role Role
-	Zone string
+	// Region is the region of Zone.
+	Region string
+	Zone   string
 	// Service is the service that a target belongs to; empty for entry VMs.
 	Service string
 	// Address is host:port of the caller-facing or traffic listener.
 	Address string
 	// PeerAddress is host:port of an entry VM's drpc listener; empty for targets.
 	PeerAddress string
+	// AdminAddress is host:port of an entry VM's operators' listener; empty for targets.
+	AdminAddress string
 	// Incarnation tells restarts of the same VM apart; empty until the VM itself has told it.
 	Incarnation string
 	State       State
-	// ConfirmedAt is when the state was last confirmed by any route.
+	// ConfirmedAt is when the VM itself last told that it is live, to this VM or to a peer; zero
+	// when that is not known or was withdrawn because the VM could not be reached.
 	ConfirmedAt time.Time
 }
