Follow membership: only confirmed targets get work, and the list is never the only word

Cause: each VM trusted the platform's lagging list and probed every target. Change: the directory and its poller feed the routing table; an attempt's refusal or dial error is a sign at once; the directory is asked last before a send; claims run in the daemon.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,13 +13,16 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"godwitcart/internal/acceptance"
 	"godwitcart/internal/admission"
+	"godwitcart/internal/claim"
 	"godwitcart/internal/dispatch"
 	"godwitcart/internal/gateway"
 	"godwitcart/internal/lengths"
+	"godwitcart/internal/membership"
 	"godwitcart/internal/object"
 	"godwitcart/internal/request"
 	"godwitcart/internal/routing"
@@ -36,6 +39,10 @@
 	logger   *log.Logger
 
 	store         object.Store
+	directory     *membership.Directory
+	prober        *prober
+	poller        *membership.Poller
+	claims        *claim.Book
 	configuration *acceptance.Manager
 	table         *routing.Table
 	controller    *admission.Controller
@@ -63,6 +70,7 @@
 	d := &Daemon{settings: s, logger: logger, shutdown: make(chan struct{})}
 	d.store = object.NewClient(object.Options{BaseURL: s.Platform.URL, Timeout: s.Platform.Timeout})
 	d.buildTargets()
+	d.buildMembership()
 	if err := d.buildConfiguration(); err != nil {
 		return nil, err
 	}
@@ -83,8 +91,10 @@
 
 func (d *Daemon) buildGateway(sealer *request.Sealer) {
 	d.registry = request.NewRegistry()
+	d.claims = claim.NewBook(claim.Options{Store: d.store, Registry: metrics.DefaultRegistry})
 	dispatcher := dispatch.New(dispatch.Options{
-		Engines: d.engines, Plain: d.plain, Placer: &placer{controller: d.controller},
+		Engines: d.engines, Plain: d.plain, Claims: d.claims, Locator: d,
+		Placer: &placer{controller: d.controller, directory: d.directory, observe: d.observeAttempt},
 		Budget: dispatch.NewRetryBudget(), VM: d.settings.VM.Name, ResumeWindow: resumeWindow, NewID: rand.Text,
 	})
 	d.gateway = gateway.New(gateway.Options{
@@ -111,7 +121,12 @@
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return d.configuration.Run(ctx) })
-	group.Go(func() error { return d.watchTargets(ctx) })
+	group.Go(func() error { return d.claims.Run(ctx) })
+	group.Go(func() error { return d.followMembership(ctx) })
+	group.Go(func() error {
+		d.poller.Run(ctx)
+		return nil
+	})
 	for _, server := range servers {
 		group.Go(server.serve)
 	}
--- a/internal/daemon/placer.go
+++ b/internal/daemon/placer.go
@@ -3,35 +3,61 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"godwitcart/internal/admission"
 	"godwitcart/internal/dispatch"
+	"godwitcart/internal/membership"
 	"godwitcart/internal/request"
 	"godwitcart/internal/routing"
 	"godwitcart/internal/target"
 )
 
 // placer finds targets for the dispatcher by the admission controller.
-type placer struct{ controller *admission.Controller }
+type placer struct {
+	controller *admission.Controller
+	directory  *membership.Directory
+	// observe is told how attempts ended.
+	observe func(name string, sent time.Time, err error)
+}
 
-// Place implements dispatch.Placer.
+// Place implements dispatch.Placer. The directory is asked last, right before the attempt is sent,
+// because the grant was chosen by a table that follows it at a short distance.
 func (p *placer) Place(ctx context.Context, r *request.Request, excluded []string, retry bool) (dispatch.Placement, error) {
-	grant, err := p.controller.Acquire(ctx, admission.Ticket{
+	excluded = slices.Clone(excluded)
+	for {
+		grant, err := p.controller.Acquire(ctx, newTicket(r, excluded, retry))
+		if err != nil {
+			return nil, err
+		}
+		if now := time.Now(); p.directory.MayDispatch(grant.Target, now) {
+			return &placement{placer: p, grant: grant, sent: now}, nil
+		}
+		grant.Release(routing.OutcomeCanceled)
+		excluded = append(excluded, grant.Target)
+		retry = true
+	}
+}
+
+func newTicket(r *request.Request, excluded []string, retry bool) admission.Ticket {
+	return admission.Ticket{
 		RequestID: r.ID, Account: r.Account, Class: r.Class, Priority: r.Priority, Share: r.Share,
 		Limits:  admission.Limits{RequestsPerSecond: r.RequestsPerSecond, Concurrency: r.Concurrency},
 		Service: r.Service, Variant: r.Variant, PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens,
 		PrefixHashes: r.PrefixHashes, Deadline: r.Deadline, Excluded: excluded, Retry: retry,
-	})
-	if err != nil {
-		return nil, err
 	}
-	return &placement{grant: grant}, nil
 }
 
 // placement adapts a grant to the dispatcher.
-type placement struct{ grant *admission.Grant }
+type placement struct {
+	placer *placer
+	grant  *admission.Grant
+	// sent is a time before the attempt was sent.
+	sent time.Time
+}
 
 // Address implements dispatch.Placement.
 func (p *placement) Address() target.Address {
@@ -52,6 +78,7 @@
 
 // Release implements dispatch.Placement.
 func (p *placement) Release(outcome dispatch.Outcome) {
+	p.placer.observe(p.grant.Target, p.sent, outcome.Err)
 	p.grant.Release(routingOutcome(outcome))
 }
 
--- a/internal/daemon/targets.go
+++ b/internal/daemon/targets.go
@@ -2,80 +2,148 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
+	"godwitcart/internal/apierror"
 	"godwitcart/internal/membership"
+	"godwitcart/internal/policy"
 	"godwitcart/internal/target"
 	"godwitcart/internal/wire/enginewire"
-	"godwitcart/internal/wire/platformwire"
 )
 
-// probeInterval is how often a target's load is read.
-const probeInterval = 500 * time.Millisecond
+// tableInterval is how often the routing table takes over the targets whose confirmation has expired;
+// changes of state are taken over at once.
+const tableInterval = 250 * time.Millisecond
 
 func seedOf(name string) uint64 { return xxhash.Sum64String(name) }
 
-// watchTargets keeps the routing table up to date with the platform's list and the targets' reports.
-func (d *Daemon) watchTargets(ctx context.Context) error {
-	ticker := time.NewTicker(probeInterval)
+// buildMembership makes the directory and the poller that keeps it fresh.
+func (d *Daemon) buildMembership() {
+	vm := d.settings.VM
+	d.directory = membership.New(membership.Options{Self: vm.Name, Zone: vm.Zone, OnLoad: d.applyLoad})
+	d.prober = &prober{daemon: d}
+	d.poller = membership.NewPoller(membership.PollerOptions{
+		Directory: d.directory, Prober: d.prober, Lister: &lister{baseURL: d.settings.Platform.URL},
+		ListInterval: d.settings.Platform.ListInterval, ListTimeout: d.settings.Platform.Timeout,
+	})
+}
+
+// applyLoad hands a load report to the decisions. Plain services report no memory.
+func (d *Daemon) applyLoad(name string, report enginewire.LoadReport, _ time.Time) {
+	if report.MemoryTokens == 0 {
+		return
+	}
+	d.table.ApplyReport(name, report, time.Now())
+	if vm, known := d.directory.Get(name); known {
+		d.controller.Notify(vm.Service)
+	}
+}
+
+// followMembership keeps the routing table and the limits up to date with the directory.
+func (d *Daemon) followMembership(ctx context.Context) error {
+	changes, cancel := d.directory.Subscribe()
+	defer cancel()
+	ticker := time.NewTicker(tableInterval)
 	defer ticker.Stop()
 	for {
-		d.refreshTargets(ctx)
+		d.takeOverTargets(time.Now())
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-changes:
 		case <-ticker.C:
 		}
 	}
 }
 
-func (d *Daemon) refreshTargets(ctx context.Context) {
-	list, err := d.readVMs(ctx)
-	if err != nil {
-		return
-	}
-	now := time.Now()
-	services := make(map[string][]membership.VM)
-	for _, vm := range list.VMs {
-		if vm.Role == string(membership.RoleTarget) && !vm.Leaving {
-			services[vm.Service] = append(services[vm.Service], membership.VM{
-				Name: vm.Name, Role: membership.RoleTarget, Zone: vm.Zone, Service: vm.Service, Address: vm.Address,
-				State: membership.StateLive, ConfirmedAt: now,
-			})
+func (d *Daemon) takeOverTargets(now time.Time) {
+	eligible := d.directory.Eligible(now)
+	for _, vm := range d.directory.AllTargets(now) {
+		if _, listed := eligible[vm.Service]; !listed {
+			eligible[vm.Service] = nil
 		}
 	}
-	for service, targets := range services {
+	for service, targets := range eligible {
 		d.table.SetTargets(service, targets, now)
-		for _, vm := range targets {
-			d.probe(ctx, vm)
-		}
 		d.controller.Notify(service)
 	}
+	others := d.otherEntries(now)
+	d.table.SetEntries(len(others) + 1)
+	d.controller.SetEntries(others)
+	if current := d.configuration.Current(); current != nil {
+		d.table.SetPriorities(priorities(current))
+	}
 }
 
-func (d *Daemon) probe(ctx context.Context, vm membership.VM) {
-	report, err := d.engines.Load(ctx, target.Address{Name: vm.Name, HostPort: vm.Address})
-	if err == nil {
-		d.table.ApplyReport(vm.Name, report, time.Now())
+// otherEntries returns the names of the other entry VMs that may be serving.
+func (d *Daemon) otherEntries(now time.Time) []string {
+	var names []string
+	for _, vm := range d.directory.Entries(now) {
+		if vm.Name != d.settings.VM.Name && vm.State < membership.StateLeaving {
+			names = append(names, vm.Name)
+		}
 	}
+	return names
 }
 
-func (d *Daemon) readVMs(ctx context.Context) (platformwire.VMList, error) {
-	var list platformwire.VMList
-	call, err := http.NewRequestWithContext(ctx, http.MethodGet, d.settings.Platform.URL+platformwire.PathVMs, nil)
-	if err != nil {
-		return list, err
+func priorities(configuration *policy.Configuration) []int {
+	var list []int
+	for _, class := range configuration.Classes {
+		list = append(list, class.Priority)
 	}
-	response, err := http.DefaultClient.Do(call)
-	if err != nil {
-		return list, err
+	return list
+}
+
+// Locate implements dispatch.Locator.
+func (d *Daemon) Locate(name string) (target.Address, bool) {
+	vm, known := d.directory.Get(name)
+	return addressOf(vm), known && vm.Address != ""
+}
+
+func addressOf(vm membership.VM) target.Address {
+	return target.Address{Name: vm.Name, HostPort: vm.Address}
+}
+
+// observeAttempt tells the directory what the end of an attempt says of its target.
+func (d *Daemon) observeAttempt(name string, sent time.Time, err error) {
+	var notSent *target.NotSentError
+	switch {
+	case err == nil:
+		return
+	case target.IsLeaving(err):
+		d.directory.Observe(membership.Leaving(name, "", sent))
+	case errors.As(err, &notSent):
+		d.directory.Observe(membership.Unreachable(name, sent))
 	}
-	defer response.Body.Close()
-	return list, json.NewDecoder(response.Body).Decode(&list)
 }
 
-var _ enginewire.LoadReport
+// prober asks targets for their own word, by the kind of their service.
+type prober struct{ daemon *Daemon }
+
+// Probe implements membership.Prober.
+func (p *prober) Probe(ctx context.Context, vm membership.VM) (enginewire.LoadReport, error) {
+	current := p.daemon.configuration.Current()
+	if current == nil {
+		return enginewire.LoadReport{}, apierror.New(apierror.KindUnavailable, "no configuration is known yet", "wait")
+	}
+	service, known := current.Services[vm.Service]
+	if !known {
+		return enginewire.LoadReport{}, apierror.Newf(apierror.KindNotFound,
+			"declare the service or correct the platform's list", "target %s belongs to the unknown service %s", vm.Name, vm.Service)
+	}
+	if service.Kind == policy.KindPlain {
+		return p.probePlain(ctx, vm)
+	}
+	return p.daemon.engines.Load(ctx, addressOf(vm))
+}
+
+func (p *prober) probePlain(ctx context.Context, vm membership.VM) (enginewire.LoadReport, error) {
+	err := p.daemon.plain.Probe(ctx, addressOf(vm))
+	if target.IsLeaving(err) {
+		return enginewire.LoadReport{Leaving: true}, nil
+	}
+	return enginewire.LoadReport{}, err
+}
