--- a/internal/acceptance/acceptance.go
+++ b/internal/acceptance/acceptance.go
@@ -186,7 +186,10 @@
 func (m *Manager) Name() string { return "configuration" }
 
 // State implements the state provider of package admin.
-func (m *Manager) State() any {
+func (m *Manager) State() any { return m.Status() }
+
+// Status returns what this VM has in force and holds undecided.
+func (m *Manager) Status() Status {
 	status := Status{Version: m.Version(), Ready: m.Version() > 0, InDoubt: m.InDoubt()}
 	for _, proposal := range m.view.Load().staged {
 		status.Staged = append(status.Staged, proposal.id)
--- a/internal/acceptance/acceptance_test.go
+++ b/internal/acceptance/acceptance_test.go
@@ -39,7 +39,7 @@
 		outcome, err := c.manager(3).Propose(t.Context(), setShare("ann", 5))
 		require.NoError(t, err)
 		require.Equal(t, uint64(2), outcome.Version)
-		require.Equal(t, "~ account a share: 1 -> 5", outcome.Changes[0].String())
+		require.Equal(t, "~ account a share=1 -> 5", outcome.Changes[0].String())
 		c.requireVersion(t, 2)
 	})
 }
--- a/internal/policy/diff.go
+++ b/internal/policy/diff.go
@@ -1,13 +1,26 @@
 package policy
 
 import (
-	"encoding/json"
 	"fmt"
+	"reflect"
+	"strings"
+	"time"
 )
 
-// Change is one field that differs between two configurations. Before is empty for a
-// field that was added, After for one that was removed; both are JSON.
+// Action says what happened to a field or its object.
+type Action string
+
+// The actions.
+const (
+	ActionCreate Action = "create"
+	ActionChange Action = "change"
+	ActionDelete Action = "delete"
+)
+
+// Change is one field that differs between two configurations. The values are as the
+// operators' language writes them; Before is empty for ActionCreate, After for ActionDelete.
 type Change struct {
+	Action Action `json:"action"`
 	Type   string `json:"type"`
 	Name   string `json:"name"`
 	Field  string `json:"field"`
@@ -17,18 +30,18 @@
 
 // String returns the change as one line.
 func (c Change) String() string {
-	switch {
-	case c.Before == "":
-		return fmt.Sprintf("+ %s %s %s: %s", c.Type, c.Name, c.Field, c.After)
-	case c.After == "":
-		return fmt.Sprintf("- %s %s %s: %s", c.Type, c.Name, c.Field, c.Before)
+	switch c.Action {
+	case ActionCreate:
+		return fmt.Sprintf("+ %s %s %s=%s", c.Type, c.Name, c.Field, c.After)
+	case ActionDelete:
+		return fmt.Sprintf("- %s %s %s=%s", c.Type, c.Name, c.Field, c.Before)
 	default:
-		return fmt.Sprintf("~ %s %s %s: %s -> %s", c.Type, c.Name, c.Field, c.Before, c.After)
+		return fmt.Sprintf("~ %s %s %s=%s -> %s", c.Type, c.Name, c.Field, c.Before, c.After)
 	}
 }
 
 // Diff returns the fields in which two configurations differ, in a fixed order; the
-// versions are not compared.
+// versions are not compared. Invariant: it is empty only if the configurations are equal.
 func Diff(before, after *Configuration) []Change {
 	var changes []Change
 	changes = append(changes, diffObjects("service", before.Services, after.Services)...)
@@ -50,47 +63,109 @@
 	for _, name := range sortedKeys(names) {
 		old, hadOld := before[name]
 		current, hasNew := after[name]
-		changes = append(changes, diffFields(objectType, name, fields(old, hadOld), fields(current, hasNew))...)
+		var fields []Change
+		switch {
+		case !hadOld:
+			fields = createdFields(current)
+		case !hasNew:
+			fields = deletedFields(old)
+		default:
+			fields = changedFields(old, current)
+		}
+		for _, field := range fields {
+			field.Type = objectType
+			field.Name = name
+			changes = append(changes, field)
+		}
 	}
 	return changes
 }
 
-func diffFields(objectType, name string, before, after map[string]string) []Change {
-	keys := make(map[string]bool, len(before)+len(after))
-	for key := range before {
-		keys[key] = true
-	}
-	for key := range after {
-		keys[key] = true
+// fieldValue is a field of an object, but for its name.
+type fieldValue struct {
+	name string
+	text string
+	zero bool
+}
+
+func fieldsOf(object any) []fieldValue {
+	value := reflect.ValueOf(object)
+	var fields []fieldValue
+	for i := range value.NumField() {
+		name, _, _ := strings.Cut(value.Type().Field(i).Tag.Get("json"), ",")
+		if name == "name" {
+			continue
+		}
+		field := value.Field(i)
+		fields = append(fields, fieldValue{name: name, text: formatField(field.Interface()), zero: isEmpty(field)})
 	}
-	var changes []Change
-	for _, key := range sortedKeys(keys) {
-		if before[key] != after[key] {
-			changes = append(changes, Change{Type: objectType, Name: name, Field: key, Before: before[key], After: after[key]})
+	return fields
+}
+
+func isEmpty(field reflect.Value) bool {
+	return field.IsZero() || field.Kind() == reflect.Slice && field.Len() == 0
+}
+
+// formatField returns a value as the operators' language writes it.
+func formatField(value any) string {
+	var text string
+	switch held := value.(type) {
+	case time.Duration:
+		text = held.String()
+	case []string:
+		text = strings.Join(held, ",")
+	case []Variant:
+		names := make([]string, 0, len(held))
+		for _, variant := range held {
+			names = append(names, variant.String())
 		}
+		text = strings.Join(names, ",")
+	default:
+		text = fmt.Sprint(held)
 	}
-	return changes
+	if text == "" {
+		return `""`
+	}
+	return text
 }
 
-// fields returns the JSON of each field that is set, but for the name.
-func fields(object any, exists bool) map[string]string {
-	if !exists {
-		return nil
+// set returns the fields that hold a value, and the first one if none does.
+func set(fields []fieldValue) []fieldValue {
+	var held []fieldValue
+	for _, field := range fields {
+		if !field.zero {
+			held = append(held, field)
+		}
 	}
-	text, err := json.Marshal(object)
-	if err != nil {
-		// Unreachable: the objects of a Configuration hold only encodable values.
-		panic(err)
+	if len(held) == 0 {
+		return fields[:1]
 	}
-	raw := make(map[string]json.RawMessage)
-	if err := json.Unmarshal(text, &raw); err != nil {
-		panic(err)
+	return held
+}
+
+func createdFields(object any) []Change {
+	var changes []Change
+	for _, field := range set(fieldsOf(object)) {
+		changes = append(changes, Change{Action: ActionCreate, Field: field.name, After: field.text})
 	}
-	printed := make(map[string]string, len(raw))
-	for key, value := range raw {
-		if key != "name" && string(value) != "null" {
-			printed[key] = string(value)
+	return changes
+}
+
+func deletedFields(object any) []Change {
+	var changes []Change
+	for _, field := range set(fieldsOf(object)) {
+		changes = append(changes, Change{Action: ActionDelete, Field: field.name, Before: field.text})
+	}
+	return changes
+}
+
+func changedFields(before, after any) []Change {
+	var changes []Change
+	current := fieldsOf(after)
+	for i, old := range fieldsOf(before) {
+		if old.text != current[i].text {
+			changes = append(changes, Change{Action: ActionChange, Field: old.name, Before: old.text, After: current[i].text})
 		}
 	}
-	return printed
+	return changes
 }
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -162,6 +162,7 @@
 	after := before.Clone()
 	changeAccount(func(a *policy.Account) { a.Share = 4 })(after)
 	delete(after.Classes, "batch")
+	after.Classes["zero"] = policy.Class{Name: "zero"}
 	after.Models["new"] = policy.Model{Name: "new", Versions: []string{"v1"}}
 	changes := policy.Diff(before, after)
 	var lines []string
@@ -169,9 +170,10 @@
 		lines = append(lines, change.String())
 	}
 	require.Equal(t, []string{
-		`~ account moose-jaw share: 3 -> 4`,
-		`- class batch priority: 1`,
-		`+ model new versions: ["v1"]`,
+		`~ account moose-jaw share=3 -> 4`,
+		`- class batch priority=1`,
+		`+ class zero priority=0`,
+		`+ model new versions=v1`,
 	}, lines)
 	require.Empty(t, policy.Diff(before, before.Clone()))
 }
