Say 'not run' of a request only when none of its copies ran; wait for a claim's attempt

(2) A copy that found the claim before the first copy's attempt had reached the engine was told outcome_unknown during a rolling restart. Change: a refusal before the claim is won looks the claim up: found, the copy joins; unreadable, the answer is 'unavailable', which claims nothing about earlier copies. A copy that meets an unknown attempt reads the claim again within 5 s, and claims for itself when it was given up.

--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -19,6 +19,8 @@
 	Rebind(ctx context.Context, key, oldAttempt, newAttempt, newTarget string) error
 	End(key, attempt string, ending claim.Ending)
 	Release(key, attempt string)
+	// Lookup reads a claim; without one the error's kind is not_found.
+	Lookup(ctx context.Context, key string) (claim.Record, error)
 }
 
 // Locator finds the address of a target that a claim names.
@@ -36,6 +38,8 @@
 	vm      string
 	// held is the attempt that the claim names; empty while nothing is claimed.
 	held string
+	// owned is set once the claim was won, after which no other copy can have run.
+	owned bool
 }
 
 func (d *Dispatcher) newClaimant(r *request.Request) claimant {
@@ -59,9 +63,31 @@
 		return &existing, nil
 	}
 	c.held = binding.Attempt
+	c.owned = true
 	return nil, nil
 }
 
+// refuse checks a refusal before the claim was won: "not run" is said of a request, not of one of its
+// copies. It returns the record of a copy that may have run, or the error to answer with.
+func (c *claimant) refuse(ctx context.Context, refusal error) (*claim.Record, error) {
+	if !c.request.NeedsClaim() || c.owned || ctx.Err() != nil {
+		return nil, refusal
+	}
+	existing, err := c.claims.Lookup(ctx, c.request.ClaimKey())
+	switch {
+	case apierror.Is(err, apierror.KindNotFound):
+		return nil, refusal
+	case err != nil:
+		return nil, apierror.Wrap(refusal, apierror.KindUnavailable,
+			"this copy of the request did not run, and whether an earlier copy did cannot be read now",
+			"repeat the request with the same Idempotency-Key").WithRetryAfter(retryAfterFailure)
+	case existing.State == claim.StateNotRun:
+		return nil, refusal
+	default:
+		return &existing, nil
+	}
+}
+
 func (c *claimant) record(binding Binding) claim.Record {
 	return claim.Record{
 		Key: c.request.ClaimKey(), Digest: c.request.Digest, Account: c.request.Account, RequestID: c.request.ID,
@@ -109,33 +135,78 @@
 		"use a new key for a new request")
 }
 
+// joinWindow bounds the time for which a copy waits for the attempt of the first: its claim is written
+// before it is sent, and it moves when a target refuses it.
+const joinWindow = 5 * time.Second
+
+// errClaimFree says that the first copy of a request gave its claim up without having run.
+var errClaimFree = errors.New("the earlier copy of the request did not run")
+
 // join answers a copy of a claimed request from the generation of the first: the engine keeps it
-// for a while, from its first token on.
+// for a while, from its first token on. It returns errClaimFree when the request may be claimed again.
 func (g *generation) join(ctx context.Context, existing *claim.Record) error {
 	if err := checkCopy(g.request, existing); err != nil {
 		return err
 	}
+	window, cancel := context.WithTimeout(ctx, joinWindow)
+	defer cancel()
+	wait := firstResumeWait
+	for {
+		err := g.joinAttempt(ctx, existing)
+		if err == nil || ctx.Err() != nil || IsCallerGone(err) {
+			return err
+		}
+		if g.sink.Delivered() > 0 {
+			return resumeError(ctx, err)
+		}
+		if existing.State != claim.StateClaimed || sleep(window, wait) != nil {
+			return copyError(existing, err)
+		}
+		wait = min(2*wait, maxResumeWait)
+		if existing, err = g.reread(ctx, existing); err != nil {
+			return err
+		}
+	}
+}
+
+// joinAttempt follows the attempt that a claim names, from its first token.
+func (g *generation) joinAttempt(ctx context.Context, existing *claim.Record) error {
 	address, known := g.options.Locator.Locate(existing.Target)
 	if !known {
-		return copyError(existing, nil)
+		return errors.Newf("target %s is not known here", existing.Target)
 	}
 	g.joined = true
-	g.mayHaveRun = true
 	g.lastAttempt = existing.AttemptID
-	g.move(request.StateDispatched, address.Name, "joined the attempt of an earlier copy of the request")
+	if g.record.State() == request.StateWaiting {
+		g.move(request.StateDispatched, address.Name, "joined the attempt of an earlier copy of the request")
+	}
+	stream, err := g.options.Engines.Resume(ctx, address, existing.AttemptID, 0)
+	if err != nil {
+		return err
+	}
 	follower := &follower{
 		Dispatcher: g.Dispatcher, record: g.record, sink: g.sink, observer: noObserver{},
 		binding: Binding{Address: address, Attempt: existing.AttemptID},
 		relay:   request.NewRelay(existing.AttemptID, 0),
 	}
-	err := follower.resume(ctx, errors.New("the answer of an earlier copy is not available"))
-	if err == nil || ctx.Err() != nil || IsCallerGone(err) {
-		return err
-	}
-	if g.sink.Delivered() > 0 {
-		return resumeError(ctx, err)
+	return follower.follow(ctx, stream)
+}
+
+// reread reads how the claim stands now; the record it had stays when the platform does not answer.
+func (g *generation) reread(ctx context.Context, existing *claim.Record) (*claim.Record, error) {
+	current, err := g.options.Claims.Lookup(ctx, g.request.ClaimKey())
+	switch {
+	case apierror.Is(err, apierror.KindNotFound) || err == nil && current.State == claim.StateNotRun:
+		g.joined = false
+		g.sink.Reset()
+		g.move(request.StateWaiting, "", errClaimFree.Error())
+		return nil, errClaimFree
+	case err != nil:
+		return existing, nil
+	default:
+		g.sink.Reset()
+		return &current, nil
 	}
-	return copyError(existing, err)
 }
 
 // copyError tells a copy how the first request stands when its answer cannot be had.
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -50,6 +50,9 @@
 		if err == nil {
 			return nil
 		}
+		if errors.Is(err, errClaimFree) {
+			continue
+		}
 		var failed *attemptError
 		if !errors.As(err, &failed) {
 			return err
@@ -92,7 +95,7 @@
 func (g *generation) attempt(ctx context.Context) error {
 	placement, err := g.options.Placer.Place(ctx, g.request, g.excluded, g.attempts > 0)
 	if err != nil {
-		return err
+		return g.refuse(ctx, err)
 	}
 	binding := Binding{Address: placement.Address(), Attempt: g.options.NewID()}
 	existing, err := g.claimant.take(ctx, binding)
@@ -100,7 +103,7 @@
 		placement.Release(Outcome{State: request.AttemptNotSent})
 	}
 	if err != nil {
-		return err
+		return g.refuse(ctx, err)
 	}
 	if existing != nil {
 		return g.join(ctx, existing)
@@ -111,6 +114,15 @@
 	return g.drive(ctx, placement, binding)
 }
 
+// refuse ends a request that was not placed or not claimed, unless an earlier copy of it can be joined.
+func (g *generation) refuse(ctx context.Context, refusal error) error {
+	existing, err := g.claimant.refuse(ctx, refusal)
+	if existing != nil {
+		return g.join(ctx, existing)
+	}
+	return err
+}
+
 // drive starts the attempt and follows it to its end.
 func (g *generation) drive(ctx context.Context, placement Placement, binding Binding) error {
 	follower := &follower{
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -98,7 +98,7 @@
 func (p *plainRun) attempt(ctx context.Context) (*Answer, error) {
 	placement, err := p.options.Placer.Place(ctx, p.request, p.excluded, p.attempts > 0)
 	if err != nil {
-		return nil, err
+		return nil, p.refuse(ctx, err)
 	}
 	address := placement.Address()
 	binding := Binding{Address: address, Attempt: p.options.NewID()}
@@ -125,9 +125,25 @@
 // only how the first call stands.
 func (p *plainRun) claim(ctx context.Context, binding Binding) error {
 	existing, err := p.claimant.take(ctx, binding)
-	if err != nil || existing == nil {
-		return err
+	if err != nil {
+		return p.refuse(ctx, err)
 	}
+	if existing == nil {
+		return nil
+	}
+	return p.tellCopy(existing)
+}
+
+// refuse ends a call that was not placed or not claimed.
+func (p *plainRun) refuse(ctx context.Context, refusal error) error {
+	existing, err := p.claimant.refuse(ctx, refusal)
+	if existing != nil {
+		return p.tellCopy(existing)
+	}
+	return err
+}
+
+func (p *plainRun) tellCopy(existing *claim.Record) error {
 	if err := checkCopy(p.request, existing); err != nil {
 		return err
 	}
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -49,7 +49,7 @@
 	if errors.Is(err, errAnswerBegun) {
 		return
 	}
-	typed := typedError(err)
+	typed := aboutCopies(x, typedError(err))
 	header := x.w.Header()
 	header.Set("Content-Type", "application/json")
 	if typed.RetryAfter > 0 {
@@ -62,6 +62,16 @@
 	_ = json.NewEncoder(x.w).Encode(newErrorBody(x.id, typed))
 }
 
+// aboutCopies keeps "not run" for requests of which no copy ran. A request that is refused before its
+// key was looked at may be the copy of one that ran.
+func aboutCopies(x *exchange, typed *apierror.Error) *apierror.Error {
+	if x.dispatched || x.r.Header.Get(HeaderKey) == "" || typed.Kind != apierror.KindNotRun {
+		return typed
+	}
+	return apierror.New(apierror.KindUnavailable, typed.Message+", and whether an earlier copy did was not looked up",
+		"repeat the request with the same Idempotency-Key").WithRetryAfter(typed.RetryAfter)
+}
+
 // safeToRepeat reports whether a client library may send the request again on its own.
 func safeToRepeat(x *exchange, kind apierror.Kind) bool {
 	switch kind {
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -74,6 +74,7 @@
 // begin enters the request in the registry and returns a context that ends with the caller, the
 // deadline or an operator's cancellation.
 func (g *Gateway) begin(x *exchange, r *request.Request) (context.Context, *request.Record, func()) {
+	x.dispatched = true
 	ctx, cancelCause := context.WithCancelCause(x.r.Context())
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	record := g.options.Registry.Begin(r, func(reason string) {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -101,6 +101,8 @@
 	account string
 	// nonIdempotent is set once it is known that the request may run at most once.
 	nonIdempotent bool
+	// dispatched is set once the dispatcher answers for what it says of copies.
+	dispatched bool
 }
 
 // serve authenticates the caller, runs handle and answers with its error, if any.
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -10,11 +10,13 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 
 	"godwitcart/internal/apierror"
@@ -112,6 +114,7 @@
 	store   *objecttest.Store
 	entries []*httptest.Server
 	gates   []*gateway.Gateway
+	books   []*claim.Book
 }
 
 const (
@@ -183,6 +186,7 @@
 	h.t.Cleanup(server.Close)
 	h.entries = append(h.entries, server)
 	h.gates = append(h.gates, gate)
+	h.books = append(h.books, book)
 }
 
 // call is one request to an entry.
@@ -276,6 +280,11 @@
 	return string(text)
 }
 
+// digestOf returns the digest of a body as the gateway enters it in claims.
+func digestOf(body string) string {
+	return strconv.FormatUint(xxhash.Sum64String(body), 16) + "-" + strconv.Itoa(len(body))
+}
+
 func (h *harness) ran() []engine.Attempt {
 	var attempts []engine.Attempt
 	for _, stand := range h.engines {
