--- /dev/null
+++ b/cmd/godwitctl/commands.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+
+	"godwitcart/internal/admin"
+	"godwitcart/internal/apierror"
+	"godwitcart/internal/language"
+	"godwitcart/internal/policy"
+)
+
+// statementCommand carries out one statement.
+type statementCommand struct {
+	Text []string `arg:"" help:"The statement; quote it as a whole."`
+}
+
+// Run implements the subcommand.
+func (c *statementCommand) Run(s *session) error {
+	client, err := s.client()
+	if err != nil {
+		return err
+	}
+	return s.statement(client, strings.Join(c.Text, " "))
+}
+
+// statement parses a statement, sends it and prints the answer.
+func (s *session) statement(client *admin.Client, text string) error {
+	statement, err := language.Parse(text)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, s.cli.Timeout)
+	defer cancel()
+	if statement.Query != nil {
+		answer, err := client.Query(ctx, statement.String())
+		if err != nil {
+			return err
+		}
+		return s.printAnswer(answer)
+	}
+	result, err := client.Command(ctx, statement.String(), s.cli.DryRun)
+	if err != nil {
+		return err
+	}
+	return s.printResult(result)
+}
+
+// applyCommand replaces the whole configuration.
+type applyCommand struct {
+	File string `arg:"" help:"YAML file with the configuration; - reads standard input."`
+}
+
+// Run implements the subcommand.
+func (c *applyCommand) Run(s *session) error {
+	text, err := s.read(c.File)
+	if err != nil {
+		return err
+	}
+	if _, err := policy.Parse(text); err != nil {
+		return err
+	}
+	client, err := s.client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, s.cli.Timeout)
+	defer cancel()
+	result, err := client.Apply(ctx, text, s.cli.DryRun)
+	if err != nil {
+		return err
+	}
+	return s.printResult(result)
+}
+
+func (s *session) read(path string) ([]byte, error) {
+	if path == "-" {
+		return io.ReadAll(s.stdin)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, apierror.Wrap(err, apierror.KindBadRequest, "cannot read the file", "name a file that can be read")
+	}
+	return text, nil
+}
+
+// exportCommand prints the configuration.
+type exportCommand struct{}
+
+// Run implements the subcommand.
+func (c *exportCommand) Run(s *session) error {
+	client, err := s.client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, s.cli.Timeout)
+	defer cancel()
+	text, err := client.Configuration(ctx)
+	if err != nil {
+		return err
+	}
+	_, err = s.stdout.Write(text)
+	return err
+}
+
+// hashKeyCommand digests a key, so that it need not be written anywhere.
+type hashKeyCommand struct{}
+
+// Run implements the subcommand.
+func (c *hashKeyCommand) Run(s *session) error {
+	text, err := io.ReadAll(s.stdin)
+	if err != nil {
+		return err
+	}
+	key := strings.TrimRight(string(text), "\r\n")
+	if key == "" {
+		return apierror.New(apierror.KindBadRequest, "the key is empty", "write it to standard input")
+	}
+	_, err = fmt.Fprintln(s.stdout, policy.HashKey(key))
+	return err
+}
+
+// client returns a client of the server that the flags name.
+func (s *session) client() (*admin.Client, error) {
+	token := s.cli.Token
+	if s.cli.TokenFile != "" {
+		text, err := os.ReadFile(s.cli.TokenFile)
+		if err != nil {
+			return nil, apierror.Wrap(err, apierror.KindBadRequest, "cannot read the token", "name a file that can be read")
+		}
+		token = strings.TrimSpace(string(text))
+	}
+	transport, err := s.roundTripper()
+	if err != nil {
+		return nil, err
+	}
+	return &admin.Client{BaseURL: s.cli.Server, Token: token, HTTP: &http.Client{Transport: transport}}, nil
+}
+
+func (s *session) roundTripper() (http.RoundTripper, error) {
+	if s.transport != nil {
+		return s.transport, nil
+	}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.Proxy = nil
+	if s.cli.CA == "" {
+		return transport, nil
+	}
+	pool, err := readAuthorities(s.cli.CA)
+	if err != nil {
+		return nil, err
+	}
+	transport.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	return transport, nil
+}
+
+func readAuthorities(path string) (*x509.CertPool, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, apierror.Wrap(err, apierror.KindBadRequest, "cannot read the authorities", "name a PEM file")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return nil, apierror.New(apierror.KindBadRequest, path+" holds no certificate", "name a PEM file")
+	}
+	return pool, nil
+}
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -5,10 +5,13 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/command"
 	"godwitcart/internal/query"
@@ -90,12 +93,12 @@
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		return nil, c.notReached(method, err)
+		return nil, c.notReached(method, path, err)
 	}
 	defer response.Body.Close()
 	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		return nil, c.notReached(method, err)
+		return nil, c.notReached(method, path, err)
 	}
 	if response.StatusCode != http.StatusOK {
 		return nil, answeredError(response, text)
@@ -103,13 +106,17 @@
 	return text, nil
 }
 
-// notReached is the error of a call without an answer: a query had no effect, a command may have.
-func (c *Client) notReached(method string, err error) error {
-	if method == http.MethodGet {
-		return apierror.Wrap(err, apierror.KindUnavailable, "cannot reach "+c.BaseURL, "try another entry VM")
+// notReached is the error of a call without an answer: a command that was sent may have had an
+// effect.
+func (c *Client) notReached(method, path string, err error) error {
+	var network *net.OpError
+	notSent := errors.As(err, &network) && network.Op == "dial"
+	changes := method != http.MethodGet && path != PathQuery
+	if changes && !notSent {
+		return apierror.Wrap(err, apierror.KindOutcomeUnknown, "no answer from "+c.BaseURL,
+			"look at \"show history\" on another entry VM before you repeat the command")
 	}
-	return apierror.Wrap(err, apierror.KindUnavailable, "no answer from "+c.BaseURL,
-		"try another entry VM; after a command, look at \"show history\" first")
+	return apierror.Wrap(err, apierror.KindUnavailable, "cannot reach "+c.BaseURL, "try another entry VM")
 }
 
 func answeredError(response *http.Response, text []byte) error {
--- a/internal/query/table.go
+++ b/internal/query/table.go
@@ -134,17 +134,24 @@
 
 // column returns the column of a name.
 func (t *Table) column(name string) (Column, error) {
-	names := make([]string, 0, len(t.Columns))
 	for _, column := range t.Columns {
 		if column.Name == name {
 			return column, nil
 		}
-		names = append(names, column.Name)
 	}
-	return Column{}, apierror.Newf(apierror.KindBadRequest, "use one of "+strings.Join(names, ", "),
+	return Column{}, apierror.Newf(apierror.KindBadRequest, "use one of "+strings.Join(t.ColumnNames(), ", "),
 		"table %s has no column %q", t.Name, name)
 }
 
+// ColumnNames lists the names of the columns.
+func (t *Table) ColumnNames() []string {
+	names := make([]string, 0, len(t.Columns))
+	for _, column := range t.Columns {
+		names = append(names, column.Name)
+	}
+	return names
+}
+
 // value returns the column's value in a row.
 func (c Column) value(row Row) reflect.Value { return reflect.ValueOf(row).Field(c.field) }
 
