Talk to peers over drpc: server, client, gossip

Cause: leaving targets, load, usage and configuration versions must spread between entry VMs, and a dead or frozen peer must not delay others. Ruled out: one connection a peer for everything (a drpc connection carries one call at a time, so a slow query would hold up an exchange: three lanes, dialled when needed, closed when idle); pushing what peers told (every VM would push every fact to every other: only a target's own word is pushed, the rest travels in answers).

--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -141,9 +141,18 @@
 
 // RecentFacts returns the facts that this VM learnt a short time ago, the newest first.
 func (d *Directory) RecentFacts(now time.Time) []*peerpb.Fact {
+	return d.factsWhere(now, func(e *entry) bool { return now.Sub(e.changedAt) <= recentFacts })
+}
+
+// FirstHandFacts returns the facts that VMs themselves have told this VM after the given time.
+func (d *Directory) FirstHandFacts(after, now time.Time) []*peerpb.Fact {
+	return d.factsWhere(now, func(e *entry) bool { return e.firstHand && e.changedAt.After(after) })
+}
+
+func (d *Directory) factsWhere(now time.Time, wanted func(*entry) bool) []*peerpb.Fact {
 	var recent []told
 	d.each(func(e *entry) {
-		if e.current().state >= StateLeaving && now.Sub(e.changedAt) <= recentFacts {
+		if e.current().state >= StateLeaving && wanted(e) {
 			recent = append(recent, told{entry: entry{vm: e.vm, changedAt: e.changedAt, facts: slices.Clone(e.facts[:1])}})
 		}
 	})
--- a/internal/membership/entry.go
+++ b/internal/membership/entry.go
@@ -60,6 +60,8 @@
 	loadAt    time.Time
 	// changedAt is when the state last rose.
 	changedAt time.Time
+	// firstHand means that it rose by the VM's own word to this VM.
+	firstHand bool
 	// resync asks peers for the whole report, because a short one did not fit what is known.
 	resync bool
 }
@@ -113,6 +115,7 @@
 	changed := e.state() != before || e.current().incarnation != known
 	if changed {
 		e.changedAt = sign.At
+		e.firstHand = sign.Source == SourceTarget
 	}
 	return changed
 }
@@ -203,6 +206,7 @@
 		return false
 	}
 	e.changedAt = now
+	e.firstHand = false
 	return true
 }
 
--- /dev/null
+++ b/internal/peer/gossip.go
@@ -0,0 +1,277 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"godwitcart/internal/membership"
+	"godwitcart/internal/peer/peerpb"
+)
+
+const (
+	// DefaultInterval is the pause between two asks inside the zone.
+	DefaultInterval = 350 * time.Millisecond
+	// DefaultForeignInterval is the pause between two asks in other zones, which are taken in turn.
+	DefaultForeignInterval = 500 * time.Millisecond
+	// partnerCount is how many VMs of a zone are asked; the set changes by one in partnerLife.
+	partnerCount = 8
+	partnerLife  = 30 * time.Second
+	// maxAsks bounds the asks in flight, so that frozen peers do not pile them up.
+	maxAsks = 8
+	// pushConcurrency bounds the pushes in flight, and foreignPushes the VMs of each other zone that
+	// a fact is pushed to; they spread it by answers.
+	pushConcurrency = 16
+	foreignPushes   = 3
+	// pushDelay gathers facts that become known together.
+	pushDelay = 20 * time.Millisecond
+	// usageEntriesPerSecond and maxUsages bound the account usage that is told.
+	usageEntriesPerSecond = 60
+	maxUsages             = 32
+)
+
+// GossipOptions configures a Gossip. Zero durations stand for the defaults.
+type GossipOptions struct {
+	// Self, Incarnation and Zone describe this VM.
+	Self, Incarnation, Zone string
+	Directory               *membership.Directory
+	// Ask makes one exchange; Client.Exchange does.
+	Ask             func(ctx context.Context, vm string, ask *peerpb.Digest) (*peerpb.Digest, error)
+	Interval        time.Duration
+	ForeignInterval time.Duration
+	// ConfigurationVersion returns the version in force here; nil tells none.
+	ConfigurationVersion func() uint64
+	// OnConfigurationVersion, if set, learns the version in force at a peer. It must not block.
+	OnConfigurationVersion func(vm string, version uint64)
+	// Usages returns the use of accounts on this VM, the largest first; nil tells none. At most 32
+	// entries are told at once.
+	Usages func() []*peerpb.Usage
+	// OnUsages, if set, learns the use of accounts at a peer. It must not block.
+	OnUsages func(vm string, usages []*peerpb.Usage)
+}
+
+// Gossip spreads what this VM knows and learns what others know. Each round asks one peer; only
+// answers confirm targets. Facts that a target tells this VM are pushed at once.
+type Gossip struct {
+	options GossipOptions
+	leaving atomic.Bool
+	usages  *rate.Limiter
+	asks    chan struct{}
+	running sync.WaitGroup
+
+	mu       sync.Mutex
+	partners map[string]*partners
+}
+
+// NewGossip returns a Gossip that Run starts.
+func NewGossip(options GossipOptions) *Gossip {
+	if options.Interval <= 0 {
+		options.Interval = DefaultInterval
+	}
+	if options.ForeignInterval <= 0 {
+		options.ForeignInterval = DefaultForeignInterval
+	}
+	return &Gossip{
+		options:  options,
+		usages:   rate.NewLimiter(usageEntriesPerSecond, 4*maxUsages),
+		asks:     make(chan struct{}, maxAsks),
+		partners: make(map[string]*partners),
+	}
+}
+
+// Run gossips until ctx ends and then waits for what is in flight.
+func (g *Gossip) Run(ctx context.Context) {
+	changes, cancel := g.options.Directory.Subscribe()
+	defer cancel()
+	near := time.NewTicker(g.options.Interval)
+	defer near.Stop()
+	far := time.NewTicker(g.options.ForeignInterval)
+	defer far.Stop()
+	pushed := time.Now()
+	for round := 0; ; {
+		select {
+		case <-ctx.Done():
+			g.running.Wait()
+			return
+		case <-near.C:
+			g.askZone(ctx, g.options.Zone)
+		case <-far.C:
+			g.askZone(ctx, g.foreignZone(round))
+			round++
+		case <-changes:
+			pushed = g.pushNews(ctx, pushed)
+		}
+	}
+}
+
+// foreignZone returns the zone to ask in the round, or nothing when there is no other.
+func (g *Gossip) foreignZone(round int) string {
+	var others []string
+	for _, zone := range g.options.Directory.Zones() {
+		if zone != g.options.Zone {
+			others = append(others, zone)
+		}
+	}
+	if len(others) == 0 {
+		return ""
+	}
+	return others[round%len(others)]
+}
+
+// askZone asks one entry VM of the zone, unless too many asks are unanswered.
+func (g *Gossip) askZone(ctx context.Context, zone string) {
+	vm, found := g.partner(zone, time.Now())
+	if !found {
+		return
+	}
+	select {
+	case g.asks <- struct{}{}:
+	default:
+		return
+	}
+	g.running.Go(func() {
+		defer func() { <-g.asks }()
+		g.ask(ctx, vm, zone)
+	})
+}
+
+// partner chooses an entry VM of the zone.
+func (g *Gossip) partner(zone string, now time.Time) (string, bool) {
+	var names []string
+	for _, vm := range g.options.Directory.Peers() {
+		if vm.Zone == zone {
+			names = append(names, vm.Name)
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	chosen := g.partners[zone]
+	if chosen == nil {
+		chosen = &partners{}
+		g.partners[zone] = chosen
+	}
+	return chosen.next(names, now)
+}
+
+func (g *Gossip) ask(ctx context.Context, vm, zone string) {
+	asked := time.Now()
+	question := g.options.Directory.Ask(zone, asked)
+	g.introduce(question)
+	answer, err := g.options.Ask(ctx, vm, question)
+	if err != nil {
+		return
+	}
+	g.learn(answer, vm, asked)
+	g.options.Directory.MergeAnswer(answer, asked)
+}
+
+// Exchange answers a peer; it implements Exchanger.
+func (g *Gossip) Exchange(_ context.Context, ask *peerpb.Digest) (*peerpb.Digest, error) {
+	now := time.Now()
+	g.learn(ask, ask.Sender, now)
+	g.options.Directory.MergeFacts(ask.Facts, time.Time{})
+	answer := &peerpb.Digest{}
+	if ask.WantedZone != "" {
+		answer = g.options.Directory.Answer(ask, now)
+	}
+	g.introduce(answer)
+	return answer, nil
+}
+
+// introduce fills in what every digest says of its sender.
+func (g *Gossip) introduce(digest *peerpb.Digest) {
+	digest.Sender = g.options.Self
+	digest.Incarnation = g.options.Incarnation
+	digest.Zone = g.options.Zone
+	digest.Leaving = g.leaving.Load()
+	if g.options.ConfigurationVersion != nil {
+		digest.ConfigurationVersion = g.options.ConfigurationVersion()
+	}
+	digest.Usages = g.tellUsages()
+}
+
+func (g *Gossip) tellUsages() []*peerpb.Usage {
+	if g.options.Usages == nil || g.usages.Tokens() < 1 {
+		return nil
+	}
+	usages := g.options.Usages()
+	usages = usages[:min(len(usages), maxUsages)]
+	g.usages.AllowN(time.Now(), len(usages))
+	return usages
+}
+
+// learn takes what a digest says of its sender, which spoke at the given time.
+func (g *Gossip) learn(digest *peerpb.Digest, vm string, spoke time.Time) {
+	sign := membership.Live(vm, digest.Incarnation, spoke)
+	// The sender tells everybody itself, so this VM need not push it on.
+	sign.Source = membership.SourcePeer
+	if digest.Leaving {
+		sign.State = membership.StateLeaving
+	}
+	g.options.Directory.Observe(sign)
+	if g.options.OnConfigurationVersion != nil && digest.ConfigurationVersion > 0 {
+		g.options.OnConfigurationVersion(vm, digest.ConfigurationVersion)
+	}
+	if g.options.OnUsages != nil && len(digest.Usages) > 0 {
+		g.options.OnUsages(vm, digest.Usages)
+	}
+}
+
+// pushNews pushes the facts that VMs told this VM after the given time, and returns the time of the
+// next push.
+func (g *Gossip) pushNews(ctx context.Context, after time.Time) time.Time {
+	select {
+	case <-ctx.Done():
+		return after
+	case <-time.After(pushDelay):
+	}
+	now := time.Now()
+	facts := g.options.Directory.FirstHandFacts(after.Add(-membership.ProbeTimeout), now)
+	if len(facts) == 0 {
+		return now
+	}
+	g.running.Go(func() { g.push(ctx, &peerpb.Digest{Facts: facts}) })
+	return now
+}
+
+// Leave tells the peers that this VM is leaving. It returns when they have answered or timed out.
+func (g *Gossip) Leave(ctx context.Context) {
+	g.leaving.Store(true)
+	g.push(ctx, &peerpb.Digest{})
+}
+
+// push sends a digest to all entry VMs of this zone and to some of each other.
+func (g *Gossip) push(ctx context.Context, digest *peerpb.Digest) {
+	g.introduce(digest)
+	digest.Usages = nil
+	slots := make(chan struct{}, pushConcurrency)
+	var pushes sync.WaitGroup
+	for _, vm := range g.pushTo() {
+		slots <- struct{}{}
+		pushes.Go(func() {
+			defer func() { <-slots }()
+			_, _ = g.options.Ask(ctx, vm, digest)
+		})
+	}
+	pushes.Wait()
+}
+
+func (g *Gossip) pushTo() []string {
+	peers := g.options.Directory.Peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	foreign := make(map[string]int)
+	var names []string
+	for _, vm := range peers {
+		if vm.Zone != g.options.Zone {
+			foreign[vm.Zone]++
+		}
+		if foreign[vm.Zone] <= foreignPushes {
+			names = append(names, vm.Name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,220 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitcart/internal/apierror"
+	"godwitcart/internal/membership"
+	"godwitcart/internal/peer/peerpb"
+	"godwitcart/internal/wire/platformwire"
+)
+
+// echo answers queries with their text; a query "wait" is answered when its caller gives up.
+type echo struct{}
+
+// Query implements Querier.
+func (echo) Query(ctx context.Context, request *peerpb.QueryRequest) (*peerpb.QueryReply, error) {
+	if request.Text == "wait" {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return &peerpb.QueryReply{Vm: "echo", Rows: []byte(request.Text)}, nil
+}
+
+// serve runs a server until the test ends and returns its address.
+func serve(t *testing.T, address string, options ServerOptions) string {
+	listener, err := net.Listen("tcp", address)
+	require.NoError(t, err)
+	server, err := NewServer(options)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = server.Serve(ctx, listener) })
+	t.Cleanup(func() { cancel(); running.Wait() })
+	return listener.Addr().String()
+}
+
+func newTestClient(t *testing.T, options ClientOptions, addresses map[string]string) *Client {
+	options.Resolve = func(vm string) (string, bool) { address, known := addresses[vm]; return address, known }
+	client := NewClient(options)
+	t.Cleanup(client.Close)
+	return client
+}
+
+// freeze returns the address of a listener that accepts and never answers.
+func freeze(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	return listener.Addr().String()
+}
+
+func query(client *Client, vm, text string) (string, error) {
+	reply, err := client.Query(context.Background(), vm, &peerpb.QueryRequest{Text: text})
+	return string(reply.GetRows()), err
+}
+
+func TestFrozenAndDeadPeersDelayNoOther(t *testing.T) {
+	live := serve(t, "127.0.0.1:0", ServerOptions{Handlers: Handlers{Query: echo{}}})
+	addresses := map[string]string{"live": live, "frozen": freeze(t), "dead": "127.0.0.1:1"}
+	client := newTestClient(t, ClientOptions{CallTimeout: 300 * time.Millisecond}, addresses)
+	stuck := make(chan error)
+	for range 4 {
+		go func() { _, err := query(client, "frozen", "x"); stuck <- err }()
+	}
+	for range 20 {
+		rows, err := query(client, "live", "hello")
+		require.NoError(t, err)
+		require.Equal(t, "hello", rows)
+	}
+	for range 4 {
+		require.True(t, apierror.Is(<-stuck, apierror.KindUnavailable))
+	}
+	for _, vm := range []string{"dead", "unknown"} {
+		_, err := query(client, vm, "x")
+		require.True(t, apierror.Is(err, apierror.KindUnavailable))
+	}
+	require.EqualValues(t, 6, client.options.Traffic.Counts().Failures)
+}
+
+func TestLanesDoNotWaitForEachOther(t *testing.T) {
+	live := serve(t, "127.0.0.1:0", ServerOptions{Handlers: Handlers{Query: echo{}, Exchange: NewGossip(GossipOptions{Directory: membership.New(membership.Options{})})}})
+	client := newTestClient(t, ClientOptions{CallTimeout: 5 * time.Second}, map[string]string{"live": live})
+	ctx, cancel := context.WithCancel(context.Background())
+	stuck := make(chan error)
+	go func() {
+		_, err := client.Query(ctx, "live", &peerpb.QueryRequest{Text: "wait"})
+		stuck <- err
+	}()
+	_, err := client.Exchange(context.Background(), "live", &peerpb.Digest{Sender: "me"})
+	require.NoError(t, err)
+	cancel()
+	require.Error(t, <-stuck)
+	rows, err := query(client, "live", "after")
+	require.NoError(t, err)
+	require.Equal(t, "after", rows)
+}
+
+func TestErrorsOfHandlersKeepTheConnection(t *testing.T) {
+	live := serve(t, "127.0.0.1:0", ServerOptions{Handlers: Handlers{Query: echo{}}})
+	client := newTestClient(t, ClientOptions{}, map[string]string{"live": live})
+	_, err := client.Stage(context.Background(), "live", &peerpb.StageRequest{})
+	require.True(t, apierror.Is(err, apierror.KindInternal))
+	require.ErrorContains(t, err, "this VM does not serve the call")
+	require.NotNil(t, client.links[linkKey{vm: "live", lane: laneAcceptance}].conn)
+}
+
+func TestPeerThatComesBackIsDialledAgain(t *testing.T) {
+	reserved, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := reserved.Addr().String()
+	reserved.Close()
+	client := newTestClient(t, ClientOptions{}, map[string]string{"vm": address})
+	_, err = query(client, "vm", "x")
+	require.Error(t, err)
+	serve(t, address, ServerOptions{Handlers: Handlers{Query: echo{}}})
+	require.Eventually(t, func() bool { _, err := query(client, "vm", "x"); return err == nil }, 20*time.Second, 20*time.Millisecond)
+}
+
+func TestForgottenPeersAreClosed(t *testing.T) {
+	live := serve(t, "127.0.0.1:0", ServerOptions{Handlers: Handlers{Query: echo{}}})
+	client := newTestClient(t, ClientOptions{}, map[string]string{"live": live})
+	_, err := query(client, "live", "x")
+	require.NoError(t, err)
+	l := client.links[linkKey{vm: "live", lane: laneQuestions}]
+	client.Forget(func(string) bool { return false })
+	require.Empty(t, client.links)
+	require.Eventually(t, func() bool { <-l.turn; defer func() { l.turn <- struct{}{} }(); return l.closed }, 20*time.Second, time.Millisecond)
+}
+
+func TestGarbageIsRefused(t *testing.T) {
+	live := serve(t, "127.0.0.1:0", ServerOptions{Handlers: Handlers{Query: echo{}}})
+	conn, err := net.Dial("tcp", live)
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = conn.Write([]byte("\x01\x01\x01\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff"))
+	require.NoError(t, err)
+	buffer := make([]byte, 1)
+	_, err = conn.Read(buffer)
+	require.Error(t, err, "the connection must be closed")
+	client := newTestClient(t, ClientOptions{}, map[string]string{"live": live})
+	_, err = query(client, "live", "x")
+	require.NoError(t, err)
+}
+
+// node is one entry VM in a test of the gossip.
+type node struct {
+	directory *membership.Directory
+	gossip    *Gossip
+	versions  chan uint64
+}
+
+// startNodes runs nodes of two zones over drpc, with one target in zone a.
+func startNodes(t *testing.T, count int) []*node {
+	list := platformwire.VMList{VMs: []platformwire.VM{{Name: "lm-1", Role: "target", Zone: "a", Service: "lm"}}}
+	addresses := make(map[string]string)
+	nodes := make([]*node, count)
+	for i := range nodes {
+		name, zone := fmt.Sprintf("vm-%d", i), []string{"a", "b"}[i%2]
+		n := &node{directory: membership.New(membership.Options{Self: name, Zone: zone}), versions: make(chan uint64, 64)}
+		client := newTestClient(t, ClientOptions{}, addresses)
+		n.gossip = NewGossip(GossipOptions{
+			Self: name, Incarnation: "1", Zone: zone, Directory: n.directory, Ask: client.Exchange, Interval: 20 * time.Millisecond,
+			ConfigurationVersion:   func() uint64 { return uint64(i + 1) },
+			OnConfigurationVersion: func(_ string, version uint64) { trySend(n.versions, version) },
+		})
+		addresses[name] = serve(t, "127.0.0.1:0", ServerOptions{Handlers: Handlers{Exchange: n.gossip}})
+		list.VMs = append(list.VMs, platformwire.VM{Name: name, Role: "entry", Zone: zone, PeerAddress: addresses[name]})
+		nodes[i] = n
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for _, n := range nodes {
+		require.NoError(t, n.directory.ApplyList(list, time.Now()))
+		running.Go(func() { n.gossip.Run(ctx) })
+	}
+	t.Cleanup(func() { cancel(); running.Wait() })
+	return nodes
+}
+
+func trySend(versions chan uint64, version uint64) {
+	select {
+	case versions <- version:
+	default:
+	}
+}
+
+func eventually(t *testing.T, condition func() bool) {
+	t.Helper()
+	require.Eventually(t, condition, 20*time.Second, 5*time.Millisecond)
+}
+
+func TestGossipSpreadsConfirmationsAndFacts(t *testing.T) {
+	nodes := startNodes(t, 4)
+	all := func(condition func(*node) bool) func() bool {
+		return func() bool {
+			for _, n := range nodes {
+				if !condition(n) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	eventually(t, func() bool {
+		nodes[0].directory.Observe(membership.Live("lm-1", "x", time.Now()))
+		return all(func(n *node) bool { return n.directory.MayDispatch("lm-1", time.Now()) })()
+	})
+	nodes[3].directory.Observe(membership.Leaving("lm-1", "x", time.Now()))
+	eventually(t, all(func(n *node) bool { vm, _ := n.directory.Get("lm-1"); return vm.State == membership.StateLeaving }))
+	nodes[1].gossip.Leave(context.Background())
+	eventually(t, func() bool { vm, _ := nodes[0].directory.Get("vm-1"); return vm.State == membership.StateLeaving })
+	eventually(t, func() bool { return <-nodes[0].versions == 3 })
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,104 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"godwitcart/internal/peer/peerpb"
+)
+
+const (
+	// maxMessageBytes bounds one message; a configuration has at most a megabyte.
+	maxMessageBytes = 4 << 20
+	// maxConnections bounds the connections that peers hold at once.
+	maxConnections = 2048
+	// serverIdleTimeout closes a connection without a call. It is longer than the client's.
+	serverIdleTimeout = 2 * time.Minute
+)
+
+// ServerOptions configures a Server.
+type ServerOptions struct {
+	Handlers Handlers
+	// TLS is the configuration of the listener; nil means plain text.
+	TLS *tls.Config
+	// Traffic, if set, counts bytes and calls.
+	Traffic *Traffic
+}
+
+// Server serves the calls of peers.
+type Server struct {
+	options ServerOptions
+	drpc    *drpcserver.Server
+}
+
+// NewServer returns a server that Serve starts.
+func NewServer(options ServerOptions) (*Server, error) {
+	if options.Traffic == nil {
+		options.Traffic = &Traffic{}
+	}
+	mux := drpcmux.New()
+	if err := peerpb.DRPCRegisterPeer(mux, &service{handlers: options.Handlers}); err != nil {
+		return nil, errors.Wrap(err, "register the peer service")
+	}
+	counted := &countingHandler{handler: mux, traffic: options.Traffic}
+	server := drpcserver.NewWithOptions(counted, drpcserver.Options{Manager: drpcmanager.Options{
+		Reader:            drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes},
+		InactivityTimeout: serverIdleTimeout,
+	}})
+	return &Server{options: options, drpc: server}, nil
+}
+
+// Serve serves on the listener until ctx ends, and closes it.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	bounded := &boundedListener{Listener: listener, traffic: s.options.Traffic, free: make(chan struct{}, maxConnections)}
+	if s.options.TLS == nil {
+		return s.drpc.Serve(ctx, bounded)
+	}
+	return s.drpc.Serve(ctx, tls.NewListener(bounded, s.options.TLS))
+}
+
+// countingHandler counts calls.
+type countingHandler struct {
+	handler drpc.Handler
+	traffic *Traffic
+}
+
+// HandleRPC implements drpc.Handler.
+func (h *countingHandler) HandleRPC(stream drpc.Stream, rpc string) error {
+	h.traffic.served.Add(1)
+	return h.handler.HandleRPC(stream, rpc)
+}
+
+// boundedListener counts the bytes of its connections and closes those beyond its capacity.
+type boundedListener struct {
+	net.Listener
+	traffic *Traffic
+	free    chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *boundedListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case l.free <- struct{}{}:
+			return &boundedConn{countingConn: countingConn{Conn: conn, traffic: l.traffic}, release: l.release}, nil
+		default:
+			conn.Close()
+		}
+	}
+}
+
+func (l *boundedListener) release() { <-l.free }
--- /dev/null
+++ b/internal/peer/traffic.go
@@ -0,0 +1,84 @@
+package peer
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// Traffic counts what a VM exchanges with its peers. It is safe for concurrent use.
+type Traffic struct {
+	sentBytes     atomic.Int64
+	receivedBytes atomic.Int64
+	calls         atomic.Int64
+	served        atomic.Int64
+	failures      atomic.Int64
+}
+
+// TrafficCounts is a reading of Traffic since the start. Bytes are those of the TCP streams, TLS
+// included.
+type TrafficCounts struct {
+	SentBytes     int64 `json:"sent_bytes"`
+	ReceivedBytes int64 `json:"received_bytes"`
+	// Calls were made to peers and Served were made by peers.
+	Calls  int64 `json:"calls"`
+	Served int64 `json:"served"`
+	// Failures are calls to peers that ended without an answer.
+	Failures int64 `json:"failures"`
+}
+
+// Counts returns a reading.
+func (t *Traffic) Counts() TrafficCounts {
+	return TrafficCounts{
+		SentBytes: t.sentBytes.Load(), ReceivedBytes: t.receivedBytes.Load(),
+		Calls: t.calls.Load(), Served: t.served.Load(), Failures: t.failures.Load(),
+	}
+}
+
+// Register shows the counts as gauges in the registry, or in the default one when it is nil.
+func (t *Traffic) Register(registry gometrics.Registry) {
+	if registry == nil {
+		registry = gometrics.DefaultRegistry
+	}
+	for name, value := range map[string]*atomic.Int64{
+		"peer.sent_bytes": &t.sentBytes, "peer.received_bytes": &t.receivedBytes,
+		"peer.calls": &t.calls, "peer.served": &t.served, "peer.failures": &t.failures,
+	} {
+		registry.GetOrRegister(name, gometrics.NewFunctionalGauge(value.Load))
+	}
+}
+
+// countingConn counts the bytes of a connection.
+type countingConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.receivedBytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.traffic.sentBytes.Add(int64(n))
+	return n, err
+}
+
+// boundedConn gives its place in the listener back when it is closed.
+type boundedConn struct {
+	countingConn
+	once    sync.Once
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *boundedConn) Close() error {
+	c.once.Do(c.release)
+	return c.countingConn.Close()
+}
