Do not count a told copy as cut off by a planned stop

Ruled out: dropping outcome_unknown from the cut-offs, which would hide work given up by a drain. A copy is excused only when another copy was answered whole, it received no token, and none of its exchanges broke. Change: isToldCopy, with two planted violations and one excused case in the test.

--- a/internal/stand/failures/fault.go
+++ b/internal/stand/failures/fault.go
@@ -76,6 +76,25 @@
 	}
 }
 
+// isToldCopy reports whether the answer is a copy's that was told at once of the request that
+// another caller was answered: nothing of it was cut off.
+func isToldCopy(record load.Record, answer load.Answer) bool {
+	if answer.Outcome != load.OutcomeError || answer.Text != "" {
+		return false
+	}
+	for _, try := range answer.Tries {
+		if try.Break != "" {
+			return false
+		}
+	}
+	for _, other := range record.Answers {
+		if other.Outcome == load.OutcomeAnswered {
+			return true
+		}
+	}
+	return false
+}
+
 func (o *oracle) disturbed(answer load.Answer) bool {
 	for _, fault := range o.faults {
 		if !fault.planned() && fault.overlaps(answer.Started.Add(-faultAftermath), answer.Ended) {
--- a/internal/stand/failures/oracle.go
+++ b/internal/stand/failures/oracle.go
@@ -60,6 +60,9 @@
 		o.judgeRuns(record)
 		for _, answer := range record.Answers {
 			o.judgeAnswer(record.Request, answer)
+			if !isToldCopy(record, answer) {
+				o.judgePlannedStops(record.Request, answer)
+			}
 		}
 	}
 	o.judgeLeaving(history.Journal)
@@ -150,7 +153,6 @@
 	} else {
 		o.judgeTokens(request, answer)
 	}
-	o.judgePlannedStops(request, answer)
 }
 
 // shownTries is how many of the newest tries an example describes.
@@ -176,8 +178,9 @@
 		same := run.RequestID == refused.RequestID
 		earlier := request.NonIdempotent && run.At().Before(refused.Ended)
 		if same || earlier {
-			o.violate(&o.verdict.RefusedButRun, 1, "%s was told %s by %s (%s), but %s",
-				request.Tag, answer.ErrorKind, refused.RequestID, answer.Message, describeRuns([]journal.Entry{run}))
+			o.violate(&o.verdict.RefusedButRun, 1, "%s (%d copies, %d tries of this one) was told %s by %s at %s (%s), but %s",
+				request.Tag, request.Copies, len(answer.Tries), answer.ErrorKind, refused.RequestID,
+				refused.Ended.Format(clockFormat), answer.Message, describeRuns([]journal.Entry{run}))
 			return
 		}
 	}
--- a/internal/stand/failures/oracle_test.go
+++ b/internal/stand/failures/oracle_test.go
@@ -156,7 +156,34 @@
 		"cut off by a draining target": {
 			func(h *History) {
 				h.Faults[0].Kind = DrainTarget
-				*plain(h) = load.Answer{Outcome: load.OutcomeError, ErrorKind: "outcome_unknown", Started: at(0), Ended: at(2)}
+				*plain(h) = load.Answer{
+					Outcome: load.OutcomeError, ErrorKind: "outcome_unknown", Started: at(0), Ended: at(2),
+					Tries: []load.Try{{Entry: "e1", RequestID: "r2", Started: at(0), Ended: at(2)}},
+				}
+			},
+			Verdict{CutOffByPlannedStops: 1},
+		},
+		"both copies cut off by a draining target": {
+			func(h *History) {
+				h.Faults[0].Kind = DrainTarget
+				lost := load.Answer{
+					Outcome: load.OutcomeError, ErrorKind: "outcome_unknown", Started: at(0), Ended: at(2),
+					Tries: []load.Try{{Entry: "e1", RequestID: "r2", Started: at(0), Ended: at(2)}},
+				}
+				h.Records[1].Answers = []load.Answer{lost, lost}
+			},
+			Verdict{CutOffByPlannedStops: 2},
+		},
+		"a copy's exchange broken by a stopping entry VM": {
+			func(h *History) {
+				broken := load.Answer{
+					Outcome: load.OutcomeError, ErrorKind: "conflict", Started: at(0), Ended: at(2),
+					Tries: []load.Try{
+						{Entry: "e1", RequestID: "r2", Started: at(0), Ended: at(1), Break: "EOF"},
+						{Entry: "e2", RequestID: "r2", Started: at(1), Ended: at(2)},
+					},
+				}
+				h.Records[1].Answers = append(h.Records[1].Answers, broken)
 			},
 			Verdict{CutOffByPlannedStops: 1},
 		},
@@ -183,6 +210,13 @@
 			h.Records[1].Answers[0].Tries[0].Break = "dial tcp: connection refused"
 			h.Records[1].Answers[0].Tries[0].NotSent = true
 		},
+		"a copy that was told of the one that was answered": func(h *History) {
+			copies := &h.Records[1].Answers
+			*copies = append(*copies, load.Answer{
+				Outcome: load.OutcomeError, ErrorKind: "outcome_unknown", Started: at(0), Ended: at(1),
+				Tries: []load.Try{{Entry: "e1", RequestID: "r5", Started: at(0), Ended: at(1)}},
+			})
+		},
 		"an unplanned fault at the same time": func(h *History) {
 			h.Records[1].Answers[0].Tries[0].Break = "EOF"
 			h.Faults = append(h.Faults, Fault{Kind: KillEntry, From: at(1), To: at(1.5)})
