--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -1,11 +1,7 @@
 package daemon
 
 import (
-	"context"
-
 	"godwitcart/internal/acceptance"
-	"godwitcart/internal/apierror"
-	"godwitcart/internal/peer/peerpb"
 	"godwitcart/internal/policy"
 )
 
@@ -15,8 +11,8 @@
 		return err
 	}
 	d.configuration = acceptance.New(acceptance.Options{
-		VM: d.settings.VM.Name, Store: d.store, Peers: noPeers{}, Directory: aloneDirectory{name: d.settings.VM.Name},
-		Seed: seed, Logger: d.logger,
+		VM: d.settings.VM.Name, Store: d.store, Peers: d.peers, Seed: seed, Logger: d.logger,
+		Directory: &entryDirectory{self: d.settings.VM.Name, lister: d.lister, directory: d.directory},
 	})
 	return nil
 }
@@ -28,22 +24,3 @@
 	}
 	return policy.Load(path)
 }
-
-type aloneDirectory struct{ name string }
-
-func (a aloneDirectory) Listed(context.Context) ([]string, error) { return []string{a.name}, nil }
-func (a aloneDirectory) Known() []string                          { return []string{a.name} }
-
-type noPeers struct{}
-
-var errNoPeers = apierror.New(apierror.KindUnavailable, "peers are not connected yet", "wait")
-
-func (noPeers) Stage(context.Context, string, *peerpb.StageRequest) (*peerpb.StageReply, error) {
-	return nil, errNoPeers
-}
-func (noPeers) Conclude(context.Context, string, *peerpb.ConcludeRequest) (*peerpb.ConcludeReply, error) {
-	return nil, errNoPeers
-}
-func (noPeers) Configuration(context.Context, string, *peerpb.ConfigurationRequest) (*peerpb.ConfigurationReply, error) {
-	return nil, errNoPeers
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,9 +5,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"encoding/json"
-	"io"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,10 +21,13 @@
 	"godwitcart/internal/lengths"
 	"godwitcart/internal/membership"
 	"godwitcart/internal/object"
+	"godwitcart/internal/peer"
+	"godwitcart/internal/query"
 	"godwitcart/internal/request"
 	"godwitcart/internal/routing"
 	"godwitcart/internal/settings"
 	"godwitcart/internal/target"
+	"godwitcart/internal/tlsconfig"
 )
 
 // resumeWindow bounds the time for which a broken attempt is asked for at its target.
@@ -38,7 +38,16 @@
 	settings *settings.Settings
 	logger   *log.Logger
 
+	// incarnation tells this process from others that ran on the VM.
+	incarnation string
+
 	store         object.Store
+	lister        *lister
+	peers         *peerNetwork
+	peerTLS       *tlsconfig.Reloader
+	gossip        *peer.Gossip
+	drains        *drains
+	queries       *query.Engine
 	directory     *membership.Directory
 	prober        *prober
 	poller        *membership.Poller
@@ -67,14 +76,19 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{settings: s, logger: logger, shutdown: make(chan struct{})}
+	d := &Daemon{settings: s, logger: logger, incarnation: rand.Text(), shutdown: make(chan struct{})}
 	d.store = object.NewClient(object.Options{BaseURL: s.Platform.URL, Timeout: s.Platform.Timeout})
+	d.lister = &lister{baseURL: s.Platform.URL}
 	d.buildTargets()
 	d.buildMembership()
+	if err := d.buildPeers(); err != nil {
+		return nil, err
+	}
 	if err := d.buildConfiguration(); err != nil {
 		return nil, err
 	}
 	d.buildGateway(sealer)
+	d.buildQueries()
 	return d, nil
 }
 
@@ -119,14 +133,14 @@
 	if err != nil {
 		return err
 	}
+	peerListener, err := listenPeers(d.settings.Peers.Listen)
+	if err != nil {
+		closeAll(servers)
+		return err
+	}
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return d.configuration.Run(ctx) })
-	group.Go(func() error { return d.claims.Run(ctx) })
-	group.Go(func() error { return d.followMembership(ctx) })
-	group.Go(func() error {
-		d.poller.Run(ctx)
-		return nil
-	})
+	d.runParts(ctx, group)
+	group.Go(func() error { return d.servePeers(ctx, peerListener) })
 	for _, server := range servers {
 		group.Go(server.serve)
 	}
@@ -149,6 +163,22 @@
 	return err
 }
 
+// runParts runs what works in the background until ctx ends.
+func (d *Daemon) runParts(ctx context.Context, group *errgroup.Group) {
+	group.Go(func() error { return d.configuration.Run(ctx) })
+	group.Go(func() error { return d.claims.Run(ctx) })
+	group.Go(func() error { return d.drains.Run(ctx) })
+	group.Go(func() error { return d.followMembership(ctx) })
+	group.Go(func() error {
+		d.poller.Run(ctx)
+		return nil
+	})
+	group.Go(func() error {
+		d.gossip.Run(ctx)
+		return nil
+	})
+}
+
 func isShutdown(shutdown <-chan struct{}) bool {
 	select {
 	case <-shutdown:
@@ -162,6 +192,7 @@
 // away and waits for those in progress.
 func (d *Daemon) drain(ctx context.Context) {
 	d.notReady.Store(true)
+	d.tellLeaving(ctx)
 	sleep(ctx, d.settings.Drain.ReadinessDelay)
 	bounded, cancel := context.WithTimeout(ctx, d.settings.Drain.Timeout)
 	defer cancel()
@@ -192,40 +223,3 @@
 		return true, "ready"
 	}
 }
-
-// stateDump is the state of the whole process. It holds no keys.
-type stateDump struct {
-	VM            string              `json:"vm"`
-	Zone          string              `json:"zone"`
-	Ready         bool                `json:"ready"`
-	Configuration any                 `json:"configuration"`
-	Targets       []routing.TargetRow `json:"targets"`
-	Admission     admission.Counters  `json:"admission"`
-	Requests      []request.View      `json:"requests"`
-}
-
-// DumpState writes the state of the process as JSON.
-func (d *Daemon) DumpState(w io.Writer) error {
-	ready, _ := d.Ready()
-	encoder := json.NewEncoder(w)
-	encoder.SetIndent("", "  ")
-	return encoder.Encode(stateDump{
-		VM: d.settings.VM.Name, Zone: d.settings.VM.Zone, Ready: ready, Configuration: d.configuration.State(),
-		Targets: d.table.Rows(time.Now()), Admission: d.controller.Counters(), Requests: d.registry.Views(),
-	})
-}
-
-func (d *Daemon) operatorsHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
-	mux.HandleFunc("GET /readyz", d.serveReadiness)
-	return mux
-}
-
-func (d *Daemon) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	ready, reason := d.Ready()
-	if !ready {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-	_, _ = io.WriteString(w, reason+"\n")
-}
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -11,6 +10,7 @@
 
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/settings"
+	"godwitcart/internal/tlsconfig"
 )
 
 // stopTimeout bounds the closing of a listener whose requests have ended.
@@ -23,14 +23,14 @@
 }
 
 func (d *Daemon) openListeners() ([]*httpListener, error) {
-	callers, err := listen(d.settings.Callers.Listen, d.settings.Callers.Security, d.gateway)
+	callers, err := d.listen(d.settings.Callers.Listen, d.settings.Callers.Security, d.gateway)
 	if err != nil {
 		return nil, err
 	}
 	callers.server.MaxHeaderBytes = d.settings.Callers.MaxHeaderBytes
 	callers.server.ReadHeaderTimeout = d.settings.Callers.ReadHeaderTimeout
 	callers.server.IdleTimeout = d.settings.Callers.IdleTimeout
-	operators, err := listen(d.settings.Operators.Listen, d.settings.Operators.Security, d.operatorsHandler())
+	operators, err := d.listen(d.settings.Operators.Listen, d.settings.Operators.Security, d.operatorsHandler())
 	if err != nil {
 		callers.listener.Close()
 		return nil, err
@@ -40,7 +40,7 @@
 	return []*httpListener{callers, operators}, nil
 }
 
-func listen(address string, security settings.Security, handler http.Handler) (*httpListener, error) {
+func (d *Daemon) listen(address string, security settings.Security, handler http.Handler) (*httpListener, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, apierror.Wrap(err, apierror.KindUnavailable, "cannot listen on "+address,
@@ -52,23 +52,20 @@
 	protocols.SetUnencryptedHTTP2(security.PlainText)
 	server := &http.Server{Handler: handler, Protocols: protocols}
 	if security.TLS != nil {
-		config, err := serverTLS(security.TLS)
+		reloader, err := tlsconfig.New(tlsFiles(security.TLS), d.logger)
 		if err != nil {
 			listener.Close()
 			return nil, err
 		}
-		server.TLSConfig = config
+		server.TLSConfig = reloader.Server("h2", "http/1.1")
 	}
 	return &httpListener{server: server, listener: listener}, nil
 }
 
-func serverTLS(files *settings.TLS) (*tls.Config, error) {
-	certificate, err := tls.LoadX509KeyPair(files.Cert, files.Key)
-	if err != nil {
-		return nil, apierror.Wrap(err, apierror.KindBadRequest, "cannot read the certificate "+files.Cert,
-			"name a PEM certificate and its private key")
+func closeAll(servers []*httpListener) {
+	for _, server := range servers {
+		server.listener.Close()
 	}
-	return &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}, nil
 }
 
 func (l *httpListener) serve() error {
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -11,7 +11,6 @@
 	"godwitcart/internal/command"
 	"godwitcart/internal/policy"
 	"godwitcart/internal/query"
-	"godwitcart/internal/routing"
 )
 
 // operatorsHandler serves the operators' interface.
@@ -26,7 +25,7 @@
 func (d *Daemon) operatorTokens() []admin.Token {
 	var tokens []admin.Token
 	for _, token := range d.settings.Operators.Tokens {
-		tokens = append(tokens, admin.Token{Name: token.Name, Role: admin.Role(token.Role), SHA256: token.SHA256})
+		tokens = append(tokens, admin.Token{Operator: token.Name, Role: admin.Role(token.Role), SHA256: token.SHA256})
 	}
 	return tokens
 }
@@ -95,5 +94,3 @@
 	canceler := command.Canceler{Local: o.daemon.registry.Cancel, Peers: o.daemon.peers}
 	return canceler.Cancel(ctx, request, reason)
 }
-
-var _ = routing.TargetRow{}
--- /dev/null
+++ b/internal/daemon/peers.go
@@ -0,0 +1,162 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"godwitcart/internal/admission"
+	"godwitcart/internal/apierror"
+	"godwitcart/internal/membership"
+	"godwitcart/internal/peer"
+	"godwitcart/internal/peer/peerpb"
+	"godwitcart/internal/request"
+	"godwitcart/internal/settings"
+	"godwitcart/internal/tlsconfig"
+)
+
+// leaveTimeout bounds the telling of peers that this VM is leaving.
+const leaveTimeout = time.Second
+
+// peerNetwork reaches the other entry VMs by their names.
+type peerNetwork struct {
+	*peer.Client
+	directory *membership.Directory
+}
+
+// VMs returns the other entry VMs that should be live.
+func (n *peerNetwork) VMs() []string {
+	var names []string
+	for _, vm := range n.directory.Peers() {
+		names = append(names, vm.Name)
+	}
+	return names
+}
+
+// resolve returns where a peer listens.
+func (n *peerNetwork) resolve(name string) (string, bool) {
+	vm, known := n.directory.Get(name)
+	return vm.PeerAddress, known && vm.PeerAddress != ""
+}
+
+// buildPeers makes the client of the peers and the gossip.
+func (d *Daemon) buildPeers() error {
+	d.peers = &peerNetwork{directory: d.directory}
+	options := peer.ClientOptions{Resolve: d.peers.resolve, CallTimeout: d.settings.Peers.CallTimeout}
+	if files := d.settings.Peers.TLS; files != nil {
+		reloader, err := tlsconfig.New(tlsFiles(files), d.logger)
+		if err != nil {
+			return err
+		}
+		d.peerTLS = reloader
+		options.TLS = reloader.Client
+	}
+	d.peers.Client = peer.NewClient(options)
+	d.gossip = peer.NewGossip(peer.GossipOptions{
+		Self: d.settings.VM.Name, Incarnation: d.incarnation, Zone: d.settings.VM.Zone,
+		Directory: d.directory, Ask: d.peers.Exchange,
+		ConfigurationVersion:   func() uint64 { return d.configuration.Version() },
+		OnConfigurationVersion: func(vm string, version uint64) { d.configuration.Observe(vm, version) },
+		Usages:                 d.usages, OnUsages: d.observeUsages,
+	})
+	return nil
+}
+
+func tlsFiles(files *settings.TLS) tlsconfig.Files {
+	return tlsconfig.Files{Cert: files.Cert, Key: files.Key, CA: files.CA}
+}
+
+func (d *Daemon) usages() []*peerpb.Usage {
+	var messages []*peerpb.Usage
+	for _, usage := range d.controller.Usages() {
+		messages = append(messages, &peerpb.Usage{
+			Account: usage.Account, InProgress: int32(usage.InProgress), RequestsPerSecond: usage.RequestsPerSecond,
+		})
+	}
+	return messages
+}
+
+func (d *Daemon) observeUsages(vm string, messages []*peerpb.Usage) {
+	usages := make([]admission.Usage, 0, len(messages))
+	for _, message := range messages {
+		usages = append(usages, admission.Usage{
+			Account: message.Account, InProgress: int(message.InProgress), RequestsPerSecond: message.RequestsPerSecond,
+		})
+	}
+	d.controller.ObserveUsage(vm, usages, time.Now())
+}
+
+// servePeers answers the other entry VMs until ctx ends.
+func (d *Daemon) servePeers(ctx context.Context, listener net.Listener) error {
+	var config *tls.Config
+	if d.peerTLS != nil {
+		config = d.peerTLS.Server()
+	}
+	server, err := peer.NewServer(peer.ServerOptions{TLS: config, Handlers: peer.Handlers{
+		Exchange: d.gossip, Acceptance: d.configuration, Query: d.queries, Cancel: &peerCanceler{registry: d.registry},
+	}})
+	if err != nil {
+		return err
+	}
+	err = server.Serve(ctx, listener)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// peerCanceler cancels requests of this VM for peers.
+type peerCanceler struct{ registry *request.Registry }
+
+// Cancel implements peer.Canceler.
+func (c *peerCanceler) Cancel(_ context.Context, message *peerpb.CancelRequest) (*peerpb.CancelReply, error) {
+	return &peerpb.CancelReply{Found: c.registry.Cancel(message.RequestId, message.Reason)}, nil
+}
+
+// tellLeaving tells the peers that this VM is leaving.
+func (d *Daemon) tellLeaving(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	d.gossip.Leave(ctx)
+}
+
+// entryDirectory names the entry VMs for the acceptance of configurations.
+type entryDirectory struct {
+	self      string
+	lister    *lister
+	directory *membership.Directory
+}
+
+// Listed implements acceptance.Directory.
+func (e *entryDirectory) Listed(ctx context.Context) ([]string, error) {
+	list, err := e.lister.List(ctx)
+	if err != nil {
+		return nil, apierror.Wrap(err, apierror.KindUnavailable, "the platform's list of VMs cannot be read", "try again later")
+	}
+	var names []string
+	for _, vm := range list.VMs {
+		if vm.Role == string(membership.RoleEntry) && !vm.Leaving {
+			names = append(names, vm.Name)
+		}
+	}
+	return names, nil
+}
+
+// Known implements acceptance.Directory.
+func (e *entryDirectory) Known() []string {
+	names := []string{e.self}
+	for _, vm := range e.directory.Peers() {
+		if vm.State < membership.StateLeaving {
+			names = append(names, vm.Name)
+		}
+	}
+	return names
+}
+
+func listenPeers(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	return listener, errors.Wrapf(err, "listen for peers on %s; choose a free address in the settings", address)
+}
--- a/internal/daemon/targets.go
+++ b/internal/daemon/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,8 +26,9 @@
 	vm := d.settings.VM
 	d.directory = membership.New(membership.Options{Self: vm.Name, Zone: vm.Zone, OnLoad: d.applyLoad})
 	d.prober = &prober{daemon: d}
+	d.drains = newDrains(d.store, func() { d.takeOverTargets(time.Now()) })
 	d.poller = membership.NewPoller(membership.PollerOptions{
-		Directory: d.directory, Prober: d.prober, Lister: &lister{baseURL: d.settings.Platform.URL},
+		Directory: d.directory, Prober: d.prober, Lister: d.lister,
 		ListInterval: d.settings.Platform.ListInterval, ListTimeout: d.settings.Platform.Timeout,
 	})
 }
@@ -67,6 +69,7 @@
 		}
 	}
 	for service, targets := range eligible {
+		targets = slices.DeleteFunc(targets, func(vm membership.VM) bool { return d.drains.Drained(vm.Name) })
 		d.table.SetTargets(service, targets, now)
 		d.controller.Notify(service)
 	}
