Find stalled links sooner; let copies of plain calls wait; ready once targets are known

A copy of a running plain call was told 'outcome unknown' at once. A VM was ready 1 s before it knew a target, so its first callers waited. Change: a running stream may be silent for 1 s (token_gap), an engine takes or refuses an attempt within 2 s (answer, in place of first_token), after which the attempt is asked for by its id; copies of plain calls wait up to 5 s for the first to end and are told its status; readiness waits for a first confirmed target, at most 3 s. Measured: gateway tests pass with a stream stalled for 1.5 s in the middle.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -60,6 +60,8 @@
 	plain         *target.PlainClient
 	gateway       *gateway.Gateway
 
+	// firstTargets is when the platform's list first named a target, in Unix nanoseconds.
+	firstTargets atomic.Int64
 	// notReady is set once the balancer must lead no new callers here.
 	notReady     atomic.Bool
 	shutdown     chan struct{}
@@ -93,8 +95,9 @@
 }
 
 func (d *Daemon) buildTargets() {
+	configured := d.settings.Timeouts
 	timeouts := target.Timeouts{
-		Connect: d.settings.Timeouts.Connect, Answer: d.settings.Timeouts.FirstToken, Progress: d.settings.Timeouts.Progress,
+		Connect: configured.Connect, Answer: configured.Answer, Progress: configured.Progress, TokenGap: configured.TokenGap,
 	}
 	d.engines = target.NewEngineClient(timeouts)
 	d.plain = target.NewPlainClient(timeouts)
@@ -219,7 +222,22 @@
 		return false, "shutting down"
 	case d.configuration.Index() == nil:
 		return false, "no configuration is known yet"
+	case !d.settled(time.Now()):
+		return false, "the targets are being asked for their state"
 	default:
 		return true, "ready"
 	}
 }
+
+// settleTime is how long a VM that has just started waits for a first target to be confirmed. One
+// that none confirms serves all the same: it may be cut off from its targets and not from others'.
+const settleTime = 3 * time.Second
+
+// settled reports whether this VM has had the time to learn which targets are live.
+func (d *Daemon) settled(now time.Time) bool {
+	if len(d.directory.Eligible(now)) > 0 {
+		return true
+	}
+	first := d.firstTargets.Load()
+	return first > 0 && now.Sub(time.Unix(0, first)) > settleTime
+}
--- a/internal/daemon/targets.go
+++ b/internal/daemon/targets.go
@@ -63,7 +63,11 @@
 
 func (d *Daemon) takeOverTargets(now time.Time) {
 	eligible := d.directory.Eligible(now)
-	for _, vm := range d.directory.AllTargets(now) {
+	targets := d.directory.AllTargets(now)
+	if len(targets) > 0 {
+		d.firstTargets.CompareAndSwap(0, now.UnixNano())
+	}
+	for _, vm := range targets {
 		if _, listed := eligible[vm.Service]; !listed {
 			eligible[vm.Service] = nil
 		}
--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -216,10 +217,18 @@
 		return apierror.Wrap(cause, apierror.KindOutcomeUnknown, "a copy of the request was sent and its outcome is not known",
 			"repeat the request with the same Idempotency-Key later").WithRetryAfter(retryAfterFailure)
 	case existing.Ending != nil && existing.Ending.Outcome == claim.OutcomeAnswered:
-		return apierror.Wrap(cause, apierror.KindConflict, "the request ran to its end and its answer is no longer kept",
+		return apierror.Wrap(cause, apierror.KindConflict, "the request ran to its end"+endingText(existing.Ending)+" and its answer is not kept",
 			"use the answer that the first copy received; a new key would run the request again")
 	default:
 		return apierror.Wrap(cause, apierror.KindOutcomeUnknown, "the request may have run and its answer was lost",
 			"find out whether it took effect before sending it with a new key")
 	}
 }
+
+// endingText says what is known of an answer that is not kept.
+func endingText(ending *claim.Ending) string {
+	if ending.Status == 0 {
+		return ""
+	}
+	return " with status " + strconv.Itoa(ending.Status)
+}
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -76,6 +76,9 @@
 		if err == nil {
 			return answer, nil
 		}
+		if errors.Is(err, errClaimFree) && ctx.Err() == nil {
+			continue
+		}
 		var failed *attemptError
 		if !errors.As(err, &failed) || ctx.Err() != nil || !p.mayRetry(failed) {
 			return nil, err
@@ -131,22 +134,36 @@
 	if existing == nil {
 		return nil
 	}
-	return p.tellCopy(existing)
+	return p.tellCopy(ctx, existing)
 }
 
 // refuse ends a call that was not placed or not claimed.
 func (p *plainRun) refuse(ctx context.Context, refusal error) error {
 	existing, err := p.claimant.refuse(ctx, refusal)
 	if existing != nil {
-		return p.tellCopy(existing)
+		return p.tellCopy(ctx, existing)
 	}
 	return err
 }
 
-func (p *plainRun) tellCopy(existing *claim.Record) error {
+// tellCopy tells a copy how the first call ended, and waits for its end if it is still running.
+func (p *plainRun) tellCopy(ctx context.Context, existing *claim.Record) error {
 	if err := checkCopy(p.request, existing); err != nil {
 		return err
 	}
+	window, cancel := context.WithTimeout(ctx, joinWindow)
+	defer cancel()
+	wait := firstResumeWait
+	for existing.State == claim.StateClaimed && sleep(window, wait) == nil {
+		wait = min(2*wait, maxResumeWait)
+		current, err := p.options.Claims.Lookup(ctx, p.request.ClaimKey())
+		if apierror.Is(err, apierror.KindNotFound) || err == nil && current.State == claim.StateNotRun {
+			return errClaimFree
+		}
+		if err == nil {
+			existing = &current
+		}
+	}
 	return copyError(existing, nil)
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -76,6 +77,19 @@
 	require.Len(t, h.ran(), 1)
 }
 
+// TestStalledStreamIsResumed stalls the engine's streams without breaking them; the gateway opens new
+// ones until one delivers, and the caller sees one whole generation.
+func TestStalledStreamIsResumed(t *testing.T) {
+	h := newHarness(t)
+	response := h.do(call{path: "/v1/completions", body: `{"model":"letter","prompt":"len=400","stream":true}`})
+	head := readEvents(t, response.Body, 3)
+	h.engines[0].SetFaults(engine.Faults{StallStreams: true})
+	time.AfterFunc(1500*time.Millisecond, func() { h.engines[0].SetFaults(engine.Faults{}) })
+	events := append(head, readEvents(t, response.Body, 1000)...)
+	requireWhole(t, joinTokens(t, events), 400)
+	require.Len(t, h.ran(), 1)
+}
+
 // TestLostAnswerRunsOnceWhenNonIdempotent takes the submission and loses the answer: the attempt is
 // found again by its id instead of being sent a second time.
 func TestLostAnswerRunsOnceWhenNonIdempotent(t *testing.T) {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -165,7 +165,7 @@
 }
 
 func (h *harness) addEntry() {
-	timeouts := target.Timeouts{Connect: time.Second, Answer: time.Second, Progress: time.Second}
+	timeouts := target.Timeouts{Connect: time.Second, Answer: time.Second, Progress: time.Second, TokenGap: time.Second}
 	book := claim.NewBook(claim.Options{Store: h.store})
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -157,7 +157,8 @@
 		{"platform.list_interval", s.Platform.ListInterval},
 		{"drain.timeout", s.Drain.Timeout},
 		{"timeouts.connect", s.Timeouts.Connect},
-		{"timeouts.first_token", s.Timeouts.FirstToken},
+		{"timeouts.answer", s.Timeouts.Answer},
+		{"timeouts.token_gap", s.Timeouts.TokenGap},
 		{"timeouts.progress", s.Timeouts.Progress},
 		{"timeouts.request", s.Timeouts.Request},
 	}
@@ -169,8 +170,8 @@
 	if s.Drain.ReadinessDelay < 0 || s.Drain.ReadinessDelay >= s.Drain.Timeout {
 		c.add("drain.readiness_delay", "it must be at least 0 and less than drain.timeout", "shorten it or lengthen drain.timeout")
 	}
-	if s.Timeouts.FirstToken > s.Timeouts.Request {
-		c.add("timeouts.first_token", "it is longer than timeouts.request", "shorten it or lengthen timeouts.request")
+	if s.Timeouts.Answer > s.Timeouts.Request {
+		c.add("timeouts.answer", "it is longer than timeouts.request", "shorten it or lengthen timeouts.request")
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -133,10 +133,13 @@
 type Timeouts struct {
 	// Connect bounds the set-up of a connection.
 	Connect time.Duration `yaml:"connect"`
-	// FirstToken bounds the wait for the first event of an attempt.
-	FirstToken time.Duration `yaml:"first_token"`
-	// Progress bounds the wait between two events of an attempt; links stall without breaking.
+	// Answer bounds the wait for a target to take or refuse an attempt, however long its queue is.
+	Answer time.Duration `yaml:"answer"`
+	// Progress bounds the wait between two events of an attempt that waits for its first token or for
+	// memory; links stall without breaking.
 	Progress time.Duration `yaml:"progress"`
+	// TokenGap bounds the wait between two tokens of an attempt that is running.
+	TokenGap time.Duration `yaml:"token_gap"`
 	// Request bounds a request that states no deadline and whose class has none.
 	Request time.Duration `yaml:"request"`
 }
@@ -161,8 +164,9 @@
 	DefaultDrainTimeout      = 60 * time.Second
 	DefaultReadinessDelay    = 2 * time.Second
 	DefaultConnectTimeout    = time.Second
-	DefaultFirstTokenTimeout = 30 * time.Second
+	DefaultAnswerTimeout     = 2 * time.Second
 	DefaultProgressTimeout   = 5 * time.Second
+	DefaultTokenGap          = time.Second
 	DefaultRequestTimeout    = 10 * time.Minute
 	DefaultLogLevel          = "info"
 	DefaultLogFormat         = "text"
@@ -181,10 +185,11 @@
 		Platform: Platform{Timeout: DefaultPlatformTimeout, ListInterval: DefaultListInterval},
 		Drain:    Drain{Timeout: DefaultDrainTimeout, ReadinessDelay: DefaultReadinessDelay},
 		Timeouts: Timeouts{
-			Connect:    DefaultConnectTimeout,
-			FirstToken: DefaultFirstTokenTimeout,
-			Progress:   DefaultProgressTimeout,
-			Request:    DefaultRequestTimeout,
+			Connect:  DefaultConnectTimeout,
+			Answer:   DefaultAnswerTimeout,
+			Progress: DefaultProgressTimeout,
+			TokenGap: DefaultTokenGap,
+			Request:  DefaultRequestTimeout,
 		},
 		Log: Log{Level: DefaultLogLevel, Format: DefaultLogFormat},
 	}
--- a/internal/target/engine.go
+++ b/internal/target/engine.go
@@ -21,10 +21,16 @@
 type Timeouts struct {
 	// Connect bounds the making of a connection.
 	Connect time.Duration
-	// Answer bounds the wait for the headers of an answer.
+	// Answer bounds the wait for the headers of an engine's answer. An engine takes or refuses an attempt
+	// at once, however long its queue is; one that does not is asked for the attempt again.
 	Answer time.Duration
-	// Progress bounds the time without an event on a stream.
+	// Progress bounds the time without an event on a stream that waits for its first token or for memory.
 	Progress time.Duration
+	// TokenGap bounds the time between two tokens of a stream that is running.
+	TokenGap time.Duration
+	// PlainAnswer bounds the wait for the headers of a plain service's answer; zero leaves it to the
+	// request's deadline.
+	PlainAnswer time.Duration
 }
 
 // Address names a target and says where it listens.
@@ -48,14 +54,14 @@
 
 // NewEngineClient returns a client with the given timeouts.
 func NewEngineClient(timeouts Timeouts) *EngineClient {
-	return &EngineClient{client: &http.Client{Transport: newTransport(timeouts)}, timeouts: timeouts}
+	return &EngineClient{client: &http.Client{Transport: newTransport(timeouts.Connect, timeouts.Answer)}, timeouts: timeouts}
 }
 
-func newTransport(timeouts Timeouts) *http.Transport {
-	dialer := &net.Dialer{Timeout: timeouts.Connect}
+func newTransport(connect, answer time.Duration) *http.Transport {
+	dialer := &net.Dialer{Timeout: connect}
 	return &http.Transport{
 		DialContext:           dialer.DialContext,
-		ResponseHeaderTimeout: timeouts.Answer,
+		ResponseHeaderTimeout: answer,
 		MaxIdleConns:          0,
 		MaxIdleConnsPerHost:   maxIdleConnectionsPerTarget,
 		IdleConnTimeout:       idleConnectionTimeout,
@@ -85,7 +91,7 @@
 		cancel(context.Canceled)
 		return nil, err
 	}
-	return newStream(streamCtx, cancel, address.Name, response, c.timeouts.Progress), nil
+	return newStream(streamCtx, cancel, address.Name, response, c.timeouts), nil
 }
 
 // send makes one call and turns every answer that is not 2xx into a RefusedError.
--- a/internal/target/plain.go
+++ b/internal/target/plain.go
@@ -36,9 +36,9 @@
 
 // NewPlainClient returns a client with the given timeouts.
 func NewPlainClient(timeouts Timeouts) *PlainClient {
-	fresh := newTransport(timeouts)
+	fresh := newTransport(timeouts.Connect, timeouts.PlainAnswer)
 	fresh.DisableKeepAlives = true
-	return &PlainClient{pooled: newTransport(timeouts), fresh: fresh}
+	return &PlainClient{pooled: newTransport(timeouts.Connect, timeouts.PlainAnswer), fresh: fresh}
 }
 
 // Call makes the call. The caller closes the answer's body. The answer is the target's own,
--- a/internal/target/stream.go
+++ b/internal/target/stream.go
@@ -27,16 +27,18 @@
 	lines  *bufio.Scanner
 	cancel context.CancelCauseFunc
 	ctx    context.Context
-	idle   *time.Timer
-	// progress bounds the time without an event, since links stall without breaking.
-	progress time.Duration
+	// idle ends the stream when nothing arrives, since links stall without breaking.
+	idle     *time.Timer
+	timeouts Timeouts
+	// running is set while tokens arrive, and cleared when the attempt waits for memory.
+	running bool
 }
 
-func newStream(ctx context.Context, cancel context.CancelCauseFunc, name string, response *http.Response, progress time.Duration) *Stream {
+func newStream(ctx context.Context, cancel context.CancelCauseFunc, name string, response *http.Response, timeouts Timeouts) *Stream {
 	lines := bufio.NewScanner(response.Body)
 	lines.Buffer(make([]byte, 0, 4096), maxEventBytes)
-	stream := &Stream{target: name, body: response.Body, lines: lines, cancel: cancel, ctx: ctx, progress: progress}
-	stream.idle = time.AfterFunc(progress, func() { cancel(errIdle) })
+	stream := &Stream{target: name, body: response.Body, lines: lines, cancel: cancel, ctx: ctx, timeouts: timeouts}
+	stream.idle = time.AfterFunc(timeouts.Progress, func() { cancel(errIdle) })
 	return stream
 }
 
@@ -45,11 +47,10 @@
 // Next returns the next event. It returns io.EOF when the target closed the stream after its
 // last event was read, and a BrokenError when the stream broke or stalled before.
 func (s *Stream) Next() (enginewire.TokenEvent, error) {
-	s.idle.Reset(s.progress)
+	s.idle.Reset(s.patience())
 	for s.lines.Scan() {
 		data, isData := bytes.CutPrefix(s.lines.Bytes(), dataPrefix)
 		if !isData {
-			s.idle.Reset(s.progress)
 			continue
 		}
 		data = bytes.TrimSpace(data)
@@ -61,11 +62,19 @@
 	return enginewire.TokenEvent{}, s.failure()
 }
 
+func (s *Stream) patience() time.Duration {
+	if s.running {
+		return s.timeouts.TokenGap
+	}
+	return s.timeouts.Progress
+}
+
 func (s *Stream) decode(data []byte) (enginewire.TokenEvent, error) {
 	var event enginewire.TokenEvent
 	if err := json.Unmarshal(data, &event); err != nil {
 		return event, &BrokenError{Target: s.target, cause: err}
 	}
+	s.running = !event.Preempted
 	return event, nil
 }
 
