--- a/internal/acceptance/acceptance_test.go
+++ b/internal/acceptance/acceptance_test.go
@@ -62,7 +62,7 @@
 
 func TestOfRacingOperatorsExactlyOneWins(t *testing.T) {
 	onCluster(t, 3, func(t *testing.T, c *cluster) {
-		c.setPeerFaults(100*time.Millisecond, false)
+		c.setPeerFaults(peerFaults{slowStage: 100 * time.Millisecond})
 		results := make(chan error, 2)
 		for i, operator := range []string{"ann", "bob"} {
 			go func() {
@@ -138,7 +138,7 @@
 // cutAfterStaging cuts vm-2 off when it has staged a change of class batch, which is then accepted.
 func cutAfterStaging(t *testing.T, c *cluster) {
 	c.store.SetFaults(func(call objecttest.Call) objecttest.Fault {
-		if call.Op == objecttest.OpPut && call.Key == "config/root" {
+		if call.Op == objecttest.OpPut && call.Key == rootKey {
 			c.cut(2, 1)
 		}
 		return objecttest.Fault{}
@@ -184,10 +184,54 @@
 	})
 }
 
+func TestStartingVMDoesNotTrustAPeerInDoubt(t *testing.T) {
+	onCluster(t, 4, func(t *testing.T, c *cluster) {
+		c.store.SetFaults(func(call objecttest.Call) objecttest.Fault {
+			if call.Op == objecttest.OpPut && call.Key == rootKey {
+				c.cut(2, 1)
+				c.cut(3, 1)
+			}
+			return objecttest.Fault{}
+		})
+		_, err := c.manager(0).Propose(t.Context(), setShare("ann", 5))
+		require.NoError(t, err)
+		c.store.SetFaults(nil)
+		c.restart(2)
+		time.Sleep(time.Hour)
+		require.Equal(t, uint64(1), c.manager(3).Version())
+		require.Zero(t, c.manager(2).Version())
+	})
+}
+
+func TestRestartedVMWithoutPeersWaitsForTheEndOfProposals(t *testing.T) {
+	onCluster(t, 3, func(t *testing.T, c *cluster) {
+		c.store.SetFaults(func(call objecttest.Call) objecttest.Fault {
+			if call.Op == objecttest.OpPut && call.Key == rootKey {
+				return objecttest.Fault{Delay: time.Second}
+			}
+			return objecttest.Fault{}
+		})
+		accepted := make(chan error)
+		go func() {
+			_, err := c.manager(0).Propose(t.Context(), setShare("ann", 5))
+			accepted <- err
+		}()
+		time.Sleep(100 * time.Millisecond)
+		// vm-2 has staged the proposal and forgets it; it still reads the old root.
+		c.link(2, 1, false)
+		c.restart(2)
+		time.Sleep(500 * time.Millisecond)
+		c.link(2, 1, true)
+		require.NoError(t, <-accepted)
+		time.Sleep(time.Hour)
+		require.Zero(t, c.manager(2).Version())
+	})
+}
+
 func TestAbandonedProposalIsSettledAsRejected(t *testing.T) {
 	onCluster(t, 3, func(t *testing.T, c *cluster) {
 		c.store.SetFaults(func(call objecttest.Call) objecttest.Fault {
-			if call.Op == objecttest.OpPut && call.Key == "config/root" {
+			if call.Op == objecttest.OpPut && call.Key == rootKey {
 				c.cut(0, 1)
 				return objecttest.Fault{Late: true}
 			}
--- a/internal/acceptance/cluster_test.go
+++ b/internal/acceptance/cluster_test.go
@@ -29,14 +29,25 @@
 type cluster struct {
 	store *objecttest.Store
 	vms   []*vm
+	// late are the calls that are still to be delivered again.
+	late sync.WaitGroup
 	// mu guards the fields below and the managers of vms.
 	mu sync.Mutex
-	// group is each VM's side of a cut; the platform is on side 0.
+	// group is each VM's side of a cut between VMs.
 	group []int
-	// slowStage delays every Stage call to another VM.
+	// away tells which VMs cannot reach the platform.
+	away   []bool
+	faults peerFaults
+}
+
+// peerFaults is what goes wrong with the calls between VMs.
+type peerFaults struct {
+	// slowStage delays each Stage call by the number of the called VM times this.
 	slowStage time.Duration
-	// dropAnswers makes the answers of Stage and Conclude calls be lost.
-	dropAnswers bool
+	// dropAnswers loses the answers of all calls, dropConclude loses Conclude calls.
+	dropAnswers, dropConclude bool
+	// repeatConclude delivers each Conclude call again after this time; zero does not.
+	repeatConclude time.Duration
 }
 
 // vm is one VM over its restarts.
@@ -46,19 +57,22 @@
 	current *acceptance.Manager
 	cancel  context.CancelFunc
 	done    chan struct{}
-	// highest is the highest version that any incarnation had in force.
-	highest uint64
 }
 
 func newCluster(t *testing.T, size int) *cluster {
-	c := &cluster{store: objecttest.NewStore(), group: make([]int, size)}
+	c := startCluster(size)
+	t.Cleanup(c.stop)
+	return c
+}
+
+func startCluster(size int) *cluster {
+	c := &cluster{store: objecttest.NewStore(), group: make([]int, size), away: make([]bool, size)}
 	for i := range size {
 		c.vms = append(c.vms, &vm{name: fmt.Sprintf("vm-%d", i)})
 	}
 	for i := range c.vms {
 		c.start(i)
 	}
-	t.Cleanup(c.stop)
 	return c
 }
 
@@ -92,17 +106,23 @@
 	return c.vms[i].current
 }
 
-// cut moves a VM to a side.
+// cut moves a VM to a side; the platform is on side 0.
 func (c *cluster) cut(i, side int) {
+	c.link(i, side, side != 0)
+}
+
+// link moves a VM to a side among the VMs, with or without the platform.
+func (c *cluster) link(i, side int, away bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.group[i] = side
+	c.away[i] = away
 }
 
-func (c *cluster) onPlatformSide(i int) bool {
+func (c *cluster) reachesPlatform(i int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.group[i] == 0
+	return !c.away[i]
 }
 
 // linked reports whether VM i can call VM j, and whether answers arrive.
@@ -110,14 +130,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	calls = c.group[i] == c.group[j] && c.vms[j].current != nil
-	return calls, calls && !c.dropAnswers
+	return calls, calls && !c.faults.dropAnswers
+}
+
+func (c *cluster) setPeerFaults(faults peerFaults) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.faults = faults
 }
 
-func (c *cluster) setPeerFaults(slowStage time.Duration, dropAnswers bool) {
+func (c *cluster) peerFaults() peerFaults {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.slowStage = slowStage
-	c.dropAnswers = dropAnswers
+	return c.faults
 }
 
 func (c *cluster) restart(i int) {
@@ -127,6 +152,7 @@
 }
 
 func (c *cluster) stop() {
+	c.late.Wait()
 	for _, member := range c.vms {
 		member.cancel()
 		<-member.done
@@ -140,7 +166,7 @@
 	c.store.SetOutage(false)
 	c.store.SetFaults(nil)
 	c.store.Flush()
-	c.setPeerFaults(0, false)
+	c.setPeerFaults(peerFaults{})
 }
 
 func seed() *policy.Configuration {
@@ -181,7 +207,7 @@
 }
 
 func (s *cutStore) check() error {
-	if !s.cluster.onPlatformSide(s.vm) {
+	if !s.cluster.reachesPlatform(s.vm) {
 		return object.NewUnavailableError(time.Second, false, errCut)
 	}
 	return nil
@@ -236,11 +262,15 @@
 	vm      int
 }
 
+func (c *cluster) number(name string) int {
+	return slices.IndexFunc(c.vms, func(member *vm) bool { return member.name == name })
+}
+
 // call makes one call over the link and loses its answer if the link is cut meanwhile.
 func call[Q, R any](p *cutPeers, name string, method func(*acceptance.Manager) func(context.Context, Q) (R, error), request Q) (R, error) {
 	var none R
 	c := p.cluster
-	to := slices.IndexFunc(c.vms, func(member *vm) bool { return member.name == name })
+	to := c.number(name)
 	if calls, _ := c.linked(p.vm, to); !calls {
 		return none, errCut
 	}
@@ -252,16 +282,27 @@
 }
 
 func (p *cutPeers) Stage(ctx context.Context, name string, request *peerpb.StageRequest) (*peerpb.StageReply, error) {
-	p.cluster.mu.Lock()
-	wait := p.cluster.slowStage
-	p.cluster.mu.Unlock()
-	time.Sleep(wait)
+	time.Sleep(p.cluster.peerFaults().slowStage * time.Duration(p.cluster.number(name)))
 	return call(p, name, func(m *acceptance.Manager) func(context.Context, *peerpb.StageRequest) (*peerpb.StageReply, error) {
 		return m.Stage
 	}, request)
 }
 
 func (p *cutPeers) Conclude(_ context.Context, name string, request *peerpb.ConcludeRequest) (*peerpb.ConcludeReply, error) {
+	faults := p.cluster.peerFaults()
+	if faults.dropConclude {
+		return nil, errCut
+	}
+	if faults.repeatConclude > 0 {
+		p.cluster.late.Go(func() {
+			time.Sleep(faults.repeatConclude)
+			_, _ = p.conclude(name, request)
+		})
+	}
+	return p.conclude(name, request)
+}
+
+func (p *cutPeers) conclude(name string, request *peerpb.ConcludeRequest) (*peerpb.ConcludeReply, error) {
 	return call(p, name, func(m *acceptance.Manager) func(context.Context, *peerpb.ConcludeRequest) (*peerpb.ConcludeReply, error) {
 		return m.Conclude
 	}, request)
@@ -280,7 +321,7 @@
 }
 
 func (d *directory) Listed(context.Context) ([]string, error) {
-	if !d.cluster.onPlatformSide(d.vm) {
+	if !d.cluster.reachesPlatform(d.vm) {
 		return nil, errCut
 	}
 	return d.Known(), nil
