Move idempotent requests away from an engine that does not answer

Cause: with no token delivered an idempotent request still asked a frozen engine for 10 s. Change: such a request asks for 0.5 s and then goes to another target; an engine has 1 s to take or refuse an attempt.

--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -25,8 +25,11 @@
 	relay    *request.Relay
 	observer observer
 
-	bound bool
-	ready []enginewire.TokenEvent
+	// movable says that another attempt may follow as long as no token was delivered, so that there is
+	// no point in waiting long for this one.
+	movable bool
+	bound   bool
+	ready   []enginewire.TokenEvent
 }
 
 // observer is told how an attempt goes.
@@ -151,14 +154,17 @@
 	})
 }
 
-// reopen asks the target for the attempt's stream until it answers or the resume window has
-// passed. It returns a BrokenError when the attempt's fate remains unknown.
+// moveWindow bounds the time for which an attempt that another may replace is asked for.
+const moveWindow = 500 * time.Millisecond
+
+// reopen asks the target for the attempt's stream until it answers or the window has passed. It returns
+// a BrokenError when the attempt's fate remains unknown.
 func (f *follower) reopen(ctx context.Context, cause error) (*target.Stream, error) {
-	window, cancel := context.WithTimeout(ctx, f.options.ResumeWindow)
+	window, cancel := context.WithTimeout(ctx, f.window())
 	defer cancel()
 	wait := firstResumeWait
 	for {
-		stream, err := f.options.Engines.Resume(ctx, f.binding.Address, f.binding.Attempt, f.relay.Next())
+		stream, err := f.resumeWithin(ctx, window)
 		if err == nil {
 			return stream, nil
 		}
@@ -172,6 +178,28 @@
 	}
 }
 
+func (f *follower) window() time.Duration {
+	if f.movable && f.sink.Delivered() == 0 {
+		return moveWindow
+	}
+	return f.options.ResumeWindow
+}
+
+// resumeWithin opens the stream before window ends; the stream itself lasts as long as ctx.
+func (f *follower) resumeWithin(ctx, window context.Context) (*target.Stream, error) {
+	streamCtx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(window, cancel)
+	stream, err := f.options.Engines.Resume(streamCtx, f.binding.Address, f.binding.Attempt, f.relay.Next())
+	if !stop() && err == nil {
+		stream.Close()
+		return nil, window.Err()
+	}
+	if err != nil {
+		cancel()
+	}
+	return stream, err
+}
+
 func sleep(ctx context.Context, wait time.Duration) error {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -128,6 +128,7 @@
 	follower := &follower{
 		Dispatcher: g.Dispatcher, record: g.record, sink: g.sink, binding: binding,
 		relay: request.NewRelay(binding.Attempt, 0), observer: placement,
+		movable: !g.request.NonIdempotent,
 	}
 	stream, err := g.options.Engines.Start(ctx, binding.Address, g.wire(binding))
 	if err == nil {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -90,6 +90,15 @@
 	require.Len(t, h.ran(), 1)
 }
 
+// TestIdempotentRequestMovesAwayFromAStalledEngine: with no token delivered there is no reason to wait.
+func TestIdempotentRequestMovesAwayFromAStalledEngine(t *testing.T) {
+	h := newHarness(t)
+	h.engines[0].SetFaults(engine.Faults{StallStreams: true})
+	events := readEvents(t, h.do(call{path: "/v1/completions", body: streamBody}).Body, 1000)
+	requireWhole(t, joinTokens(t, events), 30)
+	require.Len(t, h.engines[1].Ran().Attempts, 1)
+}
+
 // TestLostAnswerRunsOnceWhenNonIdempotent takes the submission and loses the answer: the attempt is
 // found again by its id instead of being sent a second time.
 func TestLostAnswerRunsOnceWhenNonIdempotent(t *testing.T) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -164,7 +164,7 @@
 	DefaultDrainTimeout      = 60 * time.Second
 	DefaultReadinessDelay    = 2 * time.Second
 	DefaultConnectTimeout    = time.Second
-	DefaultAnswerTimeout     = 2 * time.Second
+	DefaultAnswerTimeout     = time.Second
 	DefaultProgressTimeout   = 5 * time.Second
 	DefaultTokenGap          = time.Second
 	DefaultRequestTimeout    = 10 * time.Minute
--- a/internal/stand/failures/layout.go
+++ b/internal/stand/failures/layout.go
@@ -77,7 +77,7 @@
 platform: {url: "http://%s"}
 cursor_keys: ["5abf835463950bfb194935c05bfedda1c2d4caca0dedd9d3ae60e2384d25cbf7"]
 drain: {timeout: %v, readiness_delay: 1s}
-timeouts: {answer: 2s}
+timeouts: {answer: 1s}
 log: {level: info}
 `
 
