--- a/internal/stand/failures/fleet.go
+++ b/internal/stand/failures/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"path/filepath"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
@@ -36,6 +37,27 @@
 	vm platformwire.VM
 	// control is the host:port of a target's control listener.
 	control string
+	// replaced counts the VMs that were replaced; nameArgument is where args has the VM's name.
+	replaced     int
+	nameArgument int
+}
+
+// maxReplacements is how many VMs may follow each other in the place of one member.
+const maxReplacements = 10
+
+// replacementName is the name of the VM that comes after a number of others in a member's place.
+func replacementName(member string, after int) string {
+	if after == 0 {
+		return member
+	}
+	return member + "-" + strconv.Itoa(after)
+}
+
+// rename gives the member the name of its next VM, which has the same addresses.
+func (m *member) rename() {
+	m.replaced = min(m.replaced+1, maxReplacements)
+	m.vm.Name = replacementName(m.name, m.replaced)
+	m.args[m.nameArgument] = m.vm.Name
 }
 
 // fleet is everything that runs.
@@ -161,7 +183,9 @@
 		if m.vm.PeerAddress != "" {
 			view[m.name] = platform.Addresses{PeerAddress: through}
 		} else {
-			view[m.name] = platform.Addresses{Address: through}
+			for after := range maxReplacements + 1 {
+				view[replacementName(m.name, after)] = platform.Addresses{Address: through}
+			}
 		}
 	}
 	return view
--- a/internal/stand/failures/layout.go
+++ b/internal/stand/failures/layout.go
@@ -132,10 +132,11 @@
 		return err
 	}
 	m.args = []string{
-		"engine", "--listen", m.vm.Address, "--control", m.control, "--name", m.name, "--zone", m.vm.Zone,
+		"engine", "--name", m.name, "--listen", m.vm.Address, "--control", m.control, "--zone", m.vm.Zone,
 		"--load", model + "@" + modelVersion, "--text", "attempt", "--checks-fencing",
 		"--memory-tokens", strconv.Itoa(memoryTokens), "--journal", f.file("journal"),
 	}
+	m.nameArgument = 2
 	m.readyURL = "http://" + m.control + "/faults"
 	f.engines = append(f.engines, m)
 	return nil
@@ -147,9 +148,10 @@
 		return err
 	}
 	m.args = []string{
-		"service", "--listen", m.vm.Address, "--control", m.control, "--name", m.name, "--zone", m.vm.Zone,
+		"service", "--name", m.name, "--listen", m.vm.Address, "--control", m.control, "--zone", m.vm.Zone,
 		"--latency", "30ms", "--journal", f.file("journal"),
 	}
+	m.nameArgument = 2
 	m.readyURL = "http://" + m.control + "/faults"
 	f.services = append(f.services, m)
 	return nil
--- a/internal/stand/failures/run.go
+++ b/internal/stand/failures/run.go
@@ -1,7 +1,9 @@
 package failures
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"os"
 	"slices"
 	"sync"
@@ -78,6 +80,9 @@
 	if i.err != nil {
 		return Report{}, errors.Wrap(i.err, "a fault could not be injected or lifted")
 	}
+	if err := f.writeAnswers(records); err != nil {
+		return Report{}, err
+	}
 	entries, err := readJournal(f.file("journal"))
 	if err != nil {
 		return Report{}, err
@@ -85,6 +90,18 @@
 	return report(options, History{Records: records, Journal: entries, Faults: i.faults}), ctx.Err()
 }
 
+// writeAnswers keeps what the callers received, one JSON line a request, for whoever follows an example.
+func (f *fleet) writeAnswers(records []load.Record) error {
+	var text bytes.Buffer
+	encoder := json.NewEncoder(&text)
+	for _, record := range records {
+		if err := encoder.Encode(record); err != nil {
+			return errors.Wrap(err, "encode the answers")
+		}
+	}
+	return f.writeText("answers", text.String())
+}
+
 func readJournal(path string) ([]journal.Entry, error) {
 	if _, err := os.Stat(path); errors.Is(err, os.ErrNotExist) {
 		return nil, nil
--- a/internal/stand/failures/stops.go
+++ b/internal/stand/failures/stops.go
@@ -13,6 +13,10 @@
 // stopTimeout bounds a planned stop; it exceeds the time that the programs give themselves.
 const stopTimeout = drainTimeout + 10*time.Second
 
+// drainSpacing is how long after a target is back the next one is drained, so that the entry VMs
+// have learnt of it.
+const drainSpacing = 3 * time.Second
+
 // leavingNotice is how long a target says that it is leaving before it is stopped.
 const leavingNotice = time.Second
 
@@ -24,7 +28,11 @@
 		}
 		for _, m := range i.fleet.targets() {
 			i.plan(ctx, DrainTarget, m, i.drainTarget)
+			hold(ctx, drainSpacing)
 		}
+		replaced := i.fleet.targets()[i.fleet.seed%uint64(engineCount+serviceCount)]
+		i.plan(ctx, DrainTarget, replaced, i.replaceTarget)
+		hold(ctx, vmLag+drainSpacing)
 	}
 }
 
@@ -57,22 +65,44 @@
 	return restoreAll(i.fleet.linksTo(m.name))
 }
 
-// drainTarget announces on the platform and at the target that it leaves, stops it by SIGTERM
-// and starts a new one in its place.
+// drainTarget makes a target leave, stops it by SIGTERM and starts it again on its VM, which stays
+// in the platform's list as it is.
 func (i *injector) drainTarget(ctx context.Context, m *member) error {
-	err := control(i.fleet.platformControl, "/vms/"+m.name+"/leaving", "")
-	if err = errors.CombineErrors(err, control(m.control, "/leave", "")); err != nil {
+	if err := control(m.control, "/leave", ""); err != nil {
 		return err
 	}
 	hold(ctx, leavingNotice)
 	if err := i.stopAndRefuse(m); err != nil {
 		return err
 	}
+	if err := m.start(ctx); err != nil {
+		return err
+	}
+	return restoreAll(i.fleet.linksTo(m.name))
+}
+
+// replaceTarget takes a VM off the platform's list in order and puts another one in its place,
+// under a name of its own.
+func (i *injector) replaceTarget(ctx context.Context, m *member) error {
+	if err := control(i.fleet.platformControl, "/vms/"+m.vm.Name+"/leaving", ""); err != nil {
+		return err
+	}
+	if err := control(m.control, "/leave", ""); err != nil {
+		return err
+	}
+	hold(ctx, leavingNotice)
+	if err := i.stopAndRefuse(m); err != nil {
+		return err
+	}
+	if err := controlMethod(http.MethodDelete, i.fleet.platformControl, "/vms/"+m.vm.Name, nil); err != nil {
+		return err
+	}
+	m.rename()
 	body, err := json.Marshal(m.vm)
 	if err != nil {
 		return errors.Wrap(err, "encode a VM")
 	}
-	if err := controlMethod(http.MethodPut, i.fleet.platformControl, "/vms/"+m.name, body); err != nil {
+	if err := controlMethod(http.MethodPut, i.fleet.platformControl, "/vms/"+m.vm.Name, body); err != nil {
 		return err
 	}
 	if err := m.start(ctx); err != nil {
