--- a/internal/stand/failures/plan.go
+++ b/internal/stand/failures/plan.go
@@ -112,6 +112,11 @@
 
 func (d *drawer) pick(list []string) string { return list[d.random.IntN(len(list))] }
 
+func (d *drawer) shuffled(members []*member) []*member {
+	d.random.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	return members
+}
+
 func (d *drawer) between(low, high time.Duration) time.Duration {
 	return low + time.Duration(d.random.Int64N(int64(high-low)))
 }
--- a/internal/stand/failures/stops.go
+++ b/internal/stand/failures/stops.go
@@ -20,13 +20,20 @@
 // leavingNotice is how long a target says that it is leaving before it is stopped.
 const leavingNotice = time.Second
 
-// plannedStops restarts every entry VM and drains every target, one at a time, until ctx ends.
+// plannedStops restarts every entry VM and drains every target, one at a time, until ctx ends. A
+// third of the seeds replaces the first target, which takes as long as the list lags.
 func (i *injector) plannedStops(ctx context.Context) {
-	for ctx.Err() == nil {
+	for round := uint64(0); ctx.Err() == nil; round++ {
 		for _, m := range i.fleet.entries {
 			i.plan(ctx, StopEntry, m, i.restartEntry)
 		}
-		for _, m := range i.fleet.targets() {
+		targets := i.random.shuffled(i.fleet.targets())
+		if (i.fleet.seed+round)%3 == 0 {
+			i.plan(ctx, DrainTarget, targets[0], i.replaceTarget)
+			hold(ctx, vmLag+drainSpacing)
+			targets = targets[1:]
+		}
+		for _, m := range targets {
 			i.plan(ctx, DrainTarget, m, i.drainTarget)
 			hold(ctx, drainSpacing)
 		}
