Let copies come later, callers leave, and some faults last longer

Ruled out: more load, which changes what waits but not the order of events. Change: half of the second copies are sent up to 6 s later, 5% of streams are left in the middle, a fifth of the faults last 7 to 14 s.

--- a/cmd/godwitstand/load.go
+++ b/cmd/godwitstand/load.go
@@ -26,6 +26,8 @@
 	Plain         float64       `default:"2" help:"Weight of plain calls."`
 	NonIdempotent float64       `default:"0.2" help:"Share of requests that may run at most once."`
 	Duplicated    float64       `default:"0.3" help:"Share of those that are sent twice at once."`
+	Stagger       time.Duration `default:"0s" help:"How much later the second copy may be sent."`
+	Leaving       float64       `default:"0" help:"Share of streams whose caller leaves in the middle."`
 	MedianTokens  float64       `default:"64" help:"Median of the output length."`
 	Sigma         float64       `default:"1.2" help:"Spread of the logarithm of the output length."`
 	MaxTokens     int           `default:"4096" help:"Longest output."`
@@ -44,7 +46,7 @@
 		Entries: c.Entries, Ready: c.Ready, Keys: c.Keys, Model: c.Model, Classes: c.Classes, Services: c.Services,
 		Rate: c.Rate, Duration: time.Duration(c.Seconds * float64(time.Second)), Seed: c.Seed,
 		Mix:           load.Mix{Stream: c.Stream, Whole: c.Whole, Plain: c.Plain},
-		NonIdempotent: c.NonIdempotent, Duplicated: c.Duplicated,
+		NonIdempotent: c.NonIdempotent, Duplicated: c.Duplicated, Stagger: c.Stagger, Leaving: c.Leaving,
 		MedianTokens: c.MedianTokens, Sigma: c.Sigma, MaxTokens: c.MaxTokens, PromptBytes: c.PromptBytes,
 		Deadline: c.Deadline, Grace: c.Grace, Silence: c.Silence,
 	})
--- a/internal/stand/failures/oracle.go
+++ b/internal/stand/failures/oracle.go
@@ -40,6 +40,8 @@
 	CutOffByPlannedStops  int `json:"cut_off_by_planned_stops"`
 	Unanswered            int `json:"unanswered"`
 
+	// Left counts the callers that left in the middle of a stream.
+	Left int `json:"left"`
 	// Errors counts the other errors that callers were told, by kind.
 	Errors map[string]int `json:"errors"`
 	// Examples describe the first violations.
@@ -140,6 +142,8 @@
 	switch {
 	case answer.Outcome == load.OutcomeAnswered:
 		o.verdict.Answered++
+	case answer.Outcome == load.OutcomeLeft:
+		o.verdict.Left++
 	case answer.NotRun():
 		o.verdict.RefusedAsNotRun++
 		o.judgeRefusal(request, answer)
--- a/internal/stand/failures/plan.go
+++ b/internal/stand/failures/plan.go
@@ -16,6 +16,9 @@
 	longestRest  = 4 * time.Second
 	shortestHold = 500 * time.Millisecond
 	longestHold  = 7 * time.Second
+	// Some faults outlast the patience of callers and the progress timeouts.
+	lastingShare = 0.2
+	lastingHold  = 14 * time.Second
 )
 
 // action is one planned fault.
@@ -78,6 +81,9 @@
 func (d *drawer) draw(at time.Duration) action {
 	kind := d.pick(kindNames())
 	drawn := action{after: at, hold: d.between(shortestHold, longestHold), kind: FaultKind(kind)}
+	if d.random.Float64() < lastingShare {
+		drawn.hold = d.between(longestHold, lastingHold)
+	}
 	drawn.subject = d.subject(drawn.kind)
 	return drawn
 }
--- a/internal/stand/failures/run.go
+++ b/internal/stand/failures/run.go
@@ -26,6 +26,7 @@
 	tokensSigma       = 1
 	maxTokens         = 600
 	promptBytes       = 300
+	longestStagger    = 6 * time.Second
 )
 
 // Options configure a run.
@@ -146,7 +147,7 @@
 		Keys: accountKeys(), Model: model, Classes: []string{shortClass, longClass}, Services: []string{plainService},
 		Rate: requestsPerSecond, Duration: options.Duration, Seed: options.Seed,
 		Mix:           load.Mix{Stream: 5, Whole: 2, Plain: 3},
-		NonIdempotent: 0.35, Duplicated: 0.3,
+		NonIdempotent: 0.35, Duplicated: 0.3, Stagger: longestStagger, Leaving: 0.05,
 		MedianTokens: medianTokens, Sigma: tokensSigma, MaxTokens: maxTokens, PromptBytes: promptBytes,
 		Deadline: requestDeadline, Grace: requestGrace, Silence: callerSilence,
 	}
@@ -178,7 +179,9 @@
 	callers := 0
 	for _, record := range records {
 		for _, answer := range record.Answers {
-			callers++
+			if answer.Outcome != load.OutcomeLeft {
+				callers++
+			}
 			if answer.Outcome == load.OutcomeAnswered {
 				ends = append(ends, answer.Ended)
 			}
--- a/internal/stand/load/answer.go
+++ b/internal/stand/load/answer.go
@@ -67,6 +67,10 @@
 			return nil
 		}
 		c.receive(part.text())
+		if c.request.LeaveAfter > 0 && c.answer.Events >= c.request.LeaveAfter {
+			c.end(OutcomeLeft)
+			return nil
+		}
 	}
 }
 
--- a/internal/stand/load/load_test.go
+++ b/internal/stand/load/load_test.go
@@ -145,7 +145,8 @@
 	options.Rate, options.Duration, options.Seed = 1000, 100*time.Millisecond, 7
 	options.Mix = Mix{Stream: 1, Whole: 1, Plain: 1}
 	options.Services, options.MedianTokens, options.MaxTokens = []string{"s"}, 10, 100
-	options.NonIdempotent, options.Duplicated = 0.5, 0.5
+	options.NonIdempotent, options.Duplicated, options.Stagger = 0.5, 0.5, 20*time.Millisecond
+	options.Leaving = 0.3
 
 	records := Run(t.Context(), options)
 	planned := plan(options)
@@ -155,7 +156,8 @@
 	}
 	summary := Summarize(records)
 	require.Greater(t, summary.Requests, len(records), "some are sent twice")
-	require.Equal(t, summary.Requests, summary.Answered)
+	require.Equal(t, summary.Requests, summary.Answered+summary.Left)
+	require.Positive(t, summary.Left)
 	require.Positive(t, summary.FirstToken.P99)
 	require.Positive(t, summary.Plain.P50)
 }
--- a/internal/stand/load/plan.go
+++ b/internal/stand/load/plan.go
@@ -49,6 +49,10 @@
 	// NonIdempotent is the share of requests that may run at most once, Duplicated the share
 	// of those that are sent twice at once with one key.
 	NonIdempotent, Duplicated float64
+	// Stagger bounds how much later the second copy may be sent; half of them go at once.
+	Stagger time.Duration
+	// Leaving is the share of streams whose caller leaves in the middle.
+	Leaving float64
 
 	// MedianTokens and Sigma shape the lognormal output lengths, at most MaxTokens.
 	MedianTokens float64
@@ -79,8 +83,11 @@
 	Account       string
 	Tokens        int
 	NonIdempotent bool
-	// Copies is how many callers send it at once.
-	Copies int
+	// Copies is how many callers send it, each Stagger after the one before.
+	Copies  int
+	Stagger time.Duration
+	// LeaveAfter is after how many tokens the caller leaves; zero means never.
+	LeaveAfter int
 }
 
 // plan draws the requests of a run; the same options give the same plan.
@@ -115,6 +122,12 @@
 	if request.NonIdempotent && random.Float64() < options.Duplicated {
 		request.Copies = 2
 	}
+	if request.Copies > 1 && options.Stagger > 0 && random.IntN(2) == 0 {
+		request.Stagger = time.Duration(random.Int64N(int64(options.Stagger)))
+	}
+	if request.Kind == KindStream && random.Float64() < options.Leaving {
+		request.LeaveAfter = 1 + random.IntN(request.Tokens)
+	}
 	return request
 }
 
--- a/internal/stand/load/record.go
+++ b/internal/stand/load/record.go
@@ -20,6 +20,8 @@
 	OutcomeAnswered Outcome = "answered"
 	// OutcomeError is an error that the system told the caller.
 	OutcomeError Outcome = "error"
+	// OutcomeLeft means that the caller left in the middle of a stream.
+	OutcomeLeft Outcome = "left"
 	// OutcomeNone means that the deadline passed without a final answer.
 	OutcomeNone Outcome = "none"
 )
--- a/internal/stand/load/run.go
+++ b/internal/stand/load/run.go
@@ -51,6 +51,7 @@
 	var group sync.WaitGroup
 	for i := range record.Answers {
 		group.Go(func() {
+			pause(ctx, time.Duration(i)*request.Stagger)
 			c := &caller{options: options, client: client, entries: entries, request: request}
 			record.Answers[i] = c.run(ctx)
 		})
--- a/internal/stand/load/summary.go
+++ b/internal/stand/load/summary.go
@@ -21,6 +21,8 @@
 	Refused    int            `json:"refused"`
 	Errors     map[string]int `json:"errors"`
 	Unanswered int            `json:"unanswered"`
+	// Left counts the callers that left in the middle of a stream.
+	Left int `json:"left"`
 	Tokens     int            `json:"tokens"`
 	Resumed    int            `json:"resumed"`
 	// FirstToken, Gap, Whole and Plain are times in milliseconds.
@@ -68,6 +70,8 @@
 	switch {
 	case answer.Outcome == OutcomeAnswered:
 		s.Answered++
+	case answer.Outcome == OutcomeLeft:
+		s.Left++
 	case answer.NotRun():
 		s.Refused++
 	case answer.Outcome == OutcomeError:
