--- a/internal/stand/load/summary.go
+++ b/internal/stand/load/summary.go
@@ -22,9 +22,9 @@
 	Errors     map[string]int `json:"errors"`
 	Unanswered int            `json:"unanswered"`
 	// Left counts the callers that left in the middle of a stream.
-	Left int `json:"left"`
-	Tokens     int            `json:"tokens"`
-	Resumed    int            `json:"resumed"`
+	Left    int `json:"left"`
+	Tokens  int `json:"tokens"`
+	Resumed int `json:"resumed"`
 	// FirstToken, Gap, Whole and Plain are times in milliseconds.
 	FirstToken Quantiles `json:"first_token_ms"`
 	Gap        Quantiles `json:"gap_ms"`
