Attribute a caller's giving up to a stop only when the silence began in it

Ruled out: dropping silences; one that begins during the stop still counts. Change: a Try keeps when it last heard, and whether the caller gave up; one more planted violation and one more excused case.

--- a/internal/stand/failures/fault.go
+++ b/internal/stand/failures/fault.go
@@ -112,9 +112,18 @@
 		return false
 	}
 	for _, try := range answer.Tries {
-		if try.Break != "" && !try.NotSent && try.Entry == stop.Entry && stop.overlaps(try.Started, try.Ended) {
+		if try.Entry == stop.Entry && stop.overlaps(try.Started, try.Ended) && brokenBy(stop, try) {
 			return true
 		}
 	}
 	return false
 }
+
+// brokenBy reports whether the stop may have broken the exchange. Where the caller gave up in
+// silence, the silence has to begin during the stop.
+func brokenBy(stop Fault, try load.Try) bool {
+	if try.Break == "" || try.NotSent {
+		return false
+	}
+	return !try.GaveUp || !try.Heard.Before(stop.From)
+}
--- a/internal/stand/failures/oracle_test.go
+++ b/internal/stand/failures/oracle_test.go
@@ -153,6 +153,14 @@
 		"cut off by a stopping entry VM": {
 			func(h *History) { plain(h).Tries[0].Break = "EOF" }, Verdict{CutOffByPlannedStops: 1},
 		},
+		"given up in a silence from the stop on": {
+			func(h *History) {
+				h.Faults[0].From = at(0.5)
+				try := &plain(h).Tries[0]
+				try.Break, try.GaveUp, try.Heard = "silence", true, at(0.6)
+			},
+			Verdict{CutOffByPlannedStops: 1},
+		},
 		"cut off by a draining target": {
 			func(h *History) {
 				h.Faults[0].Kind = DrainTarget
@@ -210,6 +218,11 @@
 			h.Records[1].Answers[0].Tries[0].Break = "dial tcp: connection refused"
 			h.Records[1].Answers[0].Tries[0].NotSent = true
 		},
+		"a caller that gave up in a silence from before the stop": func(h *History) {
+			h.Faults[0].From = at(0.5)
+			try := &h.Records[1].Answers[0].Tries[0]
+			try.Break, try.GaveUp, try.Heard = "silence", true, at(0.4)
+		},
 		"a copy that was told of the one that was answered": func(h *History) {
 			copies := &h.Records[1].Answers
 			*copies = append(*copies, load.Answer{
--- a/internal/stand/load/answer.go
+++ b/internal/stand/load/answer.go
@@ -45,6 +45,7 @@
 			return errors.Wrap(err, "the stream broke off")
 		}
 		watchdog.Reset(c.silence())
+		try.Heard = time.Now()
 		if event.ID != "" {
 			c.lastEvent = event.ID
 		}
--- a/internal/stand/load/caller.go
+++ b/internal/stand/load/caller.go
@@ -94,7 +94,8 @@
 // try makes one exchange with an entry VM that was not used last.
 func (c *caller) try(ctx context.Context) {
 	entry := c.entries.choose(c.lastTry().Entry)
-	try := Try{Entry: entry, Resumed: c.lastEvent != "", Started: time.Now()}
+	now := time.Now()
+	try := Try{Entry: entry, Resumed: c.lastEvent != "", Started: now, Heard: now}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watchdog := time.AfterFunc(c.silence(), func() { cancel(errSilence) })
@@ -104,6 +105,7 @@
 		try.NotSent = isDialError(err)
 		if context.Cause(ctx) == errSilence {
 			try.Break = errSilence.Error()
+			try.GaveUp = true
 		}
 	}
 	try.Ended = time.Now()
--- a/internal/stand/load/load_test.go
+++ b/internal/stand/load/load_test.go
@@ -77,6 +77,8 @@
 			require.Len(t, answer.Gaps, 5)
 			require.Len(t, answer.Tries, 3)
 			require.Equal(t, name == "handed over", answer.Tries[0].Break == "")
+			require.Equal(t, name == "stall", answer.Tries[0].GaveUp)
+			require.True(t, answer.Tries[0].Heard.After(answer.Tries[0].Started))
 			require.NotEqual(t, answer.Tries[0].Entry, answer.Tries[1].Entry)
 		})
 	}
--- a/internal/stand/load/record.go
+++ b/internal/stand/load/record.go
@@ -51,6 +51,10 @@
 	Resumed   bool
 	Started   time.Time
 	Ended     time.Time
+	// Heard is when the last event came, or Started.
+	Heard time.Time
+	// GaveUp tells that the caller ended the exchange after a silence.
+	GaveUp bool
 	// Break says how the exchange broke off; it is empty when it ended in order.
 	Break string
 	// NotSent tells that no connection could be made, so that nothing was sent.
