--- a/internal/stand/load/record.go
+++ b/internal/stand/load/record.go
@@ -20,6 +20,8 @@
 	OutcomeAnswered Outcome = "answered"
 	// OutcomeError is an error that the system told the caller.
 	OutcomeError Outcome = "error"
+	// OutcomeLeft means that the caller left in the middle of a stream.
+	OutcomeLeft Outcome = "left"
 	// OutcomeNone means that the deadline passed without a final answer.
 	OutcomeNone Outcome = "none"
 )
@@ -49,6 +51,10 @@
 	Resumed   bool
 	Started   time.Time
 	Ended     time.Time
+	// Heard is when the last event came, or Started.
+	Heard time.Time
+	// GaveUp tells that the caller ended the exchange after a silence.
+	GaveUp bool
 	// Break says how the exchange broke off; it is empty when it ended in order.
 	Break string
 	// NotSent tells that no connection could be made, so that nothing was sent.
