Model acceptance; settle abandoned proposals without a new version

Cause: the model showed a VM going back: settling an abandoned proposal raised the version without staging it, so a VM that had it in force, restarted and asked a peer that had not heard of it became ready with the version before. Ruled out: staging the settling version too (it is needed exactly when VMs cannot be reached); letting numbers fall when the content is the same (a version that falls is what operators are promised not to see). Change: proposals are made for a revision of the root object; settling writes the same configuration again, which raises the revision and leaves the version.

--- a/internal/acceptance/acceptance.go
+++ b/internal/acceptance/acceptance.go
@@ -36,7 +36,7 @@
 	settleTimeout = 5 * time.Second
 	// doubtAfter is the age from which a staged proposal puts the VM in doubt.
 	doubtAfter = 2 * time.Second
-	// fenceAfter is the age from which a VM settles a staged proposal by raising the root's version.
+	// fenceAfter is the age from which a VM settles a staged proposal by writing the root object again.
 	fenceAfter = 10 * time.Second
 	// retryInterval is the pause after a failed read of the root.
 	retryInterval = 250 * time.Millisecond
@@ -197,11 +197,11 @@
 	return status
 }
 
-// adopt puts a configuration in force unless it is older than the one known.
-func (m *Manager) adopt(index *policy.Index, accepted []string) {
+// adopt puts a configuration in force unless it is older than the one known; see state.adopt.
+func (m *Manager) adopt(index *policy.Index, accepted []string, revision uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.state.adopt(index, accepted) {
+	if m.state.adopt(index, accepted, revision) {
 		m.counters.adopted.Inc(1)
 		m.options.Logger.Info("configuration in force", "version", index.Configuration().Version)
 	}
--- a/internal/acceptance/learn.go
+++ b/internal/acceptance/learn.go
@@ -57,19 +57,19 @@
 // reach, if every proposal that could have missed this VM has ended.
 func (m *Manager) mayServe(ctx context.Context, begun time.Time) bool {
 	heard := m.askPeers(ctx)
-	current, _, err := readRoot(ctx, m.options.Store)
+	current, revision, err := readRoot(ctx, m.options.Store)
 	if err == nil && current == nil && heard.silent() && m.options.Seed != nil {
 		if m.seed(ctx) {
 			return true
 		}
 	}
 	if current != nil {
-		m.adoptRoot(current)
+		m.adoptRoot(current, revision)
 	}
 	if heard.undecided > 0 || !m.knowsVersion() {
 		return false
 	}
-	missedNone := heard.alone || time.Since(begun) >= proposalLifetime
+	missedNone := heard.alone || time.Since(begun) >= proposalLifetime+settleTimeout
 	return heard.vouched > 0 || err == nil && missedNone
 }
 
@@ -137,11 +137,12 @@
 	first.Version = 1
 	acceptance := Acceptance{Version: 1, Proposal: rand.Text(), Operator: "seed", VM: m.options.VM, At: time.Now().UTC(), Summary: "seed"}
 	created := (&root{}).next(first, acceptance)
-	if _, err := m.options.Store.Put(ctx, rootKey, created.encode(), 0); err != nil {
+	written, err := m.options.Store.Put(ctx, rootKey, created.encode(), 0)
+	if err != nil {
 		m.options.Logger.Debug("seed not accepted", "err", err)
 		return false
 	}
-	m.adoptRoot(created)
+	m.adoptRoot(created, written.Version)
 	return true
 }
 
@@ -154,7 +155,7 @@
 			continue
 		}
 		if current != nil {
-			m.adoptRoot(current)
+			m.adoptRoot(current, revision)
 		}
 		m.watchFrom(ctx, revision)
 	}
@@ -173,15 +174,16 @@
 		}
 		for _, event := range batch.Events {
 			if current, err := decodeRoot(event.Value); err == nil && !event.Deleted {
-				m.adoptRoot(current)
+				m.adoptRoot(current, event.Version)
 			}
 		}
 		revision = batch.Revision
 	}
 }
 
-func (m *Manager) adoptRoot(current *root) {
-	m.adopt(policy.NewIndex(current.Configuration), current.proposals())
+// adoptRoot puts the root object's configuration in force, as read at a revision.
+func (m *Manager) adoptRoot(current *root, revision uint64) {
+	m.adopt(policy.NewIndex(current.Configuration), current.proposals(), revision)
 }
 
 func (m *Manager) adoptReply(reply *peerpb.ConfigurationReply) {
@@ -190,7 +192,7 @@
 		m.options.Logger.Error("configuration of a peer is malformed", "err", err)
 		return
 	}
-	m.adopt(policy.NewIndex(configuration), nil)
+	m.adopt(policy.NewIndex(configuration), nil, 0)
 }
 
 // follow fetches the versions that peers were observed to have.
@@ -229,8 +231,9 @@
 	}
 }
 
-// resolveOne reads the root; if it still has the proposal's base after a long time, it raises
-// the version without a change, so that the proposal's conditional update can no longer succeed.
+// resolveOne reads the root; if it still has the revision that the proposal expects after a long
+// time, it writes the same configuration again, so that the proposal can no longer be accepted.
+// The version stays: no VM has to learn of it, and none can fall behind it.
 func (m *Manager) resolveOne(ctx context.Context, base uint64, age time.Duration) error {
 	current, revision, err := readRoot(ctx, m.options.Store)
 	if err != nil {
@@ -239,33 +242,17 @@
 	if current == nil {
 		return errors.New("the platform holds no configuration")
 	}
-	m.adoptRoot(current)
-	if current.version() > base || age < fenceAfter+m.fenceDelay() {
+	m.adoptRoot(current, revision)
+	if revision > base || age < fenceAfter+m.fenceDelay() {
 		return nil
 	}
-	return m.fence(ctx, current, revision)
-}
-
-func (m *Manager) fence(ctx context.Context, current *root, revision uint64) error {
-	if err := archive(ctx, m.options.Store, current); err != nil {
-		return err
-	}
-	raised := current.Configuration.Clone()
-	raised.Version++
-	acceptance := Acceptance{
-		Version:  raised.Version,
-		Proposal: rand.Text(),
-		Operator: "godwitcartd",
-		VM:       m.options.VM,
-		At:       time.Now().UTC(),
-		Summary:  "settle an undecided change as rejected",
-	}
-	fenced := current.next(raised, acceptance)
-	if _, err := m.options.Store.Put(ctx, rootKey, fenced.encode(), revision); err != nil {
+	current.Settled++
+	written, err := m.options.Store.Put(ctx, rootKey, current.encode(), revision)
+	if err != nil {
 		return err
 	}
 	m.counters.fenced.Inc(1)
-	m.adoptRoot(fenced)
+	m.adoptRoot(current, written.Version)
 	return nil
 }
 
--- a/internal/acceptance/machine_test.go
+++ b/internal/acceptance/machine_test.go
@@ -1,6 +1,7 @@
 package acceptance_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -65,6 +66,14 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if root.Configuration.Version == uint64(len(o.versions)) {
+		// The root was written again to settle an abandoned proposal: nothing may have changed.
+		same := o.versions[len(o.versions)-1].index.Configuration()
+		if !bytes.Equal(policy.Encode(same), policy.Encode(root.Configuration)) {
+			panic("the root was rewritten with another content")
+		}
+		return
+	}
 	o.versions = append(o.versions, acceptedVersion{policy.NewIndex(root.Configuration), root.Latest.Summary, time.Now()})
 }
 
--- a/internal/acceptance/propose.go
+++ b/internal/acceptance/propose.go
@@ -121,7 +121,7 @@
 		return nil, apierror.Newf(apierror.KindUnavailable, "restore the object "+rootKey+" on the platform",
 			"the platform holds version %d of the configuration, but version %d was accepted", base.version(), m.Version())
 	}
-	m.adoptRoot(base)
+	m.adoptRoot(base, revision)
 	next := base.Configuration.Clone()
 	if err := change.Apply(next); err != nil {
 		return nil, err
@@ -162,7 +162,7 @@
 	add(vms, m.options.Directory.Known())
 	request := &peerpb.StageRequest{
 		ProposalId:    a.id(),
-		BaseVersion:   a.base.version(),
+		BaseVersion:   a.revision,
 		Configuration: policy.Encode(a.next.Configuration),
 	}
 	for round := 1; round <= maxStageRounds; round++ {
@@ -254,9 +254,9 @@
 			"repeat the command; \"show vms\" names the slow VMs")
 	}
 	value := a.next.encode()
-	_, err := m.options.Store.Put(ctx, rootKey, value, a.revision)
+	written, err := m.options.Store.Put(ctx, rootKey, value, a.revision)
 	if err == nil {
-		m.adoptRoot(a.next)
+		m.adoptRoot(a.next, written.Version)
 		return nil
 	}
 	if conflict, lost := object.AsConflict(err); lost {
@@ -282,7 +282,7 @@
 			fmt.Sprintf("the platform went away while version %d was being accepted", a.next.version()),
 			"look for the proposal "+a.id()+" in \"show history\" when the platform is back")
 	case applied:
-		m.adoptRoot(a.next)
+		m.adopt(policy.NewIndex(a.next.Configuration), []string{a.id()}, 0)
 		return nil
 	default:
 		return m.lost(held, a)
@@ -296,7 +296,11 @@
 		return apierror.Wrap(err, apierror.KindInternal, "the stored configuration cannot be read",
 			"restore the object "+rootKey+" on the platform")
 	}
-	m.adoptRoot(current)
+	m.adoptRoot(current, held.Version)
+	if current.version() == a.base.version() {
+		return apierror.New(apierror.KindUnavailable, "the change is rejected: it stayed undecided for too long and another VM settled it",
+			"repeat the command").WithRetryAfter(time.Second)
+	}
 	winner := current.Latest
 	for _, acceptance := range current.Recent {
 		if acceptance.Version == a.next.version() {
--- a/internal/acceptance/root.go
+++ b/internal/acceptance/root.go
@@ -40,6 +40,9 @@
 	Latest Acceptance `json:"latest"`
 	// Recent lists the latest acceptances, newest last and without their changes.
 	Recent []Acceptance `json:"recent"`
+	// Settled counts the writes that left the configuration as it was, so that an abandoned
+	// proposal could no longer be accepted.
+	Settled uint64 `json:"settled,omitempty"`
 }
 
 func decodeRoot(value []byte) (*root, error) {
@@ -72,7 +75,7 @@
 	if len(recent) > maxRecent {
 		recent = recent[len(recent)-maxRecent:]
 	}
-	return &root{Configuration: configuration, Latest: acceptance, Recent: recent}
+	return &root{Configuration: configuration, Latest: acceptance, Recent: recent, Settled: r.Settled}
 }
 
 // accepted reports whether r follows from the proposal of the id.
--- a/internal/acceptance/serve.go
+++ b/internal/acceptance/serve.go
@@ -9,7 +9,7 @@
 )
 
 // Stage answers a peer that asks this VM to hold a proposal. A VM that is still starting
-// holds it too.
+// holds it too. BaseVersion is the revision of the root object that the update expects.
 func (m *Manager) Stage(_ context.Context, request *peerpb.StageRequest) (*peerpb.StageReply, error) {
 	configuration, err := policy.Decode(request.Configuration)
 	m.mu.Lock()
@@ -41,7 +41,7 @@
 		if err != nil {
 			return nil, err
 		}
-		m.adopt(policy.NewIndex(configuration), []string{request.ProposalId})
+		m.adopt(policy.NewIndex(configuration), []string{request.ProposalId}, 0)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
