Let the watchers of a target take turns

Ruled out: phases by wall clock (the VMs' clocks are not compared). Change: a watcher waits until half an interval has passed since the other one's confirmation, within 0.6 and 1.2 intervals of its own last probe.

--- a/internal/membership/poller.go
+++ b/internal/membership/poller.go
@@ -198,13 +198,23 @@
 			last = now.Add(time.Duration(rank)*interval/WatchersPerTarget - interval)
 			p.probed[name] = last
 		}
-		if now.Sub(last) >= interval {
+		if p.isDue(name, now.Sub(last), interval, now) {
 			due = append(due, name)
 		}
 	}
 	return due
 }
 
+// isDue reports whether a watched target is due, given the time since this VM probed it. The watchers
+// take turns: this one waits until half an interval has passed since the other one's confirmation.
+func (p *Poller) isDue(name string, since, interval time.Duration, now time.Time) bool {
+	if since < interval*6/10 {
+		return false
+	}
+	vm, _ := p.options.Directory.Get(name)
+	return since >= interval*12/10 || now.Sub(vm.ConfirmedAt) >= interval/WatchersPerTarget
+}
+
 // dueStale returns targets that no watcher has confirmed for too long, within the bound.
 func (p *Poller) dueStale(now time.Time) []string {
 	var due []string
--- a/internal/peer/control_bench_test.go
+++ b/internal/peer/control_bench_test.go
@@ -9,6 +9,7 @@
 	"runtime"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -61,11 +62,12 @@
 	return list
 }
 
-// loads answers probes with a load that wanders.
-type loads struct{}
+// loads counts probes and answers them with a load that wanders.
+type loads struct{ probes atomic.Int64 }
 
 // Probe implements membership.Prober.
-func (loads) Probe(_ context.Context, vm membership.VM) (enginewire.LoadReport, error) {
+func (l *loads) Probe(_ context.Context, vm membership.VM) (enginewire.LoadReport, error) {
+	l.probes.Add(1)
 	return enginewire.LoadReport{
 		Target: vm.Name, Incarnation: "0123456789abcdef", MemoryTokens: 400000, UsedTokens: rand.IntN(400000),
 		Running: rand.IntN(200), Waiting: rand.IntN(20), Preemptions: rand.Uint64N(10000),
@@ -85,11 +87,12 @@
 type benchNode struct {
 	directory *membership.Directory
 	traffic   *Traffic
+	prober    *loads
 	run       func(ctx context.Context, listener net.Listener)
 }
 
 func newBenchNode(b *testing.B, vm platformwire.VM, list fixedList) *benchNode {
-	n := &benchNode{directory: membership.New(membership.Options{Self: vm.Name, Zone: vm.Zone}), traffic: &Traffic{}}
+	n := &benchNode{directory: membership.New(membership.Options{Self: vm.Name, Zone: vm.Zone}), traffic: &Traffic{}, prober: &loads{}}
 	client := NewClient(ClientOptions{Traffic: n.traffic, Resolve: func(name string) (string, bool) {
 		peer, known := n.directory.Get(name)
 		return peer.PeerAddress, known && peer.PeerAddress != ""
@@ -98,7 +101,7 @@
 	server, err := NewServer(ServerOptions{Handlers: Handlers{Exchange: gossip}, Traffic: n.traffic})
 	require.NoError(b, err)
 	poller := membership.NewPoller(membership.PollerOptions{
-		Directory: n.directory, Prober: loads{}, Lister: list, ListInterval: time.Hour,
+		Directory: n.directory, Prober: n.prober, Lister: list, ListInterval: time.Hour,
 	})
 	n.run = func(ctx context.Context, listener net.Listener) {
 		var running sync.WaitGroup
@@ -144,6 +147,7 @@
 
 // report measures for benchDuration and reports the mean of one VM.
 func report(b *testing.B, f fleet, all, measured []*benchNode) {
+	probes := countProbes(measured)
 	before, cpu, start := sum(measured), cpuTime(b), time.Now()
 	fresh, samples := 0, 0
 	for range 12 {
@@ -166,6 +170,7 @@
 	b.ReportMetric(perNode(after.ReceivedBytes-before.ReceivedBytes), "receivedB/s")
 	b.ReportMetric(perNode(after.Calls-before.Calls), "calls/s")
 	b.ReportMetric(perNode(after.Failures-before.Failures), "failures/s")
+	b.ReportMetric(perNode(countProbes(measured)-probes), "probes/s")
 	b.ReportMetric(100*used.Seconds()/elapsed/float64(len(all)), "%core")
 	b.ReportMetric(100*float64(fresh)/float64(samples), "%fresh")
 	b.ReportMetric(heapPerNode(len(all)), "KiB/VM")
@@ -183,6 +188,13 @@
 	return total
 }
 
+func countProbes(nodes []*benchNode) (total int64) {
+	for _, n := range nodes {
+		total += n.prober.probes.Load()
+	}
+	return total
+}
+
 func cpuTime(b *testing.B) time.Duration {
 	var usage syscall.Rusage
 	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
