Ask more often in larger zones

Cause: at 68 VMs a zone the news of a confirmation took too many rounds of 350 ms; VMs that do not watch probed stale targets themselves. Ruled out: asking back at once when the asker knows more (the same number of messages, but in bursts). Change: the pause between asks is 0.9 s / ln(n), within 150 and 500 ms.

--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -16,8 +17,11 @@
 )
 
 const (
-	// DefaultInterval is the pause between two asks inside the zone.
-	DefaultInterval = 350 * time.Millisecond
+	// spreadTime is the time in which news should reach most VMs of a zone. News spreads to n VMs in
+	// about ln(n) rounds, so the pause between two asks is spreadTime/ln(n) within the bounds.
+	spreadTime  = 900 * time.Millisecond
+	minInterval = 150 * time.Millisecond
+	maxInterval = 500 * time.Millisecond
 	// DefaultForeignInterval is the pause between two asks in other zones, which are taken in turn.
 	DefaultForeignInterval = 500 * time.Millisecond
 	// partnerCount is how many VMs of a zone are asked; the set changes by one in partnerLife.
@@ -44,8 +48,10 @@
 	Self, Incarnation, Zone string
 	Directory               *membership.Directory
 	// Ask makes one exchange; Client.Exchange does.
-	Ask             func(ctx context.Context, vm string, ask *peerpb.Digest) (*peerpb.Digest, error)
-	Interval        time.Duration
+	Ask func(ctx context.Context, vm string, ask *peerpb.Digest) (*peerpb.Digest, error)
+	// Interval is the pause between two asks inside the zone; zero chooses it by the size of the zone.
+	Interval time.Duration
+	// ForeignInterval is the pause between two asks in other zones.
 	ForeignInterval time.Duration
 	// ConfigurationVersion returns the version in force here; nil tells none.
 	ConfigurationVersion func() uint64
@@ -75,9 +81,6 @@
 
 // NewGossip returns a Gossip that Run starts.
 func NewGossip(options GossipOptions) *Gossip {
-	if options.Interval <= 0 {
-		options.Interval = DefaultInterval
-	}
 	if options.ForeignInterval <= 0 {
 		options.ForeignInterval = DefaultForeignInterval
 	}
@@ -93,7 +96,7 @@
 func (g *Gossip) Run(ctx context.Context) {
 	changes, cancel := g.options.Directory.Subscribe()
 	defer cancel()
-	near := time.NewTicker(g.options.Interval)
+	near := time.NewTimer(0)
 	defer near.Stop()
 	far := time.NewTicker(g.options.ForeignInterval)
 	defer far.Stop()
@@ -105,6 +108,7 @@
 			return
 		case <-near.C:
 			g.askZone(ctx, g.options.Zone)
+			near.Reset(g.interval())
 		case <-far.C:
 			g.askZone(ctx, g.foreignZone(round))
 			round++
@@ -114,6 +118,16 @@
 	}
 }
 
+// interval returns the pause until the next ask inside the zone.
+func (g *Gossip) interval() time.Duration {
+	if g.options.Interval > 0 {
+		return g.options.Interval
+	}
+	size := len(g.peers[g.options.Zone]) + 1
+	pause := time.Duration(float64(spreadTime) / math.Log(float64(size)+1))
+	return min(max(pause, minInterval), maxInterval)
+}
+
 // foreignZone returns the zone to ask in the round, or nothing when there is no other.
 func (g *Gossip) foreignZone(round int) string {
 	var others []string
