Ask large zones of others less often, and only for what changed

Cause: each VM asked other zones twice a second, also where they are too large to be kept fresh from outside. Ruled out: no asking at all (a VM that must spill over would know nothing of the other zones' loads). Change: one ask in two seconds where the zone has more than 32 targets; an old confirmation no longer asks for the whole report, only an unknown target does.

--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -11,6 +11,8 @@
 const (
 	// ageUnit is the resolution of ages and lags on the wire.
 	ageUnit = 50 * time.Millisecond
+	// ageMax is the highest age on the wire; it stands for any higher one too.
+	ageMax = 254
 	// ageUnknown asks for the whole report of a target.
 	ageUnknown = 255
 	// worthTelling is how much younger a report must be than what the asker has.
@@ -42,14 +44,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.entries[name]
-	if e == nil || e.resync {
+	if e == nil || e.resync || len(e.facts) == 0 {
 		return ageUnknown
 	}
 	confirmed := e.confirmedAt()
 	if confirmed.IsZero() {
-		return ageUnknown
+		return ageMax
 	}
-	return byte(min(max(now.Sub(confirmed)/ageUnit, 0), ageUnknown))
+	return byte(min(max(now.Sub(confirmed)/ageUnit, 0), ageMax))
 }
 
 // Answer returns what this VM knows better than the asker: recent facts, and reports of the targets
--- a/internal/membership/layout.go
+++ b/internal/membership/layout.go
@@ -46,3 +46,12 @@
 func (d *Directory) Zones() []string {
 	return slices.Sorted(maps.Keys(d.layout.Load().zones))
 }
+
+// maxFullZone is the largest zone whose targets are all kept fresh from other zones.
+const maxFullZone = 32
+
+// KeepsFresh reports whether this VM keeps all targets of the zone confirmed: those of its own zone,
+// and those of small ones. Targets of other zones are known in part and confirmed when they are needed.
+func (d *Directory) KeepsFresh(zone string) bool {
+	return zone == d.options.Zone || len(d.layout.Load().zones[zone].targets) <= maxFullZone
+}
--- a/internal/membership/poller.go
+++ b/internal/membership/poller.go
@@ -30,8 +30,6 @@
 	staleScanInterval = 400 * time.Millisecond
 	// staleProbesPerSecond bounds those probes.
 	staleProbesPerSecond = 5
-	// maxFullZone is the largest zone whose targets are all kept fresh from other zones.
-	maxFullZone = 32
 	// maxProbes bounds the probes in flight.
 	maxProbes = 32
 	// DefaultListInterval is the pause between two reads of the platform's list.
@@ -220,7 +218,7 @@
 	var due []string
 	d := p.options.Directory
 	for zone, order := range d.layout.Load().zones {
-		if zone != d.options.Zone && len(order.targets) > maxFullZone {
+		if !d.KeepsFresh(zone) {
 			continue
 		}
 		for _, name := range order.targets {
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -22,8 +22,11 @@
 	spreadTime  = 900 * time.Millisecond
 	minInterval = 150 * time.Millisecond
 	maxInterval = 500 * time.Millisecond
-	// DefaultForeignInterval is the pause between two asks in other zones, which are taken in turn.
-	DefaultForeignInterval = 500 * time.Millisecond
+	// foreignInterval is the pause between two asks in other zones, which are taken in turn. Where
+	// zones are too large to be kept fresh from outside, largeForeignInterval serves to know them
+	// roughly; their targets are confirmed before they get work.
+	foreignInterval      = 500 * time.Millisecond
+	largeForeignInterval = 2 * time.Second
 	// partnerCount is how many VMs of a zone are asked; the set changes by one in partnerLife.
 	partnerCount = 8
 	partnerLife  = 30 * time.Second
@@ -42,7 +45,7 @@
 	maxUsages             = 32
 )
 
-// GossipOptions configures a Gossip. Zero durations stand for the defaults.
+// GossipOptions configures a Gossip.
 type GossipOptions struct {
 	// Self, Incarnation and Zone describe this VM.
 	Self, Incarnation, Zone string
@@ -51,8 +54,6 @@
 	Ask func(ctx context.Context, vm string, ask *peerpb.Digest) (*peerpb.Digest, error)
 	// Interval is the pause between two asks inside the zone; zero chooses it by the size of the zone.
 	Interval time.Duration
-	// ForeignInterval is the pause between two asks in other zones.
-	ForeignInterval time.Duration
 	// ConfigurationVersion returns the version in force here; nil tells none.
 	ConfigurationVersion func() uint64
 	// OnConfigurationVersion, if set, learns the version in force at a peer. It must not block.
@@ -81,9 +82,6 @@
 
 // NewGossip returns a Gossip that Run starts.
 func NewGossip(options GossipOptions) *Gossip {
-	if options.ForeignInterval <= 0 {
-		options.ForeignInterval = DefaultForeignInterval
-	}
 	return &Gossip{
 		options:  options,
 		usages:   rate.NewLimiter(usageEntriesPerSecond, 4*maxUsages),
@@ -98,7 +96,7 @@
 	defer cancel()
 	near := time.NewTimer(0)
 	defer near.Stop()
-	far := time.NewTicker(g.options.ForeignInterval)
+	far := time.NewTimer(0)
 	defer far.Stop()
 	pushed := time.Now()
 	for round := 0; ; {
@@ -110,7 +108,9 @@
 			g.askZone(ctx, g.options.Zone)
 			near.Reset(g.interval())
 		case <-far.C:
-			g.askZone(ctx, g.foreignZone(round))
+			zone := g.foreignZone(round)
+			g.askZone(ctx, zone)
+			far.Reset(g.foreignPause(zone))
 			round++
 		case <-changes:
 			pushed = g.pushNews(ctx, pushed)
@@ -128,6 +128,14 @@
 	return min(max(pause, minInterval), maxInterval)
 }
 
+// foreignPause returns the pause after an ask in another zone.
+func (g *Gossip) foreignPause(zone string) time.Duration {
+	if g.options.Directory.KeepsFresh(zone) {
+		return foreignInterval
+	}
+	return largeForeignInterval
+}
+
 // foreignZone returns the zone to ask in the round, or nothing when there is no other.
 func (g *Gossip) foreignZone(round int) string {
 	var others []string
