Test mutual TLS between peers; measure one probe

Cause: the peers' TLS was tested only without drpc, and the cost of a probe over HTTP was not in the gossip's figures.

--- /dev/null
+++ b/internal/membership/probe_bench_test.go
@@ -0,0 +1,81 @@
+package membership_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitcart/internal/target"
+	"godwitcart/internal/wire/enginewire"
+)
+
+// countedListener counts the bytes of its connections.
+type countedListener struct {
+	net.Listener
+	in, out atomic.Int64
+}
+
+type countedConn struct {
+	net.Conn
+	listener *countedListener
+}
+
+// Accept implements net.Listener.
+func (l *countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return &countedConn{Conn: conn, listener: l}, err
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.listener.in.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.listener.out.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkProbe measures one probe of an engine over a kept connection. The processor time is that of
+// both sides.
+func BenchmarkProbe(b *testing.B) {
+	report, err := json.Marshal(enginewire.LoadReport{
+		Target: "godwit-lm-12", Incarnation: "ABCDEFGHIJKLMNOPQRSTUVWXYZ", AsOfUnixMillis: 1796245200000,
+		Running: 120, Waiting: 11, MemoryTokens: 400000, UsedTokens: 312345, Preemptions: 4711, Role: "decode",
+		Loaded: []enginewire.Loaded{{Model: "ledger-small", Version: "1"}, {Model: "ledger-small", Adapter: "pricing", Version: "1"}},
+	})
+	require.NoError(b, err)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	counted := &countedListener{Listener: listener}
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(report) }))
+	server.Listener.Close()
+	server.Listener = counted
+	server.Start()
+	defer server.Close()
+	client := target.NewEngineClient(target.Timeouts{Connect: time.Second, Answer: time.Second, Progress: time.Second})
+	address := target.Address{Name: "godwit-lm-12", HostPort: listener.Addr().String()}
+	var before, after syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &before))
+	for b.Loop() {
+		_, err := client.Load(context.Background(), address)
+		require.NoError(b, err)
+	}
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &after))
+	used := after.Utime.Nano() + after.Stime.Nano() - before.Utime.Nano() - before.Stime.Nano()
+	b.ReportMetric(float64(counted.in.Load())/float64(b.N), "sentB/op")
+	b.ReportMetric(float64(counted.out.Load())/float64(b.N), "receivedB/op")
+	b.ReportMetric(float64(used)/float64(b.N)/1000, "cpu-us/op")
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -3,16 +3,20 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
 
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/membership"
 	"godwitcart/internal/peer/peerpb"
+	"godwitcart/internal/tlsconfig"
+	"godwitcart/internal/tlsconfig/tlstest"
 	"godwitcart/internal/wire/platformwire"
 )
 
@@ -123,6 +127,24 @@
 	require.Eventually(t, func() bool { _, err := query(client, "vm", "x"); return err == nil }, 20*time.Second, 20*time.Millisecond)
 }
 
+func TestMutualTLS(t *testing.T) {
+	reloader := func(a tlstest.Authority) *tlsconfig.Reloader {
+		r, err := tlsconfig.New(a.NewFiles(t, 7), log.New(io.Discard))
+		require.NoError(t, err)
+		return r
+	}
+	ours := tlstest.NewAuthority(t)
+	live := serve(t, "127.0.0.1:0", ServerOptions{TLS: reloader(ours).Server(), Handlers: Handlers{Query: echo{}}})
+	addresses := map[string]string{"live": live}
+	rows, err := query(newTestClient(t, ClientOptions{TLS: reloader(ours).Client}, addresses), "live", "secret")
+	require.NoError(t, err)
+	require.Equal(t, "secret", rows)
+	for _, options := range []ClientOptions{{}, {TLS: reloader(tlstest.NewAuthority(t)).Client}} {
+		_, err = query(newTestClient(t, options, addresses), "live", "x")
+		require.True(t, apierror.Is(err, apierror.KindUnavailable))
+	}
+}
+
 func TestForgottenPeersAreClosed(t *testing.T) {
 	live := serve(t, "127.0.0.1:0", ServerOptions{Handlers: Handlers{Query: echo{}}})
 	addresses := map[string]string{"old": live, "new": live}
