--- a/internal/membership/poller.go
+++ b/internal/membership/poller.go
@@ -30,8 +30,6 @@
 	staleScanInterval = 400 * time.Millisecond
 	// staleProbesPerSecond bounds those probes.
 	staleProbesPerSecond = 5
-	// maxFullZone is the largest zone whose targets are all kept fresh from other zones.
-	maxFullZone = 32
 	// maxProbes bounds the probes in flight.
 	maxProbes = 32
 	// DefaultListInterval is the pause between two reads of the platform's list.
@@ -198,19 +196,29 @@
 			last = now.Add(time.Duration(rank)*interval/WatchersPerTarget - interval)
 			p.probed[name] = last
 		}
-		if now.Sub(last) >= interval {
+		if p.isDue(name, now.Sub(last), interval, now) {
 			due = append(due, name)
 		}
 	}
 	return due
 }
 
+// isDue reports whether a watched target is due, given the time since this VM probed it. The watchers
+// take turns: this one waits until half an interval has passed since the other one's confirmation.
+func (p *Poller) isDue(name string, since, interval time.Duration, now time.Time) bool {
+	if since < interval*6/10 {
+		return false
+	}
+	vm, _ := p.options.Directory.Get(name)
+	return since >= interval*12/10 || now.Sub(vm.ConfirmedAt) >= interval/WatchersPerTarget
+}
+
 // dueStale returns targets that no watcher has confirmed for too long, within the bound.
 func (p *Poller) dueStale(now time.Time) []string {
 	var due []string
 	d := p.options.Directory
 	for zone, order := range d.layout.Load().zones {
-		if zone != d.options.Zone && len(order.targets) > maxFullZone {
+		if !d.KeepsFresh(zone) {
 			continue
 		}
 		for _, name := range order.targets {
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -16,10 +17,16 @@
 )
 
 const (
-	// DefaultInterval is the pause between two asks inside the zone.
-	DefaultInterval = 350 * time.Millisecond
-	// DefaultForeignInterval is the pause between two asks in other zones, which are taken in turn.
-	DefaultForeignInterval = 500 * time.Millisecond
+	// spreadTime is the time in which news should reach most VMs of a zone. News spreads to n VMs in
+	// about ln(n) rounds, so the pause between two asks is spreadTime/ln(n) within the bounds.
+	spreadTime  = 900 * time.Millisecond
+	minInterval = 150 * time.Millisecond
+	maxInterval = 500 * time.Millisecond
+	// foreignInterval is the pause between two asks in other zones, which are taken in turn. Where
+	// zones are too large to be kept fresh from outside, largeForeignInterval serves to know them
+	// roughly; their targets are confirmed before they get work.
+	foreignInterval      = 500 * time.Millisecond
+	largeForeignInterval = 2 * time.Second
 	// partnerCount is how many VMs of a zone are asked; the set changes by one in partnerLife.
 	partnerCount = 8
 	partnerLife  = 30 * time.Second
@@ -38,15 +45,15 @@
 	maxUsages             = 32
 )
 
-// GossipOptions configures a Gossip. Zero durations stand for the defaults.
+// GossipOptions configures a Gossip.
 type GossipOptions struct {
 	// Self, Incarnation and Zone describe this VM.
 	Self, Incarnation, Zone string
 	Directory               *membership.Directory
 	// Ask makes one exchange; Client.Exchange does.
-	Ask             func(ctx context.Context, vm string, ask *peerpb.Digest) (*peerpb.Digest, error)
-	Interval        time.Duration
-	ForeignInterval time.Duration
+	Ask func(ctx context.Context, vm string, ask *peerpb.Digest) (*peerpb.Digest, error)
+	// Interval is the pause between two asks inside the zone; zero chooses it by the size of the zone.
+	Interval time.Duration
 	// ConfigurationVersion returns the version in force here; nil tells none.
 	ConfigurationVersion func() uint64
 	// OnConfigurationVersion, if set, learns the version in force at a peer. It must not block.
@@ -75,12 +82,6 @@
 
 // NewGossip returns a Gossip that Run starts.
 func NewGossip(options GossipOptions) *Gossip {
-	if options.Interval <= 0 {
-		options.Interval = DefaultInterval
-	}
-	if options.ForeignInterval <= 0 {
-		options.ForeignInterval = DefaultForeignInterval
-	}
 	return &Gossip{
 		options:  options,
 		usages:   rate.NewLimiter(usageEntriesPerSecond, 4*maxUsages),
@@ -93,9 +94,9 @@
 func (g *Gossip) Run(ctx context.Context) {
 	changes, cancel := g.options.Directory.Subscribe()
 	defer cancel()
-	near := time.NewTicker(g.options.Interval)
+	near := time.NewTimer(0)
 	defer near.Stop()
-	far := time.NewTicker(g.options.ForeignInterval)
+	far := time.NewTimer(0)
 	defer far.Stop()
 	pushed := time.Now()
 	for round := 0; ; {
@@ -105,8 +106,11 @@
 			return
 		case <-near.C:
 			g.askZone(ctx, g.options.Zone)
+			near.Reset(g.interval())
 		case <-far.C:
-			g.askZone(ctx, g.foreignZone(round))
+			zone := g.foreignZone(round)
+			g.askZone(ctx, zone)
+			far.Reset(g.foreignPause(zone))
 			round++
 		case <-changes:
 			pushed = g.pushNews(ctx, pushed)
@@ -114,6 +118,24 @@
 	}
 }
 
+// interval returns the pause until the next ask inside the zone.
+func (g *Gossip) interval() time.Duration {
+	if g.options.Interval > 0 {
+		return g.options.Interval
+	}
+	size := len(g.peers[g.options.Zone]) + 1
+	pause := time.Duration(float64(spreadTime) / math.Log(float64(size)+1))
+	return min(max(pause, minInterval), maxInterval)
+}
+
+// foreignPause returns the pause after an ask in another zone.
+func (g *Gossip) foreignPause(zone string) time.Duration {
+	if g.options.Directory.KeepsFresh(zone) {
+		return foreignInterval
+	}
+	return largeForeignInterval
+}
+
 // foreignZone returns the zone to ask in the round, or nothing when there is no other.
 func (g *Gossip) foreignZone(round int) string {
 	var others []string
@@ -179,7 +201,7 @@
 		return
 	}
 	g.learn(answer, vm, asked)
-	g.options.Directory.MergeAnswer(answer, asked)
+	g.options.Directory.MergeAnswer(question, answer, asked)
 }
 
 // Exchange answers a peer; it implements Exchanger.
