Read a test's stream without losing what was read ahead

The test read one body with two scanners, and the first one took part of the next event with it. Change: a body keeps its reader. No check is changed.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -216,9 +216,16 @@
 	response, err := http.DefaultClient.Do(outbound)
 	require.NoError(h.t, err)
 	h.t.Cleanup(func() { response.Body.Close() })
+	response.Body = &bufferedBody{Reader: bufio.NewReader(response.Body), Closer: response.Body}
 	return response
 }
 
+// bufferedBody keeps what was read ahead, so that a stream can be read in parts.
+type bufferedBody struct {
+	*bufio.Reader
+	io.Closer
+}
+
 // event is one server-sent event as a caller reads it.
 type event struct {
 	name string
@@ -241,13 +248,17 @@
 }
 
 // readEvents reads events until limit or the end of the stream.
-func readEvents(t testing.TB, body io.Reader, limit int) []event {
+func readEvents(t testing.TB, body io.ReadCloser, limit int) []event {
 	t.Helper()
 	var events []event
 	var current event
-	lines := bufio.NewScanner(body)
-	for len(events) < limit && lines.Scan() {
-		line := lines.Text()
+	lines := body.(*bufferedBody).Reader
+	for len(events) < limit {
+		line, err := lines.ReadString('\n')
+		if err != nil {
+			return events
+		}
+		line = strings.TrimSuffix(line, "\n")
 		switch {
 		case strings.HasPrefix(line, "id: "):
 			current.id = line[len("id: "):]
