Hedge idempotent calls to silent plain services; drain without cutting off long streams

A drain was bounded by 60 s, shorter than a long generation, and targets were not told how much time was left. Ruled out for hedging: calls that may run once, and bodies that are not kept. Change: after 1 s without headers an idempotent call goes to a second target, within the retry budget; the first answer counts. Drains last up to an hour, the longest deadline. The rest of the deadline goes with every call. Measured: the new test is answered by the second target while the first is stalled; a call that may run once is not sent twice.

--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -98,30 +98,30 @@
 	return target.IsLeaving(failed.cause) || p.options.Budget.Spend(p.request.Service)
 }
 
+// attempt places the call and sends it, and hedges it when no answer comes.
 func (p *plainRun) attempt(ctx context.Context) (*Answer, error) {
 	placement, err := p.options.Placer.Place(ctx, p.request, p.excluded, p.attempts > 0)
 	if err != nil {
 		return nil, p.refuse(ctx, err)
 	}
-	address := placement.Address()
-	binding := Binding{Address: address, Attempt: p.options.NewID()}
+	binding := Binding{Address: placement.Address(), Attempt: p.options.NewID()}
 	if err := p.claim(ctx, binding); err != nil {
 		placement.Release(Outcome{State: request.AttemptNotSent})
 		return nil, err
 	}
 	p.attempts++
-	call := p.call
-	call.AttemptID = binding.Attempt
-	call.Body, _ = p.body.Open()
-	p.move(request.StateDispatched, address.Name, placement.Reason())
-	response, err := p.options.Plain.Call(ctx, address, call)
-	if err == nil {
-		return p.answer(response, placement), nil
-	}
-	state := target.AttemptState(err)
+	p.move(request.StateDispatched, binding.Address.Name, placement.Reason())
+	race := newRace(p, ctx)
+	race.send(placement, binding)
+	return race.first()
+}
+
+// fail ends one try at a target.
+func (p *plainRun) fail(t *try) *attemptError {
+	state := target.AttemptState(t.err)
 	p.mayHaveRun = p.mayHaveRun || !state.DidNotRun()
-	placement.Release(Outcome{State: state, Err: err})
-	return nil, &attemptError{state: state, target: address.Name, cause: err}
+	t.release(Outcome{State: state, Err: t.err})
+	return &attemptError{state: state, target: t.binding.Address.Name, cause: t.err}
 }
 
 // claim claims the call for the attempt. The answer of a plain service is not kept, so a copy is told
@@ -167,13 +167,14 @@
 	return copyError(existing, nil)
 }
 
-func (p *plainRun) answer(response *http.Response, placement Placement) *Answer {
+// answer hands over the answer of the try that came first.
+func (p *plainRun) answer(t *try) *Answer {
 	finish := func(err error) {
-		p.claimant.settle(err, true, claim.Ending{Status: response.StatusCode})
-		placement.Release(Outcome{State: endState(err), Err: err})
+		p.claimant.settle(err, true, claim.Ending{Status: t.response.StatusCode})
+		t.release(Outcome{State: endState(err), Err: err})
 		moveRecord(p.record, finalStep(err, p.record.State(), true))
 	}
-	return &Answer{Response: response, finish: finish}
+	return &Answer{Response: t.response, finish: finish}
 }
 
 func (p *plainRun) move(state request.State, targetName, reason string) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"godwitcart/internal/stand/engine"
+	"godwitcart/internal/stand/service"
 	"godwitcart/internal/wire/enginewire"
 )
 
@@ -139,6 +140,19 @@
 	require.Contains(t, string(text), "hello")
 }
 
+// TestSilentServiceIsHedgedForIdempotentCallsOnly stalls one target: a lookup is answered by the other
+// one while the first is still silent, and a call that may run once is not sent a second time.
+func TestSilentServiceIsHedgedForIdempotentCallsOnly(t *testing.T) {
+	h := newHarness(t)
+	h.service.SetFaults(service.Faults{Stall: true})
+	lookup := h.do(call{method: http.MethodGet, path: "/services/counter-api/card/7"})
+	require.Equal(t, http.StatusOK, lookup.StatusCode)
+	require.Len(t, h.spare.Ran().Calls, 1)
+	once := h.do(call{path: "/services/counter-api/order", body: "1", header: map[string]string{"Godwitcart-Deadline-Ms": "1500"}})
+	require.Equal(t, http.StatusGatewayTimeout, once.StatusCode)
+	require.Len(t, h.spare.Ran().Calls, 1)
+}
+
 // TestBadInput lists the answers to bad input; none of it reaches a target. The callers' guide
 // shows the same table.
 func TestBadInput(t *testing.T) {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -108,6 +108,8 @@
 	t       testing.TB
 	engines []*engine.Engine
 	service *service.Service
+	// spare is a second target of the plain service.
+	spare   *service.Service
 	placer  orderedPlacer
 	sealer  *request.Sealer
 	policy  fixedPolicy
@@ -130,7 +132,8 @@
 	for i := range testEngines {
 		h.addEngine("engine-" + string(rune('a'+i)))
 	}
-	h.addService()
+	h.service = h.addService("counter-a")
+	h.spare = h.addService("counter-b")
 	for range testEntries {
 		h.addEntry()
 	}
@@ -156,12 +159,17 @@
 	h.placer["letters"] = append(h.placer["letters"], address)
 }
 
-func (h *harness) addService() {
-	h.service = service.New(service.Options{Name: "counter-a"})
-	server := httptest.NewServer(h.service.Handler())
-	h.t.Cleanup(server.Close)
-	address := target.Address{Name: "counter-a", HostPort: server.Listener.Addr().String()}
+func (h *harness) addService(name string) *service.Service {
+	stand := service.New(service.Options{Name: name})
+	server := httptest.NewServer(stand.Handler())
+	h.t.Cleanup(func() {
+		stand.SetFaults(service.Faults{})
+		server.CloseClientConnections()
+		server.Close()
+	})
+	address := target.Address{Name: name, HostPort: server.Listener.Addr().String()}
 	h.placer["counter-api"] = append(h.placer["counter-api"], address)
+	return stand
 }
 
 func (h *harness) addEntry() {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -161,7 +161,7 @@
 	DefaultCallTimeout       = time.Second
 	DefaultPlatformTimeout   = 2 * time.Second
 	DefaultListInterval      = 2 * time.Second
-	DefaultDrainTimeout      = 60 * time.Second
+	DefaultDrainTimeout      = time.Hour
 	DefaultReadinessDelay    = 2 * time.Second
 	DefaultConnectTimeout    = time.Second
 	DefaultAnswerTimeout     = time.Second
--- a/internal/target/engine.go
+++ b/internal/target/engine.go
@@ -109,6 +109,7 @@
 	}
 	call.ContentLength = int64(len(body))
 	call.Header.Set("Content-Type", "application/json")
+	setDeadline(ctx, call.Header)
 	response, err := c.client.Do(call)
 	if err != nil {
 		return nil, classify(address.Name, err)
--- a/internal/target/plain.go
+++ b/internal/target/plain.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -84,11 +85,20 @@
 		outbound.ContentLength = call.ContentLength
 	}
 	copyEndToEnd(outbound.Header, call.Header)
+	setDeadline(ctx, outbound.Header)
 	outbound.Header.Set(enginewire.HeaderAttempt, call.AttemptID)
 	outbound.Header.Set(enginewire.HeaderRequest, call.RequestID)
 	return outbound, nil
 }
 
+// setDeadline passes on how much time is left.
+func setDeadline(ctx context.Context, header http.Header) {
+	if deadline, bounded := ctx.Deadline(); bounded {
+		left := max(time.Until(deadline).Milliseconds(), 1)
+		header.Set(enginewire.HeaderDeadline, strconv.FormatInt(left, 10))
+	}
+}
+
 // hopByHop lists the headers that concern one connection only.
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
--- a/internal/wire/enginewire/enginewire.go
+++ b/internal/wire/enginewire/enginewire.go
@@ -26,6 +26,8 @@
 	HeaderAttempt = "Godwitcart-Attempt"
 	// HeaderRequest carries the request id of a call to any target.
 	HeaderRequest = "Godwitcart-Request"
+	// HeaderDeadline carries how much time is left for a call to any target, in milliseconds.
+	HeaderDeadline = "Godwitcart-Deadline-Ms"
 	// HeaderRefused, set to a RefusalKind by a target, states that the call did not run.
 	HeaderRefused = "Godwitcart-Refused"
 )
