Keep runs off each other's ports; found: restarted targets are not probed

Ruled out: retrying the start, which would stop working beside a longer run. Change: a run takes a block of 100 ports by holding its first one. Found, for internal/membership: all four engines were reclaimed and back by 20:56:22.1, but got no work until 20:56:36, when an entry VM was restarted. The state dumps of entry-1 and entry-4 at 20:56:25 list no engine among the targets and 'no_target' for everything that waits. Poller.start does not probe a target whose state is leaving or higher, so that a target that left and was started again in place is found only by an entry VM that knows nothing of it yet. Conclusion: the poller should go on probing leaving targets that are still listed, if seldom.

--- a/internal/stand/failures/fleet.go
+++ b/internal/stand/failures/fleet.go
@@ -88,8 +88,12 @@
 
 // newFleet lays out addresses and files; nothing runs yet.
 func newFleet(binaries, directory string, seed uint64) (*fleet, error) {
+	ports, err := newPortPool()
+	if err != nil {
+		return nil, err
+	}
 	f := &fleet{
-		directory: directory, binaries: binaries, seed: seed, ports: newPortPool(), spawner: newSpawner(),
+		directory: directory, binaries: binaries, seed: seed, ports: ports, spawner: newSpawner(),
 		platformViews: make(map[string]string), links: make(map[linkKey]*link),
 	}
 	steps := []func() error{f.layOutMembers, f.layOutPlatform, f.layOutLinks, f.writeFiles}
@@ -234,4 +238,5 @@
 		l.close()
 	}
 	close(f.spawner.requests)
+	f.ports.close()
 }
--- a/internal/stand/failures/link_test.go
+++ b/internal/stand/failures/link_test.go
@@ -40,7 +40,10 @@
 }
 
 func TestLinkForwardsStallsAndCuts(t *testing.T) {
-	address, err := newPortPool().address()
+	ports, err := newPortPool()
+	require.NoError(t, err)
+	t.Cleanup(ports.close)
+	address, err := ports.address()
 	require.NoError(t, err)
 	l, err := newLink(address, echoServer(t))
 	require.NoError(t, err)
--- a/internal/stand/failures/ports.go
+++ b/internal/stand/failures/ports.go
@@ -8,35 +8,51 @@
 	"github.com/cockroachdb/errors"
 )
 
-// The ports of a run lie below those that the kernel gives to outgoing connections, so that a
-// program that is started again finds its port free.
+// The ports of a run are one block. They lie below those that the kernel gives to outgoing
+// connections, so that a program that is started again finds its port free.
 const (
-	lowestPort  = 18000
-	highestPort = 32000
-	portTries   = 1000
+	lowestPort   = 18000
+	blockSize    = 100
+	blockCount   = 140
+	loopbackHost = "127.0.0.1"
 )
 
-// portPool hands out free ports of 127.0.0.1, each once.
+// portPool hands out free ports of 127.0.0.1, each once. It holds the first port of its block, so
+// that runs at the same time keep off each other's ports.
 type portPool struct {
-	taken map[int]bool
+	lock net.Listener
+	next int
+	last int
 }
 
-func newPortPool() *portPool { return &portPool{taken: make(map[int]bool)} }
+// newPortPool takes a block that no other run holds.
+func newPortPool() (*portPool, error) {
+	for range 10 * blockCount {
+		base := lowestPort + blockSize*rand.IntN(blockCount)
+		lock, err := net.Listen("tcp", hostPort(base))
+		if err == nil {
+			return &portPool{lock: lock, next: base + 1, last: base + blockSize - 1}, nil
+		}
+	}
+	return nil, errors.New("no block of ports is free; end other runs")
+}
+
+func hostPort(port int) string { return net.JoinHostPort(loopbackHost, strconv.Itoa(port)) }
 
 // address returns the host:port of a port that was free.
 func (p *portPool) address() (string, error) {
-	for range portTries {
-		port := lowestPort + rand.IntN(highestPort-lowestPort)
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
-		if p.taken[port] || !isFree(address) {
-			continue
+	for p.next <= p.last {
+		address := hostPort(p.next)
+		p.next++
+		if isFree(address) {
+			return address, nil
 		}
-		p.taken[port] = true
-		return address, nil
 	}
-	return "", errors.Newf("no free port between %d and %d", lowestPort, highestPort)
+	return "", errors.New("the block of ports is used up")
 }
 
+func (p *portPool) close() { _ = p.lock.Close() }
+
 func isFree(address string) bool {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
