--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,256 @@
+package lease_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"godwitcart/internal/apierror"
+	"godwitcart/internal/lease"
+	"godwitcart/internal/object"
+	"godwitcart/internal/object/objecttest"
+	_ "godwitcart/internal/rapidseed"
+)
+
+const term = 6 * time.Second
+
+func manager(store object.Store, holder string) *lease.Manager {
+	return lease.NewManager(lease.Options{Store: store, Holder: holder, Term: term})
+}
+
+// keep renews a lease in the background; stop makes it release and waits.
+func keep(t *testing.T, held *lease.Lease) (stop func() error) {
+	ctx, cancel := context.WithCancel(t.Context())
+	result := make(chan error, 1)
+	go func() { result <- held.Keep(ctx) }()
+	return func() error {
+		cancel()
+		return <-result
+	}
+}
+
+func TestLeaseIsTakenOverOnlyAfterAWholeTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objecttest.NewStore()
+		first, err := manager(store, "a").Acquire(t.Context(), "duty")
+		require.NoError(t, err)
+		require.True(t, first.Valid(time.Now()))
+
+		other := manager(store, "b")
+		_, err = other.Acquire(t.Context(), "duty")
+		var held *lease.HeldError
+		require.ErrorAs(t, err, &held)
+		require.Equal(t, "a", held.Holder)
+		require.Equal(t, term, held.RetryAfter)
+		require.Equal(t, apierror.KindConflict, apierror.KindOf(err))
+
+		time.Sleep(term)
+		require.False(t, first.Valid(time.Now()), "the holder did not renew")
+		second, err := other.Acquire(t.Context(), "duty")
+		require.NoError(t, err)
+		require.Greater(t, second.Fencing(), first.Fencing())
+		require.False(t, second.PredecessorEnd().After(time.Now()))
+		require.Error(t, first.Keep(t.Context()), "a holder that was paused learns that it lost")
+		require.False(t, first.Valid(time.Now()))
+	})
+}
+
+func TestRenewalKeepsAndReleaseFreesTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objecttest.NewStore()
+		first, err := manager(store, "a").Acquire(t.Context(), "duty")
+		require.NoError(t, err)
+		stop := keep(t, first)
+		other := manager(store, "b")
+		for range 10 {
+			time.Sleep(term)
+			_, err = other.Acquire(t.Context(), "duty")
+			require.Error(t, err)
+			require.True(t, first.Valid(time.Now()))
+		}
+		require.NoError(t, stop())
+		<-first.Lost()
+		second, err := other.Acquire(t.Context(), "duty")
+		require.NoError(t, err)
+		require.Greater(t, second.Fencing(), first.Fencing())
+		require.True(t, second.PredecessorEnd().After(time.Now()), "orders of the earlier holder may be on their way")
+	})
+}
+
+// cut is a VM's way to the store that can be cut.
+type cut struct {
+	object.Store
+	dead atomic.Bool
+}
+
+func (c *cut) Put(ctx context.Context, key string, value []byte, expected uint64) (object.Object, error) {
+	if c.dead.Load() {
+		return object.Object{}, object.NewUnavailableError(time.Second, false, nil)
+	}
+	return c.Store.Put(ctx, key, value, expected)
+}
+
+func TestValidityCountsFromBeforeTheRenewalWasSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objecttest.NewStore()
+		way := &cut{Store: store}
+		first, err := manager(way, "a").Acquire(t.Context(), "duty")
+		require.NoError(t, err)
+		store.SetFaults(func(call objecttest.Call) objecttest.Fault {
+			return objecttest.Fault{AnswerDelay: term / 2}
+		})
+		stop := keep(t, first)
+		time.Sleep(term / 2)
+		other := manager(store, "b")
+		_, err = other.Acquire(t.Context(), "duty")
+		require.Error(t, err)
+		way.dead.Store(true)
+		time.Sleep(term)
+		require.False(t, first.Valid(time.Now()), "the other may take over now")
+		_, err = other.Acquire(t.Context(), "duty")
+		require.NoError(t, err)
+		require.Error(t, stop())
+	})
+}
+
+func TestFencingRisesOverADeletion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objecttest.NewStore()
+		first, err := manager(store, "a").Acquire(t.Context(), "duty")
+		require.NoError(t, err)
+		require.NoError(t, store.Delete(t.Context(), lease.Prefix+"duty", first.Fencing()))
+		second, err := manager(store, "b").Acquire(t.Context(), "duty")
+		require.NoError(t, err)
+		require.Greater(t, second.Fencing(), first.Fencing())
+	})
+}
+
+func TestLeaseSurvivesShortFaultsAndEndsInLongOnes(t *testing.T) {
+	faults := []objecttest.Fault{{LoseAnswer: true}, {LoseRequest: true}, {Late: true}, {Unavailable: true}, {Delay: time.Second}}
+	for i, fault := range faults {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := objecttest.NewStore()
+				held, err := manager(store, "a").Acquire(t.Context(), "duty")
+				require.NoError(t, err)
+				store.SetFaults(func(call objecttest.Call) objecttest.Fault {
+					if call.Number%3 == 0 {
+						return objecttest.Fault{}
+					}
+					return fault
+				})
+				stop := keep(t, held)
+				time.Sleep(10 * term)
+				require.True(t, held.Valid(time.Now()))
+				store.SetOutage(true)
+				<-held.Lost()
+				require.False(t, held.Valid(time.Now()))
+				require.Equal(t, apierror.KindConflict, apierror.KindOf(stop()))
+			})
+		})
+	}
+}
+
+func TestHoldRunsTheDutyOnOneVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objecttest.NewStore()
+		ctx, cancel := context.WithCancel(t.Context())
+		running, most, runs := 0, 0, 0
+		done := make(chan error, 3)
+		for i := range 3 {
+			go func() {
+				done <- manager(store, fmt.Sprint(i)).Hold(ctx, "duty", func(ctx context.Context, _ *lease.Lease) error {
+					running++
+					runs++
+					most = max(most, running)
+					timer := time.NewTimer(time.Minute)
+					select {
+					case <-timer.C:
+					case <-ctx.Done():
+					}
+					running--
+					return errors.New("ends")
+				})
+			}()
+		}
+		time.Sleep(10 * time.Minute)
+		cancel()
+		for range 3 {
+			require.NoError(t, <-done)
+		}
+		require.Equal(t, 1, most)
+		require.Greater(t, runs, 5)
+	})
+}
+
+// At no time do two managers hold a valid lease, and fencing numbers only rise, whatever is
+// lost, delayed or paused.
+func TestAtMostOneValidHolderUnderFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(struct{ testing.TB }{t}, func(r *rapid.T) {
+			store := objecttest.NewStore()
+			managers := []*lease.Manager{manager(store, "a"), manager(store, "b"), manager(store, "c")}
+			held := make([]*lease.Lease, len(managers))
+			stops := make([]func() error, len(managers))
+			highest := uint64(0)
+			drawFault := func(r *rapid.T) objecttest.Fault {
+				return rapid.SampledFrom([]objecttest.Fault{
+					{}, {LoseAnswer: true}, {LoseRequest: true}, {Late: true}, {Conflict: true}, {Unavailable: true}, {Delay: 4 * time.Second},
+					{AnswerDelay: 4 * time.Second},
+				}).Draw(r, "fault")
+			}
+			r.Repeat(map[string]func(*rapid.T){
+				"acquire": func(r *rapid.T) {
+					i := rapid.IntRange(0, len(managers)-1).Draw(r, "vm")
+					if taken, err := managers[i].Acquire(t.Context(), "duty"); err == nil {
+						require.Greater(r, taken.Fencing(), highest)
+						highest = taken.Fencing()
+						held[i] = taken
+					}
+				},
+				"keep": func(r *rapid.T) {
+					i := rapid.IntRange(0, len(managers)-1).Draw(r, "vm")
+					if held[i] != nil && stops[i] == nil {
+						stops[i] = keep(t, held[i])
+					}
+				},
+				"stop": func(r *rapid.T) {
+					i := rapid.IntRange(0, len(managers)-1).Draw(r, "vm")
+					if stops[i] != nil {
+						_ = stops[i]()
+						stops[i], held[i] = nil, nil
+					}
+				},
+				"faults": func(r *rapid.T) {
+					faults := []objecttest.Fault{drawFault(r), drawFault(r), drawFault(r)}
+					store.SetFaults(func(call objecttest.Call) objecttest.Fault { return faults[call.Number%len(faults)] })
+				},
+				"flush": func(*rapid.T) { store.Flush() },
+				"wait": func(r *rapid.T) {
+					time.Sleep(time.Duration(rapid.IntRange(1, 7000).Draw(r, "ms")) * time.Millisecond)
+				},
+				"": func(r *rapid.T) {
+					valid := 0
+					for _, each := range held {
+						if each != nil && each.Valid(time.Now()) {
+							valid++
+						}
+					}
+					require.LessOrEqual(r, valid, 1)
+				},
+			})
+			for _, stop := range stops {
+				if stop != nil {
+					_ = stop()
+				}
+			}
+		})
+	})
+}
--- a/internal/object/objecttest/store.go
+++ b/internal/object/objecttest/store.go
@@ -50,6 +50,8 @@
 	Conflict bool
 	// Delay is waited before the call is carried out.
 	Delay time.Duration
+	// AnswerDelay is waited after a write was carried out, before its answer.
+	AnswerDelay time.Duration
 }
 
 const (
@@ -243,14 +245,7 @@
 		fault = s.faults(Call{Op: op, Key: key, Number: s.calls})
 	}
 	s.mu.Unlock()
-	if fault.Delay > 0 {
-		timer := time.NewTimer(fault.Delay)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-	}
+	sleep(ctx, fault.Delay)
 	if err := ctx.Err(); err != nil {
 		return fault, object.NewUnavailableError(retryAfter, false, err)
 	}
@@ -267,6 +262,7 @@
 	if err != nil {
 		return object.Object{}, err
 	}
+	defer sleep(ctx, fault.AnswerDelay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if fault.Late {
@@ -285,6 +281,19 @@
 	return written, err
 }
 
+// sleep waits until the time or the context is over.
+func sleep(ctx context.Context, wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // touch writes an object's own value again; a missing object stays missing. The caller holds mu.
 func (s *Store) touch(key string) {
 	if current, ok := s.objects[key]; ok {
