--- a/internal/query/source.go
+++ b/internal/query/source.go
@@ -58,7 +58,8 @@
 	if !found {
 		return Life{}, false
 	}
-	life := Life{Request: p.requestRow(view, time.Now())}
+	received := Step{At: view.ReceivedAt, State: string(request.StateWaiting), Reason: "received"}
+	life := Life{Request: p.requestRow(view, time.Now()), Steps: []Step{received}}
 	for _, step := range view.Steps {
 		life.Steps = append(life.Steps, Step{
 			At: step.At, State: string(step.State), Target: step.Target, Attempt: step.Attempt, Reason: step.Reason,
