Let the clairvoyant serve the shortest first

Change: its queue is by class, then length, then arrival. Conclusion: kept, as the honest bound; lengths that nobody knows cannot be ordered by, so the distance to it holds what knowledge alone would buy.

--- a/internal/measure/clairvoyant.go
+++ b/internal/measure/clairvoyant.go
@@ -10,7 +10,7 @@
 
 // clairvoyant decides for all entry VMs at one place, knows every length and the true state, and
 // sends a job only when the memory that everything on the target will need is there. Its queue is
-// by class and arrival, as that of godwitcart without shares.
+// by class and then by length, the shortest first, which keeps the sum of all waits small.
 type clairvoyant struct {
 	r        *run
 	services [][]int
@@ -53,6 +53,9 @@
 		if a.priority != b.priority {
 			return b.priority - a.priority
 		}
+		if a.output != b.output {
+			return a.output - b.output
+		}
 		return a.id - b.id
 	})
 	c.queues[j.service] = slices.Insert(queue, at, j)
