Keep less headroom and trust a target sooner after a preemption

Cause: in a flood the lowest class waited at the gateway while memory stood free: 6% headroom a rank and a full second of distrust after each preemption. Change: headroom 3% a rank, 200 ms of distrust, half the gain of a cached prefix.

--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -16,7 +16,7 @@
 
 	// otherZoneCost and cachedGain are in shares of a target's memory.
 	otherZoneCost = 0.15
-	cachedGain    = 0.2
+	cachedGain    = 0.1
 
 	overloadedRetryAfter = time.Second
 	notRunRetryAfter     = time.Second
--- a/internal/routing/room.go
+++ b/internal/routing/room.go
@@ -4,11 +4,9 @@
 	// unknownMemory is the token memory assumed of an engine that has not reported any.
 	unknownMemory = 16384
 	// headroomPerRank is the share of memory kept free for each higher priority.
-	headroomPerRank = 0.06
-	// deviations is the margin in standard deviations of the forecast for the highest priority,
-	// and deviationsPerRank is added for each higher priority.
-	deviations        = 0.5
-	deviationsPerRank = 0.5
+	headroomPerRank = 0.03
+	// deviations is the margin of the forecast in standard deviations.
+	deviations = 0.5
 	// preemptCost is added to the score of a target on which work of lower priority would have to
 	// give way, in shares of its memory.
 	preemptCost = 1
@@ -32,9 +30,8 @@
 	expected.add(&state.demand, 1)
 	load := expected.mean[middleHorizon] / memory
 	usable := memory * (1 - headroomPerRank*float64(higher))
-	margin := deviations + deviationsPerRank*float64(higher)
 	inUse := float64(t.tokensNow() + state.query.PromptTokens)
-	if inUse <= usable && expected.fits(usable, margin) {
+	if inUse <= usable && expected.fits(usable, deviations) {
 		return load, true
 	}
 	if !state.query.Preempt || state.rank == 0 {
@@ -42,5 +39,5 @@
 	}
 	kept := t.expected(state.rank)
 	kept.add(&state.demand, 1)
-	return load + preemptCost, kept.fits(usable, margin)
+	return load + preemptCost, kept.fits(usable, deviations)
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -209,7 +209,7 @@
 }
 
 // pressureFor is how long a target that preempted gets only work of the highest class.
-const pressureFor = time.Second
+const pressureFor = 200 * time.Millisecond
 
 // Done ends the attempt and frees what it reserved. Ending twice has no effect.
 func (t *Table) Done(choice Choice, outcome Outcome, now time.Time) {
