Share reported room among entry VMs; keep engine queues short

Cause: every entry VM sees the same report and fills the same room at once; attempts then wait in engines, where no other target is open to them, or push others out. One entry VM alone had a quarter of the preemptions. Ruled out: scaling this VM's own sends by the number of VMs: near full memory each sends rarely, so the estimate is zero when it matters. Change: a VM stays within its share of the room that the last report showed (a share below the prompt becomes a chance, drawn once a report), and work of the lowest priority does not join an engine queue of more than two.

--- a/internal/routing/room.go
+++ b/internal/routing/room.go
@@ -7,6 +7,9 @@
 	headroomPerRank = 0.03
 	// deviations is the margin of the forecast in standard deviations.
 	deviations = 0.5
+	// maxEngineQueue is the number of attempts waiting at an engine above which work of the lowest
+	// priority waits at the gateway, where other targets are open to it.
+	maxEngineQueue = 2
 	// preemptCost is added to the score of a target on which work of lower priority would have to
 	// give way, in shares of its memory.
 	preemptCost = 1
@@ -26,12 +29,15 @@
 	if higher > 0 && state.now.Before(t.pressuredUntil) {
 		return 0, false
 	}
+	if state.rank == 0 && t.report.Waiting > maxEngineQueue {
+		return 0, false
+	}
 	expected := t.expected(0)
 	expected.add(&state.demand, 1)
 	load := expected.mean[middleHorizon] / memory
 	usable := memory * (1 - headroomPerRank*float64(higher))
 	inUse := float64(t.tokensNow() + state.query.PromptTokens)
-	if inUse <= usable && expected.fits(usable, deviations) {
+	if inUse <= usable && s.withinShare(state, t, usable) && expected.fits(usable, deviations) {
 		return load, true
 	}
 	if !state.query.Preempt || state.rank == 0 {
@@ -41,3 +47,17 @@
 	kept.add(&state.demand, 1)
 	return load + preemptCost, kept.fits(usable, deviations)
 }
+
+// withinShare reports whether the attempt stays within this VM's share of the room that the last
+// report showed. Every entry VM sees the same report; without shares all would fill the same room
+// at once. A share smaller than the prompt becomes the chance to use it, drawn once a report.
+func (s *shard) withinShare(state *search, t *target, usable float64) bool {
+	entries := float64(s.entries.Load())
+	if entries <= 1 || t.reportedAt.IsZero() {
+		return true
+	}
+	share := (usable - float64(t.report.UsedTokens)) / entries
+	left := share - float64(int(t.tokens.Load())-t.tokensAsOf)
+	need := float64(state.query.PromptTokens)
+	return left >= need || left > need*t.lot
+}
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -51,8 +51,12 @@
 	// others is the forecast of what other VMs' attempts need, from the last report.
 	others demand
 	// othersTokens is what other VMs' attempts held at the last report.
-	othersTokens   int
-	othersCount    int
+	othersTokens int
+	othersCount  int
+	// tokensAsOf is what this VM's attempts held when the last report was true.
+	tokensAsOf int
+	// lot is a number from 0 up to 1 that is drawn at each report.
+	lot            float64
 	pressuredUntil time.Time
 }
 
@@ -141,6 +145,8 @@
 	}
 	t.othersTokens = max(report.UsedTokens-own.tokens, 0)
 	t.othersCount = max(report.Running+report.Waiting-own.count, 0)
+	t.tokensAsOf = own.tokens
+	t.lot = t.shard.random.Float64()
 	t.others = t.othersForecast()
 	t.setLoaded(report.Loaded)
 }
