Find a target that left and was started again in place

Change: every target that the list names is probed; one that is leaving answers so, and one that was started again is a new incarnation. Measured: TestTargetThatLeftAndStartedAgainIsFound fails before (engine and plain service) and passes after.

--- a/internal/membership/poller.go
+++ b/internal/membership/poller.go
@@ -239,10 +239,11 @@
 	return p.stale.AllowN(now, 1)
 }
 
-// start probes the target, unless it is leaving or a probe of it is in flight.
+// start probes the target, unless the list has dropped it or a probe of it is in flight. One that is
+// leaving may be started again in place, under another incarnation.
 func (p *Poller) start(ctx context.Context, name string, now time.Time) {
 	target, known := p.options.Directory.Get(name)
-	if !known || target.State >= StateLeaving || !p.take(name, now) {
+	if !known || target.State >= StateGone || !p.take(name, now) {
 		return
 	}
 	p.running.Go(func() { p.probe(ctx, target) })
