Give orders under a lease; drain targets; show targets that get no work

Cause: the reconciler and the leases were not wired, and it took everything that a service may run as what each target is to have loaded, so that it would have unloaded what operators loaded by hand. Drained targets vanished from 'show targets'.

--- a/internal/command/fields.go
+++ b/internal/command/fields.go
@@ -21,6 +21,7 @@
 	"non_idempotent": boolean(func(s *policy.Service) *bool { return &s.NonIdempotent }),
 	"zones":          list(func(s *policy.Service) *[]string { return &s.Zones }),
 	"runs":           variants(func(s *policy.Service) *[]policy.Variant { return &s.Runs }),
+	"loads":          variants(func(s *policy.Service) *[]policy.Variant { return &s.Loads }),
 	"checks_fencing": boolean(func(s *policy.Service) *bool { return &s.ChecksFencing }),
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -47,6 +47,7 @@
 	peerTLS       *tlsconfig.Reloader
 	gossip        *peer.Gossip
 	drains        *drains
+	orders        *orders
 	queries       *query.Engine
 	directory     *membership.Directory
 	prober        *prober
@@ -90,6 +91,7 @@
 		return nil, err
 	}
 	d.buildGateway(sealer)
+	d.orders = newOrders(d)
 	d.buildQueries()
 	return d, nil
 }
@@ -171,6 +173,7 @@
 	group.Go(func() error { return d.configuration.Run(ctx) })
 	group.Go(func() error { return d.claims.Run(ctx) })
 	group.Go(func() error { return d.drains.Run(ctx) })
+	group.Go(func() error { return d.orders.Run(ctx) })
 	group.Go(func() error { return d.followMembership(ctx) })
 	group.Go(func() error {
 		d.poller.Run(ctx)
--- a/internal/daemon/drains.go
+++ b/internal/daemon/drains.go
@@ -33,19 +33,27 @@
 	// onChange is called after the set has changed.
 	onChange func()
 
-	mu  sync.Mutex
-	set map[string]bool
+	mu sync.Mutex
+	// owners holds who took each drained target out of use.
+	owners map[string]string
 }
 
 func newDrains(store object.Store, onChange func()) *drains {
-	return &drains{store: store, onChange: onChange, set: make(map[string]bool)}
+	return &drains{store: store, onChange: onChange, owners: make(map[string]string)}
 }
 
 // Drained reports whether operators took the target out of use.
 func (d *drains) Drained(target string) bool {
+	_, drained := d.Owner(target)
+	return drained
+}
+
+// Owner returns who took the target out of use, and false when nobody did.
+func (d *drains) Owner(target string) (owner string, drained bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.set[target]
+	owner, drained = d.owners[target]
+	return owner, drained
 }
 
 // SetDrained takes a target out of use or puts it back. A write whose answer is lost is settled by
@@ -61,19 +69,19 @@
 		return apierror.Wrap(err, apierror.KindUnavailable, "the platform did not take the change; it may or may not be in force",
 			"repeat the command; it is idempotent").WithRetryAfter(drainRetryInterval)
 	}
-	d.apply(target, drained)
+	d.apply(target, record)
 	d.onChange()
 	return nil
 }
 
-func (d *drains) apply(target string, drained bool) {
+func (d *drains) apply(target string, record drainRecord) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if drained {
-		d.set[target] = true
+	if record.Drained {
+		d.owners[target] = record.Operator
 		return
 	}
-	delete(d.set, target)
+	delete(d.owners, target)
 }
 
 // Run follows the platform until ctx ends.
@@ -92,21 +100,25 @@
 }
 
 func (d *drains) replace(objects []object.Object) {
-	set := make(map[string]bool)
+	owners := make(map[string]string)
 	for _, o := range objects {
-		if isDrained(o) {
-			set[strings.TrimPrefix(o.Key, drainPrefix)] = true
+		if record := readDrain(o); record.Drained {
+			owners[strings.TrimPrefix(o.Key, drainPrefix)] = record.Operator
 		}
 	}
 	d.mu.Lock()
-	d.set = set
+	d.owners = owners
 	d.mu.Unlock()
 	d.onChange()
 }
 
-func isDrained(o object.Object) bool {
+// readDrain returns a record that is not drained for an object that is deleted or malformed.
+func readDrain(o object.Object) drainRecord {
 	var record drainRecord
-	return !o.Deleted && json.Unmarshal(o.Value, &record) == nil && record.Drained
+	if o.Deleted || json.Unmarshal(o.Value, &record) != nil {
+		return drainRecord{}
+	}
+	return record
 }
 
 // watch applies changes until the watch fails or has to start anew.
@@ -120,7 +132,7 @@
 			return nil
 		}
 		for _, o := range batch.Events {
-			d.apply(strings.TrimPrefix(o.Key, drainPrefix), isDrained(o))
+			d.apply(strings.TrimPrefix(o.Key, drainPrefix), readDrain(o))
 		}
 		if len(batch.Events) > 0 {
 			d.onChange()
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -9,7 +9,6 @@
 	"godwitcart/internal/admin"
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/command"
-	"godwitcart/internal/policy"
 	"godwitcart/internal/query"
 )
 
@@ -34,7 +33,8 @@
 func (d *Daemon) buildQueries() {
 	d.queries = query.NewEngine(d.settings.VM.Name, &query.Process{
 		VM: d.settings.VM.Name, Zone: d.settings.VM.Zone, Requests: d.registry, Configuration: d.configuration,
-		Targets: d.table.Rows, Drained: d.drains.Drained, Entries: d.directory.Entries,
+		Targets: d.targetRows, Drained: d.drains.Drained, Entries: d.directory.Entries,
+		Leases: d.orders.leaseRows,
 	}, d.peers)
 }
 
@@ -44,7 +44,7 @@
 	return []admin.StateProvider{
 		part("vm", func() any { return d.identity() }),
 		d.configuration,
-		part("targets", func() any { return d.table.Rows(time.Now()) }),
+		part("targets", func() any { return d.targetRows(time.Now()) }),
 		part("vms", func() any { return d.directory.Entries(time.Now()) }),
 		part("admission", func() any { return d.controller.Counters() }),
 		part("waiting", func() any { return d.controller.Rows() }),
@@ -84,11 +84,6 @@
 	return o.daemon.drains.SetDrained(ctx, operator, target, drained)
 }
 
-// SetLoaded implements command.Operations.
-func (o *operations) SetLoaded(context.Context, string, string, policy.Variant, bool) error {
-	return apierror.New(apierror.KindUnavailable, "orders to targets are not served yet", "load the model at the engine")
-}
-
 // Cancel implements command.Operations.
 func (o *operations) Cancel(ctx context.Context, request, reason string) (bool, error) {
 	canceler := command.Canceler{Local: o.daemon.registry.Cancel, Peers: o.daemon.peers}
--- a/internal/daemon/targets.go
+++ b/internal/daemon/targets.go
@@ -11,6 +11,7 @@
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/membership"
 	"godwitcart/internal/policy"
+	"godwitcart/internal/routing"
 	"godwitcart/internal/target"
 	"godwitcart/internal/wire/enginewire"
 )
@@ -154,3 +155,42 @@
 	}
 	return enginewire.LoadReport{}, err
 }
+
+// targetRows returns every listed target: those that get work as routing sees them, the others with the
+// state that keeps work from them.
+func (d *Daemon) targetRows(now time.Time) []routing.TargetRow {
+	rows := d.table.Rows(now)
+	routed := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		routed[row.Name] = true
+	}
+	for _, vm := range d.directory.AllTargets(now) {
+		if !routed[vm.Name] {
+			rows = append(rows, d.unroutedRow(vm, now))
+		}
+	}
+	return rows
+}
+
+// unconfirmed is the state shown of a live target that was not confirmed lately.
+const unconfirmed = "unconfirmed"
+
+func (d *Daemon) unroutedRow(vm membership.VM, now time.Time) routing.TargetRow {
+	load, readAt := d.directory.Load(vm.Name)
+	row := routing.TargetRow{
+		Name: vm.Name, Service: vm.Service, Zone: vm.Zone, Address: vm.Address, Incarnation: vm.Incarnation,
+		State: vm.State, StateName: vm.State.String(), Circuit: "-", ReportAgeSeconds: -1,
+		Running: load.Running, Waiting: load.Waiting, MemoryTokens: load.MemoryTokens, UsedTokens: load.UsedTokens,
+		Preemptions: load.Preemptions,
+	}
+	if vm.State == membership.StateLive && !d.directory.MayDispatch(vm.Name, now) {
+		row.StateName = unconfirmed
+	}
+	if !readAt.IsZero() {
+		row.ReportAgeSeconds = now.Sub(readAt).Seconds()
+	}
+	for _, loaded := range load.Loaded {
+		row.Loaded = append(row.Loaded, policy.Variant(loaded))
+	}
+	return row
+}
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -18,7 +18,7 @@
 	v1 = policy.Variant{Model: "m", Version: "1"}
 	v2 = policy.Variant{Model: "m", Version: "2"}
 	// service ignores fencing numbers.
-	service = policy.Service{Name: "s", Runs: []policy.Variant{v2}}
+	service = policy.Service{Name: "s", Loads: []policy.Variant{v2}}
 )
 
 func TestDecide(t *testing.T) {
--- a/internal/order/reconciler.go
+++ b/internal/order/reconciler.go
@@ -153,14 +153,15 @@
 	}
 }
 
-// Step makes one comparison and carries its actions out.
+// Step makes one comparison and carries its actions out. A service that declares no loads is left
+// as it is.
 func (r *Reconciler) Step(ctx context.Context, service policy.Service) {
 	now := time.Now()
-	if r.waits(service, now) {
+	if len(service.Loads) == 0 || r.waits(service, now) {
 		return
 	}
 	plan := Plan{
-		Desired: service.Runs, Room: r.options.Room, MaxOut: r.options.MaxOut, ChunkSize: r.options.ChunkSize,
+		Desired: service.Loads, Room: max(r.options.Room, len(service.Loads)), MaxOut: r.options.MaxOut, ChunkSize: r.options.ChunkSize,
 		Loads: int(r.loads.TokensAt(now)),
 	}
 	reports := r.options.Observer.Reports(service.Name)
--- a/internal/policy/agree.go
+++ b/internal/policy/agree.go
@@ -46,6 +46,8 @@
 	}
 	resolution, err := x.Resolve(query.Model, query.Service)
 	decision.Service = resolution.Service
+	// What targets are to have loaded does not bear on a request either.
+	decision.Service.Loads = nil
 	decision.Variants = resolution.Variants
 	return decision, err
 }
--- a/internal/policy/clone.go
+++ b/internal/policy/clone.go
@@ -14,6 +14,7 @@
 	for name, service := range c.Services {
 		service.Zones = cloneList(service.Zones)
 		service.Runs = cloneList(service.Runs)
+		service.Loads = cloneList(service.Loads)
 		copied.Services[name] = service
 	}
 	for name, account := range c.Accounts {
--- a/internal/policy/index.go
+++ b/internal/policy/index.go
@@ -144,6 +144,11 @@
 	return found
 }
 
+// MayRun reports whether the service may run the variant.
+func (s Service) MayRun(variant Variant) bool {
+	return slices.ContainsFunc(s.Runs, func(declared Variant) bool { return covers(declared, variant) })
+}
+
 // Service returns the service of the name.
 func (x *Index) Service(name string) (Service, error) {
 	service, exists := x.configuration.Services[name]
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -39,6 +39,9 @@
 	Zones []string `json:"zones,omitempty" yaml:"zones,omitempty"`
 	// Runs lists the models, adapters and versions that the service may run.
 	Runs []Variant `json:"runs,omitempty" yaml:"runs,omitempty"`
+	// Loads lists what each target of the service is to have loaded, as a part of Runs with versions.
+	// Empty leaves the targets as they are, to be ordered one by one.
+	Loads []Variant `json:"loads,omitempty" yaml:"loads,omitempty"`
 	// ChecksFencing tells whether targets refuse an order with an old fencing number.
 	ChecksFencing bool `json:"checks_fencing,omitempty" yaml:"checks_fencing,omitempty"`
 }
--- a/internal/policy/validate.go
+++ b/internal/policy/validate.go
@@ -205,8 +205,8 @@
 		case KindEngine:
 			v.engineService(object, service)
 		case KindPlain:
-			if len(service.Runs) > 0 {
-				v.report(object, "leave runs out, or set kind to engine", "is plain but runs models")
+			if len(service.Runs)+len(service.Loads) > 0 {
+				v.report(object, "leave runs and loads out, or set kind to engine", "is plain but runs models")
 			}
 		default:
 			v.report(object, "set kind to engine or plain", "has the kind %q", service.Kind)
@@ -224,6 +224,22 @@
 		}
 		v.variant(object, variant)
 	}
+	v.loads(object, service)
+}
+
+// loads checks that what targets are to have loaded is declared and names its version.
+func (v *validator) loads(object string, service Service) {
+	for i, variant := range service.Loads {
+		if variant.Version == "" {
+			v.report(object, "name the version to load", "loads %s without a version", variant)
+		}
+		if slices.Contains(service.Loads[:i], variant) {
+			v.report(object, "list it once", "loads %s twice", variant)
+		}
+		if !service.MayRun(variant) {
+			v.report(object, "add it to runs or leave it out of loads", "loads %s, which it does not run", variant)
+		}
+	}
 }
 
 func (v *validator) variant(object string, variant Variant) {
