Replace reclaimed VMs by VMs of another name

Cause: a reclaimed VM does not come back under its name; the runner restarted it in place, which is what drains and kills do already. Ruled out: a new address too; the links would have to be laid out again.

--- a/internal/stand/failures/inject.go
+++ b/internal/stand/failures/inject.go
@@ -84,11 +84,7 @@
 		m.signal(syscall.SIGCONT)
 		return nil
 	case ReclaimTarget:
-		if err := control(m.control, "/leave", ""); err != nil {
-			return err
-		}
-		hold(ctx, reclaimNotice)
-		return i.killAndRestart(ctx, m, a.hold)
+		return i.reclaim(ctx, m, a.hold)
 	case StallLink, CutLink, CutZone, CutPlatform:
 		return i.applyToLinks(ctx, a)
 	default:
@@ -108,6 +104,18 @@
 	return restoreAll(links)
 }
 
+// reclaim takes a VM away a short time after notice, and later puts another one in its place.
+func (i *injector) reclaim(ctx context.Context, m *member, down time.Duration) error {
+	if err := i.announceLeaving(m); err != nil {
+		return err
+	}
+	hold(ctx, reclaimNotice)
+	m.kill()
+	cutAll(i.fleet.linksTo(m.name))
+	hold(ctx, down)
+	return i.replace(context.WithoutCancel(ctx), m)
+}
+
 func cutAll(links []*link) {
 	for _, l := range links {
 		l.cut()
--- a/internal/stand/failures/stops.go
+++ b/internal/stand/failures/stops.go
@@ -88,19 +88,29 @@
 	return restoreAll(i.fleet.linksTo(m.name))
 }
 
-// replaceTarget takes a VM off the platform's list in order and puts another one in its place,
-// under a name of its own.
+// replaceTarget takes a VM away in order and puts another one in its place.
 func (i *injector) replaceTarget(ctx context.Context, m *member) error {
-	if err := control(i.fleet.platformControl, "/vms/"+m.vm.Name+"/leaving", ""); err != nil {
-		return err
-	}
-	if err := control(m.control, "/leave", ""); err != nil {
+	if err := i.announceLeaving(m); err != nil {
 		return err
 	}
 	hold(ctx, leavingNotice)
 	if err := i.stopAndRefuse(m); err != nil {
 		return err
 	}
+	return i.replace(ctx, m)
+}
+
+// announceLeaving marks the VM in the platform's list and tells the target.
+func (i *injector) announceLeaving(m *member) error {
+	if err := control(i.fleet.platformControl, "/vms/"+m.vm.Name+"/leaving", ""); err != nil {
+		return err
+	}
+	return control(m.control, "/leave", "")
+}
+
+// replace takes a VM that has ended off the platform's list and starts another one in its place,
+// under a name of its own.
+func (i *injector) replace(ctx context.Context, m *member) error {
 	if err := controlMethod(http.MethodDelete, i.fleet.platformControl, "/vms/"+m.vm.Name, nil); err != nil {
 		return err
 	}
