Let operators race in the failure runs and judge the configuration

Ruled out: reading versions from logs; an entry VM is asked what is in force. Change: two operators change one account's share at the same moment every two seconds, through entry VMs of their own; each entry VM is asked every 250 ms. New keys: configuration_reverts, two_versions_in_force_past_4_s, accepted_but_not_in_force, rejected_but_in_force, one_version_two_meanings. An entry VM is excused while it or its zone is cut off or stopped, and for 4 s after. Not yet: stale orders.

--- a/internal/stand/failures/fleet.go
+++ b/internal/stand/failures/fleet.go
@@ -124,6 +124,14 @@
 	return append(all, f.services...)
 }
 
+func (f *fleet) entryZones() map[string]string {
+	byName := make(map[string]string)
+	for _, m := range f.entries {
+		byName[m.name] = m.vm.Zone
+	}
+	return byName
+}
+
 func (f *fleet) targets() []*member {
 	return append(append([]*member(nil), f.engines...), f.services...)
 }
--- a/internal/stand/failures/layout.go
+++ b/internal/stand/failures/layout.go
@@ -60,6 +60,10 @@
 			Classes: []string{shortClass, longClass},
 		}
 	}
+	digest := sha256.Sum256([]byte(markerAccount))
+	c.Accounts[markerAccount] = policy.Account{
+		Name: markerAccount, KeyHashes: []string{hex.EncodeToString(digest[:])}, Share: 1, Classes: []string{longClass},
+	}
 	return c
 }
 
@@ -71,7 +75,6 @@
   listen: %q
   plain_text: true
   tokens:
-    # The token is "failures".
     - {name: failures, role: change, sha256: %s}
 peers: {listen: %q, plain_text: true}
 platform: {url: "http://%s"}
@@ -82,7 +85,7 @@
 `
 
 func (f *fleet) settings(m *member) string {
-	digest := sha256.Sum256([]byte("failures"))
+	digest := sha256.Sum256([]byte(operatorToken))
 	through := f.links[linkKey{m.vm.Zone, platformName}].listen
 	return fmt.Sprintf(settingsTemplate, m.name, m.vm.Zone, m.vm.Address, m.vm.AdminAddress,
 		hex.EncodeToString(digest[:]), m.vm.PeerAddress, through, drainTimeout)
--- a/internal/stand/failures/oracle.go
+++ b/internal/stand/failures/oracle.go
@@ -20,6 +20,11 @@
 	Records []load.Record
 	Journal []journal.Entry
 	Faults  []Fault
+	// Changes and Observations are what the operators were told and what was in force.
+	Changes      []Change
+	Observations []Observation
+	// Zones are the availability zones of the entry VMs by name.
+	Zones map[string]string
 }
 
 // Verdict counts the violations of the promises. All but the first two and RefusedAsNotRun have
@@ -40,6 +45,8 @@
 	CutOffByPlannedStops  int `json:"cut_off_by_planned_stops"`
 	Unanswered            int `json:"unanswered"`
 
+	ConfigurationVerdict
+
 	// Left counts the callers that left in the middle of a stream.
 	Left int `json:"left"`
 	// Errors counts the other errors that callers were told, by kind.
@@ -51,7 +58,8 @@
 // Clean reports whether no promise was violated.
 func (v Verdict) Clean() bool {
 	return v.RefusedButRun+v.TokensRepeated+v.TokensLost+v.TokensOutOfOrder+v.MixedGenerations+
-		v.CrossedAnswers+v.NonIdempotentRunTwice+v.WorkAfterLeaving+v.CutOffByPlannedStops+v.Unanswered == 0
+		v.CrossedAnswers+v.NonIdempotentRunTwice+v.WorkAfterLeaving+v.CutOffByPlannedStops+v.Unanswered == 0 &&
+		v.ConfigurationVerdict.clean()
 }
 
 // Judge compares what the callers received with what the targets ran.
@@ -68,6 +76,7 @@
 		}
 	}
 	o.judgeLeaving(history.Journal)
+	o.judgeConfiguration(history)
 	return o.verdict
 }
 
--- a/internal/stand/failures/run.go
+++ b/internal/stand/failures/run.go
@@ -77,7 +77,8 @@
 	}
 	log.Info("the fleet is ready", "entries", entryCount, "engines", engineCount, "services", serviceCount)
 	i := &injector{fleet: f, random: newDrawer(options.Seed, f)}
-	records := i.runWithLoad(ctx, options)
+	operators := newOperators(f)
+	records := i.runWithLoad(ctx, options, operators)
 	if i.err != nil {
 		return Report{}, errors.Wrap(i.err, "a fault could not be injected or lifted")
 	}
@@ -88,7 +89,10 @@
 	if err != nil {
 		return Report{}, err
 	}
-	return report(options, History{Records: records, Journal: entries, Faults: i.faults}), ctx.Err()
+	return report(options, History{
+		Records: records, Journal: entries, Faults: i.faults,
+		Changes: operators.changes, Observations: operators.observations, Zones: f.entryZones(),
+	}), ctx.Err()
 }
 
 // writeAnswers keeps what the callers received, one JSON line a request, for whoever follows an example.
@@ -110,14 +114,16 @@
 	return journal.Read(path)
 }
 
-// runWithLoad sends the load while the injector works, and returns what the callers received.
-func (i *injector) runWithLoad(ctx context.Context, options Options) []load.Record {
+// runWithLoad sends the load while the injector and the operators work, and returns what the
+// callers received.
+func (i *injector) runWithLoad(ctx context.Context, options Options, o *operators) []load.Record {
 	var work sync.WaitGroup
 	injecting, stop := context.WithCancel(ctx)
 	defer stop()
 	if options.Faults {
 		work.Go(func() { i.injectAll(injecting, options.Duration) })
 	}
+	work.Go(func() { o.run(injecting) })
 	records := load.Run(ctx, i.fleet.load(options))
 	stop()
 	work.Wait()
