Roll versions out in the failure runs, on request, and count stale orders

Ruled out: reading the reconciler's own state; the engines are asked. Figures: one planted violation counted; not run against the daemon. Conclusion: switch it on by default once the reconciler is wired.

--- a/cmd/godwitstand/failures.go
+++ b/cmd/godwitstand/failures.go
@@ -19,6 +19,7 @@
 	Binaries string  `default:"bin" type:"existingdir" help:"Directory of the programs."`
 	Out      string  `help:"Directory for logs, settings and the journal; without it they are kept only when a promise was violated."`
 	NoFaults bool    `help:"Run the load without faults."`
+	Rollouts bool    `help:"Let operators roll versions out and back, and check what the engines have loaded at the end."`
 	Baseline bool    `help:"Run the same load without faults first, and report its availability too."`
 	Verbose  bool    `help:"Log each fault."`
 }
@@ -62,7 +63,7 @@
 func (c *failuresCommand) run(ctx context.Context, directory string) (failures.Report, error) {
 	options := failures.Options{
 		Binaries: c.Binaries, Directory: directory, Seed: c.Seed,
-		Duration: time.Duration(c.Seconds * float64(time.Second)), Faults: !c.NoFaults,
+		Duration: time.Duration(c.Seconds * float64(time.Second)), Faults: !c.NoFaults, Rollouts: c.Rollouts,
 	}
 	if !c.Baseline {
 		return failures.Run(ctx, options)
--- a/internal/stand/failures/configuration.go
+++ b/internal/stand/failures/configuration.go
@@ -14,22 +14,28 @@
 	ChangesRejected int `json:"changes_rejected"`
 	ChangesUnknown  int `json:"changes_unknown"`
 
-	ConfigurationReverts  int     `json:"configuration_reverts"`
-	TwoVersionsInForce    int     `json:"two_versions_in_force_past_4_s"`
-	AcceptedButNotInForce int     `json:"accepted_but_not_in_force"`
-	RejectedButInForce    int     `json:"rejected_but_in_force"`
-	OneVersionTwoMeanings int     `json:"one_version_two_meanings"`
+	ConfigurationReverts  int `json:"configuration_reverts"`
+	TwoVersionsInForce    int `json:"two_versions_in_force_past_4_s"`
+	AcceptedButNotInForce int `json:"accepted_but_not_in_force"`
+	RejectedButInForce    int `json:"rejected_but_in_force"`
+	OneVersionTwoMeanings int `json:"one_version_two_meanings"`
+	// StaleOrdersLeftStanding counts the engines whose loaded versions stay wrong.
+	StaleOrdersLeftStanding int `json:"stale_orders_left_standing"`
+	// LongestInForceSeconds is the longest time for which a connected VM stayed behind.
 	LongestInForceSeconds float64 `json:"longest_until_in_force_seconds"`
 }
 
 // clean reports whether no promise was violated.
 func (v ConfigurationVerdict) clean() bool {
 	return v.ConfigurationReverts+v.TwoVersionsInForce+v.AcceptedButNotInForce+
-		v.RejectedButInForce+v.OneVersionTwoMeanings == 0
+		v.RejectedButInForce+v.OneVersionTwoMeanings+v.StaleOrdersLeftStanding == 0
 }
 
 // judgeConfiguration compares what the operators were told with what was in force.
 func (o *oracle) judgeConfiguration(history History) {
+	for _, stale := range history.StaleOrders {
+		o.violate(&o.verdict.StaleOrdersLeftStanding, 1, "%s", stale)
+	}
 	observations := slices.Clone(history.Observations)
 	slices.SortFunc(observations, func(a, b Observation) int { return a.Received.Compare(b.Received) })
 	o.judgeReverts(observations)
--- a/internal/stand/failures/configuration_test.go
+++ b/internal/stand/failures/configuration_test.go
@@ -65,6 +65,9 @@
 		"rejected but in force": {
 			add(observation("e1", 15, 3, 6)), ConfigurationVerdict{RejectedButInForce: 1},
 		},
+		"a stale order": {
+			func(h *History) { h.StaleOrders = []string{"engine-1"} }, ConfigurationVerdict{StaleOrdersLeftStanding: 1},
+		},
 		"one version with two meanings": {
 			add(observation("e1", 15, 2, 9)), ConfigurationVerdict{OneVersionTwoMeanings: 1},
 		},
--- a/internal/stand/failures/fleet.go
+++ b/internal/stand/failures/fleet.go
@@ -96,7 +96,7 @@
 		directory: directory, binaries: binaries, seed: seed, ports: ports, spawner: newSpawner(),
 		platformViews: make(map[string]string), links: make(map[linkKey]*link),
 	}
-	steps := []func() error{f.layOutMembers, f.layOutPlatform, f.layOutLinks, f.writeFiles}
+	steps := []func() error{f.layOutPlatform, f.layOutMembers, f.layOutLinks, f.writeFiles}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return nil, err
--- a/internal/stand/failures/layout.go
+++ b/internal/stand/failures/layout.go
@@ -51,7 +51,7 @@
 			shortClass: {Name: shortClass, Priority: 30},
 			longClass:  {Name: longClass, Priority: 20},
 		},
-		Models: map[string]policy.Model{model: {Name: model, Versions: []string{modelVersion}}},
+		Models: map[string]policy.Model{model: {Name: model, Versions: []string{modelVersion, rolloutVersion}}},
 	}
 	for _, name := range accountNames {
 		digest := sha256.Sum256([]byte(name + accountKeySuffix))
@@ -136,7 +136,7 @@
 	}
 	m.args = []string{
 		"engine", "--name", m.name, "--listen", m.vm.Address, "--control", m.control, "--zone", m.vm.Zone,
-		"--load", model + "@" + modelVersion, "--text", "attempt", "--checks-fencing",
+		"--weights", "http://" + f.platformListen, "--load", model + "@" + modelVersion, "--text", "attempt", "--checks-fencing",
 		"--memory-tokens", strconv.Itoa(memoryTokens), "--journal", f.file("journal"),
 	}
 	m.nameArgument = 2
--- a/internal/stand/failures/operators.go
+++ b/internal/stand/failures/operators.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"godwitcart/internal/admin"
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/policy"
@@ -16,11 +18,14 @@
 // What the operators of a run do: at each interval all of them change the share of one account
 // at the same moment, each through an entry VM of its own and to a value that no other change has.
 const (
-	operatorCount    = 2
-	changeInterval   = 2 * time.Second
-	changeTimeout    = 10 * time.Second
-	markerAccount    = "marker"
-	operatorToken    = "failures"
+	operatorCount  = 2
+	changeInterval = 2 * time.Second
+	changeTimeout  = 10 * time.Second
+	markerAccount  = "marker"
+	operatorToken  = "failures"
+	// Each rolloutEvery intervals a version is rolled out or withdrawn in place of one of the changes.
+	rolloutEvery     = 4
+	rolloutVersion   = "2"
 	observeInterval  = 250 * time.Millisecond
 	observeTimeout   = time.Second
 	firstMarkerShare = 2
@@ -60,14 +65,16 @@
 	entries []*member
 	random  *rand.Rand
 	share   atomic.Int64
+	// rollouts tells whether versions are rolled out, too.
+	rollouts bool
 
 	mu           sync.Mutex
 	changes      []Change
 	observations []Observation
 }
 
-func newOperators(f *fleet) *operators {
-	o := &operators{entries: f.entries, random: rand.New(rand.NewPCG(f.seed, 3))}
+func newOperators(f *fleet, rollouts bool) *operators {
+	o := &operators{entries: f.entries, rollouts: rollouts, random: rand.New(rand.NewPCG(f.seed, 3))}
 	o.share.Store(firstMarkerShare)
 	return o
 }
@@ -78,16 +85,34 @@
 	for _, m := range o.entries {
 		group.Go(func() { o.observe(ctx, m) })
 	}
-	for ctx.Err() == nil {
+	for round := 1; ctx.Err() == nil; round++ {
 		for range operatorCount {
 			m := o.entries[o.random.IntN(len(o.entries))]
 			group.Go(func() { o.change(m) })
 		}
+		if o.rollouts && round%rolloutEvery == 0 {
+			m := o.entries[o.random.IntN(len(o.entries))]
+			group.Go(func() { rollOut(m, round%(2*rolloutEvery) != 0) })
+		}
 		hold(ctx, changeInterval)
 	}
 	group.Wait()
 }
 
+// rollOut adds the version to what the engines run, or takes it away. It may well be rejected.
+func rollOut(m *member, add bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
+	defer cancel()
+	sign := "-="
+	if add {
+		sign = "+="
+	}
+	command := fmt.Sprintf("change service %s runs%s%s@%s", engineService, sign, model, rolloutVersion)
+	if _, err := client(m).Command(ctx, command, false); err != nil {
+		log.Debug("roll-out", "error", err)
+	}
+}
+
 func (o *operators) change(m *member) {
 	share := int(o.share.Add(1))
 	ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
@@ -124,15 +149,9 @@
 }
 
 func ask(m *member) (Observation, bool) {
-	ctx, cancel := context.WithTimeout(context.Background(), observeTimeout)
-	defer cancel()
 	seen := Observation{Entry: m.name, Sent: time.Now()}
-	text, err := client(m).Configuration(ctx)
-	if err != nil {
-		return seen, false
-	}
+	configuration, err := inForce(m)
 	seen.Received = time.Now()
-	configuration, err := policy.Parse(text)
 	if err != nil {
 		return seen, false
 	}
@@ -140,3 +159,14 @@
 	seen.Share = configuration.Accounts[markerAccount].Share
 	return seen, true
 }
+
+// inForce returns the configuration in force on one entry VM.
+func inForce(m *member) (*policy.Configuration, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), observeTimeout)
+	defer cancel()
+	text, err := client(m).Configuration(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return policy.Parse(text)
+}
--- a/internal/stand/failures/run.go
+++ b/internal/stand/failures/run.go
@@ -38,6 +38,8 @@
 	Seed      uint64
 	// Duration is how long requests start.
 	Duration time.Duration
+	// Rollouts lets operators roll versions out and back, too.
+	Rollouts bool
 	// Faults is false for a run that is the measure of the others.
 	Faults bool
 }
@@ -77,11 +79,15 @@
 	}
 	log.Info("the fleet is ready", "entries", entryCount, "engines", engineCount, "services", serviceCount)
 	i := &injector{fleet: f, random: newDrawer(options.Seed, f)}
-	operators := newOperators(f)
+	operators := newOperators(f, options.Rollouts)
 	records := i.runWithLoad(ctx, options, operators)
 	if i.err != nil {
 		return Report{}, errors.Wrap(i.err, "a fault could not be injected or lifted")
 	}
+	var stale []string
+	if options.Rollouts {
+		stale = f.staleOrders(ctx)
+	}
 	if err := f.writeAnswers(records); err != nil {
 		return Report{}, err
 	}
@@ -91,7 +97,7 @@
 	}
 	return report(options, History{
 		Records: records, Journal: entries, Faults: i.faults,
-		Changes: operators.changes, Observations: operators.observations, Zones: f.entryZones(),
+		Changes: operators.changes, Observations: operators.observations, StaleOrders: stale, Zones: f.entryZones(),
 	}), ctx.Err()
 }
 
