--- a/internal/stand/failures/configuration.go
+++ b/internal/stand/failures/configuration.go
@@ -10,9 +10,10 @@
 
 // ConfigurationVerdict counts the violations of what configuration promises.
 type ConfigurationVerdict struct {
-	ChangesAccepted int `json:"changes_accepted"`
-	ChangesRejected int `json:"changes_rejected"`
-	ChangesUnknown  int `json:"changes_unknown"`
+	ChangesAccepted  int `json:"changes_accepted"`
+	ChangesRejected  int `json:"changes_rejected"`
+	ChangesUnknown   int `json:"changes_unknown"`
+	RolloutsAccepted int `json:"rollouts_accepted"`
 
 	ConfigurationReverts  int `json:"configuration_reverts"`
 	TwoVersionsInForce    int `json:"two_versions_in_force_past_4_s"`
@@ -33,6 +34,7 @@
 
 // judgeConfiguration compares what the operators were told with what was in force.
 func (o *oracle) judgeConfiguration(history History) {
+	o.verdict.RolloutsAccepted = history.Rollouts
 	for _, stale := range history.StaleOrders {
 		o.violate(&o.verdict.StaleOrdersLeftStanding, 1, "%s", stale)
 	}
--- a/internal/stand/failures/operators.go
+++ b/internal/stand/failures/operators.go
@@ -26,6 +26,7 @@
 	// Each rolloutEvery intervals a version is rolled out or withdrawn in place of one of the changes.
 	rolloutEvery     = 4
 	rolloutVersion   = "2"
+	rolloutRetry     = 300 * time.Millisecond
 	observeInterval  = 250 * time.Millisecond
 	observeTimeout   = time.Second
 	firstMarkerShare = 2
@@ -66,7 +67,8 @@
 	random  *rand.Rand
 	share   atomic.Int64
 	// rollouts tells whether versions are rolled out, too.
-	rollouts bool
+	rollouts  bool
+	rolledOut atomic.Int64
 
 	mu           sync.Mutex
 	changes      []Change
@@ -92,15 +94,16 @@
 		}
 		if o.rollouts && round%rolloutEvery == 0 {
 			m := o.entries[o.random.IntN(len(o.entries))]
-			group.Go(func() { rollOut(m, round%(2*rolloutEvery) != 0) })
+			group.Go(func() { o.rollOut(m, round%(2*rolloutEvery) != 0) })
 		}
 		hold(ctx, changeInterval)
 	}
 	group.Wait()
 }
 
-// rollOut adds the version to what the engines run, or takes it away. It may well be rejected.
-func rollOut(m *member, add bool) {
+// rollOut adds the version to what the engines run, or takes it away. Where another change comes
+// first or an entry VM cannot be reached it tries again, for as long as a change may take.
+func (o *operators) rollOut(m *member, add bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
 	defer cancel()
 	sign := "-="
@@ -108,8 +111,14 @@
 		sign = "+="
 	}
 	command := fmt.Sprintf("change service %s runs%s%s@%s", engineService, sign, model, rolloutVersion)
-	if _, err := client(m).Command(ctx, command, false); err != nil {
+	for ctx.Err() == nil {
+		_, err := client(m).Command(ctx, command, false)
+		if err == nil {
+			o.rolledOut.Add(1)
+			return
+		}
 		log.Debug("roll-out", "error", err)
+		hold(ctx, rolloutRetry)
 	}
 }
 
--- a/internal/stand/failures/oracle.go
+++ b/internal/stand/failures/oracle.go
@@ -23,6 +23,8 @@
 	// Changes and Observations are what the operators were told and what was in force.
 	Changes      []Change
 	Observations []Observation
+	// Rollouts counts those that were accepted.
+	Rollouts int
 	// StaleOrders describes the engines that did not come to what the configuration says.
 	StaleOrders []string
 	// Zones are the availability zones of the entry VMs by name.
--- a/internal/stand/failures/run.go
+++ b/internal/stand/failures/run.go
@@ -97,7 +97,8 @@
 	}
 	return report(options, History{
 		Records: records, Journal: entries, Faults: i.faults,
-		Changes: operators.changes, Observations: operators.observations, StaleOrders: stale, Zones: f.entryZones(),
+		Changes: operators.changes, Observations: operators.observations, StaleOrders: stale,
+		Rollouts: int(operators.rolledOut.Load()), Zones: f.entryZones(),
 	}), ctx.Err()
 }
 
