--- a/internal/stand/failures/fleet.go
+++ b/internal/stand/failures/fleet.go
@@ -96,7 +96,7 @@
 		directory: directory, binaries: binaries, seed: seed, ports: ports, spawner: newSpawner(),
 		platformViews: make(map[string]string), links: make(map[linkKey]*link),
 	}
-	steps := []func() error{f.layOutMembers, f.layOutPlatform, f.layOutLinks, f.writeFiles}
+	steps := []func() error{f.layOutPlatform, f.layOutMembers, f.layOutLinks, f.writeFiles}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return nil, err
@@ -124,6 +124,14 @@
 	return append(all, f.services...)
 }
 
+func (f *fleet) entryZones() map[string]string {
+	byName := make(map[string]string)
+	for _, m := range f.entries {
+		byName[m.name] = m.vm.Zone
+	}
+	return byName
+}
+
 func (f *fleet) targets() []*member {
 	return append(append([]*member(nil), f.engines...), f.services...)
 }
