Pace claims before a batch is put together, and read contended shards first

Cause: with nine VMs writing the same shards, the store client's rate limit held a write back after its view was taken: nearly every write then met a conflict. Change: a book waits for its permit to write before it collects the batch; a shard that others write too is read before it is written; 16 shards of 256 slots.

--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/object"
@@ -15,11 +16,12 @@
 
 // The defaults of Options; docs/design/claims.md weighs them.
 const (
-	DefaultShards         = 64
-	DefaultSlots          = 64
+	DefaultShards         = 16
+	DefaultSlots          = 256
 	DefaultSegmentEntries = 256
 	DefaultBatchInterval  = 10 * time.Millisecond
 	DefaultBatchLimit     = 128
+	DefaultWritesPerSec   = 30
 	DefaultQueueLimit     = 1024
 	DefaultEndDelay       = 200 * time.Millisecond
 	DefaultTimeout        = time.Second
@@ -27,6 +29,9 @@
 	DefaultRetentionTicks = 8
 )
 
+// permitBurst is the span whose writes may be made at once.
+const permitBurst = 200 * time.Millisecond
+
 // tickReads is how often the tick counter is read within one tick.
 const tickReads = 10
 
@@ -42,6 +47,10 @@
 	SegmentEntries int
 	// BatchInterval is the shortest time between two writes of this VM to the same shard.
 	BatchInterval time.Duration
+	// WritesPerSecond bounds the writes of this VM's claims. A batch is put together only once it
+	// may be written, so that it holds all that waits and is based on a fresh view. The limit of
+	// the store's own client must be higher.
+	WritesPerSecond float64
 	// BatchLimit bounds the operations of one write.
 	BatchLimit int
 	// QueueLimit bounds the operations that wait in each shard.
@@ -63,6 +72,7 @@
 	o.Slots = orDefault(o.Slots, DefaultSlots)
 	o.SegmentEntries = orDefault(o.SegmentEntries, DefaultSegmentEntries)
 	o.BatchInterval = orDefault(o.BatchInterval, DefaultBatchInterval)
+	o.WritesPerSecond = orDefault(o.WritesPerSecond, DefaultWritesPerSec)
 	o.BatchLimit = orDefault(o.BatchLimit, DefaultBatchLimit)
 	o.QueueLimit = orDefault(o.QueueLimit, DefaultQueueLimit)
 	o.EndDelay = orDefault(o.EndDelay, DefaultEndDelay)
@@ -75,7 +85,7 @@
 	return o
 }
 
-func orDefault[T int | time.Duration](value, fallback T) T {
+func orDefault[T int | float64 | time.Duration](value, fallback T) T {
 	if value == 0 {
 		return fallback
 	}
@@ -88,6 +98,9 @@
 	ticker  *ticker
 	writers []*writer
 	counts  *counts
+	// permits paces the writes; the repetition of a write after a conflict does not wait, but is
+	// counted.
+	permits *rate.Limiter
 	// awayUntil is the time, in Unix nanoseconds, before which new claims are refused at once
 	// because the platform has just failed.
 	awayUntil atomic.Int64
@@ -100,6 +113,7 @@
 		options: options,
 		ticker:  newTicker(options.Store, options.Tick),
 		counts:  newCounts(options.Registry),
+		permits: rate.NewLimiter(rate.Limit(options.WritesPerSecond), max(1, int(options.WritesPerSecond*permitBurst.Seconds()))),
 	}
 	for shard := range options.Shards {
 		b.writers = append(b.writers, newWriter(b, shard))
--- a/internal/claim/writer.go
+++ b/internal/claim/writer.go
@@ -33,6 +33,9 @@
 	lazyTimer *time.Timer
 	// nextWrite is the earliest time of the next batch.
 	nextWrite time.Time
+	// contended means that others write the shard too, so that a read before the write, of which
+	// the platform allows more, saves a write that meets a conflict.
+	contended bool
 }
 
 func newWriter(b *Book, shard int) *writer {
@@ -70,7 +73,7 @@
 			return nil, false
 		}
 	}
-	if !sleep(ctx, time.Until(w.nextWrite)) {
+	if !sleep(ctx, time.Until(w.nextWrite)) || w.book.permits.Wait(ctx) != nil {
 		w.fail(urgent, errEnded)
 		return nil, false
 	}
@@ -185,7 +188,7 @@
 			rest = append(rest, o)
 		}
 	}
-	unread := w.view.slots[index].segment == nil
+	unread := w.view.slots[index].segment == nil || (w.contended && !proved[index])
 	if (begins && !proved[index]) || (!begins && unread) {
 		return pending, w.refresh(ctx, index, proved)
 	}
@@ -262,6 +265,8 @@
 	}
 	if conflict, ok := object.AsConflict(err); ok {
 		w.book.counts.conflicts.Inc(1)
+		w.book.permits.Reserve()
+		w.contended = true
 		proved[index] = true
 		return false, w.install(index, conflict.Current)
 	}
@@ -299,6 +304,7 @@
 		return err
 	}
 	proved[index] = true
+	w.contended = stored.Version != w.view.slots[index].version
 	return w.install(index, stored)
 }
 
