Archive the replaced version while the change is staged

Cause: with a slow platform a change waited for five calls in a row. Ruled out: archiving after acceptance (a proposer that dies in between would lose the entry). Change: the two archive writes run beside each other and beside staging; the conditional update waits for them.

--- a/internal/acceptance/history.go
+++ b/internal/acceptance/history.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/object"
@@ -28,14 +29,16 @@
 // archive stores the root's own version in the history. It runs before the root is replaced,
 // so that every version but the newest is archived, and the newest is the root itself.
 func archive(ctx context.Context, store object.Store, current *root) error {
-	if err := putOnce(ctx, store, versionKey(current.version()), policy.Encode(current.Configuration)); err != nil {
-		return err
-	}
 	entry, err := json.Marshal(current.Latest)
 	if err != nil {
 		return errors.Wrap(err, "encode a history entry")
 	}
-	return putOnce(ctx, store, historyKey(current.version()), entry)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		return putOnce(ctx, store, versionKey(current.version()), policy.Encode(current.Configuration))
+	})
+	group.Go(func() error { return putOnce(ctx, store, historyKey(current.version()), entry) })
+	return group.Wait()
 }
 
 // putOnce creates an object whose value depends on its key alone: one that exists is the same.
--- a/internal/acceptance/propose.go
+++ b/internal/acceptance/propose.go
@@ -70,9 +70,10 @@
 		return outcome, nil
 	}
 	outcome.Proposal = a.id()
+	archived := m.archiveBase(ctx, a)
 	staged, err := m.stageEverywhere(ctx, a)
 	if err == nil {
-		err = m.accept(ctx, a)
+		err = m.accept(ctx, a, archived)
 	}
 	if err != nil {
 		if !apierror.Is(err, apierror.KindOutcomeUnknown) {
@@ -244,9 +245,17 @@
 	return m.options.Peers.Stage(ctx, vm, request)
 }
 
+// archiveBase stores the version that the attempt follows in the history, while the attempt is
+// staged. The version is accepted already, so it is archived rightly whatever comes of the attempt.
+func (m *Manager) archiveBase(ctx context.Context, a *attempt) <-chan error {
+	archived := make(chan error, 1)
+	go func() { archived <- archive(ctx, m.options.Store, a.base) }()
+	return archived
+}
+
 // accept makes the staged attempt the accepted version by one conditional update.
-func (m *Manager) accept(ctx context.Context, a *attempt) error {
-	if err := archive(ctx, m.options.Store, a.base); err != nil {
+func (m *Manager) accept(ctx context.Context, a *attempt, archived <-chan error) error {
+	if err := <-archived; err != nil {
 		return platformAway(err)
 	}
 	if time.Now().After(a.deadline) {
