--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -33,9 +33,10 @@
 	name     string
 	priority int
 	// retries are further attempts of admitted requests; they go first.
-	retries  []*waiter
+	retries []*waiter
+	// accounts remembers the pass of each account; active are those with waiters.
 	accounts map[string]*accountQueue
-	order    []*accountQueue
+	active   []*accountQueue
 	// virtual is the largest pass served; an account that was idle starts from it.
 	virtual float64
 	count   int
@@ -52,10 +53,10 @@
 	if queue == nil {
 		queue = &accountQueue{account: w.ticket.Account}
 		c.accounts[w.ticket.Account] = queue
-		c.order = append(c.order, queue)
 	}
 	if len(queue.waiters) == 0 {
 		queue.pass = max(queue.pass, c.virtual)
+		c.active = append(c.active, queue)
 	}
 	w.queue = queue
 	queue.waiters = append(queue.waiters, w)
@@ -65,14 +66,24 @@
 func (c *classQueue) remove(w *waiter) {
 	w.gone = true
 	c.count--
-	list := &c.retries
-	if w.queue != nil {
-		list = &w.queue.waiters
+	if w.queue == nil {
+		c.retries = without(c.retries, w)
+		return
 	}
-	if at := slices.Index(*list, w); at >= 0 {
-		*list = slices.Delete(*list, at, at+1)
+	w.queue.waiters = without(w.queue.waiters, w)
+	if len(w.queue.waiters) == 0 {
+		c.active = without(c.active, w.queue)
+		c.forgetIdle()
+	}
+}
+
+// without returns the list without the first occurrence of gone.
+func without[T comparable](list []T, gone T) []T {
+	at := slices.Index(list, gone)
+	if at < 0 {
+		return list
 	}
-	c.forgetIdle()
+	return slices.Delete(list, at, at+1)
 }
 
 // maxIdleAccounts is the number of accounts without waiters that a class remembers.
@@ -80,16 +91,14 @@
 
 // forgetIdle drops idle accounts that hold no debt.
 func (c *classQueue) forgetIdle() {
-	if len(c.order) <= maxIdleAccounts {
+	if len(c.accounts) <= maxIdleAccounts {
 		return
 	}
-	c.order = slices.DeleteFunc(c.order, func(q *accountQueue) bool {
-		idle := len(q.waiters) == 0 && q.pass <= c.virtual
-		if idle {
-			delete(c.accounts, q.account)
+	for name, queue := range c.accounts {
+		if len(queue.waiters) == 0 && queue.pass <= c.virtual {
+			delete(c.accounts, name)
 		}
-		return idle
-	})
+	}
 }
 
 // served charges the waiter's cost to its account.
@@ -129,7 +138,7 @@
 		}
 	}
 	var best *waiter
-	for _, queue := range c.order {
+	for _, queue := range c.active {
 		if _, full := r.full[queue.account]; full {
 			continue
 		}
@@ -158,10 +167,7 @@
 func (c *classQueue) last() *waiter {
 	var worst *waiter
 	most := 0.0
-	for _, queue := range c.order {
-		if len(queue.waiters) == 0 {
-			continue
-		}
+	for _, queue := range c.active {
 		w := queue.waiters[len(queue.waiters)-1]
 		load := float64(len(queue.waiters)) / float64(max(w.ticket.Share, 1))
 		if load > most {
--- a/internal/admission/refusal.go
+++ b/internal/admission/refusal.go
@@ -78,7 +78,7 @@
 	}
 	c := l.class(w.ticket.Class, w.ticket.Priority)
 	own := len(w.queue.waiters)
-	for _, queue := range c.order {
+	for _, queue := range c.active {
 		if queue != w.queue {
 			count += min(len(queue.waiters), own)
 		}
@@ -158,7 +158,7 @@
 		for _, w := range c.retries {
 			visit(w)
 		}
-		for _, queue := range c.order {
+		for _, queue := range c.active {
 			for _, w := range queue.waiters {
 				visit(w)
 			}
--- a/internal/lengths/lengths.go
+++ b/internal/lengths/lengths.go
@@ -25,7 +25,7 @@
 	// maxWeight is the weight of observations at which a histogram halves its weights.
 	maxWeight = 2048
 	// borrowedWeight is the weight of the parent distribution, in observations.
-	borrowedWeight = 16
+	borrowedWeight = 4
 	// refreshAfter is the number of observations after which a well filled curve is rebuilt.
 	refreshAfter = 32
 	// DefaultCapacity is the number of keys that a Book holds by default.
