Hold accounts' limits over all entry VMs, also during a partition

Cause: a VM's share grew with its own use before the others had heard of it, so eight idle VMs could each take nearly the whole limit; and a VM out of reach counted with its last word only, so two cut sides could take twice the limit. Ruled out: counting a VM out of reach as gone; then each side takes it all. Change: shares are reckoned from what was told at the last exchange; a VM that SetUnreachable names counts with at least an even part of each limit; what a VM within reach told expires after 10 s. The even part of a limit that idle VMs keep is 2%, not 10%. SetUnreachable is to be called from membership.

--- a/internal/admission/accounts.go
+++ b/internal/admission/accounts.go
@@ -32,7 +32,23 @@
 	inProgress int
 	rate       requestRate
 	limiter    *rate.Limiter
-	others     Usage
+	// told is what this VM told the others last; they count on it.
+	told Usage
+	// others and cutOff are what VMs within and out of reach told last.
+	others Usage
+	cutOff Usage
+}
+
+// concurrency returns the requests in progress that this VM may hold of the account's limit.
+func (a *account) concurrency(limit int, p *peers) int {
+	others := a.others.InProgress + max(a.cutOff.InProgress, int(p.evenPart(float64(limit))))
+	return localConcurrency(limit, min(a.told.InProgress, a.inProgress), others, p.live())
+}
+
+// requestRate returns the requests per second that this VM may take of the account's limit.
+func (a *account) requestRate(limit float64, p *peers) float64 {
+	others := a.others.RequestsPerSecond + max(a.cutOff.RequestsPerSecond, p.evenPart(limit))
+	return localShare(limit, a.told.RequestsPerSecond, others, p.live())
 }
 
 // requestRate averages an account's requests per second.
@@ -99,12 +115,18 @@
 		return
 	}
 	for name, a := range s.accounts {
-		if a.inProgress == 0 && a.others.InProgress == 0 && a.others.RequestsPerSecond == 0 {
+		if a.idle() {
 			delete(s.accounts, name)
 		}
 	}
 }
 
+// idle reports whether nothing is known that a new account would not have.
+func (a *account) idle() bool {
+	known := a.others.RequestsPerSecond + a.cutOff.RequestsPerSecond + a.told.RequestsPerSecond
+	return a.inProgress+a.others.InProgress+a.cutOff.InProgress == 0 && known == 0
+}
+
 // enter counts a request in progress, and returns false when the account is at its limit.
 func (a *accounts) enter(ticket *Ticket, _ time.Time) bool {
 	s := a.shard(ticket.Account)
@@ -113,8 +135,7 @@
 	found := s.get(ticket.Account)
 	limit := ticket.Limits.Concurrency
 	if limit > 0 {
-		live := a.peers.live()
-		if found.inProgress >= localConcurrency(limit, found.inProgress, found.others.InProgress, live) {
+		if found.inProgress >= found.concurrency(limit, &a.peers) {
 			return false
 		}
 	}
@@ -142,9 +163,7 @@
 		found.rate.count(now)
 		return nil
 	}
-	found.rate.roll(now)
-	share := localShare(limit, found.rate.perSecond, found.others.RequestsPerSecond, a.peers.live())
-	found.setRate(share, now)
+	found.setRate(found.requestRate(limit, &a.peers), now)
 	reservation := found.limiter.ReserveN(now, 1)
 	if wait := reservation.DelayFrom(now); wait > 0 {
 		reservation.CancelAt(now)
@@ -166,7 +185,7 @@
 	a.limiter.SetBurstAt(now, burst)
 }
 
-// usages returns what each account uses on this VM.
+// usages returns what each account uses on this VM, and remembers that it was told.
 func (a *accounts) usages(now time.Time) []Usage {
 	var usages []Usage
 	for i := range a.shards {
@@ -174,8 +193,9 @@
 		s.mu.Lock()
 		for name, found := range s.accounts {
 			found.rate.roll(now)
-			if found.inProgress > 0 || found.rate.perSecond > 0 {
-				usages = append(usages, Usage{Account: name, InProgress: found.inProgress, RequestsPerSecond: found.rate.perSecond})
+			found.told = Usage{Account: name, InProgress: found.inProgress, RequestsPerSecond: found.rate.perSecond}
+			if found.told.InProgress > 0 || found.told.RequestsPerSecond > 0 {
+				usages = append(usages, found.told)
 			}
 		}
 		s.mu.Unlock()
@@ -183,12 +203,16 @@
 	return usages
 }
 
-// adjust adds to what other VMs told of the account's use.
-func (a *accounts) adjust(usage Usage, sign int) {
+// adjust adds to what other VMs, within reach or cut off, told of the account's use.
+func (a *accounts) adjust(usage Usage, cutOff bool, sign int) {
 	s := a.shard(usage.Account)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	found := s.get(usage.Account)
-	found.others.InProgress = max(found.others.InProgress+sign*usage.InProgress, 0)
-	found.others.RequestsPerSecond = max(found.others.RequestsPerSecond+float64(sign)*usage.RequestsPerSecond, 0)
+	sum := &found.others
+	if cutOff {
+		sum = &found.cutOff
+	}
+	sum.InProgress = max(sum.InProgress+sign*usage.InProgress, 0)
+	sum.RequestsPerSecond = max(sum.RequestsPerSecond+float64(sign)*usage.RequestsPerSecond, 0)
 }
--- a/internal/admission/peers.go
+++ b/internal/admission/peers.go
@@ -7,32 +7,62 @@
 	"time"
 )
 
-// peers remembers the use that each other entry VM told last. The last word of a VM that cannot
-// be reached stays in force until the VM is known to be gone, so the two sides of a network
-// partition together keep within the limits.
+// usageValidFor is the age at which the use that a VM within reach told no longer counts.
+const usageValidFor = 10 * time.Second
+
+// peers remembers the use that each other entry VM told last. A VM that cannot be reached counts
+// with what it told last, and with no less than an even part of each limit, so the two sides of a
+// network partition together keep within the limits.
 type peers struct {
 	mu     sync.Mutex
-	usages map[string][]Usage
+	told   map[string]*peerUsage
 	count  atomic.Int64
+	cutOff atomic.Int64
+	cutVMs []string
+}
+
+// peerUsage is what one VM told.
+type peerUsage struct {
+	usages []Usage
+	at     time.Time
+	cutOff bool
 }
 
-// live returns the number of entry VMs, with this one.
+// live returns the number of entry VMs, with this one and those out of reach.
 func (p *peers) live() int { return int(max(p.count.Load(), 1)) }
 
-// ObserveUsage takes the use that another entry VM told; it replaces what the VM told before.
-func (c *Controller) ObserveUsage(vm string, usages []Usage, _ time.Time) {
+// evenPart returns the even part of the limit of all VMs out of reach.
+func (p *peers) evenPart(limit float64) float64 {
+	return limit * float64(p.cutOff.Load()) / float64(p.live())
+}
+
+// ObserveUsage takes the use that another entry VM told at a time; it replaces what the VM told before.
+func (c *Controller) ObserveUsage(vm string, usages []Usage, at time.Time) {
 	p := &c.accounts.peers
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, old := range p.usages[vm] {
-		c.accounts.adjust(old, -1)
+	if p.told == nil {
+		p.told = make(map[string]*peerUsage)
 	}
-	if p.usages == nil {
-		p.usages = make(map[string][]Usage)
+	c.forget(vm)
+	told := &peerUsage{usages: slices.Clone(usages), at: at, cutOff: slices.Contains(p.cutVMs, vm)}
+	p.told[vm] = told
+	c.count(told, 1)
+}
+
+// forget drops what the VM told. The caller holds the lock of the peers.
+func (c *Controller) forget(vm string) {
+	p := &c.accounts.peers
+	if told := p.told[vm]; told != nil {
+		c.count(told, -1)
+		delete(p.told, vm)
 	}
-	p.usages[vm] = slices.Clone(usages)
-	for _, usage := range usages {
-		c.accounts.adjust(usage, 1)
+}
+
+// count adds what a VM told to the accounts, or takes it off.
+func (c *Controller) count(told *peerUsage, sign int) {
+	for _, usage := range told.usages {
+		c.accounts.adjust(usage, told.cutOff, sign)
 	}
 }
 
@@ -40,17 +70,34 @@
 // them: they may still be serving.
 func (c *Controller) SetEntries(others []string) {
 	p := &c.accounts.peers
+	now := c.options.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.count.Store(int64(len(others) + 1))
-	for vm, usages := range p.usages {
-		if slices.Contains(others, vm) {
-			continue
+	for vm, told := range p.told {
+		expired := !told.cutOff && now.Sub(told.at) > usageValidFor
+		if expired || !slices.Contains(others, vm) {
+			c.forget(vm)
 		}
-		for _, old := range usages {
-			c.accounts.adjust(old, -1)
+	}
+}
+
+// SetUnreachable tells which of the other entry VMs cannot be reached and may still be serving,
+// as behind a network partition.
+func (c *Controller) SetUnreachable(vms []string) {
+	p := &c.accounts.peers
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cutVMs = slices.Clone(vms)
+	p.cutOff.Store(int64(len(vms)))
+	for vm, told := range p.told {
+		cutOff := slices.Contains(vms, vm)
+		if cutOff == told.cutOff {
+			continue
 		}
-		delete(p.usages, vm)
+		c.count(told, -1)
+		told.cutOff = cutOff
+		c.count(told, 1)
 	}
 }
 
--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -2,7 +2,7 @@
 
 // fairPart is the part of a limit that is split evenly over the VMs whatever they use, so that a
 // VM on which an account was idle can always begin and use drifts towards even shares.
-const fairPart = 0.1
+const fairPart = 0.02
 
 // LocalShare returns this VM's share of an account's limit, given its own use and the use that
 // each of the other live VMs told. Unused room is split evenly.
@@ -29,11 +29,12 @@
 }
 
 // localConcurrency returns the number of requests in progress that this VM may hold of an
-// account's concurrency limit. A limit smaller than the number of VMs cannot be split into whole
-// requests, so a VM without one may begin one while the known use of all VMs is below the limit.
+// account's concurrency limit, where own is what it told the others. A limit smaller than the
+// number of VMs cannot be split into whole requests, so a VM that holds none may begin one while
+// the known use of all VMs is below the limit.
 func localConcurrency(limit, own, others, liveVMs int) int {
 	share := int(localShare(float64(limit), float64(own), float64(others), liveVMs))
-	if share <= own && own == 0 && others < limit {
+	if share == 0 && others < limit {
 		return 1
 	}
 	return share
