--- a/internal/routing/bench_test.go
+++ b/internal/routing/bench_test.go
@@ -102,3 +102,16 @@
 		})
 	}
 }
+
+// BenchmarkProgress measures one token of a running attempt.
+func BenchmarkProgress(b *testing.B) {
+	table, now := newLargeFleet(17, 920)
+	choice, err := table.Pick(largeQuery(0, 17), now)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		table.Progress(choice, i%20000)
+	}
+}
