Ignore progress after an attempt's end

Cause: a token that was counted after Done stayed in the target's sum for good, so the target looked fuller than it was.

--- a/internal/lengths/lengths_test.go
+++ b/internal/lengths/lengths_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "godwitcart/internal/rapidseed" // fixes the seed
 )
 
 func TestBucketsCoverTheirBounds(t *testing.T) {
--- a/internal/prefix/prefix_test.go
+++ b/internal/prefix/prefix_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	_ "godwitcart/internal/rapidseed" // fixes the seed
 	"godwitcart/internal/wire/enginewire"
 )
 
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -128,16 +128,16 @@
 func (s *shard) choose(state *search, curve *lengths.Curve) Choice {
 	q := state.query
 	r := &reservation{
-		curve:     curve,
-		key:       q.key(),
-		priority:  q.Priority,
-		rank:      state.rank,
-		prompt:    q.PromptTokens,
-		maxTokens: q.MaxTokens,
-		sentAt:    state.now,
-		demand:    state.demand,
-	}
-	r.nextChange.Store(int64(lengths.NextChange(0)))
+		curve:      curve,
+		key:        q.key(),
+		priority:   q.Priority,
+		rank:       state.rank,
+		prompt:     q.PromptTokens,
+		maxTokens:  q.MaxTokens,
+		sentAt:     state.now,
+		demand:     state.demand,
+		nextChange: lengths.NextChange(0),
+	}
 	t := state.best
 	t.reserve(r, state.now)
 	for _, hash := range q.PrefixHashes {
--- a/internal/routing/room.go
+++ b/internal/routing/room.go
@@ -57,7 +57,7 @@
 		return true
 	}
 	share := (usable - float64(t.report.UsedTokens)) / entries
-	left := share - float64(int(t.tokens.Load())-t.tokensAsOf)
+	left := share - float64(t.tokens-t.tokensAsOf)
 	need := float64(state.query.PromptTokens)
 	return left >= need || left > need*t.lot
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -176,22 +176,17 @@
 	}
 }
 
-// Progress records that the attempt has produced tokens in all.
+// Progress records that the attempt has produced tokens in all. After its end it has no effect.
 func (t *Table) Progress(choice Choice, tokens int) {
 	r := choice.reservation
 	if r == nil {
 		return
 	}
-	before := r.produced.Swap(int64(tokens))
-	r.target.tokens.Add(int64(tokens) - before)
-	if int64(tokens) < r.nextChange.Load() {
-		return
-	}
 	s := r.target.shard
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !r.done {
-		r.target.renew(r)
+		r.target.progress(r, tokens)
 	}
 }
 
@@ -225,7 +220,7 @@
 	}
 	s.mu.Unlock()
 	if !done && outcome == OutcomeCompleted && r.curve != nil {
-		t.options.Lengths.Observe(r.key, int(r.produced.Load()))
+		t.options.Lengths.Observe(r.key, r.produced)
 	}
 }
 
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"godwitcart/internal/lengths"
@@ -24,8 +23,8 @@
 	maxTokens int
 	sentAt    time.Time
 	// produced is the number of tokens received; nextChange the number at which demand is renewed.
-	produced   atomic.Int64
-	nextChange atomic.Int64
+	produced   int
+	nextChange int
 	demand     demand
 	done       bool
 }
@@ -46,7 +45,7 @@
 	// ranks holds the demand of the attempts of each priority rank.
 	ranks [maxRanks]demand
 	// tokens is the memory held by this VM's attempts: prompts and output so far.
-	tokens  atomic.Int64
+	tokens  int
 	history history
 	// others is the forecast of what other VMs' attempts need, from the last report.
 	others demand
@@ -93,7 +92,7 @@
 
 // note records what this VM's attempts hold, before a change.
 func (t *target) note(now time.Time) {
-	t.history.record(now, int(t.tokens.Load()), len(t.reservations))
+	t.history.record(now, t.tokens, len(t.reservations))
 }
 
 // reserve adds the attempt to what the target holds.
@@ -102,7 +101,7 @@
 	r.target = t
 	r.index = len(t.reservations)
 	t.reservations = append(t.reservations, r)
-	t.tokens.Add(int64(r.prompt))
+	t.tokens += r.prompt
 	t.ranks[r.rank].add(&r.demand, 1)
 	t.circuit.sent()
 }
@@ -116,7 +115,7 @@
 	t.reservations[r.index] = moved
 	t.reservations[last] = nil
 	t.reservations = t.reservations[:last]
-	t.tokens.Add(-int64(r.prompt) - r.produced.Load())
+	t.tokens -= r.prompt + r.produced
 	t.ranks[r.rank].add(&r.demand, -1)
 	if last == 0 {
 		// Clears the rounding errors of many additions.
@@ -124,12 +123,17 @@
 	}
 }
 
-// renew forecasts the attempt anew from what it has produced.
-func (t *target) renew(r *reservation) {
-	produced := int(r.produced.Load())
-	r.nextChange.Store(int64(lengths.NextChange(produced)))
+// progress takes the number of tokens that the attempt has produced, and forecasts it anew when
+// they pass the border of a length bucket.
+func (t *target) progress(r *reservation, tokens int) {
+	t.tokens += tokens - r.produced
+	r.produced = tokens
+	if tokens < r.nextChange {
+		return
+	}
+	r.nextChange = lengths.NextChange(tokens)
 	t.ranks[r.rank].add(&r.demand, -1)
-	r.demand = forecast(r.curve, r.prompt, produced, r.maxTokens)
+	r.demand = forecast(r.curve, r.prompt, tokens, r.maxTokens)
 	t.ranks[r.rank].add(&r.demand, 1)
 }
 
@@ -141,7 +145,7 @@
 	t.leaving = t.leaving || report.Leaving
 	own, changed := t.history.at(asOf)
 	if !changed {
-		own = sample{tokens: int(t.tokens.Load()), count: len(t.reservations)}
+		own = sample{tokens: t.tokens, count: len(t.reservations)}
 	}
 	t.othersTokens = max(report.UsedTokens-own.tokens, 0)
 	t.othersCount = max(report.Running+report.Waiting-own.count, 0)
@@ -208,4 +212,4 @@
 }
 
 // tokensNow returns the memory in use, as far as it is known.
-func (t *target) tokensNow() int { return int(t.tokens.Load()) + t.othersTokens }
+func (t *target) tokensNow() int { return t.tokens + t.othersTokens }
