Hold the promise of leaving for targets that only the list knows to leave

Cause: a target may be reclaimed without its knowing; then the list is the only route, and a VM without the platform must hear of it from its peers. Change: a test where one of two VMs reads the list, ten seconds late, and the target says that it is live. Conclusion: the gossip carries the list's word too.

--- a/internal/membership/leaving_test.go
+++ b/internal/membership/leaving_test.go
@@ -19,6 +19,8 @@
 	mu        sync.Mutex
 	leavingAt time.Time
 	firstSign time.Time
+	// silent means that the target itself does not tell that it is leaving.
+	silent bool
 }
 
 const testListLag = 10 * time.Second
@@ -47,7 +49,7 @@
 		<-ctx.Done()
 		return enginewire.LoadReport{}, errCut
 	}
-	leaving := s.hasLeft(0)
+	leaving := s.hasLeft(0) && !s.silent
 	if leaving {
 		s.signSeen()
 	}
@@ -67,7 +69,11 @@
 	if s.cutPlatform && s.hasLeft(0) {
 		return platformwire.VMList{}, errCut
 	}
-	return listOf(s.hasLeft(testListLag)), nil
+	marked := s.hasLeft(testListLag)
+	if marked {
+		s.signSeen()
+	}
+	return listOf(marked), nil
 }
 
 // exchange asks peers again and again, as the gossip does.
@@ -98,15 +104,21 @@
 	}
 	for name, cut := range cuts {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { checkLeaving(t, cut) })
+			synctest.Test(t, func(t *testing.T) { checkLeaving(t, cut, cut.cutPlatform, false) })
 		})
 	}
 }
 
-func checkLeaving(t *testing.T, cut site) {
+// TestListedLeavingReachesVMsWithoutPlatform holds the promise for a target that is reclaimed without
+// its knowing, when only one entry VM can read the list.
+func TestListedLeavingReachesVMsWithoutPlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) { checkLeaving(t, site{cutPlatform: true}, false, true) })
+}
+
+func checkLeaving(t *testing.T, cut site, platformAway, silent bool) {
 	ctx, cancel := context.WithCancel(t.Context())
-	w := &world{}
-	healthy := &site{world: w, cutPlatform: cut.cutPlatform, directory: New(Options{Self: "a-1", Zone: "a"})}
+	w := &world{silent: silent}
+	healthy := &site{world: w, cutPlatform: platformAway, directory: New(Options{Self: "a-1", Zone: "a"})}
 	cut.world, cut.directory = w, New(Options{Self: "a-2", Zone: "a"})
 	var running sync.WaitGroup
 	polling, stopPolling := context.WithCancel(ctx)
