Keep other zones fresh only where their targets are few together

Cause: with zones of 20 targets each VM kept 100 targets of five other zones fresh and probed 9.1 a second. Ruled out: a bound for each zone (what counts is the sum over the zones that are kept fresh). Change: other zones are kept fresh when they have at most 32 targets together, each is then asked once a second. BenchmarkList measures a reading of the list.

--- a/internal/membership/layout.go
+++ b/internal/membership/layout.go
@@ -47,11 +47,13 @@
 	return slices.Sorted(maps.Keys(d.layout.Load().zones))
 }
 
-// maxFullZone is the largest zone whose targets are all kept fresh from other zones.
-const maxFullZone = 32
+// maxForeignTargets is the largest number of targets in other zones that are kept confirmed.
+const maxForeignTargets = 32
 
 // KeepsFresh reports whether this VM keeps all targets of the zone confirmed: those of its own zone,
-// and those of small ones. Targets of other zones are known in part and confirmed when they are needed.
+// and those of the others where they are few. Otherwise the targets of other zones are known in part
+// and confirmed when they are needed.
 func (d *Directory) KeepsFresh(zone string) bool {
-	return zone == d.options.Zone || len(d.layout.Load().zones[zone].targets) <= maxFullZone
+	l := d.layout.Load()
+	return zone == d.options.Zone || len(l.targets)-len(l.zones[d.options.Zone].targets) <= maxForeignTargets
 }
--- a/internal/membership/probe_bench_test.go
+++ b/internal/membership/probe_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -13,8 +14,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"godwitcart/internal/membership"
 	"godwitcart/internal/target"
 	"godwitcart/internal/wire/enginewire"
+	"godwitcart/internal/wire/platformwire"
 )
 
 // countedListener counts the bytes of its connections.
@@ -79,3 +82,31 @@
 	b.ReportMetric(float64(counted.out.Load())/float64(b.N), "receivedB/op")
 	b.ReportMetric(float64(used)/float64(b.N)/1000, "cpu-us/op")
 }
+
+// BenchmarkList measures one reading of an unchanged list of the size to design for.
+func BenchmarkList(b *testing.B) {
+	const entries, targets, zones = 410, 920, 6
+	var list platformwire.VMList
+	for i := range entries + targets {
+		vm := platformwire.VM{
+			Name: fmt.Sprintf("sk-south-entry-%d", i), Role: "entry", Region: "sk-south", Zone: fmt.Sprintf("zone-%d", i%zones),
+			Address: "10.20.30.40:7101", PeerAddress: "10.20.30.40:7301", AdminAddress: "10.20.30.40:7201",
+		}
+		if i >= entries {
+			vm = platformwire.VM{
+				Name: fmt.Sprintf("godwit-lm-%d", i), Role: "target", Region: "sk-south", Zone: vm.Zone,
+				Service: fmt.Sprintf("service-%d", i%17), Address: "10.20.30.40:7401",
+			}
+		}
+		list.VMs = append(list.VMs, vm)
+	}
+	text, err := json.Marshal(list)
+	require.NoError(b, err)
+	directory := membership.New(membership.Options{Self: "sk-south-entry-0", Zone: "zone-0"})
+	for b.Loop() {
+		var read platformwire.VMList
+		require.NoError(b, json.Unmarshal(text, &read))
+		require.NoError(b, directory.ApplyList(read, time.Now()))
+	}
+	b.ReportMetric(float64(len(text)), "list-B")
+}
--- a/internal/peer/control_bench_test.go
+++ b/internal/peer/control_bench_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"runtime"
@@ -14,9 +16,12 @@
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
 
 	"godwitcart/internal/membership"
+	"godwitcart/internal/tlsconfig"
+	"godwitcart/internal/tlsconfig/tlstest"
 	"godwitcart/internal/wire/enginewire"
 	"godwitcart/internal/wire/platformwire"
 )
@@ -33,6 +38,8 @@
 	zones, entries, targets int
 	// sample runs only one entry VM of each zone but the first.
 	sample bool
+	// tls is the peers' TLS, or nil.
+	tls *tlsconfig.Reloader
 }
 
 // BenchmarkControl measures what one entry VM spends on gossip over drpc on loopback. Probes are
@@ -43,6 +50,10 @@
 		f := fleet{zones: 6, entries: entries, targets: int(float64(entries) * targetsPerEntry), sample: true}
 		b.Run("zone="+strconv.Itoa(entries), func(b *testing.B) { measureControl(b, f) })
 	}
+	reloader, err := tlsconfig.New(tlstest.NewAuthority(b).NewFiles(b, 1), log.New(io.Discard))
+	require.NoError(b, err)
+	f := fleet{zones: 6, entries: 40, targets: int(40 * targetsPerEntry), sample: true, tls: reloader}
+	b.Run("tls/zone=40", func(b *testing.B) { measureControl(b, f) })
 }
 
 func (f fleet) list() platformwire.VMList {
@@ -91,14 +102,19 @@
 	run       func(ctx context.Context, listener net.Listener)
 }
 
-func newBenchNode(b *testing.B, vm platformwire.VM, list fixedList) *benchNode {
+func newBenchNode(b *testing.B, f fleet, vm platformwire.VM, list fixedList) *benchNode {
 	n := &benchNode{directory: membership.New(membership.Options{Self: vm.Name, Zone: vm.Zone}), traffic: &Traffic{}, prober: &loads{}}
-	client := NewClient(ClientOptions{Traffic: n.traffic, Resolve: func(name string) (string, bool) {
+	clientOptions := ClientOptions{Traffic: n.traffic, Resolve: func(name string) (string, bool) {
 		peer, known := n.directory.Get(name)
 		return peer.PeerAddress, known && peer.PeerAddress != ""
-	}})
+	}}
+	var serverTLS *tls.Config
+	if f.tls != nil {
+		clientOptions.TLS, serverTLS = f.tls.Client, f.tls.Server()
+	}
+	client := NewClient(clientOptions)
 	gossip := NewGossip(GossipOptions{Self: vm.Name, Incarnation: "0123456789abcdef", Zone: vm.Zone, Directory: n.directory, Ask: client.Exchange})
-	server, err := NewServer(ServerOptions{Handlers: Handlers{Exchange: gossip}, Traffic: n.traffic})
+	server, err := NewServer(ServerOptions{TLS: serverTLS, Handlers: Handlers{Exchange: gossip}, Traffic: n.traffic})
 	require.NoError(b, err)
 	poller := membership.NewPoller(membership.PollerOptions{
 		Directory: n.directory, Prober: n.prober, Lister: list, ListInterval: time.Hour,
@@ -132,7 +148,7 @@
 	var running sync.WaitGroup
 	var all, measured []*benchNode
 	for i, listener := range listeners {
-		n := newBenchNode(b, list.VMs[i], text)
+		n := newBenchNode(b, f, list.VMs[i], text)
 		all = append(all, n)
 		if !f.sample || list.VMs[i].Zone == "zone-0" {
 			measured = append(measured, n)
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -22,10 +22,10 @@
 	spreadTime  = 900 * time.Millisecond
 	minInterval = 150 * time.Millisecond
 	maxInterval = 500 * time.Millisecond
-	// foreignInterval is the pause between two asks in other zones, which are taken in turn. Where
-	// zones are too large to be kept fresh from outside, largeForeignInterval serves to know them
-	// roughly; their targets are confirmed before they get work.
-	foreignInterval      = 500 * time.Millisecond
+	// foreignRound is the time in which each other zone is asked once. Where the other zones have too
+	// many targets to be kept fresh from outside, one zone is asked each largeForeignInterval, to know
+	// them roughly; their targets are confirmed before they get work.
+	foreignRound         = time.Second
 	largeForeignInterval = 2 * time.Second
 	// partnerCount is how many VMs of a zone are asked; the set changes by one in partnerLife.
 	partnerCount = 8
@@ -108,9 +108,7 @@
 			g.askZone(ctx, g.options.Zone)
 			near.Reset(g.interval())
 		case <-far.C:
-			zone := g.foreignZone(round)
-			g.askZone(ctx, zone)
-			far.Reset(g.foreignPause(zone))
+			far.Reset(g.askForeign(ctx, round))
 			round++
 		case <-changes:
 			pushed = g.pushNews(ctx, pushed)
@@ -128,26 +126,23 @@
 	return min(max(pause, minInterval), maxInterval)
 }
 
-// foreignPause returns the pause after an ask in another zone.
-func (g *Gossip) foreignPause(zone string) time.Duration {
-	if g.options.Directory.KeepsFresh(zone) {
-		return foreignInterval
-	}
-	return largeForeignInterval
+// foreignZones returns the other zones that have targets.
+func (g *Gossip) foreignZones() []string {
+	return slices.DeleteFunc(g.options.Directory.Zones(), func(zone string) bool { return zone == g.options.Zone })
 }
 
-// foreignZone returns the zone to ask in the round, or nothing when there is no other.
-func (g *Gossip) foreignZone(round int) string {
-	var others []string
-	for _, zone := range g.options.Directory.Zones() {
-		if zone != g.options.Zone {
-			others = append(others, zone)
-		}
+// askForeign asks one other zone, in turn by the round, and returns the pause until the next.
+func (g *Gossip) askForeign(ctx context.Context, round int) time.Duration {
+	zones := g.foreignZones()
+	if len(zones) == 0 {
+		return foreignRound
 	}
-	if len(others) == 0 {
-		return ""
+	zone := zones[round%len(zones)]
+	g.askZone(ctx, zone)
+	if g.options.Directory.KeepsFresh(zone) {
+		return foreignRound / time.Duration(len(zones))
 	}
-	return others[round%len(others)]
+	return largeForeignInterval
 }
 
 // askZone asks one entry VM of the zone, unless too many asks are unanswered.
