Leave leaving targets to their watchers

Cause: since targets that are leaving are probed too (they may be started again in place), every VM that keeps the zone fresh probed each of them once a second for as long as it drained: they are never confirmed. Ruled out: not probing them at all (a restarted target would be found only by the list). Change: only the two watchers probe a leaving target; others hear of the new incarnation by gossip. A test that targets of dead watchers are probed by other VMs; it is red when stale targets are not looked for.

--- a/internal/membership/leaving_test.go
+++ b/internal/membership/leaving_test.go
@@ -161,3 +161,29 @@
 	defer w.mu.Unlock()
 	return !w.firstSign.IsZero() && time.Since(w.firstSign) > FreshFor
 }
+
+// TestTargetsOfDeadWatchersAreProbedByOthers runs one entry VM of three; the list still names the others.
+func TestTargetsOfDeadWatchersAreProbedByOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := listOf(false)
+		entries := []VM{{Name: "a-1", Zone: "a"}, {Name: "a-2", Zone: "a"}, {Name: "a-3", Zone: "a"}}
+		watching := newRoster("", entries).watchers(VM{Name: "lm-1", Zone: "a"})
+		list.VMs = append(list.VMs, platformwire.VM{Name: "a-3", Role: "entry", Zone: "a"})
+		for _, entry := range entries {
+			if entry.Name == watching[0] || entry.Name == watching[1] {
+				continue
+			}
+			left := &world{leavingAt: time.Now(), silent: true}
+			s := &site{world: left, cutPlatform: true, directory: New(Options{Self: entry.Name, Zone: "a"})}
+			require.NoError(t, s.directory.ApplyList(list, time.Now()))
+			poller := NewPoller(PollerOptions{Directory: s.directory, Prober: s, Lister: s, ListInterval: time.Hour})
+			ctx, cancel := context.WithCancel(t.Context())
+			var running sync.WaitGroup
+			running.Go(func() { poller.Run(ctx) })
+			time.Sleep(FreshFor)
+			require.True(t, s.directory.MayDispatch("lm-1", time.Now()))
+			cancel()
+			running.Wait()
+		}
+	})
+}
--- a/internal/membership/poller.go
+++ b/internal/membership/poller.go
@@ -228,7 +228,8 @@
 	return since >= interval*12/10 || now.Sub(vm.ConfirmedAt) >= interval/WatchersPerTarget
 }
 
-// dueStale returns targets that no watcher has confirmed for too long, within the bound.
+// dueStale returns targets that no watcher has confirmed for too long, within the bound. Those that are
+// leaving are left to their watchers, which find them when they are started again.
 func (p *Poller) dueStale(now time.Time) []string {
 	var due []string
 	d := p.options.Directory
@@ -237,7 +238,9 @@
 			continue
 		}
 		for _, name := range order.targets {
-			if vm, _ := d.Get(name); now.Sub(vm.ConfirmedAt) >= staleAfter && p.mayProbeStale(name, now) {
+			vm, _ := d.Get(name)
+			stale := vm.State < StateLeaving && now.Sub(vm.ConfirmedAt) >= staleAfter
+			if stale && p.mayProbeStale(name, now) {
 				due = append(due, name)
 			}
 		}
