Count what the users measure: first tokens, gaps, stall, preemptions; seal cursors with less garbage

Cause: operators had no figures of what is paid for, and a cursor copied its fixed part for each token.

--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -176,6 +176,9 @@
 	if !known {
 		return errors.Newf("target %s is not known here", existing.Target)
 	}
+	if !g.joined {
+		joins.Inc(1)
+	}
 	g.joined = true
 	g.lastAttempt = existing.AttemptID
 	if g.record.State() == request.StateWaiting {
--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -56,6 +56,7 @@
 		if err != nil {
 			return err
 		}
+		resumes.Inc(1)
 	}
 }
 
@@ -100,6 +101,7 @@
 func (f *follower) accept(event enginewire.TokenEvent) error {
 	if event.Preempted {
 		f.observer.Preempted()
+		preemptions.Inc(1)
 		f.move(request.StatePreempted, "the target is short of memory")
 		return callerError(f.sink.Idle())
 	}
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -60,6 +60,7 @@
 		if err := g.checkRetry(failed); err != nil {
 			return err
 		}
+		retries.Inc(1)
 		g.move(request.StateWaiting, "", "retry: "+failed.Error())
 	}
 }
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -83,6 +83,7 @@
 		if !errors.As(err, &failed) || ctx.Err() != nil || !p.mayRetry(failed) {
 			return nil, err
 		}
+		retries.Inc(1)
 		p.move(request.StateWaiting, "", "retry: "+failed.Error())
 	}
 }
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -9,8 +9,17 @@
 	"godwitcart/internal/request"
 )
 
-// badTransitions counts transitions that the state machine refused; it stays zero.
-var badTransitions = metrics.GetOrRegisterCounter("request.bad_transitions", nil)
+// The dispatcher's counters.
+var (
+	// badTransitions counts transitions that the state machine refused; it stays zero.
+	badTransitions = metrics.GetOrRegisterCounter("request.bad_transitions", nil)
+	preemptions    = metrics.GetOrRegisterCounter("request.preemptions", nil)
+	retries        = metrics.GetOrRegisterCounter("request.retries", nil)
+	// resumes counts streams that were opened again at their target after they broke or stalled.
+	resumes = metrics.GetOrRegisterCounter("request.resumes", nil)
+	// joins counts copies that were answered from an earlier copy's attempt.
+	joins = metrics.GetOrRegisterCounter("request.joins", nil)
+)
 
 func moveRecord(record *request.Record, step request.Step) {
 	if err := record.Move(step); err != nil {
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -50,6 +50,7 @@
 		return
 	}
 	typed := aboutCopies(x, typedError(err))
+	countError(typed.Kind)
 	header := x.w.Header()
 	header.Set("Content-Type", "application/json")
 	if typed.RetryAfter > 0 {
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -75,6 +75,7 @@
 // deadline or an operator's cancellation.
 func (g *Gateway) begin(x *exchange, r *request.Request) (context.Context, *request.Record, func()) {
 	x.dispatched = true
+	classes.get(r.Class).requests.Inc(1)
 	ctx, cancelCause := context.WithCancelCause(x.r.Context())
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	record := g.options.Registry.Begin(r, func(reason string) {
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -67,12 +67,14 @@
 	buffer    bytes.Buffer
 	encoder   *json.Encoder
 	extended  time.Time
+	clock     tokenClock
 	begun     bool
 	delivered int
 }
 
 func newStreamSink(g *Gateway, x *exchange, meta answerMeta, cursor *cursorpb.Cursor, resumable bool) *streamSink {
 	s := &streamSink{gateway: g, x: x, meta: meta, cursor: cursor, resumable: resumable}
+	s.clock = newTokenClock(cursor.Class, time.Now())
 	s.control = http.NewResponseController(x.w)
 	s.before, s.after = meta.chunkFrame()
 	s.encoder = json.NewEncoder(&s.buffer)
@@ -105,6 +107,7 @@
 	s.buffer.Write(s.after)
 	s.buffer.WriteString("\n\n")
 	s.delivered++
+	s.clock.tick(time.Now())
 	if err := s.flush(); err != nil {
 		return err
 	}
@@ -169,7 +172,7 @@
 
 func (s *streamSink) flush() error {
 	s.begin()
-	if now := time.Now(); now.Sub(s.extended) > writeDeadlineInterval {
+	if now := s.now(); now.Sub(s.extended) > writeDeadlineInterval {
 		s.extended = now
 		_ = s.control.SetWriteDeadline(now.Add(callerWriteTimeout))
 	}
@@ -179,6 +182,14 @@
 	return s.control.Flush()
 }
 
+// now returns the time of the last token, which is near enough for the caller's write deadline.
+func (s *streamSink) now() time.Time {
+	if s.delivered > 0 {
+		return s.clock.last
+	}
+	return time.Now()
+}
+
 func (s *streamSink) begin() {
 	if s.begun {
 		return
@@ -201,7 +212,9 @@
 	}
 	s.buffer.Reset()
 	s.buffer.WriteString("event: error\n")
-	if encodeErr := s.writeData(newErrorBody(s.x.id, typedError(err))); encodeErr == nil {
+	typed := typedError(err)
+	countError(typed.Kind)
+	if encodeErr := s.writeData(newErrorBody(s.x.id, typed)); encodeErr == nil {
 		_ = s.flush()
 	}
 	return errAnswerBegun
--- a/internal/request/cursor.go
+++ b/internal/request/cursor.go
@@ -53,9 +53,11 @@
 
 // StreamSealer makes the cursors of one stream. It is not safe for concurrent use.
 type StreamSealer struct {
-	fixed string
+	fixed []byte
 	mac   hash.Hash
-	text  []byte
+	// text and sum are used again for each cursor.
+	text []byte
+	sum  []byte
 }
 
 // Stream seals what stays the same over a stream.
@@ -73,7 +75,7 @@
 		return nil, err
 	}
 	sealed := aead.Seal(salt, make([]byte, aead.NonceSize()), plain, nil)
-	fixed := base64.RawURLEncoding.EncodeToString(sealed)
+	fixed := base64.RawURLEncoding.AppendEncode(nil, sealed)
 	return &StreamSealer{fixed: fixed, mac: mac}, nil
 }
 
@@ -86,7 +88,8 @@
 	s.text = append(s.text, '.')
 	s.text = base64.RawURLEncoding.AppendEncode(s.text, index[:])
 	s.text = append(s.text, '.')
-	return base64.RawURLEncoding.AppendEncode(s.text, indexMAC(s.mac, s.fixed, index[:]))
+	s.sum = indexMAC(s.mac, s.fixed, index[:], s.sum[:0])
+	return base64.RawURLEncoding.AppendEncode(s.text, s.sum)
 }
 
 // Open checks a cursor's text and returns its contents and the index of the next token.
@@ -101,7 +104,7 @@
 		if err != nil {
 			return nil, 0, err
 		}
-		if !hmac.Equal(sum, indexMAC(mac, fixed, index)) {
+		if !hmac.Equal(sum, indexMAC(mac, []byte(fixed), index, nil)) {
 			continue
 		}
 		plain, err := aead.Open(nil, make([]byte, aead.NonceSize()), sealed[cursorSaltBytes:], nil)
@@ -161,9 +164,10 @@
 	return mac.Sum(nil)
 }
 
-func indexMAC(mac hash.Hash, fixed string, index []byte) []byte {
+// indexMAC authenticates an index and the fixed part it belongs to; the result uses buffer.
+func indexMAC(mac hash.Hash, fixed, index, buffer []byte) []byte {
 	mac.Reset()
-	mac.Write([]byte(fixed))
+	mac.Write(fixed)
 	mac.Write(index)
-	return mac.Sum(nil)[:cursorMACBytes]
+	return mac.Sum(buffer)[:cursorMACBytes]
 }
