Take every error that says 'did not run' at its word

Cause: deadline_exceeded and unavailable can say that the request did not run, and the oracle checked three kinds only. Ruled out: a list of kinds, since the same kind is also said of work that ran. Change: the caller keeps message and remedy; 'did not run' in them counts as a refusal. What is said of one copy alone is checked by its request id only.

--- a/internal/stand/failures/oracle.go
+++ b/internal/stand/failures/oracle.go
@@ -193,7 +193,7 @@
 	refused := answer.Tries[len(answer.Tries)-1]
 	for _, run := range o.started[request.Tag] {
 		same := run.RequestID == refused.RequestID
-		earlier := request.NonIdempotent && run.At().Before(refused.Ended)
+		earlier := request.NonIdempotent && !answer.OnlyThisCopy() && run.At().Before(refused.Ended)
 		if same || earlier {
 			o.violate(&o.verdict.RefusedButRun, 1, "%s (%d copies, %d tries of this one) was told %s by %s at %s (%s), but %s",
 				request.Tag, request.Copies, len(answer.Tries), answer.ErrorKind, refused.RequestID,
--- a/internal/stand/failures/oracle_test.go
+++ b/internal/stand/failures/oracle_test.go
@@ -95,6 +95,14 @@
 			func(h *History) { h.Records[2].Request.NonIdempotent = true; run(h, "r0", "a3", "tag=1-3", 1) },
 			Verdict{RefusedButRun: 1},
 		},
+		"refused but run, told of this copy alone": {
+			func(h *History) {
+				h.Records[2].Answers[0].ErrorKind = "unavailable"
+				h.Records[2].Answers[0].Message = "this copy of the request did not run, and whether another did is not known"
+				run(h, "r3", "a3", "tag=1-3", 1)
+			},
+			Verdict{RefusedButRun: 1},
+		},
 		"token repeated": {
 			func(h *History) { stream(h).Text = text("a1", 0, 1, 1, 2, 3) }, Verdict{TokensRepeated: 1},
 		},
@@ -223,6 +231,12 @@
 			try := &h.Records[1].Answers[0].Tries[0]
 			try.Break, try.GaveUp, try.Heard = "silence", true, at(0.4)
 		},
+		"a copy that was told of itself alone": func(h *History) {
+			h.Records[2].Request.NonIdempotent = true
+			h.Records[2].Answers[0].ErrorKind = "unavailable"
+			h.Records[2].Answers[0].Message = "this copy of the request did not run, and whether another did is not known"
+			h.Journal = append(h.Journal, entry(journal.EventStarted, "r0", "a3", "tag=1-3", 1))
+		},
 		"a copy that was told of the one that was answered": func(h *History) {
 			copies := &h.Records[1].Answers
 			*copies = append(*copies, load.Answer{
--- a/internal/stand/load/answer.go
+++ b/internal/stand/load/answer.go
@@ -25,6 +25,7 @@
 	Error *struct {
 		Type    string `json:"type"`
 		Message string `json:"message"`
+		Remedy  string `json:"remedy"`
 	} `json:"error"`
 }
 
@@ -64,7 +65,7 @@
 			return errors.Wrap(err, "the stream has an event that is not JSON")
 		}
 		if part.Error != nil {
-			c.fail(part.Error.Type, part.Error.Message)
+			c.fail(part.Error.Type, part.Error.Message+"; "+part.Error.Remedy)
 			return nil
 		}
 		c.receive(part.text())
@@ -100,7 +101,7 @@
 		if err != nil || parsed.Error == nil {
 			return errors.Newf("status %d without the error's JSON shape", response.StatusCode)
 		}
-		c.fail(parsed.Error.Type, parsed.Error.Message)
+		c.fail(parsed.Error.Type, parsed.Error.Message+"; "+parsed.Error.Remedy)
 		return nil
 	}
 	if c.request.Kind == KindPlain {
--- a/internal/stand/load/load_test.go
+++ b/internal/stand/load/load_test.go
@@ -101,6 +101,8 @@
 	defer refusing.Close()
 	answer = sendOne(t, testOptions(refusing), Request{Kind: KindWhole})
 	require.True(t, answer.NotRun())
+	late := Answer{Outcome: OutcomeError, ErrorKind: "deadline_exceeded", Message: "no room; the request did not run"}
+	require.True(t, late.NotRun())
 	require.Len(t, answer.Tries, 1)
 }
 
--- a/internal/stand/load/record.go
+++ b/internal/stand/load/record.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"strings"
 	"time"
 )
 
@@ -31,7 +32,8 @@
 	Outcome Outcome
 	// ErrorKind is the type of the error that the caller was told.
 	ErrorKind string
-	Message   string
+	// Message is the error's message and remedy.
+	Message string
 	// Text is everything that was received, over all tries of a resumed stream.
 	Text string
 	// Events counts the stream's parts with text.
@@ -72,6 +74,15 @@
 	case "not_run", "overloaded", "rate_limited":
 		return true
 	default:
-		return false
+		return strings.Contains(a.Message, notRunPhrase)
 	}
 }
+
+// OnlyThisCopy reports whether NotRun is said of this copy alone, and an earlier one may have run.
+func (a Answer) OnlyThisCopy() bool { return strings.Contains(a.Message, onlyThisCopyPhrase) }
+
+// The phrases of errors of other kinds that say that something did not run.
+const (
+	notRunPhrase       = "did not run"
+	onlyThisCopyPhrase = "this copy of the request did not run"
+)
