Read targets in the order of the list, without sorting

Cause: routing takes over the targets four times a second; Eligible and AllTargets copied every VM and sorted the copies. Ruled out: a cache of the answer (confirmations age between two calls). Change: the layout holds the sorted names of each service and role; VMs that are no longer listed are added apart.

--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -89,23 +89,37 @@
 // Targets returns the targets of the service that may get new work: live, and confirmed within
 // FreshFor. They are ordered by name.
 func (d *Directory) Targets(service string, now time.Time) []VM {
-	return d.Eligible(now)[service]
+	var targets []VM
+	for _, name := range d.layout.Load().services[service] {
+		if vm, eligible := d.eligible(name, now); eligible {
+			targets = append(targets, vm)
+		}
+	}
+	return targets
 }
 
-// Eligible returns Targets of every service.
+// Eligible returns Targets of every service that has any.
 func (d *Directory) Eligible(now time.Time) map[string][]VM {
 	services := make(map[string][]VM)
-	d.each(func(e *entry) {
-		if e.vm.Role == RoleTarget && isEligible(e, now) {
-			services[e.vm.Service] = append(services[e.vm.Service], e.describe())
+	for service := range d.layout.Load().services {
+		if targets := d.Targets(service, now); len(targets) > 0 {
+			services[service] = targets
 		}
-	})
-	for _, targets := range services {
-		slices.SortFunc(targets, compareNames)
 	}
 	return services
 }
 
+func (d *Directory) eligible(name string, now time.Time) (VM, bool) {
+	s := d.shard(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[name]
+	if e == nil || !isEligible(e, now) {
+		return VM{}, false
+	}
+	return e.describe(), true
+}
+
 func isEligible(e *entry, now time.Time) bool {
 	confirmed := e.confirmedAt()
 	return !confirmed.IsZero() && now.Sub(confirmed) <= FreshFor
@@ -114,11 +128,8 @@
 // MayDispatch reports whether the target may get new work at the given time. A caller that is about
 // to send checks it last.
 func (d *Directory) MayDispatch(target string, now time.Time) bool {
-	s := d.shard(target)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	e := s.entries[target]
-	return e != nil && isEligible(e, now)
+	_, eligible := d.eligible(target, now)
+	return eligible
 }
 
 // Entries returns the entry VMs that the list names, or has named within ten minutes, by name.
@@ -128,14 +139,25 @@
 // AllTargets returns every target with its state, by name.
 func (d *Directory) AllTargets(_ time.Time) []VM { return d.collect(RoleTarget) }
 
+// collect returns the VMs of the role by name. Those that the list no longer names are few.
 func (d *Directory) collect(role Role) []VM {
-	var vms []VM
+	names := d.layout.Load().roles[role]
+	vms := make([]VM, 0, len(names))
+	for _, name := range names {
+		if vm, known := d.Get(name); known {
+			vms = append(vms, vm)
+		}
+	}
+	listed := len(vms)
 	d.each(func(e *entry) {
-		if e.vm.Role == role {
+		if e.vm.Role == role && !e.list.present {
 			vms = append(vms, e.describe())
 		}
 	})
-	slices.SortFunc(vms, compareNames)
+	if len(vms) > listed {
+		slices.SortFunc(vms, compareNames)
+		vms = slices.CompactFunc(vms, func(a, b VM) bool { return a.Name == b.Name })
+	}
 	return vms
 }
 
--- a/internal/membership/layout.go
+++ b/internal/membership/layout.go
@@ -22,17 +22,34 @@
 	zones map[string]zoneOrder
 	// targets finds a target by the hash of its name.
 	targets map[uint32]string
+	// services holds the names of each service's targets, in order.
+	services map[string][]string
+	// roles holds the names of all VMs of a role, in order.
+	roles map[Role][]string
 }
 
 func newLayout(vms map[string]platformwire.VM) *layout {
-	l := &layout{zones: make(map[string]zoneOrder), targets: make(map[uint32]string)}
+	l := &layout{
+		zones:    make(map[string]zoneOrder),
+		targets:  make(map[uint32]string),
+		services: make(map[string][]string),
+		roles:    make(map[Role][]string),
+	}
 	names := make(map[string][]string)
 	for _, vm := range vms {
+		l.roles[Role(vm.Role)] = append(l.roles[Role(vm.Role)], vm.Name)
 		if Role(vm.Role) == RoleTarget {
 			names[vm.Zone] = append(names[vm.Zone], vm.Name)
 			l.targets[hashName(vm.Name)] = vm.Name
+			l.services[vm.Service] = append(l.services[vm.Service], vm.Name)
 		}
 	}
+	for _, targets := range l.services {
+		slices.Sort(targets)
+	}
+	for _, names := range l.roles {
+		slices.Sort(names)
+	}
 	for zone, targets := range names {
 		slices.Sort(targets)
 		l.zones[zone] = zoneOrder{targets: targets, checksum: hashName(strings.Join(targets, "\n"))}
--- a/internal/membership/probe_bench_test.go
+++ b/internal/membership/probe_bench_test.go
@@ -110,3 +110,27 @@
 	}
 	b.ReportMetric(float64(len(text)), "list-B")
 }
+
+// BenchmarkTargets measures the scans by which routing takes over the targets.
+func BenchmarkTargets(b *testing.B) {
+	directory := membership.New(membership.Options{Self: "entry", Zone: "zone-0"})
+	var list platformwire.VMList
+	for i := range 1330 {
+		list.VMs = append(list.VMs, platformwire.VM{Name: fmt.Sprintf("godwit-lm-%d", i), Role: "target", Zone: "zone-0", Service: fmt.Sprintf("service-%d", i%17)})
+	}
+	now := time.Now()
+	require.NoError(b, directory.ApplyList(list, now))
+	for _, vm := range list.VMs {
+		directory.Observe(membership.Live(vm.Name, "x", now))
+	}
+	b.Run("eligible", func(b *testing.B) {
+		for b.Loop() {
+			require.Len(b, directory.Eligible(now), 17)
+		}
+	})
+	b.Run("all", func(b *testing.B) {
+		for b.Loop() {
+			require.Len(b, directory.AllTargets(now), 1330)
+		}
+	})
+}
