Keep what is known of a target that leaves the list for a moment

Cause: the daemon lists the targets that may take work, so one that is not confirmed for a moment goes and comes back; its attempts, circuit and report were forgotten and it looked empty. Each renewal also rebuilt all lists. Ruled out: listing every target; the caller's word on who may get work stands. Change: targets off the list are kept for 30 s; an unchanged list is updated in place.

--- a/internal/routing/bench_test.go
+++ b/internal/routing/bench_test.go
@@ -115,3 +115,22 @@
 		table.Progress(choice, i%20000)
 	}
 }
+
+// BenchmarkSetTargets measures the renewal of the targets of all services.
+func BenchmarkSetTargets(b *testing.B) {
+	for _, replicas := range []int{230, 460, 920} {
+		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) {
+			table, now := newLargeFleet(17, replicas)
+			lists := make(map[string][]membership.VM)
+			for _, row := range table.Rows(now) {
+				lists[row.Service] = append(lists[row.Service], membership.VM{Name: row.Name, Zone: row.Zone, State: row.State, ConfirmedAt: now})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				for service, list := range lists {
+					table.SetTargets(service, list, now)
+				}
+			}
+		})
+	}
+}
--- a/internal/routing/shard.go
+++ b/internal/routing/shard.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -13,24 +14,64 @@
 // changed drops the lists of candidates; Pick builds them anew. The caller holds the lock.
 func (s *shard) changed() { clear(s.candidates) }
 
-// setTargets replaces the targets, keeping what is known of those that stay.
-func (s *shard) setTargets(vms []membership.VM) {
+// setTargets replaces the targets, keeping what is known of those that stay, and returns the
+// names of those that went.
+func (s *shard) setTargets(vms []membership.VM, now time.Time) (gone []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	kept := make(map[string]*target, len(vms))
+	s.forgetRetired(now)
+	listed := 0
+	for i := range vms {
+		known := s.targets[vms[i].Name]
+		if known == nil || known.vm.Zone != vms[i].Zone {
+			return s.replaceTargets(vms, now)
+		}
+		known.update(vms[i])
+		listed++
+	}
+	if listed != len(s.targets) {
+		return s.replaceTargets(vms, now)
+	}
+	return nil
+}
+
+// replaceTargets is setTargets when targets come, go or move.
+func (s *shard) replaceTargets(vms []membership.VM, now time.Time) (gone []string) {
+	former := s.targets
+	s.targets = make(map[string]*target, len(vms))
 	s.order = s.order[:0]
 	for _, vm := range vms {
-		found := s.targets[vm.Name]
+		found := cmp.Or(former[vm.Name], s.retired[vm.Name])
 		if found == nil {
 			found = &target{shard: s, vm: vm}
 		}
+		delete(s.retired, vm.Name)
 		found.update(vm)
-		kept[vm.Name] = found
+		s.targets[vm.Name] = found
 		s.order = append(s.order, found)
 	}
-	s.targets = kept
+	for name, t := range former {
+		if s.targets[name] == nil {
+			gone = append(gone, name)
+			t.retiredAt = now
+			s.retired[name] = t
+		}
+	}
 	slices.SortFunc(s.order, func(a, b *target) int { return strings.Compare(a.vm.Name, b.vm.Name) })
 	s.changed()
+	return gone
+}
+
+// retiredFor is how long what is known of a target outlasts its place in the list.
+const retiredFor = 30 * time.Second
+
+// forgetRetired drops targets that left the list long ago.
+func (s *shard) forgetRetired(now time.Time) {
+	for name, t := range s.retired {
+		if now.Sub(t.retiredAt) > retiredFor {
+			delete(s.retired, name)
+		}
+	}
 }
 
 // update takes what the directory says of the target. Its own newer reports outweigh the directory.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -33,10 +33,12 @@
 	options *Options
 	entries *atomic.Int64
 
-	mu         sync.Mutex
-	random     *rand.Rand
-	targets    map[string]*target
-	order      []*target
+	mu      sync.Mutex
+	random  *rand.Rand
+	targets map[string]*target
+	order   []*target
+	// retired are targets that are no longer listed.
+	retired    map[string]*target
 	candidates map[candidateKey]*candidates
 	priorities []int
 	// serviceCurve is the distribution of the service's outputs, renewed now and then.
@@ -104,8 +106,9 @@
 	return shards
 }
 
-// SetTargets replaces the targets of a service by those listed, keeping what is known of them.
-func (t *Table) SetTargets(service string, targets []membership.VM, _ time.Time) {
+// SetTargets replaces the targets of a service by those listed, keeping what is known of them; what
+// is known of the others is kept for a while, since a target may be missing only for a moment.
+func (t *Table) SetTargets(service string, targets []membership.VM, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, found := t.shards[service]
@@ -113,15 +116,14 @@
 		s = t.newShard(service)
 		t.shards[service] = s
 	}
-	for name, owner := range t.owners {
-		if owner == s {
+	for _, name := range s.setTargets(targets, now) {
+		if t.owners[name] == s {
 			delete(t.owners, name)
 		}
 	}
-	for _, vm := range targets {
-		t.owners[vm.Name] = s
+	for i := range targets {
+		t.owners[targets[i].Name] = s
 	}
-	s.setTargets(targets)
 }
 
 func (t *Table) newShard(service string) *shard {
@@ -131,6 +133,7 @@
 		entries:    &t.entries,
 		random:     rand.New(rand.NewPCG(t.options.Seed, uint64(len(t.shards)))),
 		targets:    make(map[string]*target),
+		retired:    make(map[string]*target),
 		candidates: make(map[candidateKey]*candidates),
 		priorities: t.priorities,
 	}
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -177,3 +177,21 @@
 	_, err := table.Pick(Query{Service: "counter-api"}, start)
 	require.True(t, apierror.Is(err, apierror.KindOverloaded))
 }
+
+func TestAttemptsOutlastAMomentOffTheList(t *testing.T) {
+	table := newFleet("regina-a")
+	choice, err := table.Pick(query(), start)
+	require.NoError(t, err)
+	vm := membership.VM{Name: "t0", Zone: "regina-a", State: membership.StateLive, ConfirmedAt: start}
+	table.SetTargets("godwit-lm", nil, start)
+	_, err = table.Pick(query(), start)
+	require.True(t, apierror.Is(err, apierror.KindNotRun))
+	table.SetTargets("godwit-lm", []membership.VM{vm}, start.Add(time.Second))
+	require.Equal(t, 1, table.Rows(start)[0].InProgress)
+	_, err = table.Pick(query(), start.Add(time.Second))
+	require.NoError(t, err, "the target's report is still known")
+	table.Done(choice, OutcomeCompleted, start)
+	table.SetTargets("godwit-lm", nil, start)
+	table.SetTargets("godwit-lm", nil, start.Add(retiredFor+time.Second))
+	require.Empty(t, table.shard("godwit-lm").retired)
+}
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -57,6 +57,8 @@
 	// lot is a number from 0 up to 1 that is drawn at each report.
 	lot            float64
 	pressuredUntil time.Time
+	// retiredAt is when the target was last taken off the list.
+	retiredAt time.Time
 }
 
 // serving reports whether the target may take new work.
