Bound what acceptance writes and when

Cause: the conditional update could wait for the client's rate limiter past the proposal's lifetime, on which the start of a lone VM relies; a very large configuration was refused with the object client's remedy. Ruled out: a check of the clock alone before the write (the limiter waits after it). Change: the write carries the proposal's deadline; configurations above half of the platform's limit are refused by name; the history keeps the first 500 changes of a version. Tests of the bounded history and of the size.

--- a/internal/acceptance/acceptance_test.go
+++ b/internal/acceptance/acceptance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -272,3 +273,36 @@
 		require.True(t, apierror.Is(err, apierror.KindNotFound))
 	})
 }
+
+func TestHistoryIsBounded(t *testing.T) {
+	onCluster(t, 1, func(t *testing.T, c *cluster) {
+		const kept = 256
+		for share := 2; share <= kept+10; share++ {
+			_, err := c.manager(0).Propose(t.Context(), setShare("ann", share))
+			require.NoError(t, err)
+		}
+		history, err := c.manager(0).History(t.Context())
+		require.NoError(t, err)
+		require.Len(t, history, kept)
+		oldest := history[kept-1].Version
+		_, err = c.manager(0).At(t.Context(), oldest)
+		require.NoError(t, err)
+		_, err = c.manager(0).At(t.Context(), oldest-1)
+		require.True(t, apierror.Is(err, apierror.KindNotFound))
+	})
+}
+
+func TestOversizedConfigurationIsRefused(t *testing.T) {
+	onCluster(t, 1, func(t *testing.T, c *cluster) {
+		change := acceptance.Change{Operator: "ann", Apply: func(configuration *policy.Configuration) error {
+			for number := range 9_000 {
+				name := fmt.Sprintf("service-with-a-long-name-%d", number)
+				configuration.Services[name] = policy.Service{Name: name, Kind: policy.KindPlain}
+			}
+			return nil
+		}}
+		_, err := c.manager(0).Propose(t.Context(), change)
+		require.True(t, apierror.Is(err, apierror.KindTooLarge))
+		c.requireVersion(t, 1)
+	})
+}
--- a/internal/acceptance/propose.go
+++ b/internal/acceptance/propose.go
@@ -16,12 +16,20 @@
 	"godwitcart/internal/object"
 	"godwitcart/internal/peer/peerpb"
 	"godwitcart/internal/policy"
+	"godwitcart/internal/wire/platformwire"
 )
 
 // stageRounds is the least number of times that every VM is asked to stage a proposal. The
 // second round reaches a VM that restarted after the first and forgot it.
 const stageRounds = 2
 
+// maxConfigurationBytes leaves room in the root object for the acceptance's changes and the recent
+// acceptances.
+const maxConfigurationBytes = platformwire.MaxValueBytes / 2
+
+// maxRecordedChanges bounds the changes that the history keeps of one version.
+const maxRecordedChanges = 500
+
 // maxStageRounds bounds the rounds in which VMs name further VMs.
 const maxStageRounds = 5
 
@@ -46,10 +54,11 @@
 
 // attempt is one proposal on its way.
 type attempt struct {
-	change   Change
 	base     *root
 	revision uint64
 	next     *root
+	// changes is the whole difference from base to next.
+	changes  []policy.Change
 	deadline time.Time
 }
 
@@ -65,7 +74,7 @@
 	if err != nil {
 		return Outcome{}, m.reject(err)
 	}
-	outcome := Outcome{Version: a.base.version(), Changes: a.next.Latest.Changes}
+	outcome := Outcome{Version: a.base.version(), Changes: a.changes}
 	if change.DryRun || len(outcome.Changes) == 0 {
 		return outcome, nil
 	}
@@ -131,6 +140,10 @@
 	if err := policy.Validate(*next); err != nil {
 		return nil, err
 	}
+	if err := checkSize(next); err != nil {
+		return nil, err
+	}
+	changes := policy.Diff(base.Configuration, next)
 	acceptance := Acceptance{
 		Version:  next.Version,
 		Proposal: rand.Text(),
@@ -138,9 +151,21 @@
 		VM:       m.options.VM,
 		At:       time.Now().UTC(),
 		Summary:  change.Summary,
-		Changes:  policy.Diff(base.Configuration, next),
+		Changes:  changes[:min(len(changes), maxRecordedChanges)],
 	}
-	return &attempt{change: change, base: base, revision: revision, next: base.next(next, acceptance), deadline: deadline}, nil
+	return &attempt{
+		base: base, revision: revision, next: base.next(next, acceptance), changes: changes, deadline: deadline,
+	}, nil
+}
+
+// checkSize refuses a configuration that would not fit into the root object with what else is there.
+func checkSize(configuration *policy.Configuration) error {
+	size := len(policy.Encode(configuration))
+	if size <= maxConfigurationBytes {
+		return nil
+	}
+	return apierror.Newf(apierror.KindTooLarge, "delete objects that are no longer used",
+		"the configuration has %d bytes, more than %d", size, maxConfigurationBytes)
 }
 
 func platformAway(err error) error {
@@ -254,11 +279,14 @@
 }
 
 // accept makes the staged attempt the accepted version by one conditional update.
+// The write is sent before the attempt's deadline or not at all.
 func (m *Manager) accept(ctx context.Context, a *attempt, archived <-chan error) error {
 	if err := <-archived; err != nil {
 		return platformAway(err)
 	}
-	if time.Now().After(a.deadline) {
+	ctx, cancel := context.WithDeadline(ctx, a.deadline)
+	defer cancel()
+	if ctx.Err() != nil {
 		return apierror.New(apierror.KindUnavailable, "the change is rejected: staging it took too long",
 			"repeat the command; \"show vms\" names the slow VMs")
 	}
--- a/internal/acceptance/root.go
+++ b/internal/acceptance/root.go
@@ -29,7 +29,7 @@
 	At       time.Time `json:"at"`
 	// Summary is the operator's command.
 	Summary string `json:"summary"`
-	// Changes is the difference from the version before.
+	// Changes is the difference from the version before; of a very large one, its beginning.
 	Changes []policy.Change `json:"changes,omitempty"`
 }
 
