Show what services load, and require every field on the operators' page

Cause: the field loads came to services after the page was written, and the page's test did not ask for it. Ruled out: nothing. Change: the table services has a column loads; the test requires each field of each object on the page.

--- a/cmd/godwitctl/page_test.go
+++ b/cmd/godwitctl/page_test.go
@@ -88,8 +88,12 @@
 		require.Contains(t, shown, strings.Fields(usage.Form)[0]+" ")
 	}
 	for _, objectType := range objectTypes {
-		require.NotEmpty(t, command.Fields(objectType))
-		require.Contains(t, string(text), "| `"+objectType+"` |")
+		_, row, found := strings.Cut(string(text), "| `"+objectType+"` |")
+		require.True(t, found, objectType)
+		row, _, _ = strings.Cut(row, "\n")
+		for _, field := range command.Fields(objectType) {
+			require.Contains(t, row, "`"+field+"`", objectType)
+		}
 	}
 }
 
--- a/internal/query/rows.go
+++ b/internal/query/rows.go
@@ -102,6 +102,7 @@
 	NonIdempotent bool     `json:"non_idempotent"`
 	Zones         []string `json:"zones"`
 	Runs          []string `json:"runs"`
+	Loads         []string `json:"loads"`
 	ChecksFencing bool     `json:"checks_fencing"`
 }
 
--- a/internal/query/source.go
+++ b/internal/query/source.go
@@ -204,7 +204,7 @@
 func serviceRow(s policy.Service) Row {
 	return Service{
 		Name: s.Name, Kind: string(s.Kind), NonIdempotent: s.NonIdempotent, Zones: s.Zones,
-		Runs: variantNames(s.Runs), ChecksFencing: s.ChecksFencing,
+		Runs: variantNames(s.Runs), Loads: variantNames(s.Loads), ChecksFencing: s.ChecksFencing,
 	}
 }
 
