Share random faults and cut paths between the tests of claims and leases

Cause: two packages each had their own store wrapper. Change: objecttest.RandomFaults and objecttest.Path.

--- a/internal/claim/history_test.go
+++ b/internal/claim/history_test.go
@@ -15,57 +15,9 @@
 
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/claim"
-	"godwitcart/internal/object"
 	"godwitcart/internal/object/objecttest"
 )
 
-// mortal is a VM's way to the store; once dead, nothing of the VM reaches the store any more.
-type mortal struct {
-	object.Store
-	mu   sync.Mutex
-	dead bool
-}
-
-func (m *mortal) kill() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.dead = true
-}
-
-func (m *mortal) Put(ctx context.Context, key string, value []byte, expected uint64) (object.Object, error) {
-	m.mu.Lock()
-	dead := m.dead
-	m.mu.Unlock()
-	if dead {
-		return object.Object{}, object.NewUnavailableError(time.Second, false, nil)
-	}
-	return m.Store.Put(ctx, key, value, expected)
-}
-
-// faulty returns faults for about percent of the calls.
-func faulty(seed uint64, percent int) func(objecttest.Call) objecttest.Fault {
-	return func(call objecttest.Call) objecttest.Fault {
-		random := rand.New(rand.NewPCG(seed, uint64(call.Number)))
-		fault := objecttest.Fault{Delay: time.Duration(random.IntN(8)) * time.Millisecond}
-		if random.IntN(100) >= percent {
-			return fault
-		}
-		switch random.IntN(5) {
-		case 0:
-			fault.Unavailable = true
-		case 1:
-			fault.LoseRequest = true
-		case 2:
-			fault.LoseAnswer = true
-		case 3:
-			fault.Late = true
-		default:
-			fault.Conflict = true
-		}
-		return fault
-	}
-}
-
 // machine drives books that race for a few keys, and an oracle of who may run.
 type machine struct {
 	t     *testing.T
@@ -78,12 +30,12 @@
 
 type vm struct {
 	book   *claim.Book
-	store  *mortal
+	store  *objecttest.Path
 	cancel func()
 }
 
 func (m *machine) boot() *vm {
-	way := &mortal{Store: m.store}
+	way := objecttest.NewPath(m.store)
 	book, cancel := start(m.t.Context(), way, func(o *claim.Options) { o.Shards, o.Slots = 1, 64 })
 	return &vm{book: book, store: way, cancel: cancel}
 }
@@ -162,7 +114,7 @@
 	book := m.vms[victim].book
 	go func() { _, _, _ = book.Claim(m.t.Context(), record(key, attempt)) }()
 	time.Sleep(time.Duration(rapid.IntRange(0, 20).Draw(r, "after")) * time.Millisecond)
-	m.vms[victim].store.kill()
+	m.vms[victim].store.Cut()
 	m.vms[victim].cancel()
 	m.vms[victim] = m.boot()
 }
@@ -201,7 +153,7 @@
 				"crash":   m.crash,
 				"faults": func(r *rapid.T) {
 					seed := rapid.Uint64().Draw(r, "seed")
-					m.store.SetFaults(faulty(seed, rapid.SampledFrom([]int{0, 20, 60}).Draw(r, "percent")))
+					m.store.SetFaults(objecttest.RandomFaults(seed, rapid.SampledFrom([]int{0, 20, 60}).Draw(r, "percent")))
 				},
 				"outage": func(r *rapid.T) { m.store.SetOutage(rapid.Bool().Draw(r, "on")) },
 				"flush":  func(*rapid.T) { m.store.Flush() },
@@ -265,7 +217,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				store := objecttest.NewStore()
-				store.SetFaults(faulty(seed, 30))
+				store.SetFaults(objecttest.RandomFaults(seed, 30))
 				history := recordHistory(t, store, seed)
 				require.True(t, porcupine.CheckOperations(claimModel.ToModel(), history))
 			})
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -84,23 +83,10 @@
 	})
 }
 
-// cut is a VM's way to the store that can be cut.
-type cut struct {
-	object.Store
-	dead atomic.Bool
-}
-
-func (c *cut) Put(ctx context.Context, key string, value []byte, expected uint64) (object.Object, error) {
-	if c.dead.Load() {
-		return object.Object{}, object.NewUnavailableError(time.Second, false, nil)
-	}
-	return c.Store.Put(ctx, key, value, expected)
-}
-
 func TestValidityCountsFromBeforeTheRenewalWasSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := objecttest.NewStore()
-		way := &cut{Store: store}
+		way := objecttest.NewPath(store)
 		first, err := manager(way, "a").Acquire(t.Context(), "duty")
 		require.NoError(t, err)
 		store.SetFaults(func(call objecttest.Call) objecttest.Fault {
@@ -111,7 +97,7 @@
 		other := manager(store, "b")
 		_, err = other.Acquire(t.Context(), "duty")
 		require.Error(t, err)
-		way.dead.Store(true)
+		way.Cut()
 		time.Sleep(term)
 		require.False(t, first.Valid(time.Now()), "the other may take over now")
 		_, err = other.Acquire(t.Context(), "duty")
