Keep waiting streams alive; failure runs of planned stops alone, at a rate of choice

Cause: under overload (70 requests/s of 400 tokens against four engines) streamed callers heard nothing while their request waited in the gateway's queue, and gave up after 6 s of silence. Measured: the new test reads the comment while an engine's streams stall.

--- a/cmd/godwitstand/failures.go
+++ b/cmd/godwitstand/failures.go
@@ -19,6 +19,9 @@
 	Binaries string  `default:"bin" type:"existingdir" help:"Directory of the programs."`
 	Out      string  `help:"Directory for logs, settings and the journal; without it they are kept only when a promise was violated."`
 	NoFaults bool    `help:"Run the load without faults."`
+	Planned  bool    `help:"Leave out all faults but the planned stops: restarts of entry VMs and drains of targets."`
+	Rate     float64 `help:"Requests a second; 0 means the default."`
+	Tokens   float64 `help:"Median of the output length; 0 means the default."`
 	Rollouts bool    `default:"true" negatable:"" help:"Let operators roll versions out and back, and check what the engines have loaded at the end."`
 	Baseline bool    `help:"Run the same load without faults first, and report its availability too."`
 	Verbose  bool    `help:"Log each fault."`
@@ -63,7 +66,7 @@
 func (c *failuresCommand) run(ctx context.Context, directory string) (failures.Report, error) {
 	options := failures.Options{
 		Binaries: c.Binaries, Directory: directory, Seed: c.Seed,
-		Duration: time.Duration(c.Seconds * float64(time.Second)), Faults: !c.NoFaults, Rollouts: c.Rollouts,
+		Duration: time.Duration(c.Seconds * float64(time.Second)), Faults: !c.NoFaults, PlannedOnly: c.Planned, Rate: c.Rate, MedianTokens: c.Tokens, Rollouts: c.Rollouts,
 	}
 	if !c.Baseline {
 		return failures.Run(ctx, options)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -153,6 +153,18 @@
 	require.Len(t, h.spare.Ran().Calls, 1)
 }
 
+// TestWaitingStreamIsKeptAlive holds an engine's streams back: the caller reads a comment meanwhile.
+func TestWaitingStreamIsKeptAlive(t *testing.T) {
+	h := newHarness(t)
+	h.engines[0].SetFaults(engine.Faults{StallStreams: true})
+	response := h.do(call{path: "/v1/completions", body: `{"model":"letter","prompt":"len=5","stream":true}`})
+	line, err := response.Body.(*bufferedBody).ReadString('\n')
+	require.NoError(t, err)
+	require.Equal(t, ": waiting\n", line)
+	h.engines[0].SetFaults(engine.Faults{})
+	requireWhole(t, joinTokens(t, readEvents(t, response.Body, 1000)), 5)
+}
+
 // TestBadInput lists the answers to bad input; none of it reaches a target. The callers' guide
 // shows the same table.
 func TestBadInput(t *testing.T) {
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -60,6 +60,7 @@
 		DeadlineUnixMillis: r.Deadline.UnixMilli(), IncludeUsage: meta.includeUsage, PromptTokens: int64(r.PromptTokens),
 	}
 	sink := newStreamSink(g, x, meta, cursor, r.Resumable)
+	defer sink.stopKeepAlive()
 	return sink.end(g.options.Dispatcher.Generate(ctx, r, record, sink))
 }
 
@@ -114,6 +115,7 @@
 	binding.Address.Name = cursor.Target
 	binding.Address.HostPort = cursor.Address
 	sink := newStreamSink(g, x, meta, cursor, true)
+	defer sink.stopKeepAlive()
 	return sink.end(g.options.Dispatcher.Resume(ctx, record, binding, from, sink))
 }
 
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -52,6 +53,10 @@
 // errHandedOver ends a stream whose caller was told to resume at another entry VM.
 var errHandedOver = errors.New("the stream is handed over to another entry VM")
 
+// keepAliveInterval is the longest silence of a stream. A request that waits for longer has its answer
+// begun by a comment, so that its caller and what is between can tell waiting from a dead connection.
+const keepAliveInterval = 3 * time.Second
+
 // streamSink sends an answer as server-sent events. Each event's id is a cursor.
 type streamSink struct {
 	gateway   *Gateway
@@ -70,6 +75,12 @@
 	clock     tokenClock
 	begun     bool
 	delivered int
+
+	// mu guards what follows and every write: the keep-alive comes from a goroutine of its own.
+	mu        sync.Mutex
+	keepAlive *time.Timer
+	wrote     time.Time
+	ended     bool
 }
 
 func newStreamSink(g *Gateway, x *exchange, meta answerMeta, cursor *cursorpb.Cursor, resumable bool) *streamSink {
@@ -79,9 +90,28 @@
 	s.before, s.after = meta.chunkFrame()
 	s.encoder = json.NewEncoder(&s.buffer)
 	s.encoder.SetEscapeHTML(false)
+	s.wrote = time.Now()
+	s.keepAlive = time.AfterFunc(keepAliveInterval, s.breakSilence)
 	return s
 }
 
+// breakSilence sends a comment when nothing was sent for keepAliveInterval.
+func (s *streamSink) breakSilence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return
+	}
+	silence := time.Since(s.wrote)
+	if silence < keepAliveInterval {
+		s.keepAlive.Reset(keepAliveInterval - silence)
+		return
+	}
+	// A caller that is gone is noticed by its next token or by its context.
+	_ = s.send([]byte(waitingComment))
+	s.keepAlive.Reset(keepAliveInterval)
+}
+
 func (s *streamSink) Bind(binding dispatch.Binding) error {
 	s.cursor.Target = binding.Address.Name
 	s.cursor.Address = binding.Address.HostPort
@@ -139,10 +169,13 @@
 	return errHandedOver
 }
 
+// waitingComment is ignored by readers of server-sent events.
+const waitingComment = ": waiting\n\n"
+
 // Idle sends a comment, which keeps the connection alive.
 func (s *streamSink) Idle() error {
 	s.buffer.Reset()
-	s.buffer.WriteString(": waiting\n\n")
+	s.buffer.WriteString(waitingComment)
 	return s.flush()
 }
 
@@ -170,26 +203,27 @@
 	return nil
 }
 
+// flush sends the buffer.
 func (s *streamSink) flush() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.send(s.buffer.Bytes())
+}
+
+// send is called with mu held.
+func (s *streamSink) send(text []byte) error {
 	s.begin()
-	if now := s.now(); now.Sub(s.extended) > writeDeadlineInterval {
-		s.extended = now
-		_ = s.control.SetWriteDeadline(now.Add(callerWriteTimeout))
+	s.wrote = time.Now()
+	if s.wrote.Sub(s.extended) > writeDeadlineInterval {
+		s.extended = s.wrote
+		_ = s.control.SetWriteDeadline(s.wrote.Add(callerWriteTimeout))
 	}
-	if _, err := s.x.w.Write(s.buffer.Bytes()); err != nil {
+	if _, err := s.x.w.Write(text); err != nil {
 		return err
 	}
 	return s.control.Flush()
 }
 
-// now returns the time of the last token, which is near enough for the caller's write deadline.
-func (s *streamSink) now() time.Time {
-	if s.delivered > 0 {
-		return s.clock.last
-	}
-	return time.Now()
-}
-
 func (s *streamSink) begin() {
 	if s.begun {
 		return
@@ -201,10 +235,15 @@
 	s.x.w.WriteHeader(http.StatusOK)
 }
 
-// end tells the caller how the stream failed, if it did. Before the first event that is an
+// end tells the caller how the stream failed, if it did. The caller of newStreamSink stops the keep-alive
+// after it. Before the first event that is an
 // ordinary error answer, after it an event of the stream.
 func (s *streamSink) end(err error) error {
-	if err == nil || !s.begun {
+	s.mu.Lock()
+	begun := s.begun
+	s.ended = !begun
+	s.mu.Unlock()
+	if err == nil || !begun {
 		return err
 	}
 	if errors.Is(err, errHandedOver) {
@@ -219,3 +258,11 @@
 	}
 	return errAnswerBegun
 }
+
+// stopKeepAlive ends the keep-alive; nothing is written to the caller after it returns.
+func (s *streamSink) stopKeepAlive() {
+	s.keepAlive.Stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+}
--- a/internal/stand/failures/inject.go
+++ b/internal/stand/failures/inject.go
@@ -22,6 +22,9 @@
 
 // injector carries out actions on a fleet and keeps what was done.
 type injector struct {
+	// plannedOnly leaves out all faults but the planned stops.
+	plannedOnly bool
+
 	fleet  *fleet
 	random *drawer
 
--- a/internal/stand/failures/run.go
+++ b/internal/stand/failures/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"os"
@@ -42,6 +43,12 @@
 	Rollouts bool
 	// Faults is false for a run that is the measure of the others.
 	Faults bool
+	// PlannedOnly leaves out all faults but the planned stops.
+	PlannedOnly bool
+	// Rate is the number of requests a second, and MedianTokens the median of the output length; zero means
+	// the default.
+	Rate         float64
+	MedianTokens float64
 }
 
 // Report is the result of a run.
@@ -78,7 +85,7 @@
 		return Report{}, err
 	}
 	log.Info("the fleet is ready", "entries", entryCount, "engines", engineCount, "services", serviceCount)
-	i := &injector{fleet: f, random: newDrawer(options.Seed, f)}
+	i := &injector{fleet: f, random: newDrawer(options.Seed, f), plannedOnly: options.PlannedOnly}
 	operators := newOperators(f, options.Rollouts)
 	records := i.runWithLoad(ctx, options, operators)
 	if i.err != nil {
@@ -140,6 +147,10 @@
 // injectAll carries out the faults at their times, rests, and then stops in turn what can be stopped.
 func (i *injector) injectAll(ctx context.Context, duration time.Duration) {
 	started := time.Now()
+	if i.plannedOnly {
+		i.stopUntil(ctx, started.Add(duration))
+		return
+	}
 	var running sync.WaitGroup
 	for _, a := range i.random.faults(duration) {
 		hold(ctx, time.Until(started.Add(a.after)))
@@ -150,7 +161,12 @@
 	}
 	running.Wait()
 	hold(ctx, time.Duration(settleShare*float64(duration)))
-	stopping, cancel := context.WithDeadline(ctx, started.Add(duration))
+	i.stopUntil(ctx, started.Add(duration))
+}
+
+// stopUntil makes planned stops until a time.
+func (i *injector) stopUntil(ctx context.Context, end time.Time) {
+	stopping, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	i.plannedStops(stopping)
 }
@@ -158,10 +174,10 @@
 func (f *fleet) load(options Options) load.Options {
 	l := load.Options{
 		Keys: accountKeys(), Model: model, Classes: []string{shortClass, longClass}, Services: []string{plainService},
-		Rate: requestsPerSecond, Duration: options.Duration, Seed: options.Seed,
+		Rate: cmp.Or(options.Rate, requestsPerSecond), Duration: options.Duration, Seed: options.Seed,
 		Mix:           load.Mix{Stream: 5, Whole: 2, Plain: 3},
 		NonIdempotent: 0.35, Duplicated: 0.3, Stagger: longestStagger, Leaving: 0.05,
-		MedianTokens: medianTokens, Sigma: tokensSigma, MaxTokens: maxTokens, PromptBytes: promptBytes,
+		MedianTokens: cmp.Or(options.MedianTokens, medianTokens), Sigma: tokensSigma, MaxTokens: maxTokens, PromptBytes: promptBytes,
 		Deadline: requestDeadline, Grace: requestGrace, Silence: callerSilence,
 	}
 	for _, m := range f.entries {
