Let a VM's share of the writes for claims be set while it runs

Cause: the permits of all VMs together must stay within the platform's rate, which grows more slowly than the fleet.

--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -116,7 +116,7 @@
 		options: options,
 		ticker:  newTicker(options.Store, options.Tick),
 		counts:  newCounts(options.Registry),
-		permits: rate.NewLimiter(rate.Limit(options.WritesPerSecond), max(1, int(options.WritesPerSecond*permitBurst.Seconds()))),
+		permits: rate.NewLimiter(rate.Limit(options.WritesPerSecond), permitBurstOf(options.WritesPerSecond)),
 	}
 	for shard := range options.Shards {
 		b.writers = append(b.writers, newWriter(b, shard))
@@ -124,6 +124,17 @@
 	return b
 }
 
+// SetWritesPerSecond changes Options.WritesPerSecond, so that the writes of a growing fleet can
+// stay within what the platform takes.
+func (b *Book) SetWritesPerSecond(perSecond float64) {
+	b.permits.SetLimit(rate.Limit(perSecond))
+	b.permits.SetBurst(permitBurstOf(perSecond))
+}
+
+func permitBurstOf(perSecond float64) int {
+	return max(1, int(perSecond*permitBurst.Seconds()))
+}
+
 // Run writes claims until the context ends. It then fails what waits, and writes the endings
 // that it still holds in one last attempt.
 func (b *Book) Run(ctx context.Context) error {
