Check histories of claims over HTTP with lost answers

Cause: the histories used the store in memory only, so the client's own reading of a broken connection was not under them. Change: nine clients of three books against the stand-in platform, which breaks the connection after half of the writes that took effect; porcupine judges.

--- a/internal/claim/history_test.go
+++ b/internal/claim/history_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -15,7 +16,9 @@
 
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/claim"
+	"godwitcart/internal/object"
 	"godwitcart/internal/object/objecttest"
+	"godwitcart/internal/stand/platform"
 )
 
 // machine drives books that race for a few keys, and an oracle of who may run.
@@ -218,16 +221,28 @@
 			synctest.Test(t, func(t *testing.T) {
 				store := objecttest.NewStore()
 				store.SetFaults(objecttest.RandomFaults(seed, 30))
-				history := recordHistory(t, store, seed)
+				history := recordHistory(t, store, store.Flush, 8, seed)
 				require.True(t, porcupine.CheckOperations(claimModel.ToModel(), history))
 			})
 		})
 	}
 }
 
+// The same over HTTP, where the platform drops half of the answers to writes.
+func TestConcurrentClaimsOverHTTPAreLinearizable(t *testing.T) {
+	stand := platform.New(platform.Options{Seed: 1})
+	stand.SetFaults(platform.Faults{DelayMillis: 1, LoseProbability: 0.5})
+	server := httptest.NewServer(stand.Handler())
+	defer server.Close()
+	store := object.NewClient(object.Options{BaseURL: server.URL, WritesPerSecond: 1000, ReadsPerSecond: 1000})
+	history := recordHistory(t, store, func() {}, 50, 1)
+	require.NotZero(t, stand.Calls().Lost)
+	require.True(t, porcupine.CheckOperations(claimModel.ToModel(), history))
+}
+
 // recordHistory lets clients of three books claim the same keys at once.
-func recordHistory(t *testing.T, store *objecttest.Store, seed uint64) []porcupine.Operation {
-	const clients, claims, keys = 9, 12, 8
+func recordHistory(t *testing.T, store object.Store, flush func(), keys int, seed uint64) []porcupine.Operation {
+	const clients, claims = 9, 12
 	var books []*claim.Book
 	for range 3 {
 		book, cancel := start(t.Context(), store, func(o *claim.Options) { o.Slots = 64; o.Timeout = 100 * time.Millisecond })
@@ -257,7 +272,7 @@
 				mu.Unlock()
 				time.Sleep(time.Duration(random.IntN(20)) * time.Millisecond)
 				if random.IntN(4) == 0 {
-					store.Flush()
+					flush()
 				}
 			}
 		})
