--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -23,7 +23,7 @@
 	DefaultBatchLimit     = 128
 	DefaultWritesPerSec   = 30
 	DefaultQueueLimit     = 1024
-	DefaultEndDelay       = 200 * time.Millisecond
+	DefaultEndDelay       = time.Second
 	DefaultTimeout        = time.Second
 	DefaultTick           = 10 * time.Minute
 	DefaultRetentionTicks = 8
@@ -101,8 +101,7 @@
 	ticker  *ticker
 	writers []*writer
 	counts  *counts
-	// permits paces the writes; the repetition of a write after a conflict does not wait, but is
-	// counted.
+	// permits paces the writes.
 	permits *rate.Limiter
 	// awayUntil is the time, in Unix nanoseconds, before which new claims are refused at once
 	// because the platform has just failed.
@@ -116,7 +115,7 @@
 		options: options,
 		ticker:  newTicker(options.Store, options.Tick),
 		counts:  newCounts(options.Registry),
-		permits: rate.NewLimiter(rate.Limit(options.WritesPerSecond), max(1, int(options.WritesPerSecond*permitBurst.Seconds()))),
+		permits: rate.NewLimiter(rate.Limit(options.WritesPerSecond), permitBurstOf(options.WritesPerSecond)),
 	}
 	for shard := range options.Shards {
 		b.writers = append(b.writers, newWriter(b, shard))
@@ -124,6 +123,17 @@
 	return b
 }
 
+// SetWritesPerSecond changes Options.WritesPerSecond, so that the writes of a growing fleet can
+// stay within what the platform takes.
+func (b *Book) SetWritesPerSecond(perSecond float64) {
+	b.permits.SetLimit(rate.Limit(perSecond))
+	b.permits.SetBurst(permitBurstOf(perSecond))
+}
+
+func permitBurstOf(perSecond float64) int {
+	return max(1, int(perSecond*permitBurst.Seconds()))
+}
+
 // Run writes claims until the context ends. It then fails what waits, and writes the endings
 // that it still holds in one last attempt.
 func (b *Book) Run(ctx context.Context) error {
