Give up reads of a platform that does not answer after 2 s

Cause: a trial with three processes and a platform that holds every call: a change was rejected after 8 s only, and a VM that started tried again every 17 s. Ruled out: fewer retries in the object client (other callers want them). Change: acceptance bounds each read of the platform with its retries to 2 s. Two tests more: a VM that restarts while a change is staged, and a late Stage call.

--- a/internal/acceptance/acceptance.go
+++ b/internal/acceptance/acceptance.go
@@ -30,6 +30,8 @@
 const (
 	// stageTimeout bounds one call to a peer.
 	stageTimeout = 1 * time.Second
+	// platformTimeout bounds one read from the platform with its retries.
+	platformTimeout = 2 * time.Second
 	// proposalLifetime bounds the time from reading the root to sending the conditional update.
 	proposalLifetime = 3 * time.Second
 	// settleTimeout bounds the settling of a lost write answer.
--- a/internal/acceptance/acceptance_test.go
+++ b/internal/acceptance/acceptance_test.go
@@ -12,6 +12,7 @@
 	"godwitcart/internal/acceptance"
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/object/objecttest"
+	"godwitcart/internal/peer/peerpb"
 	"godwitcart/internal/policy"
 )
 
@@ -229,6 +230,52 @@
 	})
 }
 
+func TestVMThatRestartsWhileAChangeIsStagedHoldsItAgain(t *testing.T) {
+	onCluster(t, 4, func(t *testing.T, c *cluster) {
+		c.setPeerFaults(peerFaults{slowStage: 100 * time.Millisecond})
+		c.store.SetFaults(func(call objecttest.Call) objecttest.Fault {
+			if call.Op == objecttest.OpPut && call.Key == rootKey {
+				c.cut(2, 1)
+			}
+			return objecttest.Fault{}
+		})
+		accepted := make(chan error)
+		go func() {
+			_, err := c.manager(0).Propose(t.Context(), setShare("ann", 5))
+			accepted <- err
+		}()
+		// vm-2 has staged the change and forgets it; vm-3, which it asks, has not staged it yet.
+		time.Sleep(250 * time.Millisecond)
+		c.link(2, 1, false)
+		c.link(3, 1, false)
+		c.restart(2)
+		<-c.manager(2).Ready()
+		c.link(2, 0, false)
+		c.link(3, 0, false)
+		require.NoError(t, <-accepted)
+		time.Sleep(inForceBound)
+		require.Equal(t, uint64(1), c.manager(2).Version())
+		require.True(t, c.manager(2).InDoubt())
+	})
+}
+
+func TestLateStageCallOfADecidedProposalIsRefused(t *testing.T) {
+	onCluster(t, 1, func(t *testing.T, c *cluster) {
+		next := c.manager(0).Current().Clone()
+		next.Version = 2
+		request := &peerpb.StageRequest{ProposalId: "p", BaseVersion: 1, Configuration: policy.Encode(next)}
+		_, err := c.manager(0).Conclude(t.Context(), &peerpb.ConcludeRequest{ProposalId: "p"})
+		require.NoError(t, err)
+		reply, err := c.manager(0).Stage(t.Context(), request)
+		require.NoError(t, err)
+		require.False(t, reply.Staged)
+		request.ProposalId = "q"
+		reply, err = c.manager(0).Stage(t.Context(), request)
+		require.NoError(t, err)
+		require.True(t, reply.Staged, reply.Reason)
+	})
+}
+
 func TestAbandonedProposalIsSettledAsRejected(t *testing.T) {
 	onCluster(t, 3, func(t *testing.T, c *cluster) {
 		c.store.SetFaults(func(call objecttest.Call) objecttest.Fault {
--- a/internal/acceptance/history.go
+++ b/internal/acceptance/history.go
@@ -67,6 +67,8 @@
 
 // History returns the accepted versions, newest first.
 func (m *Manager) History(ctx context.Context) ([]Acceptance, error) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
 	current, _, err := readRoot(ctx, m.options.Store)
 	if err != nil {
 		return nil, err
--- a/internal/acceptance/learn.go
+++ b/internal/acceptance/learn.go
@@ -123,7 +123,7 @@
 // otherVMs returns the other VMs that the platform or this VM knows, and the error of
 // reading the platform's list.
 func (m *Manager) otherVMs(ctx context.Context) ([]string, error) {
-	listed, err := m.options.Directory.Listed(ctx)
+	listed, err := m.listed(ctx)
 	vms := slices.Concat(listed, m.options.Directory.Known())
 	slices.Sort(vms)
 	vms = slices.DeleteFunc(slices.Compact(vms), func(vm string) bool { return vm == m.options.VM })
--- a/internal/acceptance/propose.go
+++ b/internal/acceptance/propose.go
@@ -168,8 +168,10 @@
 		"the configuration has %d bytes, more than %d", size, maxConfigurationBytes)
 }
 
+// platformAway is the rejection of a change for want of the platform; other errors stay as they are.
 func platformAway(err error) error {
-	if apierror.KindOf(err) != apierror.KindUnavailable {
+	away := apierror.Is(err, apierror.KindUnavailable) || errors.Is(err, context.DeadlineExceeded)
+	if !away {
 		return err
 	}
 	return apierror.Wrap(err, apierror.KindUnavailable, "the change is rejected: the platform cannot be reached, and only it can accept a change",
@@ -179,7 +181,7 @@
 // stageEverywhere stages the attempt at every VM that the platform or any VM knows, and
 // returns the VMs that may hold it.
 func (m *Manager) stageEverywhere(ctx context.Context, a *attempt) ([]string, error) {
-	listed, err := m.options.Directory.Listed(ctx)
+	listed, err := m.listed(ctx)
 	if err != nil {
 		return nil, platformAway(err)
 	}
@@ -211,6 +213,13 @@
 		"the change is rejected: new VMs kept appearing while it was staged", "repeat the command in a few seconds")
 }
 
+// listed reads the platform's list of entry VMs.
+func (m *Manager) listed(ctx context.Context) ([]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	return m.options.Directory.Listed(ctx)
+}
+
 func add(vms map[string]bool, names []string) {
 	for _, name := range names {
 		vms[name] = true
--- a/internal/acceptance/root.go
+++ b/internal/acceptance/root.go
@@ -93,8 +93,10 @@
 }
 
 // readRoot reads the root object and the revision to update it at. A root that does not
-// exist yet is nil without an error.
+// exist yet is nil without an error. The read is given up after platformTimeout.
 func readRoot(ctx context.Context, store object.Store) (*root, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
 	held, err := store.Get(ctx, rootKey)
 	if object.IsNotFound(err) {
 		return nil, 0, nil
