Send a proposed configuration to each VM once

Cause: each change sent the whole configuration three times to each VM: in both rounds of staging and at its end. Ruled out: sending differences (every VM would have to hold the very same base). Change: the second round asks whether the proposal is still held and sends it again only where it is not; the outcome names the proposal alone. Bytes were not measured.

--- a/cmd/godwitctl/commands.go
+++ b/cmd/godwitctl/commands.go
@@ -43,6 +43,7 @@
 		if err != nil {
 			return err
 		}
+		s.warnTruncated(answer, statement.Query)
 		return s.printAnswer(answer)
 	}
 	result, err := client.Command(ctx, statement.String(), s.cli.DryRun)
--- a/cmd/godwitctl/output.go
+++ b/cmd/godwitctl/output.go
@@ -8,6 +8,7 @@
 	"text/tabwriter"
 
 	"godwitcart/internal/command"
+	"godwitcart/internal/language"
 	"godwitcart/internal/query"
 )
 
@@ -46,12 +47,17 @@
 	if err := printLines(s.stdout, append([][]string{header}, lines...)); err != nil {
 		return err
 	}
-	if answer.Truncated {
-		fmt.Fprintln(s.stderr, "godwitctl: there are more rows; raise the limit or add conditions")
-	}
 	return nil
 }
 
+// warnTruncated tells that rows are missing, unless the operator asked for so many.
+func (s *session) warnTruncated(answer *query.Answer, statement *language.Query) {
+	limited := statement.Show != nil && statement.Show.Limit != nil
+	if answer.Truncated && !limited {
+		fmt.Fprintln(s.stderr, "godwitctl: there are more rows; set a limit or add conditions")
+	}
+}
+
 // printLines aligns the cells of the lines; empty cells are shown as "-".
 func printLines(w io.Writer, lines [][]string) error {
 	table := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
--- a/internal/acceptance/propose.go
+++ b/internal/acceptance/propose.go
@@ -4,9 +4,6 @@
 	"context"
 	"crypto/rand"
 	"fmt"
-	"maps"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -19,10 +16,6 @@
 	"godwitcart/internal/wire/platformwire"
 )
 
-// stageRounds is the least number of times that every VM is asked to stage a proposal. The
-// second round reaches a VM that restarted after the first and forgot it.
-const stageRounds = 2
-
 // maxConfigurationBytes leaves room in the root object for the acceptance's changes and the recent
 // acceptances.
 const maxConfigurationBytes = platformwire.MaxValueBytes / 2
@@ -30,9 +23,6 @@
 // maxRecordedChanges bounds the changes that the history keeps of one version.
 const maxRecordedChanges = 500
 
-// maxStageRounds bounds the rounds in which VMs name further VMs.
-const maxStageRounds = 5
-
 // Change is what an operator wants changed.
 type Change struct {
 	Operator string
@@ -99,10 +89,9 @@
 
 func (a *attempt) acceptedRequest() *peerpb.ConcludeRequest {
 	return &peerpb.ConcludeRequest{
-		ProposalId:    a.id(),
-		Accepted:      true,
-		Version:       a.next.version(),
-		Configuration: policy.Encode(a.next.Configuration),
+		ProposalId: a.id(),
+		Accepted:   true,
+		Version:    a.next.version(),
 	}
 }
 
@@ -178,107 +167,6 @@
 		"repeat the command when the platform is back; serving goes on with the version in force").WithRetryAfter(time.Second)
 }
 
-// stageEverywhere stages the attempt at every VM that the platform or any VM knows, and
-// returns the VMs that may hold it.
-func (m *Manager) stageEverywhere(ctx context.Context, a *attempt) ([]string, error) {
-	listed, err := m.listed(ctx)
-	if err != nil {
-		return nil, platformAway(err)
-	}
-	vms := map[string]bool{m.options.VM: true}
-	add(vms, listed)
-	add(vms, m.options.Directory.Known())
-	request := &peerpb.StageRequest{
-		ProposalId:    a.id(),
-		BaseVersion:   a.revision,
-		Configuration: policy.Encode(a.next.Configuration),
-	}
-	for round := 1; round <= maxStageRounds; round++ {
-		asked := slices.Sorted(maps.Keys(vms))
-		replies, err := m.stageRound(ctx, asked, request)
-		if overtaken(replies, a) {
-			return asked, m.lostBefore(ctx, a)
-		}
-		if err != nil {
-			return asked, err
-		}
-		for _, reply := range replies {
-			add(vms, reply.KnownVms)
-		}
-		if round >= stageRounds && len(vms) == len(asked) {
-			return asked, nil
-		}
-	}
-	return slices.Sorted(maps.Keys(vms)), apierror.New(apierror.KindUnavailable,
-		"the change is rejected: new VMs kept appearing while it was staged", "repeat the command in a few seconds")
-}
-
-// listed reads the platform's list of entry VMs.
-func (m *Manager) listed(ctx context.Context) ([]string, error) {
-	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
-	defer cancel()
-	return m.options.Directory.Listed(ctx)
-}
-
-func add(vms map[string]bool, names []string) {
-	for _, name := range names {
-		vms[name] = true
-	}
-}
-
-// overtaken reports whether a VM already has a version in force that follows the attempt's base.
-func overtaken(replies []*peerpb.StageReply, a *attempt) bool {
-	return slices.ContainsFunc(replies, func(reply *peerpb.StageReply) bool {
-		return reply != nil && reply.KnownVersion > a.base.version()
-	})
-}
-
-// lostBefore tells which change was accepted before the attempt was sent to the platform.
-func (m *Manager) lostBefore(ctx context.Context, a *attempt) error {
-	held, err := m.options.Store.Get(ctx, rootKey)
-	if err != nil {
-		return platformAway(err)
-	}
-	return m.lost(held, a)
-}
-
-// stageRound asks the VMs in parallel and fails unless all of them hold the proposal. It
-// returns the replies also when it fails; a VM that did not answer has none.
-func (m *Manager) stageRound(ctx context.Context, vms []string, request *peerpb.StageRequest) ([]*peerpb.StageReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
-	defer cancel()
-	replies := make([]*peerpb.StageReply, len(vms))
-	failures := make([]string, len(vms))
-	var group sync.WaitGroup
-	for i, vm := range vms {
-		group.Go(func() {
-			reply, err := m.stageAt(ctx, vm, request)
-			switch {
-			case err != nil:
-				failures[i] = fmt.Sprintf("%s cannot be reached (%v)", vm, err)
-			case !reply.Staged:
-				failures[i] = fmt.Sprintf("%s refuses it: %s", vm, reply.Reason)
-			}
-			replies[i] = reply
-		})
-	}
-	group.Wait()
-	failures = slices.DeleteFunc(failures, func(text string) bool { return text == "" })
-	if len(failures) > 0 {
-		return replies, apierror.New(apierror.KindUnavailable,
-			"the change is rejected, because not every entry VM can hold it: "+strings.Join(failures, "; "),
-			"repeat the command when these VMs can be reached, or once they have left the platform's list").WithRetryAfter(time.Second)
-	}
-	return replies, nil
-}
-
-func (m *Manager) stageAt(ctx context.Context, vm string, request *peerpb.StageRequest) (*peerpb.StageReply, error) {
-	if vm == m.options.VM {
-		return m.Stage(ctx, request)
-	}
-	return m.options.Peers.Stage(ctx, vm, request)
-}
-
 // archiveBase stores the version that the attempt follows in the history, while the attempt is
 // staged. The version is accepted already, so it is archived rightly whatever comes of the attempt.
 func (m *Manager) archiveBase(ctx context.Context, a *attempt) <-chan error {
--- a/internal/acceptance/state.go
+++ b/internal/acceptance/state.go
@@ -80,10 +80,8 @@
 	if slices.Contains(s.concluded, p.id) {
 		return fmt.Errorf("the proposal %s is already decided", p.id)
 	}
-	for _, held := range s.staged {
-		if held.id == p.id {
-			return nil
-		}
+	if _, held := s.held(p.id); held {
+		return nil
 	}
 	if len(s.staged) >= maxStaged {
 		return fmt.Errorf("%d other changes are undecided", len(s.staged))
@@ -92,6 +90,15 @@
 	return nil
 }
 
+// held returns the undecided proposal of an id.
+func (s *state) held(id string) (proposal, bool) {
+	at := slices.IndexFunc(s.staged, func(p proposal) bool { return p.id == id })
+	if at < 0 {
+		return proposal{}, false
+	}
+	return s.staged[at], true
+}
+
 // drop forgets a proposal that was rejected.
 func (s *state) drop(id string) { s.forget(id) }
 
