Count on half of the room that a report showed

Cause: a report is a second old; part of its room has gone to growth and to others. Change: a VM's share is reckoned from half of the reported room.

--- a/internal/routing/room.go
+++ b/internal/routing/room.go
@@ -10,6 +10,9 @@
 	// maxEngineQueue is the number of attempts waiting at an engine above which work of the lowest
 	// priority waits at the gateway, where other targets are open to it.
 	maxEngineQueue = 2
+	// freshRoom is the part of the room in a report that is taken to be still there, since what
+	// runs has grown and others have sent since.
+	freshRoom = 0.5
 	// preemptCost is added to the score of a target on which work of lower priority would have to
 	// give way, in shares of its memory.
 	preemptCost = 1
@@ -56,7 +59,7 @@
 	if entries <= 1 || t.reportedAt.IsZero() {
 		return true
 	}
-	share := (usable - float64(t.report.UsedTokens)) / entries
+	share := freshRoom * (usable - float64(t.report.UsedTokens)) / entries
 	left := share - float64(t.tokens-t.tokensAsOf)
 	need := float64(state.query.PromptTokens)
 	return left >= need || left > need*t.lot
