--- a/internal/measure/result.go
+++ b/internal/measure/result.go
@@ -24,29 +24,33 @@
 
 // Result is the outcome of one run. Times are virtual.
 type Result struct {
-	Policy                 string        `json:"policy"`
-	Deployment             string        `json:"deployment"`
-	Seed                   uint64        `json:"seed"`
-	OfferedLoad            float64       `json:"offered_load"`
-	Requests               int           `json:"requests"`
-	Answered               int           `json:"answered"`
-	Refused                int           `json:"refused"`
-	Lost                   int           `json:"lost"`
-	CutOff                 int           `json:"cut_off"`
-	OnTimeShare            float64       `json:"on_time_share"`
-	GoodputTokensPerSecond float64       `json:"goodput_tokens_per_second"`
-	StallSeconds           float64       `json:"stall_seconds"`
-	Preemptions            int           `json:"preemptions"`
-	Inversions             int           `json:"higher_preempted_while_lower_ran"`
-	GapP50Milliseconds     float64       `json:"gap_p50_ms"`
-	GapP95Milliseconds     float64       `json:"gap_p95_ms"`
-	GapP99Milliseconds     float64       `json:"gap_p99_ms"`
-	GapsWithinShare        float64       `json:"gaps_within_41_ms_share"`
-	FirstTokenP95Seconds   float64       `json:"first_token_p95_seconds"`
-	FirstTokensWithinShare float64       `json:"first_tokens_within_660_ms_share"`
-	LookupIdleP99          float64       `json:"lookup_idle_p99_ms"`
-	LookupFloodP99         float64       `json:"lookup_flood_p99_ms"`
-	Classes                []ClassResult `json:"classes"`
+	Policy                 string  `json:"policy"`
+	Deployment             string  `json:"deployment"`
+	Seed                   uint64  `json:"seed"`
+	OfferedLoad            float64 `json:"offered_load"`
+	Requests               int     `json:"requests"`
+	Answered               int     `json:"answered"`
+	Refused                int     `json:"refused"`
+	Lost                   int     `json:"lost"`
+	CutOff                 int     `json:"cut_off"`
+	OnTimeShare            float64 `json:"on_time_share"`
+	GoodputTokensPerSecond float64 `json:"goodput_tokens_per_second"`
+	StallSeconds           float64 `json:"stall_seconds"`
+	Preemptions            int     `json:"preemptions"`
+	Inversions             int     `json:"higher_preempted_while_lower_ran"`
+	GapP50Milliseconds     float64 `json:"gap_p50_ms"`
+	GapP95Milliseconds     float64 `json:"gap_p95_ms"`
+	GapP99Milliseconds     float64 `json:"gap_p99_ms"`
+	GapsWithinShare        float64 `json:"gaps_within_41_ms_share"`
+	FirstTokenP95Seconds   float64 `json:"first_token_p95_seconds"`
+	FirstTokensWithinShare float64 `json:"first_tokens_within_660_ms_share"`
+	// FlooderStall is the stall of the flooding account's lowest class during the flood, OthersP99 that
+	// of the same class of all other accounts.
+	FlooderStall   float64       `json:"flood_stall_flooder_seconds"`
+	OthersP99      float64       `json:"flood_stall_others_p99_seconds"`
+	LookupIdleP99  float64       `json:"lookup_idle_p99_ms"`
+	LookupFloodP99 float64       `json:"lookup_flood_p99_ms"`
+	Classes        []ClassResult `json:"classes"`
 }
 
 // Policies lists the names of the policies in the order in which they are compared.
@@ -93,6 +97,8 @@
 		FirstTokensWithinShare: share(float64(s.firstWithin), float64(s.firstAll)),
 		LookupIdleP99:          s.lookups.milliseconds(99),
 		LookupFloodP99:         s.flooded.milliseconds(99),
+		FlooderStall:           round(s.flooder.Seconds(), 10),
+		OthersP99:              s.others.seconds(99),
 		GoodputTokensPerSecond: round(float64(s.onTimeTokens)/s.d.Duration.Seconds(), 1),
 	}
 	onTime := 0
--- a/internal/measure/score.go
+++ b/internal/measure/score.go
@@ -66,10 +66,14 @@
 	inversions   int
 	onTimeTokens int
 	cut          int
+	// flooder and others are the stalls of the lowest class during the flood, of the account that
+	// floods and of all others.
+	flooder time.Duration
+	others  histogram
 }
 
 func newScore(d *Deployment) *score {
-	s := &score{d: d, firstTokens: newHistogram(), gaps: newHistogram(), lookups: newHistogram(), flooded: newHistogram()}
+	s := &score{d: d, firstTokens: newHistogram(), gaps: newHistogram(), lookups: newHistogram(), flooded: newHistogram(), others: newHistogram()}
 	for range d.classes {
 		s.classes = append(s.classes, classScore{stalls: newHistogram(), firstTokens: newHistogram(), gaps: newHistogram()})
 	}
@@ -150,6 +154,14 @@
 	c := &s.classes[j.class]
 	c.stall += j.stall
 	c.stalls.add(j.stall)
+	if j.class != len(s.classes)-1 || !s.d.flooding(j.arrival) {
+		return
+	}
+	if j.account == floodingAccount {
+		s.flooder += j.stall
+		return
+	}
+	s.others.add(j.stall)
 }
 
 func (s *score) refused(j *job) {
--- a/internal/measure/work.go
+++ b/internal/measure/work.go
@@ -16,6 +16,8 @@
 	capacitySamples = 20000
 	// floodLoad is the load of the flood, as a share of the fleet's capacity.
 	floodLoad = 0.6
+	// floodingAccount is the biggest account.
+	floodingAccount = 0
 )
 
 // job is one request. The fields up to hashes are the work, which is the same for every policy.
@@ -143,7 +145,7 @@
 
 // makeFlood turns the job into one of the big account's lowest class.
 func (g *generator) makeFlood(j *job) {
-	j.account = 0
+	j.account = floodingAccount
 	j.class = len(g.d.classes) - 1
 	g.shape(j)
 }
