Test that services do not wait for each other; drop an empty default

Cause: the promise that lookups never wait behind generations had no test at the gateway; PreemptAfter had a default that did nothing. Change: a test with full engines beside a plain service; the option says zero means at once.

--- a/internal/admission/accounts.go
+++ b/internal/admission/accounts.go
@@ -128,7 +128,7 @@
 }
 
 // enter counts a request in progress, and returns false when the account is at its limit.
-func (a *accounts) enter(ticket *Ticket, _ time.Time) bool {
+func (a *accounts) enter(ticket *Ticket) bool {
 	s := a.shard(ticket.Account)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"godwitcart/internal/apierror"
+	"godwitcart/internal/policy"
 	"godwitcart/internal/routing"
 )
 
@@ -177,3 +178,26 @@
 	require.LessOrEqual(t, granted, 2)
 	require.Positive(t, granted)
 }
+
+func TestServicesDoNotWaitForEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewController(Options{MaxWaiting: 1}, engineless{&slots{free: 1}})
+		cancel := c.Submit(Ticket{Service: "godwit-lm", Account: "a", Variant: policy.Variant{Model: "m"}}, func(*Grant, error) {})
+		grant, err := c.Acquire(t.Context(), Ticket{Service: "counter-api", Account: "a"})
+		require.NoError(t, err)
+		require.Zero(t, grant.Waited)
+		grant.Release(routing.OutcomeCompleted)
+		require.True(t, cancel())
+		time.Sleep(time.Second)
+	})
+}
+
+// engineless is a Picker whose engines have no room.
+type engineless struct{ *slots }
+
+func (e engineless) Pick(query routing.Query, now time.Time) (routing.Choice, error) {
+	if query.Variant.Model != "" {
+		return routing.Choice{}, apierror.New(apierror.KindOverloaded, "full", "wait")
+	}
+	return e.slots.Pick(query, now)
+}
--- a/internal/admission/lane.go
+++ b/internal/admission/lane.go
@@ -221,7 +221,7 @@
 
 // try asks routing for a target for the waiter.
 func (l *lane) try(w *waiter, r *round) (delivery, bool) {
-	if !l.controller.accounts.enter(&w.ticket, r.now) {
+	if !l.controller.accounts.enter(&w.ticket) {
 		w.reason = WaitConcurrency
 		r.fill(w)
 		return delivery{}, false
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -64,7 +64,7 @@
 	MaxWait time.Duration
 	// AgeStep is the wait after which a request is served as if its class were one rank higher.
 	AgeStep time.Duration
-	// PreemptAfter is the wait after which a request may make an engine preempt lower classes.
+	// PreemptAfter is the wait after which a request may make an engine preempt lower classes; zero means at once.
 	PreemptAfter time.Duration
 	// Lengths gives the expected cost of requests; nil makes all requests cost the same.
 	Lengths *lengths.Book
@@ -75,10 +75,9 @@
 }
 
 const (
-	defaultMaxWaiting   = 1024
-	defaultMaxWait      = 60 * time.Second
-	defaultAgeStep      = 15 * time.Second
-	defaultPreemptAfter = 0
+	defaultMaxWaiting = 1024
+	defaultMaxWait    = 60 * time.Second
+	defaultAgeStep    = 15 * time.Second
 
 	// pumpInterval is how often a queue that is not empty is looked at when nothing else happens.
 	pumpInterval = 50 * time.Millisecond
@@ -94,9 +93,6 @@
 	if o.AgeStep <= 0 {
 		o.AgeStep = defaultAgeStep
 	}
-	if o.PreemptAfter <= 0 {
-		o.PreemptAfter = defaultPreemptAfter
-	}
 	if o.Now == nil {
 		o.Now = time.Now
 	}
