Keep few partners in other zones, and replace those that do not answer

Cause: of each other zone eight partners were asked in turn, at the two-year size each of them every 80 s, but a connection is closed after 60 s without a call: each ask would dial and shake hands anew. A partner that is frozen was asked again and again until its life ended. Ruled out: a longer idle timeout (more connections for no use); resuming TLS sessions (a replaced authority would not count for them). Change: two partners in each other zone, replaced every five minutes, eight in the own zone, replaced every minute; one that does not answer is replaced at once. Conclusion: kept for the frozen partners and for few connections.

--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -27,9 +27,13 @@
 	// them roughly; their targets are confirmed before they get work.
 	foreignRound         = time.Second
 	largeForeignInterval = 2 * time.Second
-	// partnerCount is how many VMs of a zone are asked; the set changes by one in partnerLife.
-	partnerCount = 8
-	partnerLife  = 30 * time.Second
+	// Of a VM's own zone nearPartners VMs are asked in turn, of each other zone farPartners. One of the
+	// set is replaced each nearPartnerLife or farPartnerLife, and one that does not answer at once. The
+	// sets are small, so that connections are used again before they are closed as idle.
+	nearPartners    = 8
+	nearPartnerLife = time.Minute
+	farPartners     = 2
+	farPartnerLife  = 5 * time.Minute
 	// peersLife is how long a reading of the directory's entry VMs is used.
 	peersLife = time.Second
 	// maxAsks bounds the asks in flight, so that frozen peers do not pile them up.
@@ -167,12 +171,27 @@
 	names := g.peersOf(zone, now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	chosen := g.partners[zone]
-	if chosen == nil {
-		chosen = &partners{}
-		g.partners[zone] = chosen
+	return g.partnersOf(zone).next(names, now)
+}
+
+// partnersOf returns the partners of the zone. The caller holds the lock.
+func (g *Gossip) partnersOf(zone string) *partners {
+	if chosen := g.partners[zone]; chosen != nil {
+		return chosen
 	}
-	return chosen.next(names, now)
+	chosen := &partners{size: farPartners, life: farPartnerLife}
+	if zone == g.options.Zone {
+		chosen = &partners{size: nearPartners, life: nearPartnerLife}
+	}
+	g.partners[zone] = chosen
+	return chosen
+}
+
+// dropPartner replaces a partner that did not answer.
+func (g *Gossip) dropPartner(zone, vm string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.partnersOf(zone).drop(vm)
 }
 
 // peersOf returns the entry VMs of the zone as they were at most peersLife ago. Only Run uses it.
@@ -193,6 +212,7 @@
 	g.introduce(question)
 	answer, err := g.options.Ask(ctx, vm, question)
 	if err != nil {
+		g.dropPartner(zone, vm)
 		return
 	}
 	g.learn(answer, vm, asked)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -174,6 +174,34 @@
 	require.NoError(t, err)
 }
 
+func TestPartnersAreFewAndReplaced(t *testing.T) {
+	available := []string{"a", "b", "c", "d", "e"}
+	now := time.Now()
+	p := &partners{size: 2, life: time.Minute}
+	seen := map[string]int{}
+	for range 10 {
+		name, found := p.next(available, now)
+		require.True(t, found)
+		seen[name]++
+	}
+	require.Len(t, seen, 2)
+	for name := range seen {
+		p.drop(name)
+		require.NotContains(t, p.names, name)
+	}
+	before := p.names
+	p.next(available, now)
+	require.Len(t, p.names, 2)
+	require.NotEqual(t, before, p.names)
+	for i := range 200 {
+		name, _ := p.next(available, now.Add(time.Duration(i)*time.Minute))
+		seen[name]++
+	}
+	require.Len(t, seen, len(available))
+	_, found := p.next(nil, now)
+	require.False(t, found)
+}
+
 // node is one entry VM in a test of the gossip.
 type node struct {
 	directory *membership.Directory
