--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -27,9 +27,9 @@
 	// them roughly; their targets are confirmed before they get work.
 	foreignRound         = time.Second
 	largeForeignInterval = 2 * time.Second
-	// Of a VM's own zone nearPartners VMs are asked in turn, of each other zone farPartners. One of the
-	// set is replaced each nearPartnerLife or farPartnerLife, and one that does not answer at once. The
-	// sets are small, so that connections are used again before they are closed as idle.
+	// Of a zone that is kept fresh nearPartners VMs are asked in turn, of another one farPartners. One of
+	// the set is replaced each nearPartnerLife or farPartnerLife, and one that does not answer at once.
+	// The sets are small, so that connections are used again before they are closed as idle.
 	nearPartners    = 8
 	nearPartnerLife = time.Minute
 	farPartners     = 2
@@ -171,7 +171,12 @@
 	names := g.peersOf(zone, now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.partnersOf(zone).next(names, now)
+	chosen := g.partnersOf(zone)
+	chosen.size, chosen.life = farPartners, farPartnerLife
+	if g.options.Directory.KeepsFresh(zone) {
+		chosen.size, chosen.life = nearPartners, nearPartnerLife
+	}
+	return chosen.next(names, now)
 }
 
 // partnersOf returns the partners of the zone. The caller holds the lock.
@@ -179,10 +184,7 @@
 	if chosen := g.partners[zone]; chosen != nil {
 		return chosen
 	}
-	chosen := &partners{size: farPartners, life: farPartnerLife}
-	if zone == g.options.Zone {
-		chosen = &partners{size: nearPartners, life: nearPartnerLife}
-	}
+	chosen := &partners{}
 	g.partners[zone] = chosen
 	return chosen
 }
--- a/internal/peer/partners.go
+++ b/internal/peer/partners.go
@@ -22,6 +22,7 @@
 func (p *partners) next(available []string, now time.Time) (string, bool) {
 	p.names = slices.DeleteFunc(p.names, func(name string) bool { return !slices.Contains(available, name) })
 	p.renew(now)
+	p.names = p.names[:min(len(p.names), p.size)]
 	p.fill(available)
 	if len(p.names) == 0 {
 		return "", false
