Tell the end of all account usage, and keep to its rate

Cause: found by reading: a VM whose accounts came to rest told no usage, so peers kept its last word for ever and held the accounts' limits too low; and the rate limiter let a message through without counting it when it was nearly used up. Ruled out: expiring what peers told (a VM that is cut off may still be serving; its last word must stay). Change: a digest says whether it tells usage, also when there is none; what the limiter does not grant is not told. Conclusion: a peer's usage is replaced as a whole each time.

--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -244,18 +244,23 @@
 	if g.options.ConfigurationVersion != nil {
 		digest.ConfigurationVersion = g.options.ConfigurationVersion()
 	}
-	digest.Usages = g.tellUsages()
+	g.tellUsages(digest)
 }
 
-func (g *Gossip) tellUsages() []*peerpb.Usage {
-	if g.options.Usages == nil || g.usages.Tokens() < 1 {
-		return nil
+// tellUsages adds the use of accounts, within the bound. Having none is told too, since it replaces
+// what was told before.
+func (g *Gossip) tellUsages(digest *peerpb.Digest) {
+	if g.options.Usages == nil {
+		return
 	}
 	usages := g.options.Usages()
 	slices.SortFunc(usages, func(a, b *peerpb.Usage) int { return cmp.Compare(b.InProgress, a.InProgress) })
 	usages = usages[:min(len(usages), maxUsages)]
-	g.usages.AllowN(time.Now(), len(usages))
-	return usages
+	if !g.usages.AllowN(time.Now(), max(len(usages), 1)) {
+		return
+	}
+	digest.Usages = usages
+	digest.TellsUsages = true
 }
 
 // learn takes what a digest says of its sender, which spoke at the given time.
@@ -270,7 +275,7 @@
 	if g.options.OnConfigurationVersion != nil && digest.ConfigurationVersion > 0 {
 		g.options.OnConfigurationVersion(vm, digest.ConfigurationVersion)
 	}
-	if g.options.OnUsages != nil && len(digest.Usages) > 0 {
+	if g.options.OnUsages != nil && digest.TellsUsages {
 		g.options.OnUsages(vm, digest.Usages)
 	}
 }
@@ -303,7 +308,7 @@
 // push sends a digest to all entry VMs of this zone and to some of each other.
 func (g *Gossip) push(ctx context.Context, digest *peerpb.Digest) {
 	g.introduce(digest)
-	digest.Usages = nil
+	digest.Usages, digest.TellsUsages = nil, false
 	slots := make(chan struct{}, pushConcurrency)
 	var pushes sync.WaitGroup
 	for _, vm := range g.pushTo() {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -202,6 +202,36 @@
 	require.False(t, found)
 }
 
+func TestUsagesAreToldLargestFirstAndNoneToo(t *testing.T) {
+	var usages []*peerpb.Usage
+	for i := range 2 * maxUsages {
+		usages = append(usages, &peerpb.Usage{Account: fmt.Sprint(i), InProgress: int32(i)})
+	}
+	heard := make(map[string]int)
+	directory := membership.New(membership.Options{})
+	sender := NewGossip(GossipOptions{Self: "a", Directory: directory, Usages: func() []*peerpb.Usage { return usages }})
+	receiver := NewGossip(GossipOptions{Directory: directory, OnUsages: func(vm string, usages []*peerpb.Usage) { heard[vm] = len(usages) }})
+	tell := func() *peerpb.Digest {
+		digest := &peerpb.Digest{}
+		sender.introduce(digest)
+		receiver.learn(digest, "a", time.Now())
+		return digest
+	}
+	require.EqualValues(t, 2*maxUsages-1, tell().Usages[0].InProgress)
+	require.Equal(t, maxUsages, heard["a"])
+	usages = nil
+	tell()
+	require.Zero(t, heard["a"], "the end of all use must be heard")
+	usages = []*peerpb.Usage{{Account: "x"}}
+	told := 0
+	for range 1000 {
+		if tell().TellsUsages {
+			told++
+		}
+	}
+	require.Less(t, told, 500, "the rate must be bounded")
+}
+
 // node is one entry VM in a test of the gossip.
 type node struct {
 	directory *membership.Directory
