--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -27,9 +27,13 @@
 	// them roughly; their targets are confirmed before they get work.
 	foreignRound         = time.Second
 	largeForeignInterval = 2 * time.Second
-	// partnerCount is how many VMs of a zone are asked; the set changes by one in partnerLife.
-	partnerCount = 8
-	partnerLife  = 30 * time.Second
+	// Of a zone that is kept fresh nearPartners VMs are asked in turn, of another one farPartners. One of
+	// the set is replaced each nearPartnerLife or farPartnerLife, and one that does not answer at once.
+	// The sets are small, so that connections are used again before they are closed as idle.
+	nearPartners    = 8
+	nearPartnerLife = time.Minute
+	farPartners     = 2
+	farPartnerLife  = 5 * time.Minute
 	// peersLife is how long a reading of the directory's entry VMs is used.
 	peersLife = time.Second
 	// maxAsks bounds the asks in flight, so that frozen peers do not pile them up.
@@ -167,14 +171,31 @@
 	names := g.peersOf(zone, now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	chosen := g.partners[zone]
-	if chosen == nil {
-		chosen = &partners{}
-		g.partners[zone] = chosen
+	chosen := g.partnersOf(zone)
+	chosen.size, chosen.life = farPartners, farPartnerLife
+	if g.options.Directory.KeepsFresh(zone) {
+		chosen.size, chosen.life = nearPartners, nearPartnerLife
 	}
 	return chosen.next(names, now)
 }
 
+// partnersOf returns the partners of the zone. The caller holds the lock.
+func (g *Gossip) partnersOf(zone string) *partners {
+	if chosen := g.partners[zone]; chosen != nil {
+		return chosen
+	}
+	chosen := &partners{}
+	g.partners[zone] = chosen
+	return chosen
+}
+
+// dropPartner replaces a partner that did not answer.
+func (g *Gossip) dropPartner(zone, vm string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.partnersOf(zone).drop(vm)
+}
+
 // peersOf returns the entry VMs of the zone as they were at most peersLife ago. Only Run uses it.
 func (g *Gossip) peersOf(zone string, now time.Time) []string {
 	if now.Sub(g.peersReadAt) >= peersLife {
@@ -193,6 +214,7 @@
 	g.introduce(question)
 	answer, err := g.options.Ask(ctx, vm, question)
 	if err != nil {
+		g.dropPartner(zone, vm)
 		return
 	}
 	g.learn(answer, vm, asked)
@@ -222,18 +244,23 @@
 	if g.options.ConfigurationVersion != nil {
 		digest.ConfigurationVersion = g.options.ConfigurationVersion()
 	}
-	digest.Usages = g.tellUsages()
+	g.tellUsages(digest)
 }
 
-func (g *Gossip) tellUsages() []*peerpb.Usage {
-	if g.options.Usages == nil || g.usages.Tokens() < 1 {
-		return nil
+// tellUsages adds the use of accounts, within the bound. Having none is told too, since it replaces
+// what was told before.
+func (g *Gossip) tellUsages(digest *peerpb.Digest) {
+	if g.options.Usages == nil {
+		return
 	}
 	usages := g.options.Usages()
 	slices.SortFunc(usages, func(a, b *peerpb.Usage) int { return cmp.Compare(b.InProgress, a.InProgress) })
 	usages = usages[:min(len(usages), maxUsages)]
-	g.usages.AllowN(time.Now(), len(usages))
-	return usages
+	if !g.usages.AllowN(time.Now(), max(len(usages), 1)) {
+		return
+	}
+	digest.Usages = usages
+	digest.TellsUsages = true
 }
 
 // learn takes what a digest says of its sender, which spoke at the given time.
@@ -248,7 +275,7 @@
 	if g.options.OnConfigurationVersion != nil && digest.ConfigurationVersion > 0 {
 		g.options.OnConfigurationVersion(vm, digest.ConfigurationVersion)
 	}
-	if g.options.OnUsages != nil && len(digest.Usages) > 0 {
+	if g.options.OnUsages != nil && digest.TellsUsages {
 		g.options.OnUsages(vm, digest.Usages)
 	}
 }
@@ -281,7 +308,7 @@
 // push sends a digest to all entry VMs of this zone and to some of each other.
 func (g *Gossip) push(ctx context.Context, digest *peerpb.Digest) {
 	g.introduce(digest)
-	digest.Usages = nil
+	digest.Usages, digest.TellsUsages = nil, false
 	slots := make(chan struct{}, pushConcurrency)
 	var pushes sync.WaitGroup
 	for _, vm := range g.pushTo() {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -174,6 +175,66 @@
 	require.NoError(t, err)
 }
 
+func TestPartnersAreFewAndReplaced(t *testing.T) {
+	available := []string{"a", "b", "c", "d", "e"}
+	now := time.Now()
+	p := &partners{size: 2, life: time.Minute}
+	seen := map[string]int{}
+	for range 10 {
+		name, found := p.next(available, now)
+		require.True(t, found)
+		seen[name]++
+	}
+	require.Len(t, seen, 2)
+	for name := range seen {
+		p.drop(name)
+		require.NotContains(t, p.names, name)
+	}
+	before := p.names
+	p.next(available, now)
+	require.Len(t, p.names, 2)
+	require.NotEqual(t, before, p.names)
+	for i := range 200 {
+		name, _ := p.next(available, now.Add(time.Duration(i)*time.Minute))
+		seen[name]++
+	}
+	require.Len(t, seen, len(available))
+	_, found := p.next(nil, now)
+	require.False(t, found)
+}
+
+func TestUsagesAreToldLargestFirstAndNoneToo(t *testing.T) { synctest.Test(t, checkUsages) }
+
+func checkUsages(t *testing.T) {
+	var usages []*peerpb.Usage
+	for i := range 2 * maxUsages {
+		usages = append(usages, &peerpb.Usage{Account: fmt.Sprint(i), InProgress: int32(i)})
+	}
+	heard := make(map[string]int)
+	directory := membership.New(membership.Options{})
+	sender := NewGossip(GossipOptions{Self: "a", Directory: directory, Usages: func() []*peerpb.Usage { return usages }})
+	receiver := NewGossip(GossipOptions{Directory: directory, OnUsages: func(vm string, usages []*peerpb.Usage) { heard[vm] = len(usages) }})
+	tell := func() *peerpb.Digest {
+		digest := &peerpb.Digest{}
+		sender.introduce(digest)
+		receiver.learn(digest, "a", time.Now())
+		return digest
+	}
+	require.EqualValues(t, 2*maxUsages-1, tell().Usages[0].InProgress)
+	require.Equal(t, maxUsages, heard["a"])
+	usages = nil
+	tell()
+	require.Zero(t, heard["a"], "the end of all use must be heard")
+	usages = []*peerpb.Usage{{Account: "x"}}
+	told := 0
+	for range 1000 {
+		if tell().TellsUsages {
+			told++
+		}
+	}
+	require.Equal(t, 3*maxUsages-1, told, "what is left of the burst, and no more at the same time")
+}
+
 // node is one entry VM in a test of the gossip.
 type node struct {
 	directory *membership.Directory
