Leave a claimed attempt to its other readers when one copy's deadline passes

Ruled out: the handover of the stopping entry VM, which came at the same moment. Change: only an operator cancels a claimed attempt; otherwise the engine ends it when nobody reads it for a while. Measured: TestDeadlineOfOneCopyLeavesTheOther fails before and passes after.

--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -173,14 +173,16 @@
 	return target.AttemptState(err)
 }
 
-// abandon cancels an attempt that may be running and that nobody will read. An attempt whose
-// caller may come back with its cursor is left to the engine, which ends it when no reader returns.
+// abandon cancels an attempt that may be running and that nobody will read. An attempt that another
+// reader may still want is left to the engine, which ends it when it has had no reader for a while: one whose
+// caller may come back with its cursor, and one that copies of a claimed request may have joined.
 func (g *generation) abandon(ctx context.Context, err error, binding Binding, state request.AttemptState) {
 	if state.DidNotRun() {
 		return
 	}
 	callerLeft := errors.Is(err, errCallerGone) || errors.Is(context.Cause(ctx), context.Canceled)
-	if callerLeft && (g.request.Resumable || g.claimant.held != "") {
+	byOperator := apierror.Is(context.Cause(ctx), apierror.KindCanceled)
+	if callerLeft && g.request.Resumable || g.claimant.held != "" && !byOperator {
 		return
 	}
 	g.cancelAttempt(binding)
--- a/internal/gateway/copies_test.go
+++ b/internal/gateway/copies_test.go
@@ -42,6 +42,22 @@
 	require.Len(t, h.ran(), 1)
 }
 
+// TestDeadlineOfOneCopyLeavesTheOther gives the first copy a deadline that passes in the middle: the second,
+// which joined its attempt, gets the whole answer.
+func TestDeadlineOfOneCopyLeavesTheOther(t *testing.T) {
+	h := newHarness(t)
+	long := `{"model":"letter","prompt":"len=1500 renewal","stream":true}`
+	hasty := keyed(0, long)
+	hasty.header["Godwitcart-Deadline-Ms"] = "1000"
+	first := h.do(hasty)
+	readEvents(t, first.Body, 3)
+	second := h.do(keyed(1, long))
+	events := readEvents(t, first.Body, 5000)
+	require.Equal(t, "error", events[len(events)-1].name)
+	requireWhole(t, joinTokens(t, readEvents(t, second.Body, 5000)), 1500)
+	require.Len(t, h.ran(), 1)
+}
+
 func TestCopyOfAnEndedRequestGetsItsAnswer(t *testing.T) {
 	h := newHarness(t)
 	whole := `{"model":"letter","prompt":"len=6 renewal"}`
