Measure the gossip with frozen entry VMs

Cause: frozen peers were tested for single calls, not for what they do to freshness in a zone. Change: BenchmarkControl/frozen runs 40 VMs a zone, ten of which take connections and never answer.

--- a/internal/peer/control_bench_test.go
+++ b/internal/peer/control_bench_test.go
@@ -38,6 +38,8 @@
 	zones, entries, targets int
 	// sample runs only one entry VM of each zone but the first.
 	sample bool
+	// frozen is the number of entry VMs of the first zone that take connections and never answer.
+	frozen int
 	// tls is the peers' TLS, or nil.
 	tls *tlsconfig.Reloader
 }
@@ -50,6 +52,8 @@
 		f := fleet{zones: 6, entries: entries, targets: int(float64(entries) * targetsPerEntry), sample: true}
 		b.Run("zone="+strconv.Itoa(entries), func(b *testing.B) { measureControl(b, f) })
 	}
+	frozen := fleet{zones: 6, entries: 40, targets: int(40 * targetsPerEntry), sample: true, frozen: 10}
+	b.Run("frozen=10/zone=40", func(b *testing.B) { measureControl(b, frozen) })
 	reloader, err := tlsconfig.New(tlstest.NewAuthority(b).NewFiles(b, 1), log.New(io.Discard))
 	require.NoError(b, err)
 	f := fleet{zones: 6, entries: 40, targets: int(40 * targetsPerEntry), sample: true, tls: reloader}
@@ -148,6 +152,10 @@
 	var running sync.WaitGroup
 	var all, measured []*benchNode
 	for i, listener := range listeners {
+		if list.VMs[i].Zone == "zone-0" && i < f.frozen {
+			defer listener.Close()
+			continue
+		}
 		n := newBenchNode(b, f, list.VMs[i], text)
 		all = append(all, n)
 		if !f.sample || list.VMs[i].Zone == "zone-0" {
