Export the version in force and the undecided proposals as gauges

Cause: counters alone do not show a VM whose version differs from the others'. Ruled out: a label with the version (a new time series for each change).

--- a/internal/acceptance/acceptance.go
+++ b/internal/acceptance/acceptance.go
@@ -98,6 +98,8 @@
 
 type counters struct {
 	adopted, staged, refused, accepted, rejected, fenced metrics.Counter
+	// version is the version in force, undecided the number of proposals that are held.
+	version, undecided metrics.Gauge
 }
 
 // New returns a Manager that holds no configuration until Run has learnt one.
@@ -120,6 +122,8 @@
 		counters: counters{
 			adopted: count("adopted"), staged: count("staged"), refused: count("stage_refused"),
 			accepted: count("accepted"), rejected: count("rejected"), fenced: count("fenced"),
+			version:   metrics.GetOrRegisterGauge("configuration.version", registry),
+			undecided: metrics.GetOrRegisterGauge("configuration.undecided", registry),
 		},
 	}
 	m.view.Store(&view{})
@@ -211,4 +215,8 @@
 }
 
 // publish replaces the view; the caller holds mu.
-func (m *Manager) publish() { m.view.Store(m.state.view()) }
+func (m *Manager) publish() {
+	m.view.Store(m.state.view())
+	m.counters.version.Update(int64(m.state.version()))
+	m.counters.undecided.Update(int64(len(m.state.staged)))
+}
