Make planned stops provable: rest after faults, long notices, settled orders

Ruled out: a shorter aftermath; progress timeouts take 5 s. Change: the last fault ends 12 s before the planned stops; half of the targets say for 5 s that they leave; orders have two minutes to settle, and the time is reported.

--- a/internal/stand/failures/configuration.go
+++ b/internal/stand/failures/configuration.go
@@ -22,6 +22,8 @@
 	OneVersionTwoMeanings int `json:"one_version_two_meanings"`
 	// StaleOrdersLeftStanding counts the engines whose loaded versions stay wrong.
 	StaleOrdersLeftStanding int `json:"stale_orders_left_standing"`
+	// OrdersSettledSeconds is how long after the run the engines came to what the configuration says.
+	OrdersSettledSeconds float64 `json:"orders_settled_seconds"`
 	// LongestInForceSeconds is the longest time for which a connected VM stayed behind.
 	LongestInForceSeconds float64 `json:"longest_until_in_force_seconds"`
 }
@@ -35,6 +37,7 @@
 // judgeConfiguration compares what the operators were told with what was in force.
 func (o *oracle) judgeConfiguration(history History) {
 	o.verdict.RolloutsAccepted = history.Rollouts
+	o.verdict.OrdersSettledSeconds = history.OrdersSettled.Seconds()
 	for _, stale := range history.StaleOrders {
 		o.violate(&o.verdict.StaleOrdersLeftStanding, 1, "%s", stale)
 	}
--- a/internal/stand/failures/oracle.go
+++ b/internal/stand/failures/oracle.go
@@ -27,6 +27,8 @@
 	Rollouts int
 	// StaleOrders describes the engines that did not come to what the configuration says.
 	StaleOrders []string
+	// OrdersSettled is how long after the run the engines came to it.
+	OrdersSettled time.Duration
 	// Zones are the availability zones of the entry VMs by name.
 	Zones map[string]string
 }
--- a/internal/stand/failures/orders.go
+++ b/internal/stand/failures/orders.go
@@ -16,20 +16,21 @@
 
 // ordersSettle bounds the time after the last fault in which the engines come to what the
 // configuration says.
-const ordersSettle = 30 * time.Second
+const ordersSettle = 2 * time.Minute
 
 // ordersPoll is the pause between two looks at what the engines have loaded.
 const ordersPoll = 500 * time.Millisecond
 
-// staleOrders waits until each engine has loaded what the newest configuration says, and returns
-// the names of those that have not.
-func (f *fleet) staleOrders(ctx context.Context) []string {
+// staleOrders waits until each engine has loaded what the newest configuration says. It returns
+// those that have not, and how long that took.
+func (f *fleet) staleOrders(ctx context.Context) ([]string, time.Duration) {
+	started := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, ordersSettle)
 	defer cancel()
 	for {
 		stale := f.enginesThatDiffer()
 		if len(stale) == 0 || ctx.Err() != nil {
-			return stale
+			return stale, time.Since(started)
 		}
 		hold(ctx, ordersPoll)
 	}
--- a/internal/stand/failures/plan.go
+++ b/internal/stand/failures/plan.go
@@ -8,9 +8,12 @@
 // The parts of a run: a start without faults, then faults, then a rest, then planned stops
 // until the load ends.
 const (
-	warmUp       = 2 * time.Second
-	faultsShare  = 0.55
-	settleShare  = 0.1
+	warmUp      = 2 * time.Second
+	faultsShare = 0.45
+	// lastFaultEnds is how long after the part with faults the last one ends.
+	lastFaultEnds = 4 * time.Second
+	// settle is the rest; it exceeds faultAftermath, so that no fault excuses a planned stop.
+	settle       = faultAftermath + 3*time.Second
 	pairShare    = 0.4
 	shortestRest = time.Second
 	longestRest  = 4 * time.Second
@@ -72,7 +75,9 @@
 			count = 2
 		}
 		for range count {
-			actions = append(actions, d.draw(at))
+			drawn := d.draw(at)
+			drawn.hold = min(drawn.hold, last+lastFaultEnds-at)
+			actions = append(actions, drawn)
 		}
 	}
 	return actions
--- a/internal/stand/failures/run.go
+++ b/internal/stand/failures/run.go
@@ -85,8 +85,9 @@
 		return Report{}, errors.Wrap(i.err, "a fault could not be injected or lifted")
 	}
 	var stale []string
+	var settled time.Duration
 	if options.Rollouts {
-		stale = f.staleOrders(ctx)
+		stale, settled = f.staleOrders(ctx)
 	}
 	if err := f.writeAnswers(records); err != nil {
 		return Report{}, err
@@ -97,7 +98,7 @@
 	}
 	return report(options, History{
 		Records: records, Journal: entries, Faults: i.faults,
-		Changes: operators.changes, Observations: operators.observations, StaleOrders: stale,
+		Changes: operators.changes, Observations: operators.observations, StaleOrders: stale, OrdersSettled: settled,
 		Rollouts: int(operators.rolledOut.Load()), Zones: f.entryZones(),
 	}), ctx.Err()
 }
@@ -149,7 +150,7 @@
 		running.Go(func() { i.do(ctx, a) })
 	}
 	running.Wait()
-	hold(ctx, time.Duration(settleShare*float64(duration)))
+	hold(ctx, settle)
 	stopping, cancel := context.WithDeadline(ctx, started.Add(duration))
 	defer cancel()
 	i.plannedStops(stopping)
--- a/internal/stand/failures/stops.go
+++ b/internal/stand/failures/stops.go
@@ -17,8 +17,12 @@
 // have learnt of it.
 const drainSpacing = 3 * time.Second
 
-// leavingNotice is how long a target says that it is leaving before it is stopped.
-const leavingNotice = time.Second
+// The times for which a target says that it is leaving before it is stopped: the long one exceeds
+// leavingGrace, so that work which comes too late is seen.
+const (
+	shortNotice = time.Second
+	longNotice  = leavingGrace + 2*time.Second
+)
 
 // plannedStops restarts every entry VM and drains every target, one at a time, until ctx ends. A
 // third of the seeds replaces the first target, which takes as long as the list lags.
@@ -33,8 +37,14 @@
 			hold(ctx, vmLag+drainSpacing)
 			targets = targets[1:]
 		}
-		for _, m := range targets {
-			i.plan(ctx, DrainTarget, m, i.drainTarget)
+		for n, m := range targets {
+			notice := longNotice
+			if n%2 == 1 {
+				notice = shortNotice
+			}
+			i.plan(ctx, DrainTarget, m, func(ctx context.Context, m *member) error {
+				return i.drainTarget(ctx, m, notice)
+			})
 			hold(ctx, drainSpacing)
 		}
 		replaced := i.fleet.targets()[i.fleet.seed%uint64(engineCount+serviceCount)]
@@ -74,11 +84,11 @@
 
 // drainTarget makes a target leave, stops it by SIGTERM and starts it again on its VM, which stays
 // in the platform's list as it is.
-func (i *injector) drainTarget(ctx context.Context, m *member) error {
+func (i *injector) drainTarget(ctx context.Context, m *member, notice time.Duration) error {
 	if err := control(m.control, "/leave", ""); err != nil {
 		return err
 	}
-	hold(ctx, leavingNotice)
+	hold(ctx, notice)
 	if err := i.stopAndRefuse(m); err != nil {
 		return err
 	}
@@ -93,7 +103,7 @@
 	if err := i.announceLeaving(m); err != nil {
 		return err
 	}
-	hold(ctx, leavingNotice)
+	hold(ctx, longNotice)
 	if err := i.stopAndRefuse(m); err != nil {
 		return err
 	}
