--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 export CGO_ENABLED = 1
 LDFLAGS = -linkmode=external
 
-.PHONY: build setup demo test unit lint model dynamic bench generate clean
+.PHONY: build setup demo test unit processes lint model dynamic bench generate clean
 
 build:
 	$(GO) build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
@@ -14,11 +14,15 @@
 demo: setup build
 	./scripts/demo
 
-test: setup lint build dynamic model unit
+test: setup lint build dynamic model unit processes
 
 unit:
 	./scripts/unit
 
+# The demo checks the whole path with real processes.
+processes: build
+	./scripts/demo
+
 lint:
 	./scripts/lint
 
@@ -28,7 +32,7 @@
 dynamic: build
 	./scripts/check-dynamic
 
-bench: build
+bench:
 	./scripts/bench
 
 generate:
