Be ready also where the platform's list names no target

Cause: a VM whose list held entry VMs only waited for a first target for ever and was never ready. Change: the settle time counts from the first reading of the list.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -61,8 +61,8 @@
 	plain         *target.PlainClient
 	gateway       *gateway.Gateway
 
-	// firstTargets is when the platform's list first named a target, in Unix nanoseconds.
-	firstTargets atomic.Int64
+	// firstList is when the platform's list was first known, in Unix nanoseconds.
+	firstList atomic.Int64
 	// notReady is set once the balancer must lead no new callers here.
 	notReady     atomic.Bool
 	shutdown     chan struct{}
@@ -241,6 +241,6 @@
 	if len(d.directory.Eligible(now)) > 0 {
 		return true
 	}
-	first := d.firstTargets.Load()
+	first := d.firstList.Load()
 	return first > 0 && now.Sub(time.Unix(0, first)) > settleTime
 }
--- a/internal/daemon/targets.go
+++ b/internal/daemon/targets.go
@@ -65,8 +65,8 @@
 func (d *Daemon) takeOverTargets(now time.Time) {
 	eligible := d.directory.Eligible(now)
 	targets := d.directory.AllTargets(now)
-	if len(targets) > 0 {
-		d.firstTargets.CompareAndSwap(0, now.UnixNano())
+	if len(targets)+len(d.directory.Entries(now)) > 0 {
+		d.firstList.CompareAndSwap(0, now.UnixNano())
 	}
 	for _, vm := range targets {
 		if _, listed := eligible[vm.Service]; !listed {
