--- a/internal/acceptance/learn.go
+++ b/internal/acceptance/learn.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"godwitcart/internal/pause"
 	"godwitcart/internal/peer/peerpb"
 	"godwitcart/internal/policy"
 )
@@ -45,7 +46,7 @@
 func (m *Manager) start(ctx context.Context) {
 	begun := time.Now()
 	for !m.mayServe(ctx, begun) {
-		if !sleep(ctx, retryInterval) {
+		if !pause.For(ctx, retryInterval) {
 			return
 		}
 	}
@@ -151,7 +152,7 @@
 	for ctx.Err() == nil {
 		current, revision, err := readRoot(ctx, m.options.Store)
 		if err != nil {
-			sleep(ctx, retryInterval)
+			pause.For(ctx, retryInterval)
 			continue
 		}
 		if current != nil {
@@ -166,7 +167,7 @@
 	for {
 		batch, err := m.options.Store.Watch(ctx, rootKey, revision)
 		if err != nil {
-			sleep(ctx, retryInterval)
+			pause.For(ctx, retryInterval)
 			return
 		}
 		if batch.Compacted {
@@ -218,7 +219,7 @@
 
 // resolve settles proposals that stay undecided.
 func (m *Manager) resolve(ctx context.Context) {
-	for sleep(ctx, doubtAfter/2) {
+	for pause.For(ctx, doubtAfter/2) {
 		m.mu.Lock()
 		base, staged, undecided := m.state.oldest()
 		m.mu.Unlock()
@@ -262,15 +263,3 @@
 	_, _ = digest.Write([]byte(m.options.VM))
 	return time.Duration(digest.Sum32()) % fenceSpread
 }
-
-// sleep waits for a duration; it reports false when ctx ended first.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/dispatch/claims.go
+++ b/internal/dispatch/claims.go
@@ -9,6 +9,7 @@
 
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/claim"
+	"godwitcart/internal/pause"
 	"godwitcart/internal/request"
 	"godwitcart/internal/target"
 )
@@ -160,7 +161,7 @@
 		if g.sink.Delivered() > 0 {
 			return resumeError(ctx, err)
 		}
-		if existing.State != claim.StateClaimed || sleep(window, wait) != nil {
+		if existing.State != claim.StateClaimed || !pause.For(window, wait) {
 			return copyError(existing, err)
 		}
 		wait = min(2*wait, maxResumeWait)
--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"godwitcart/internal/apierror"
+	"godwitcart/internal/pause"
 	"godwitcart/internal/request"
 	"godwitcart/internal/target"
 	"godwitcart/internal/wire/enginewire"
@@ -173,7 +174,7 @@
 		if target.IsUnknownAttempt(err) {
 			return nil, target.NewBrokenError(f.binding.Address.Name, err)
 		}
-		if sleep(window, wait) != nil {
+		if !pause.For(window, wait) {
 			return nil, target.NewBrokenError(f.binding.Address.Name, errors.CombineErrors(cause, err))
 		}
 		wait = min(2*wait, maxResumeWait)
@@ -202,17 +203,6 @@
 	return stream, err
 }
 
-func sleep(ctx context.Context, wait time.Duration) error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // Resume continues an answer that another entry VM began, from the token with the index from.
 func (d *Dispatcher) Resume(ctx context.Context, record *request.Record, binding Binding, from int, sink Sink) error {
 	follower := &follower{
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -10,6 +10,7 @@
 
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/claim"
+	"godwitcart/internal/pause"
 	"godwitcart/internal/request"
 	"godwitcart/internal/target"
 )
@@ -155,7 +156,7 @@
 	window, cancel := context.WithTimeout(ctx, joinWindow)
 	defer cancel()
 	wait := firstResumeWait
-	for existing.State == claim.StateClaimed && sleep(window, wait) == nil {
+	for existing.State == claim.StateClaimed && pause.For(window, wait) {
 		wait = min(2*wait, maxResumeWait)
 		current, err := p.options.Claims.Lookup(ctx, p.request.ClaimKey())
 		if apierror.Is(err, apierror.KindNotFound) || err == nil && current.State == claim.StateNotRun {
--- a/internal/object/objecttest/store.go
+++ b/internal/object/objecttest/store.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"godwitcart/internal/object"
+	"godwitcart/internal/pause"
 	"godwitcart/internal/wire/platformwire"
 )
 
@@ -245,7 +246,7 @@
 		fault = s.faults(Call{Op: op, Key: key, Number: s.calls})
 	}
 	s.mu.Unlock()
-	sleep(ctx, fault.Delay)
+	pause.For(ctx, fault.Delay)
 	if err := ctx.Err(); err != nil {
 		return fault, object.NewUnavailableError(retryAfter, false, err)
 	}
@@ -262,7 +263,7 @@
 	if err != nil {
 		return object.Object{}, err
 	}
-	defer sleep(ctx, fault.AnswerDelay)
+	defer pause.For(ctx, fault.AnswerDelay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if fault.Late {
@@ -281,19 +282,6 @@
 	return written, err
 }
 
-// sleep waits until the time or the context is over.
-func sleep(ctx context.Context, wait time.Duration) {
-	if wait <= 0 {
-		return
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // touch writes an object's own value again; a missing object stays missing. The caller holds mu.
 func (s *Store) touch(key string) {
 	if current, ok := s.objects[key]; ok {
--- a/internal/stand/engine/engine.go
+++ b/internal/stand/engine/engine.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"godwitcart/internal/pause"
 	"godwitcart/internal/stand/journal"
 	"godwitcart/internal/wire/enginewire"
 )
@@ -68,24 +69,13 @@
 			}
 			continue
 		}
-		if !sleep(ctx, time.Duration(float64(duration)*e.faults.slowness())) {
+		if !pause.For(ctx, time.Duration(float64(duration)*e.faults.slowness())) {
 			return
 		}
 		e.endStep(time.Now())
 	}
 }
 
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (e *Engine) wakeUp() {
 	select {
 	case e.wake <- struct{}{}:
--- a/internal/stand/load/caller.go
+++ b/internal/stand/load/caller.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"godwitcart/internal/pause"
 )
 
 // The headers and the paths of the callers' interface.
@@ -71,7 +73,7 @@
 		if c.lastTry().HandedOver {
 			continue
 		}
-		pause(ctx, rest)
+		pause.For(ctx, rest)
 		rest = min(2*rest, longRest)
 	}
 	c.answer.Ended = time.Now()
@@ -82,15 +84,6 @@
 	return c.answer
 }
 
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // try makes one exchange with an entry VM that was not used last.
 func (c *caller) try(ctx context.Context) {
 	entry := c.entries.choose(c.lastTry().Entry)
--- a/internal/stand/load/entries.go
+++ b/internal/stand/load/entries.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"godwitcart/internal/pause"
 )
 
 // The times of the readiness checks, which stand for the platform's balancer.
@@ -59,7 +61,7 @@
 				l.mu.Lock()
 				l.ready[i] = ready
 				l.mu.Unlock()
-				pause(ctx, readyInterval)
+				pause.For(ctx, readyInterval)
 			}
 		})
 	}
--- a/internal/stand/load/run.go
+++ b/internal/stand/load/run.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"godwitcart/internal/pause"
 )
 
 // The limits of the callers' connections.
@@ -30,7 +32,7 @@
 	started := time.Now()
 	var group sync.WaitGroup
 	for i, request := range requests {
-		pause(ctx, time.Until(started.Add(request.After)))
+		pause.For(ctx, time.Until(started.Add(request.After)))
 		group.Go(func() { records[i] = send(ctx, options, client, entries, request) })
 	}
 	group.Wait()
@@ -51,7 +53,7 @@
 	var group sync.WaitGroup
 	for i := range record.Answers {
 		group.Go(func() {
-			pause(ctx, time.Duration(i)*request.Stagger)
+			pause.For(ctx, time.Duration(i)*request.Stagger)
 			c := &caller{options: options, client: client, entries: entries, request: request}
 			record.Answers[i] = c.run(ctx)
 		})
