--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
@@ -66,7 +67,7 @@
 	}
 	outbound.Header.Set("Authorization", "Bearer "+acmeKey)
 	start := time.Now()
-	response, err := http.DefaultClient.Do(outbound)
+	response, err := benchClient.Do(outbound)
 	if err != nil {
 		return err
 	}
@@ -98,8 +99,26 @@
 	_ = s.token.RecordValue(sinceSent.Microseconds())
 }
 
+// benchClient keeps the connections of all streams, so that their set-up is not measured.
+var benchClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2 * benchStreams}}
+
+// warmUp runs as many streams at once as the benchmark does.
+func warmUp(b *testing.B, url, body string) {
+	ignored := &streamTimes{first: hdrhistogram.New(1, maxMicros, 3), token: hdrhistogram.New(1, maxMicros, 3)}
+	var running sync.WaitGroup
+	for range benchStreams {
+		running.Go(func() {
+			if err := measureStream(ignored, url, body); err != nil {
+				b.Error(err)
+			}
+		})
+	}
+	running.Wait()
+}
+
 // benchmarkStreams runs b.N streams, benchStreams at a time.
 func benchmarkStreams(b *testing.B, url, body string) {
+	warmUp(b, url, body)
 	times := &streamTimes{first: hdrhistogram.New(1, maxMicros, 3), token: hdrhistogram.New(1, maxMicros, 3)}
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
@@ -137,16 +156,55 @@
 	benchmarkStreams(b, h.entries[0].URL, `{"model":"sheet","prompt":"x","stream":true}`)
 }
 
-// BenchmarkWholeRequests counts the requests a second of a short whole answer.
-func BenchmarkWholeRequests(b *testing.B) {
-	h := newHarness(b)
+// newInstantEngine answers every generation with one token at once.
+func newInstantEngine(b *testing.B) *httptest.Server {
+	b.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		var generation enginewire.GenerationRequest
 		_ = json.NewDecoder(r.Body).Decode(&generation)
-		fmt.Fprintf(w, "data: {\"attempt_id\":%q,\"index\":0,\"text\":\"x\"}\n\n", generation.AttemptID)
+		fmt.Fprintf(w, "data: {\"attempt_id\":%q,\"index\":0,\"text\":\"x \"}\n\n", generation.AttemptID)
 		fmt.Fprintf(w, "data: {\"attempt_id\":%q,\"index\":1,\"finish_reason\":\"stop\"}\n\n", generation.AttemptID)
 	}))
 	b.Cleanup(server.Close)
+	return server
+}
+
+// benchmarkFirstToken sends one request after the other and reports the time to the end of its one token.
+func benchmarkFirstToken(b *testing.B, url, body string) {
+	times := hdrhistogram.New(1, maxMicros, 3)
+	for b.Loop() {
+		start := time.Now()
+		outbound, err := http.NewRequest(http.MethodPost, url+"/v1/completions", strings.NewReader(body))
+		require.NoError(b, err)
+		outbound.Header.Set("Authorization", "Bearer "+acmeKey)
+		response, err := benchClient.Do(outbound)
+		require.NoError(b, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(b, err)
+		response.Body.Close()
+		_ = times.RecordValue(time.Since(start).Microseconds())
+	}
+	b.ReportMetric(float64(times.ValueAtQuantile(50)), "p50-µs")
+	b.ReportMetric(float64(times.ValueAtQuantile(99)), "p99-µs")
+}
+
+// BenchmarkFirstTokenDirect asks the engine itself.
+func BenchmarkFirstTokenDirect(b *testing.B) {
+	benchmarkFirstToken(b, newInstantEngine(b).URL, `{"attempt_id":"a"}`)
+}
+
+// BenchmarkFirstTokenThroughGateway asks through one gateway.
+func BenchmarkFirstTokenThroughGateway(b *testing.B) {
+	h := newHarness(b)
+	server := newInstantEngine(b)
+	h.placer["godwit-lm"] = []target.Address{{Name: "instant", HostPort: server.Listener.Addr().String()}}
+	benchmarkFirstToken(b, h.entries[0].URL, `{"model":"sheet","prompt":"x","stream":true}`)
+}
+
+// BenchmarkWholeRequests counts the requests a second of a short whole answer.
+func BenchmarkWholeRequests(b *testing.B) {
+	h := newHarness(b)
+	server := newInstantEngine(b)
 	h.placer["godwit-lm"] = []target.Address{{Name: "instant", HostPort: server.Listener.Addr().String()}}
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
