Probe leaving targets also from VMs that do not watch them

Change: a VM that does not watch a leaving target probes it every 5 s, within the bound of stale probes. Measured: TestTargetThatLeftAndStartedAgainIsFound with a VM that does not watch fails before (both kinds of target) and passes after.

--- a/internal/membership/poller.go
+++ b/internal/membership/poller.go
@@ -20,7 +20,9 @@
 	assignInterval = time.Second
 	// minProbeInterval and maxProbeInterval bound the pause between two probes of a target by one watcher.
 	minProbeInterval = time.Second
-	maxProbeInterval = 2 * time.Second
+	// leavingProbeInterval is the pause between two probes of a leaving target by a VM that does not watch it.
+	leavingProbeInterval = 5 * time.Second
+	maxProbeInterval     = 2 * time.Second
 	// probesPerSecond is what the probes of one VM are spread to within these bounds.
 	probesPerSecond = 2.5
 	// ProbeTimeout bounds one probe.
@@ -239,8 +241,8 @@
 		}
 		for _, name := range order.targets {
 			vm, _ := d.Get(name)
-			stale := vm.State < StateLeaving && now.Sub(vm.ConfirmedAt) >= staleAfter
-			if stale && p.mayProbeStale(name, now) {
+			stale := now.Sub(vm.ConfirmedAt) >= staleAfter
+			if stale && p.mayProbeStale(name, staleInterval(vm.State), now) {
 				due = append(due, name)
 			}
 		}
@@ -248,10 +250,20 @@
 	return due
 }
 
-func (p *Poller) mayProbeStale(name string, now time.Time) bool {
+// staleInterval is the pause between two probes of a stale target. One that is leaving may be started
+// again in place; where its zone has too few entry VMs, the watchers' word of it reaches nobody by
+// the gossip, which asks the VMs of the target's zone.
+func staleInterval(state State) time.Duration {
+	if state >= StateLeaving {
+		return leavingProbeInterval
+	}
+	return minProbeInterval
+}
+
+func (p *Poller) mayProbeStale(name string, interval time.Duration, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now.Sub(p.probed[name]) < minProbeInterval {
+	if now.Sub(p.probed[name]) < interval {
 		return false
 	}
 	return p.stale.AllowN(now, 1)
--- a/internal/membership/restart_test.go
+++ b/internal/membership/restart_test.go
@@ -35,28 +35,33 @@
 // List implements Lister.
 func (r *restarting) List(context.Context) (platformwire.VMList, error) { return listOf(false), nil }
 
-// TestTargetThatLeftAndStartedAgainIsFound covers targets with and without an incarnation of their own.
+// TestTargetThatLeftAndStartedAgainIsFound covers targets with and without an incarnation of their own,
+// and entry VMs that watch the target and that do not: nobody tells the latter anything here.
 func TestTargetThatLeftAndStartedAgainIsFound(t *testing.T) {
 	for name, incarnations := range map[string][2]string{"engine": {"x", "y"}, "plain service": {"", ""}} {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				target := &restarting{}
-				directory := New(Options{Self: "a-1", Zone: "a"})
-				poller := NewPoller(PollerOptions{Directory: directory, Prober: target, Lister: target})
-				ctx, cancel := context.WithCancel(t.Context())
-				var running sync.WaitGroup
-				running.Go(func() { poller.Run(ctx) })
-				for _, phase := range []struct {
-					incarnation string
-					leaving     bool
-				}{{incarnations[0], false}, {incarnations[0], true}, {incarnations[1], false}} {
-					target.set(phase.incarnation, phase.leaving)
-					time.Sleep(2 * FreshFor)
-					require.Equal(t, !phase.leaving, directory.MayDispatch("lm-1", time.Now()))
-				}
-				cancel()
-				running.Wait()
+		for _, self := range []string{"a-1", "not-a-watcher"} {
+			t.Run(name+" "+self, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { checkRestart(t, self, incarnations) })
 			})
-		})
+		}
 	}
 }
+
+func checkRestart(t *testing.T, self string, incarnations [2]string) {
+	target := &restarting{}
+	directory := New(Options{Self: self, Zone: "a"})
+	poller := NewPoller(PollerOptions{Directory: directory, Prober: target, Lister: target})
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { poller.Run(ctx) })
+	for _, phase := range []struct {
+		incarnation string
+		leaving     bool
+	}{{incarnations[0], false}, {incarnations[0], true}, {incarnations[1], false}} {
+		target.set(phase.incarnation, phase.leaving)
+		time.Sleep(3 * FreshFor)
+		require.Equal(t, !phase.leaving, directory.MayDispatch("lm-1", time.Now()))
+	}
+	cancel()
+	running.Wait()
+}
