--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -67,6 +67,9 @@
 	notReady     atomic.Bool
 	shutdown     chan struct{}
 	shutdownOnce sync.Once
+	// listening is closed once addresses is set.
+	listening chan struct{}
+	addresses Addresses
 }
 
 // New builds a daemon; it opens no listener and calls nobody.
@@ -79,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{settings: s, logger: logger, incarnation: rand.Text(), shutdown: make(chan struct{})}
+	d := &Daemon{settings: s, logger: logger, incarnation: rand.Text(), shutdown: make(chan struct{}), listening: make(chan struct{})}
 	d.store = object.NewClient(object.Options{BaseURL: s.Platform.URL, Timeout: s.Platform.Timeout})
 	d.lister = &lister{baseURL: s.Platform.URL}
 	d.buildTargets()
@@ -138,11 +141,12 @@
 	if err != nil {
 		return err
 	}
-	peerListener, err := listenPeers(d.settings.Peers.Listen)
+	peerListener, err := openListener(d.settings.Peers.Listen)
 	if err != nil {
 		closeAll(servers)
 		return err
 	}
+	d.announce(servers, peerListener)
 	group, ctx := errgroup.WithContext(ctx)
 	d.runParts(ctx, group)
 	group.Go(func() error { return d.servePeers(ctx, peerListener) })
--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -22,6 +22,31 @@
 	listener net.Listener
 }
 
+// Addresses are the host:port of the open listeners, which settings with port 0 leave to the system.
+type Addresses struct {
+	Callers   string
+	Operators string
+	Peers     string
+}
+
+// Addresses waits until the listeners are open. It fails when ctx ends before.
+func (d *Daemon) Addresses(ctx context.Context) (Addresses, error) {
+	select {
+	case <-d.listening:
+		return d.addresses, nil
+	case <-ctx.Done():
+		return Addresses{}, errors.Wrap(ctx.Err(), "wait for the listeners")
+	}
+}
+
+func (d *Daemon) announce(servers []*httpListener, peers net.Listener) {
+	d.addresses = Addresses{
+		Callers: servers[0].listener.Addr().String(), Operators: servers[1].listener.Addr().String(), Peers: peers.Addr().String(),
+	}
+	close(d.listening)
+}
+
+// openListeners opens the callers' listener and the operators', in this order.
 func (d *Daemon) openListeners() ([]*httpListener, error) {
 	callers, err := d.listen(d.settings.Callers.Listen, d.settings.Callers.Security, d.gateway)
 	if err != nil {
@@ -40,12 +65,20 @@
 	return []*httpListener{callers, operators}, nil
 }
 
-func (d *Daemon) listen(address string, security settings.Security, handler http.Handler) (*httpListener, error) {
+func openListener(address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, apierror.Wrap(err, apierror.KindUnavailable, "cannot listen on "+address,
 			"choose a free address in the settings or stop the process that uses it")
 	}
+	return listener, nil
+}
+
+func (d *Daemon) listen(address string, security settings.Security, handler http.Handler) (*httpListener, error) {
+	listener, err := openListener(address)
+	if err != nil {
+		return nil, err
+	}
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -6,8 +6,6 @@
 	"net"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"godwitcart/internal/admission"
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/membership"
@@ -155,8 +153,3 @@
 	}
 	return names
 }
-
-func listenPeers(address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
-	return listener, errors.Wrapf(err, "listen for peers on %s; choose a free address in the settings", address)
-}
