Count the traffic between peers and show it as metrics

Cause: the daemon passed no peer.Traffic to its client and server, so the peer.* gauges were never there. Ruled out: one Traffic for each side; a VM's traffic is one figure. Traffic.Register kept the gauge of an earlier Traffic of the process (GetOrRegister), which shows stale figures where a process builds two daemons, as tests do. Change: one Traffic for both sides, registered with the default registry; Register replaces an earlier one. Conclusion: /metrics shows peer calls, served calls and bytes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,6 +45,7 @@
 	lister        *lister
 	peers         *peerNetwork
 	peerTLS       *tlsconfig.Reloader
+	traffic       *peer.Traffic
 	gossip        *peer.Gossip
 	drains        *drains
 	orders        *orders
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"regexp"
 	"strconv"
 	"strings"
 	"testing"
@@ -130,6 +131,14 @@
 	requireOneGeneration(t, s.readAll().text)
 }
 
+func TestMetricsShowTheTrafficOfPeers(t *testing.T) {
+	_, a, _ := startPair(t)
+	for _, name := range []string{"calls", "served", "sent_bytes", "received_bytes"} {
+		shown := regexp.MustCompile(`(?m)^\w*peer_` + name + `(\{.*\})? [1-9]`)
+		eventually(t, func() bool { return shown.MatchString(a.metrics()) })
+	}
+}
+
 func TestShutdownFinishesOrHandsOverEveryStream(t *testing.T) {
 	f, a, b := startPair(t)
 	f.setSlow(200)
--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -212,13 +212,27 @@
 
 // readiness returns what the operators' listener says about being led callers.
 func (v *vm) readiness() string {
-	response, err := v.fleet.client.Get("https://" + v.at.Operators + admin.PathReady)
+	status, text := v.get(admin.PathReady)
+	require.Equal(v.fleet.t, status == http.StatusOK, text == "ready")
+	return text
+}
+
+func (v *vm) metrics() string {
+	_, text := v.get(admin.PathMetrics)
+	return text
+}
+
+// get asks the operators' listener.
+func (v *vm) get(path string) (int, string) {
+	outbound, err := http.NewRequest(http.MethodGet, "https://"+v.at.Operators+path, nil)
+	require.NoError(v.fleet.t, err)
+	outbound.Header.Set("Authorization", "Bearer "+operatorToken)
+	response, err := v.fleet.client.Do(outbound)
 	require.NoError(v.fleet.t, err)
 	defer response.Body.Close()
 	text, err := io.ReadAll(response.Body)
 	require.NoError(v.fleet.t, err)
-	require.Equal(v.fleet.t, response.StatusCode == http.StatusOK, strings.TrimSpace(string(text)) == "ready")
-	return strings.TrimSpace(string(text))
+	return response.StatusCode, strings.TrimSpace(string(text))
 }
 
 func (v *vm) operator() *admin.Client {
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -6,6 +6,8 @@
 	"net"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"godwitcart/internal/admission"
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/membership"
@@ -43,7 +45,9 @@
 // buildPeers makes the client of the peers and the gossip.
 func (d *Daemon) buildPeers() error {
 	d.peers = &peerNetwork{directory: d.directory}
-	options := peer.ClientOptions{Resolve: d.peers.resolve, CallTimeout: d.settings.Peers.CallTimeout}
+	d.traffic = &peer.Traffic{}
+	d.traffic.Register(metrics.DefaultRegistry)
+	options := peer.ClientOptions{Resolve: d.peers.resolve, CallTimeout: d.settings.Peers.CallTimeout, Traffic: d.traffic}
 	if files := d.settings.Peers.TLS; files != nil {
 		reloader, err := tlsconfig.New(tlsFiles(files), d.logger)
 		if err != nil {
@@ -93,7 +97,7 @@
 	if d.peerTLS != nil {
 		config = d.peerTLS.Server()
 	}
-	server, err := peer.NewServer(peer.ServerOptions{TLS: config, Handlers: peer.Handlers{
+	server, err := peer.NewServer(peer.ServerOptions{TLS: config, Traffic: d.traffic, Handlers: peer.Handlers{
 		Exchange: d.gossip, Acceptance: d.configuration, Query: d.queries, Cancel: &peerCanceler{registry: d.registry},
 	}})
 	if err != nil {
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -37,7 +37,8 @@
 	}
 }
 
-// Register shows the counts as gauges in the registry, or in the default one when it is nil.
+// Register shows the counts as gauges in the registry, or in the default one when it is nil. It takes
+// the place of a Traffic that was registered before.
 func (t *Traffic) Register(registry gometrics.Registry) {
 	if registry == nil {
 		registry = gometrics.DefaultRegistry
@@ -46,7 +47,8 @@
 		"peer.sent_bytes": &t.sentBytes, "peer.received_bytes": &t.receivedBytes,
 		"peer.calls": &t.calls, "peer.served": &t.served, "peer.failures": &t.failures,
 	} {
-		registry.GetOrRegister(name, gometrics.NewFunctionalGauge(value.Load))
+		registry.Unregister(name)
+		_ = registry.Register(name, gometrics.NewFunctionalGauge(value.Load))
 	}
 }
 
