Keep the part of a limit that a zone out of reach may use

Cause: admission.Controller.SetUnreachable was never called, so a zone cut off by a network partition kept no part of an account's limits once what it had told expired, and both sides could give out the whole limit. Ruled out: calling each entry VM unreachable that was not confirmed within FreshFor (3 s). In zones of more than eight entry VMs not each is asked at all. Change: the entry VMs of another zone are unreachable when none of them was heard of for twice FreshFor, which is below the 10 s for which told use counts. A single VM out of reach in a zone that is heard of is not counted. Measured: TestAZoneOutOfReachKeepsItsPartOfALimit is red without the call (five of ten requests run) and green with it (race, three runs). Conclusion: partitions between zones are covered; single VMs behind a cut link of their own are not.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -23,6 +23,7 @@
 	"godwitcart/internal/policy"
 	"godwitcart/internal/settings"
 	"godwitcart/internal/stand/platform"
+	"godwitcart/internal/wire/platformwire"
 )
 
 // requireOneGeneration checks that the text is the tokens of one attempt, each once and in order.
@@ -139,6 +140,48 @@
 	}
 }
 
+// read returns the answer to a request or the error that broke it off.
+func (f *fleet) read(outbound *http.Request) string {
+	response, err := f.client.Do(outbound)
+	if err != nil {
+		return err.Error()
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return string(text)
+}
+
+func TestAZoneOutOfReachKeepsItsPartOfALimit(t *testing.T) {
+	f := newFleet(t)
+	a := f.start("entry-a")
+	eventually(t, func() bool { return a.readiness() == "ready" })
+	_, err := a.operator().Command(t.Context(), "change account acme concurrency=10", false)
+	require.NoError(t, err)
+	f.platform.PutVM(platformwire.VM{Name: "entry-b", Role: "entry", Zone: "moosejaw", PeerAddress: "127.0.0.1:1"})
+	eventually(t, func() bool { return len(a.query("show vms").Rows) == 2 })
+	f.setSlow(200)
+	const even = 5
+	first := a.stream(http.MethodPost)
+	answers := make(chan string)
+	for range even - 1 {
+		outbound := a.request(http.MethodPost, "/v1/completions", generation)
+		go func() { answers <- f.read(outbound) }()
+	}
+	eventually(t, func() bool { return len(a.query("show requests").Rows) == even })
+	for range 3 { // A request that may run has begun by then.
+		require.True(t, first.next())
+	}
+	require.NotEmpty(t, a.query("show requests where state = waiting").Rows)
+	f.setSlow(1)
+	require.Equal(t, "[DONE]", first.readAll().end)
+	for range even - 1 {
+		require.Contains(t, <-answers, "data: [DONE]")
+	}
+}
+
 func TestShutdownFinishesOrHandsOverEveryStream(t *testing.T) {
 	f, a, b := startPair(t)
 	f.setSlow(200)
--- a/internal/daemon/harness_test.go
+++ b/internal/daemon/harness_test.go
@@ -246,8 +246,8 @@
 	return answer
 }
 
-// call sends a caller's request; headers are pairs of name and value.
-func (v *vm) call(method, path, body string, headers ...string) *http.Response {
+// request returns a caller's request; headers are pairs of name and value.
+func (v *vm) request(method, path, body string, headers ...string) *http.Request {
 	v.fleet.t.Helper()
 	outbound, err := http.NewRequest(method, "https://"+v.at.Callers+path, strings.NewReader(body))
 	require.NoError(v.fleet.t, err)
@@ -255,7 +255,12 @@
 	for i := 0; i < len(headers); i += 2 {
 		outbound.Header.Set(headers[i], headers[i+1])
 	}
-	response, err := v.fleet.client.Do(outbound)
+	return outbound
+}
+
+func (v *vm) call(method, path, body string, headers ...string) *http.Response {
+	v.fleet.t.Helper()
+	response, err := v.fleet.client.Do(v.request(method, path, body, headers...))
 	require.NoError(v.fleet.t, err)
 	v.fleet.t.Cleanup(func() { response.Body.Close() })
 	return response
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -99,7 +99,7 @@
 	self := o.daemon.settings.VM.Name
 	weight := func(vm string) uint64 { return xxhash.Sum64String(service + "\x00" + vm) }
 	higher := 0
-	for _, vm := range o.daemon.otherEntries(time.Now()) {
+	for _, vm := range namesOf(o.daemon.otherEntries(time.Now())) {
 		if weight(vm) > weight(self) {
 			higher++
 		}
--- a/internal/daemon/targets.go
+++ b/internal/daemon/targets.go
@@ -80,20 +80,42 @@
 	}
 	others := d.otherEntries(now)
 	d.table.SetEntries(len(others) + 1)
-	d.controller.SetEntries(others)
+	d.controller.SetEntries(namesOf(others))
+	d.controller.SetUnreachable(namesOf(unreachableEntries(others, d.settings.VM.Zone, now)))
 	if current := d.configuration.Current(); current != nil {
 		d.table.SetPriorities(priorities(current))
 	}
 }
 
-// otherEntries returns the names of the other entry VMs that may be serving.
-func (d *Daemon) otherEntries(now time.Time) []string {
-	var names []string
-	for _, vm := range d.directory.Entries(now) {
-		if vm.Name != d.settings.VM.Name && vm.State < membership.StateLeaving {
-			names = append(names, vm.Name)
+// otherEntries returns the other entry VMs that may be serving.
+func (d *Daemon) otherEntries(now time.Time) []membership.VM {
+	return slices.DeleteFunc(d.directory.Entries(now), func(vm membership.VM) bool {
+		return vm.Name == d.settings.VM.Name || vm.State >= membership.StateLeaving
+	})
+}
+
+// unreachableAfter is how long no entry VM of another zone has been heard of when the zone counts as
+// cut off. It is above the time between two asks of a zone whose targets are too many to be kept
+// fresh, and below the time for which the use told by peers counts.
+const unreachableAfter = 2 * membership.FreshFor
+
+// unreachableEntries returns the entry VMs of the other zones of which none was heard of lately. Single
+// VMs do not count as unreachable: not each of a large zone is heard of regularly.
+func unreachableEntries(others []membership.VM, own string, now time.Time) []membership.VM {
+	heard := map[string]bool{own: true}
+	for _, vm := range others {
+		if now.Sub(vm.ConfirmedAt) <= unreachableAfter {
+			heard[vm.Zone] = true
 		}
 	}
+	return slices.DeleteFunc(slices.Clone(others), func(vm membership.VM) bool { return heard[vm.Zone] })
+}
+
+func namesOf(vms []membership.VM) []string {
+	names := make([]string, 0, len(vms))
+	for _, vm := range vms {
+		names = append(names, vm.Name)
+	}
 	return names
 }
 
