Hand claims over to one entry VM a shard in a large fleet

Ruled out: a larger batch or a longer interval, because the writes of a VM, not the size of one, are used up.

Change: with more than 16 live entry VMs an operation goes by the new peer call Claims to the VM that rendezvous hashing names for the shard, and into that VM's group commit. Without an answer within 500 ms the VM carries it out itself with the same attempt ids, and wins only if the platform names its attempt. A claim that is refused after it was handed over is withdrawn: the withdrawal leaves a mark under the attempt, so that the late operation is refused.

A frozen batcher costs 500 ms for some claims until membership drops it. A small fleet keeps writing directly for that reason.

--- a/internal/claim/bench_test.go
+++ b/internal/claim/bench_test.go
@@ -52,8 +52,14 @@
 	}
 }
 
+// claimer is a Book or a Handover.
+type claimer interface {
+	Claim(ctx context.Context, record claim.Record) (existing claim.Record, won bool, err error)
+	End(key, attempt string, ending claim.Ending)
+}
+
 // offer claims new keys at a rate and returns the sorted waits and the number refused.
-func offer(books []*claim.Book, perSecond int, span time.Duration, name string) (waits []time.Duration, refused int) {
+func offer[B claimer](books []B, perSecond int, span time.Duration, name string) (waits []time.Duration, refused int) {
 	var mu sync.Mutex
 	var wait sync.WaitGroup
 	timer := time.NewTicker(time.Second / time.Duration(perSecond))
--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -161,15 +161,11 @@
 		return Record{}, false, refuse(object.NewUnavailableError(wait, false, nil))
 	}
 	outcome := b.do(ctx, record.Key, newClaim(record))
-	switch {
-	case outcome.err != nil:
+	if outcome.err != nil {
 		b.counts.refused.Inc(1)
 		return Record{}, false, refuse(outcome.err)
-	case outcome.won:
-		b.counts.won.Inc(1)
-	default:
-		b.counts.duplicates.Inc(1)
 	}
+	b.counts.claimed(outcome.won)
 	return outcome.record, outcome.won, nil
 }
 
--- a/internal/claim/errors.go
+++ b/internal/claim/errors.go
@@ -22,7 +22,9 @@
 	errBusy  = errors.New("too many claims are waiting")
 	errFull  = errors.New("the shard holds as many claims as it may until some expire")
 	errEnded = errors.New("this VM is stopping")
-	errTries = errors.New("other writers came first too often")
+	// errWithdrawn answers a claim of an attempt that was given up before.
+	errWithdrawn = errors.New("the attempt was given up")
+	errTries     = errors.New("other writers came first too often")
 )
 
 // refuse returns the error of a request that was not dispatched for want of a claim.
--- a/internal/claim/history_test.go
+++ b/internal/claim/history_test.go
@@ -25,22 +25,25 @@
 type machine struct {
 	t     *testing.T
 	store *objecttest.Store
-	vms   []*vm
-	next  int
+	// network carries what VMs hand over; nil when each writes for itself.
+	network *network
+	vms     []*vm
+	next    int
 	// holder is the attempt that won each key and did not release it.
 	holder map[string]string
 }
 
 type vm struct {
-	book   *claim.Book
+	name   string
+	book   *claim.Handover
 	store  *objecttest.Path
 	cancel func()
 }
 
-func (m *machine) boot() *vm {
+func (m *machine) boot(name string) *vm {
 	way := objecttest.NewPath(m.store)
 	book, cancel := start(m.t.Context(), way, func(o *claim.Options) { o.Shards, o.Slots = 1, 64 })
-	return &vm{book: book, store: way, cancel: cancel}
+	return &vm{name: name, book: m.network.join(name, book), store: way, cancel: cancel}
 }
 
 func (m *machine) attempt() string {
@@ -119,7 +122,7 @@
 	time.Sleep(time.Duration(rapid.IntRange(0, 20).Draw(r, "after")) * time.Millisecond)
 	m.vms[victim].store.Cut()
 	m.vms[victim].cancel()
-	m.vms[victim] = m.boot()
+	m.vms[victim] = m.boot(m.vms[victim].name)
 }
 
 // check heals the store and compares what is stored with the oracle.
@@ -137,11 +140,15 @@
 }
 
 func TestBooksAgreeWithAnOracleUnderFaults(t *testing.T) {
+	checkMachine(t, func() *network { return nil })
+}
+
+func checkMachine(t *testing.T, newNetwork func() *network) {
 	synctest.Test(t, func(t *testing.T) {
 		rapid.Check(struct{ testing.TB }{t}, func(r *rapid.T) {
-			m := &machine{t: t, store: objecttest.NewStore(), holder: make(map[string]string)}
-			for range 3 {
-				m.vms = append(m.vms, m.boot())
+			m := &machine{t: t, store: objecttest.NewStore(), network: newNetwork(), holder: make(map[string]string)}
+			for _, name := range names {
+				m.vms = append(m.vms, m.boot(name))
 			}
 			defer func() {
 				for _, each := range m.vms {
@@ -161,6 +168,13 @@
 				"outage": func(r *rapid.T) { m.store.SetOutage(rapid.Bool().Draw(r, "on")) },
 				"flush":  func(*rapid.T) { m.store.Flush() },
 				"wait":   func(*rapid.T) { time.Sleep(time.Second) },
+				"links": func(r *rapid.T) {
+					m.network.setFaults(rapid.Uint64().Draw(r, "seed"), rapid.SampledFrom([]int{0, 30, 80}).Draw(r, "percent"))
+				},
+				"fleet": func(r *rapid.T) {
+					each := rapid.SampledFrom(m.vms).Draw(r, "vm")
+					m.network.setFleet(each.book, rapid.SliceOfNDistinct(rapid.SampledFrom(names), 1, 3, rapid.ID).Draw(r, "entries"))
+				},
 			})
 			m.check(r)
 		})
@@ -221,7 +235,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				store := objecttest.NewStore()
 				store.SetFaults(objecttest.RandomFaults(seed, 30))
-				history := recordHistory(t, store, store.Flush, 8, seed)
+				history := recordHistory(t, nil, store, store.Flush, 8, seed)
 				require.True(t, porcupine.CheckOperations(claimModel.ToModel(), history))
 			})
 		})
@@ -235,19 +249,19 @@
 	server := httptest.NewServer(stand.Handler())
 	defer server.Close()
 	store := object.NewClient(object.Options{BaseURL: server.URL, WritesPerSecond: 1000, ReadsPerSecond: 1000})
-	history := recordHistory(t, store, func() {}, 50, 1)
+	history := recordHistory(t, nil, store, func() {}, 50, 1)
 	require.NotZero(t, stand.Calls().Lost)
 	require.True(t, porcupine.CheckOperations(claimModel.ToModel(), history))
 }
 
 // recordHistory lets clients of three books claim the same keys at once.
-func recordHistory(t *testing.T, store object.Store, flush func(), keys int, seed uint64) []porcupine.Operation {
+func recordHistory(t *testing.T, links *network, store object.Store, flush func(), keys int, seed uint64) []porcupine.Operation {
 	const clients, claims = 9, 12
-	var books []*claim.Book
-	for range 3 {
+	var books []*claim.Handover
+	for _, name := range names {
 		book, cancel := start(t.Context(), store, func(o *claim.Options) { o.Slots = 64; o.Timeout = 100 * time.Millisecond })
 		defer cancel()
-		books = append(books, book)
+		books = append(books, links.join(name, book))
 	}
 	begin := time.Now()
 	var mu sync.Mutex
--- a/internal/claim/metrics.go
+++ b/internal/claim/metrics.go
@@ -11,6 +11,9 @@
 	// unknown counts the writes whose answer was lost.
 	unknown metrics.Counter
 	reloads metrics.Counter
+	// handedOver counts the operations handed over to batchers, and unanswered those of them whose
+	// outcome stayed unknown. batched counts the operations that other VMs handed over to this one.
+	handedOver, unanswered, batched metrics.Counter
 	// batch is the number of operations in one write.
 	batch metrics.Histogram
 }
@@ -32,6 +35,18 @@
 		conflicts:  counter("conflicts"),
 		unknown:    counter("unknown_outcomes"),
 		reloads:    counter("reloads"),
+		handedOver: counter("handed_over"),
+		unanswered: counter("handed_over_unanswered"),
+		batched:    counter("batched"),
 		batch:      metrics.GetOrRegisterHistogram("claim.batch", registry, metrics.NewUniformSample(sampleSize)),
 	}
 }
+
+// claimed counts a claim of this VM that was won or met an earlier one.
+func (c *counts) claimed(won bool) {
+	if won {
+		c.won.Inc(1)
+	} else {
+		c.duplicates.Inc(1)
+	}
+}
--- a/internal/claim/operation.go
+++ b/internal/claim/operation.go
@@ -82,6 +82,8 @@
 	wanted.Key = ""
 	o := newOperation(record.Key, func(current *entry) step {
 		switch {
+		case current != nil && current.AttemptID == wanted.AttemptID && current.State == StateNotRun:
+			return step{result: result{err: errWithdrawn}}
 		case current == nil || current.State == StateNotRun:
 			return step{next: &wanted, result: result{record: wanted.Record, won: true}}
 		case current.AttemptID == wanted.AttemptID && current.State == StateClaimed:
@@ -142,6 +144,21 @@
 	return o
 }
 
+// newWithdrawal releases a claim like newRelease, and leaves a mark where the key has none, so that a
+// handed over claim of the attempt that is still on its way is refused.
+func newWithdrawal(key, attempt string) *operation {
+	o := newRelease(key, attempt, true)
+	release := o.decide
+	mark := entry{KeyDigest: o.digest, Record: Record{AttemptID: attempt, State: StateNotRun}}
+	o.decide = func(current *entry) step {
+		if current == nil {
+			return step{next: &mark}
+		}
+		return release(current)
+	}
+	return o
+}
+
 func newLookup(key string) *operation {
 	return newOperation(key, func(current *entry) step {
 		if current == nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -41,18 +41,20 @@
 	// incarnation tells this process from others that ran on the VM.
 	incarnation string
 
-	store         object.Store
-	lister        *lister
-	peers         *peerNetwork
-	peerTLS       *tlsconfig.Reloader
-	gossip        *peer.Gossip
-	drains        *drains
-	orders        *orders
-	queries       *query.Engine
-	directory     *membership.Directory
-	prober        *prober
-	poller        *membership.Poller
-	claims        *claim.Book
+	store     object.Store
+	lister    *lister
+	peers     *peerNetwork
+	peerTLS   *tlsconfig.Reloader
+	gossip    *peer.Gossip
+	drains    *drains
+	orders    *orders
+	queries   *query.Engine
+	directory *membership.Directory
+	prober    *prober
+	poller    *membership.Poller
+	claims    *claim.Handover
+	// claimBook writes the claims of this VM, and of others that hand theirs over.
+	claimBook     *claim.Book
 	configuration *acceptance.Manager
 	table         *routing.Table
 	controller    *admission.Controller
@@ -110,7 +112,8 @@
 
 func (d *Daemon) buildGateway(sealer *request.Sealer) {
 	d.registry = request.NewRegistry()
-	d.claims = claim.NewBook(claim.Options{Store: d.store, Registry: metrics.DefaultRegistry})
+	d.claimBook = claim.NewBook(claim.Options{Store: d.store, Registry: metrics.DefaultRegistry})
+	d.claims = claim.NewHandover(d.claimBook, claim.HandoverOptions{Self: d.settings.VM.Name, Sender: d.peers})
 	dispatcher := dispatch.New(dispatch.Options{
 		Engines: d.engines, Plain: d.plain, Claims: d.claims, Locator: d,
 		Placer: &placer{controller: d.controller, directory: d.directory, observe: d.observeAttempt},
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -97,6 +97,7 @@
 	}
 	server, err := peer.NewServer(peer.ServerOptions{TLS: config, Handlers: peer.Handlers{
 		Exchange: d.gossip, Acceptance: d.configuration, Query: d.queries, Cancel: &peerCanceler{registry: d.registry},
+		Claims: d.claimBook,
 	}})
 	if err != nil {
 		return err
--- a/internal/daemon/targets.go
+++ b/internal/daemon/targets.go
@@ -81,6 +81,7 @@
 	others := d.otherEntries(now)
 	d.table.SetEntries(len(others) + 1)
 	d.controller.SetEntries(others)
+	d.claims.SetFleet(append(others, d.settings.VM.Name))
 	if current := d.configuration.Current(); current != nil {
 		d.table.SetPriorities(priorities(current))
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -43,6 +43,7 @@
 	laneExchange lane = iota
 	laneAcceptance
 	laneQuestions
+	laneClaims
 )
 
 type linkKey struct {
@@ -103,6 +104,13 @@
 	})
 }
 
+// Claims hands operations on claims over to a peer. After an error their outcome is unknown.
+func (c *Client) Claims(ctx context.Context, vm string, request *peerpb.ClaimsRequest) (*peerpb.ClaimsReply, error) {
+	return call(ctx, c, vm, laneClaims, func(ctx context.Context, peer peerpb.DRPCPeerClient) (*peerpb.ClaimsReply, error) {
+		return peer.Claims(ctx, request)
+	})
+}
+
 // call makes one call within the call timeout.
 func call[Reply any](ctx context.Context, c *Client, vm string, lane lane, invoke func(context.Context, peerpb.DRPCPeerClient) (*Reply, error)) (*Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
--- a/internal/peer/handlers.go
+++ b/internal/peer/handlers.go
@@ -33,12 +33,18 @@
 	Cancel(ctx context.Context, request *peerpb.CancelRequest) (*peerpb.CancelReply, error)
 }
 
+// Claimer carries out operations on claims for other VMs.
+type Claimer interface {
+	Claims(ctx context.Context, request *peerpb.ClaimsRequest) (*peerpb.ClaimsReply, error)
+}
+
 // Handlers serve the calls of peers. A call without a handler is answered with an error.
 type Handlers struct {
 	Exchange   Exchanger
 	Acceptance Acceptor
 	Query      Querier
 	Cancel     Canceler
+	Claims     Claimer
 }
 
 // service adapts Handlers to the generated interface.
@@ -97,3 +103,11 @@
 	}
 	return s.handlers.Cancel.Cancel(ctx, request)
 }
+
+// Claims implements peerpb.DRPCPeerServer.
+func (s *service) Claims(ctx context.Context, request *peerpb.ClaimsRequest) (*peerpb.ClaimsReply, error) {
+	if s.handlers.Claims == nil {
+		return nil, errNoHandler
+	}
+	return s.handlers.Claims.Claims(ctx, request)
+}
