--- a/internal/daemon/targets.go
+++ b/internal/daemon/targets.go
@@ -82,6 +82,7 @@
 	d.table.SetEntries(len(others) + 1)
 	d.controller.SetEntries(namesOf(others))
 	d.controller.SetUnreachable(namesOf(unreachableEntries(others, d.settings.VM.Zone, now)))
+	d.claims.SetFleet(append(namesOf(others), d.settings.VM.Name))
 	if current := d.configuration.Current(); current != nil {
 		d.table.SetPriorities(priorities(current))
 	}
