--- a/internal/claim/book.go
+++ b/internal/claim/book.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -71,30 +72,23 @@
 }
 
 func (o Options) withDefaults() Options {
-	o.Shards = orDefault(o.Shards, DefaultShards)
-	o.Slots = min(orDefault(o.Slots, DefaultSlots), maxSlots)
-	o.SegmentEntries = orDefault(o.SegmentEntries, DefaultSegmentEntries)
-	o.BatchInterval = orDefault(o.BatchInterval, DefaultBatchInterval)
-	o.WritesPerSecond = orDefault(o.WritesPerSecond, DefaultWritesPerSec)
-	o.BatchLimit = orDefault(o.BatchLimit, DefaultBatchLimit)
-	o.QueueLimit = orDefault(o.QueueLimit, DefaultQueueLimit)
-	o.EndDelay = orDefault(o.EndDelay, DefaultEndDelay)
-	o.Timeout = orDefault(o.Timeout, DefaultTimeout)
-	o.Tick = orDefault(o.Tick, DefaultTick)
-	o.RetentionTicks = orDefault(o.RetentionTicks, DefaultRetentionTicks)
+	o.Shards = cmp.Or(o.Shards, DefaultShards)
+	o.Slots = min(cmp.Or(o.Slots, DefaultSlots), maxSlots)
+	o.SegmentEntries = cmp.Or(o.SegmentEntries, DefaultSegmentEntries)
+	o.BatchInterval = cmp.Or(o.BatchInterval, DefaultBatchInterval)
+	o.WritesPerSecond = cmp.Or(o.WritesPerSecond, DefaultWritesPerSec)
+	o.BatchLimit = cmp.Or(o.BatchLimit, DefaultBatchLimit)
+	o.QueueLimit = cmp.Or(o.QueueLimit, DefaultQueueLimit)
+	o.EndDelay = cmp.Or(o.EndDelay, DefaultEndDelay)
+	o.Timeout = cmp.Or(o.Timeout, DefaultTimeout)
+	o.Tick = cmp.Or(o.Tick, DefaultTick)
+	o.RetentionTicks = cmp.Or(o.RetentionTicks, DefaultRetentionTicks)
 	if o.Registry == nil {
 		o.Registry = metrics.NewRegistry()
 	}
 	return o
 }
 
-func orDefault[T int | float64 | time.Duration](value, fallback T) T {
-	if value == 0 {
-		return fallback
-	}
-	return value
-}
-
 // Book claims requests for one VM. It is safe for concurrent use.
 type Book struct {
 	options Options
--- a/internal/claim/handover.go
+++ b/internal/claim/handover.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -42,7 +43,7 @@
 
 // NewHandover returns a Handover that writes directly until SetFleet names a large fleet.
 func NewHandover(book *Book, options HandoverOptions) *Handover {
-	options.DirectFleet = orDefault(options.DirectFleet, DefaultDirectFleet)
+	options.DirectFleet = cmp.Or(options.DirectFleet, DefaultDirectFleet)
 	h := &Handover{book: book, options: options, lanes: make(map[string]*lane)}
 	h.fleet.Store(&fleet{})
 	return h
--- a/internal/claim/writer.go
+++ b/internal/claim/writer.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"godwitcart/internal/object"
+	"godwitcart/internal/pause"
 )
 
 const (
@@ -77,7 +78,7 @@
 			return nil, false
 		}
 	}
-	if !sleep(ctx, time.Until(w.nextWrite)) || w.book.permits.Wait(ctx) != nil {
+	if !pause.For(ctx, time.Until(w.nextWrite)) || w.book.permits.Wait(ctx) != nil {
 		w.fail(urgent, errEnded)
 		return nil, false
 	}
@@ -168,7 +169,7 @@
 			w.fail(pending, errTries)
 			return
 		}
-		if try > 2 && !sleep(ctx, rand.N(min(commitBackoff<<try, commitBackoffLimit))) {
+		if try > 2 && !pause.For(ctx, rand.N(min(commitBackoff<<try, commitBackoffLimit))) {
 			w.fail(pending, errEnded)
 			return
 		}
@@ -350,18 +351,3 @@
 		}
 	}
 }
-
-// sleep waits, and returns false when the context ends first.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"godwitcart/internal/lengths"
 	"godwitcart/internal/membership"
 	"godwitcart/internal/object"
+	"godwitcart/internal/pause"
 	"godwitcart/internal/peer"
 	"godwitcart/internal/query"
 	"godwitcart/internal/request"
@@ -207,7 +208,7 @@
 func (d *Daemon) drain(ctx context.Context) {
 	d.notReady.Store(true)
 	d.tellLeaving(ctx)
-	sleep(ctx, d.settings.Drain.ReadinessDelay)
+	pause.For(ctx, d.settings.Drain.ReadinessDelay)
 	bounded, cancel := context.WithTimeout(ctx, d.settings.Drain.Timeout)
 	defer cancel()
 	if left := d.gateway.Drain(bounded); left > 0 {
@@ -217,15 +218,6 @@
 	d.logger.Info("graceful shutdown is complete")
 }
 
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // Ready reports whether this VM may be led callers, and why not.
 func (d *Daemon) Ready() (ready bool, reason string) {
 	switch {
--- a/internal/daemon/drains.go
+++ b/internal/daemon/drains.go
@@ -11,6 +11,7 @@
 
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/object"
+	"godwitcart/internal/pause"
 )
 
 // drainPrefix is where the platform holds the targets that operators took out of use.
@@ -93,7 +94,7 @@
 			err = d.watch(ctx, listing.Revision)
 		}
 		if err != nil {
-			sleep(ctx, drainRetryInterval)
+			pause.For(ctx, drainRetryInterval)
 		}
 	}
 	return nil
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -15,6 +15,7 @@
 	"godwitcart/internal/lease"
 	"godwitcart/internal/membership"
 	"godwitcart/internal/order"
+	"godwitcart/internal/pause"
 	"godwitcart/internal/policy"
 	"godwitcart/internal/query"
 	"godwitcart/internal/target"
@@ -181,7 +182,7 @@
 		<-kept
 	}()
 	if service, _ := o.declared(vm.Service); !service.ChecksFencing {
-		sleep(ctx, time.Until(held.PredecessorEnd().Add(order.DefaultClockSkew)))
+		pause.For(ctx, time.Until(held.PredecessorEnd().Add(order.DefaultClockSkew)))
 	}
 	if !held.Valid(time.Now()) || ctx.Err() != nil {
 		return apierror.New(apierror.KindUnavailable, "the lease of the service's orders was lost", "repeat the command")
--- a/internal/object/client.go
+++ b/internal/object/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -68,11 +69,11 @@
 	if options.HTTPClient == nil {
 		options.HTTPClient = &http.Client{Transport: newTransport()}
 	}
-	options.Timeout = orDefault(options.Timeout, DefaultTimeout)
-	options.WatchWait = orDefault(options.WatchWait, DefaultWatchWait)
-	options.ReadsPerSecond = orDefault(options.ReadsPerSecond, DefaultReadsPerSecond)
-	options.WritesPerSecond = orDefault(options.WritesPerSecond, DefaultWritesPerSecond)
-	options.RetriesPerSecond = orDefault(options.RetriesPerSecond, DefaultRetriesPerSec)
+	options.Timeout = cmp.Or(options.Timeout, DefaultTimeout)
+	options.WatchWait = cmp.Or(options.WatchWait, DefaultWatchWait)
+	options.ReadsPerSecond = cmp.Or(options.ReadsPerSecond, DefaultReadsPerSecond)
+	options.WritesPerSecond = cmp.Or(options.WritesPerSecond, DefaultWritesPerSecond)
+	options.RetriesPerSecond = cmp.Or(options.RetriesPerSecond, DefaultRetriesPerSec)
 	return &Client{
 		options: options,
 		reads:   newLimiter(options.ReadsPerSecond),
@@ -89,13 +90,6 @@
 	return transport
 }
 
-func orDefault[T int | float64 | time.Duration](value, fallback T) T {
-	if value == 0 {
-		return fallback
-	}
-	return value
-}
-
 // newLimiter allows a burst of one second's calls.
 func newLimiter(perSecond float64) *rate.Limiter {
 	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
--- a/internal/order/reconciler.go
+++ b/internal/order/reconciler.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"time"
@@ -81,26 +82,19 @@
 }
 
 func (o Options) withDefaults() Options {
-	o.Room = orDefault(o.Room, 1)
-	o.ChunkSize = orDefault(o.ChunkSize, 1)
-	o.Interval = orDefault(o.Interval, DefaultInterval)
-	o.ClockSkew = orDefault(o.ClockSkew, DefaultClockSkew)
-	o.DrainSettle = orDefault(o.DrainSettle, DefaultDrainSettle)
-	o.LoadTimeout = orDefault(o.LoadTimeout, DefaultLoadTimeout)
-	o.LoadsPerSecond = orDefault(o.LoadsPerSecond, DefaultLoadsPerSecond)
+	o.Room = cmp.Or(o.Room, 1)
+	o.ChunkSize = cmp.Or(o.ChunkSize, 1)
+	o.Interval = cmp.Or(o.Interval, DefaultInterval)
+	o.ClockSkew = cmp.Or(o.ClockSkew, DefaultClockSkew)
+	o.DrainSettle = cmp.Or(o.DrainSettle, DefaultDrainSettle)
+	o.LoadTimeout = cmp.Or(o.LoadTimeout, DefaultLoadTimeout)
+	o.LoadsPerSecond = cmp.Or(o.LoadsPerSecond, DefaultLoadsPerSecond)
 	if o.Registry == nil {
 		o.Registry = metrics.NewRegistry()
 	}
 	return o
 }
 
-func orDefault[T int | float64 | time.Duration](value, fallback T) T {
-	if value == 0 {
-		return fallback
-	}
-	return value
-}
-
 // pending is an order that was sent and not yet seen in a report.
 type pending struct {
 	order   enginewire.Order
