--- a/cmd/godwitstand/failures.go
+++ b/cmd/godwitstand/failures.go
@@ -60,7 +60,18 @@
 		directory, err := os.MkdirTemp("", "godwitcart-failures-")
 		return directory, errors.Wrap(err, "make a directory for logs")
 	}
-	return c.Out, errors.Wrap(os.MkdirAll(c.Out, 0o755), "make the --out directory")
+	if err := os.MkdirAll(c.Out, 0o755); err != nil {
+		return "", errors.Wrap(err, "make the --out directory")
+	}
+	entries, err := os.ReadDir(c.Out)
+	if err != nil {
+		return "", errors.Wrap(err, "read the --out directory")
+	}
+	if len(entries) > 0 {
+		// The journal of an earlier run would be judged with this one's.
+		return "", errors.Newf("the --out directory %s is not empty; name another", c.Out)
+	}
+	return c.Out, nil
 }
 
 func (c *failuresCommand) run(ctx context.Context, directory string) (failures.Report, error) {
