Let planned stops be run with engines that have room for many streams

Cause: 200 streams under a rolling restart were not reached, because the runner's engines have 1,500 tokens of memory.

--- a/cmd/godwitstand/failures.go
+++ b/cmd/godwitstand/failures.go
@@ -22,6 +22,7 @@
 	Planned  bool    `help:"Leave out all faults but the planned stops: restarts of entry VMs and drains of targets."`
 	Rate     float64 `help:"Requests a second; 0 means the default."`
 	Tokens   float64 `help:"Median of the output length; 0 means the default."`
+	Memory   int     `help:"Token memory of each engine; 0 means the default, which is short on purpose."`
 	Rollouts bool    `default:"true" negatable:"" help:"Let operators roll versions out and back, and check what the engines have loaded at the end."`
 	Baseline bool    `help:"Run the same load without faults first, and report its availability too."`
 	Verbose  bool    `help:"Log each fault."`
@@ -77,7 +78,8 @@
 func (c *failuresCommand) run(ctx context.Context, directory string) (failures.Report, error) {
 	options := failures.Options{
 		Binaries: c.Binaries, Directory: directory, Seed: c.Seed,
-		Duration: time.Duration(c.Seconds * float64(time.Second)), Faults: !c.NoFaults, PlannedOnly: c.Planned, Rate: c.Rate, MedianTokens: c.Tokens, Rollouts: c.Rollouts,
+		Duration: time.Duration(c.Seconds * float64(time.Second)), Faults: !c.NoFaults, PlannedOnly: c.Planned,
+		Rate: c.Rate, MedianTokens: c.Tokens, MemoryTokens: c.Memory, Rollouts: c.Rollouts,
 	}
 	if !c.Baseline {
 		return failures.Run(ctx, options)
--- a/internal/stand/failures/fleet.go
+++ b/internal/stand/failures/fleet.go
@@ -1,6 +1,7 @@
 package failures
 
 import (
+	"cmp"
 	"context"
 	"os"
 	"path/filepath"
@@ -62,6 +63,9 @@
 
 // fleet is everything that runs.
 type fleet struct {
+	// memoryTokens is the token memory of each engine.
+	memoryTokens int
+
 	directory string
 	binaries  string
 	seed      uint64
@@ -87,13 +91,14 @@
 const platformName = "platform"
 
 // newFleet lays out addresses and files; nothing runs yet.
-func newFleet(binaries, directory string, seed uint64) (*fleet, error) {
+func newFleet(options Options) (*fleet, error) {
 	ports, err := newPortPool()
 	if err != nil {
 		return nil, err
 	}
 	f := &fleet{
-		directory: directory, binaries: binaries, seed: seed, ports: ports, spawner: newSpawner(),
+		directory: options.Directory, binaries: options.Binaries, seed: options.Seed, ports: ports, spawner: newSpawner(),
+		memoryTokens:  cmp.Or(options.MemoryTokens, defaultMemoryTokens),
 		platformViews: make(map[string]string), links: make(map[linkKey]*link),
 	}
 	steps := []func() error{f.layOutPlatform, f.layOutMembers, f.layOutLinks, f.writeFiles}
--- a/internal/stand/failures/layout.go
+++ b/internal/stand/failures/layout.go
@@ -13,13 +13,13 @@
 
 // What the fleet runs with.
 const (
-	model        = "ledger-small"
-	modelVersion = "1"
-	vmLag        = 10 * time.Second
-	drainTimeout = 40 * time.Second
-	memoryTokens = 1500
-	longClass    = "sheet"
-	shortClass   = "counter"
+	model               = "ledger-small"
+	modelVersion        = "1"
+	vmLag               = 10 * time.Second
+	drainTimeout        = 40 * time.Second
+	defaultMemoryTokens = 1500
+	longClass           = "sheet"
+	shortClass          = "counter"
 )
 
 // accountNames are the client accounts; the API key of each is its name with accountKeySuffix.
@@ -140,7 +140,7 @@
 	m.args = []string{
 		"engine", "--name", m.name, "--listen", m.vm.Address, "--control", m.control, "--zone", m.vm.Zone,
 		"--weights", "http://" + f.platformListen, "--load", model + "@" + modelVersion, "--text", "attempt", "--checks-fencing",
-		"--memory-tokens", strconv.Itoa(memoryTokens), "--journal", f.file("journal"),
+		"--memory-tokens", strconv.Itoa(f.memoryTokens), "--journal", f.file("journal"),
 	}
 	m.nameArgument = 2
 	m.readyURL = "http://" + m.control + "/faults"
--- a/internal/stand/failures/link_test.go
+++ b/internal/stand/failures/link_test.go
@@ -76,7 +76,7 @@
 
 func TestFaultsFollowTheSeed(t *testing.T) {
 	draw := func(seed uint64) []action {
-		f, err := newFleet("bin", t.TempDir(), seed)
+		f, err := newFleet(Options{Binaries: "bin", Directory: t.TempDir(), Seed: seed})
 		require.NoError(t, err)
 		t.Cleanup(f.stop)
 		return newDrawer(seed, f).faults(time.Minute)
@@ -96,7 +96,7 @@
 }
 
 func TestZoneCutSparesLinksInside(t *testing.T) {
-	f, err := newFleet("bin", t.TempDir(), 1)
+	f, err := newFleet(Options{Binaries: "bin", Directory: t.TempDir(), Seed: 1})
 	require.NoError(t, err)
 	t.Cleanup(f.stop)
 	across := f.linksAcross("zone-a")
--- a/internal/stand/failures/run.go
+++ b/internal/stand/failures/run.go
@@ -49,6 +49,8 @@
 	// the default.
 	Rate         float64
 	MedianTokens float64
+	// MemoryTokens is the memory of each engine; zero means the default, which is short on purpose.
+	MemoryTokens int
 }
 
 // Report is the result of a run.
@@ -76,7 +78,7 @@
 // Run starts the fleet, sends the load, injects the faults, and judges. The error tells that
 // the run itself failed.
 func Run(ctx context.Context, options Options) (Report, error) {
-	f, err := newFleet(options.Binaries, options.Directory, options.Seed)
+	f, err := newFleet(options)
 	if err != nil {
 		return Report{}, err
 	}
