--- a/internal/acceptance/learn.go
+++ b/internal/acceptance/learn.go
@@ -57,9 +57,9 @@
 // found can be served. It can if a peer in force vouches for it, or, with the platform in
 // reach, if every proposal that could have missed this VM has ended.
 func (m *Manager) mayServe(ctx context.Context, begun time.Time) bool {
-	heard := m.askPeers(ctx)
+	answers := m.askPeers(ctx)
 	current, revision, err := readRoot(ctx, m.options.Store)
-	if err == nil && current == nil && heard.silent() && m.options.Seed != nil {
+	if err == nil && current == nil && answers.silent() && m.options.Seed != nil {
 		if m.seed(ctx) {
 			return true
 		}
@@ -67,11 +67,11 @@
 	if current != nil {
 		m.adoptRoot(current, revision)
 	}
-	if heard.undecided > 0 || !m.knowsVersion() {
+	if answers.undecided > 0 || !m.knowsVersion() {
 		return false
 	}
-	missedNone := heard.alone || time.Since(begun) >= proposalLifetime+settleTimeout
-	return heard.vouched > 0 || err == nil && missedNone
+	missedNone := answers.alone || time.Since(begun) >= proposalLifetime+settleTimeout
+	return answers.vouched > 0 || err == nil && missedNone
 }
 
 func (m *Manager) knowsVersion() bool {
@@ -80,8 +80,8 @@
 	return m.state.version() > 0
 }
 
-// heard counts what the peers said about the configuration.
-type heard struct {
+// peerAnswers counts what the peers said about the configuration.
+type peerAnswers struct {
 	// alone means that the platform lists no other VM.
 	alone bool
 	// vouched counts the peers that have a version in force and hold no proposal.
@@ -90,15 +90,15 @@
 	undecided int
 }
 
-func (h heard) silent() bool { return h.vouched == 0 && h.undecided == 0 }
+func (a peerAnswers) silent() bool { return a.vouched == 0 && a.undecided == 0 }
 
 // askPeers asks all peers for their version and adopts the highest that one vouches for.
-func (m *Manager) askPeers(ctx context.Context) heard {
+func (m *Manager) askPeers(ctx context.Context) peerAnswers {
 	peers, err := m.otherVMs(ctx)
 	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
 	defer cancel()
 	var mu sync.Mutex
-	counted := heard{alone: err == nil && len(peers) == 0}
+	counted := peerAnswers{alone: err == nil && len(peers) == 0}
 	var group sync.WaitGroup
 	for _, vm := range peers {
 		group.Go(func() {
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -89,8 +89,8 @@
 	return answer
 }
 
-// told is one report that an asker should get.
-type told struct {
+// report is a copy of what is known of one target, to be sent to a peer.
+type report struct {
 	entry
 	// index is the target's position in the order of its zone.
 	index     int
@@ -100,8 +100,8 @@
 
 // newerReports returns copies of the entries that the asker knows less well. Without the asker's
 // ages it returns what was confirmed a moment ago.
-func (d *Directory) newerReports(order zoneOrder, known []byte, now time.Time) []told {
-	var newer []told
+func (d *Directory) newerReports(order zoneOrder, known []byte, now time.Time) []report {
+	var newer []report
 	for i, name := range order.targets {
 		theirs := time.Duration(0)
 		if known != nil {
@@ -123,22 +123,22 @@
 	return ours+worthTelling <= theirs
 }
 
-func (d *Directory) confirmedCopy(name string) (told, bool) {
+func (d *Directory) confirmedCopy(name string) (report, bool) {
 	s := d.shard(name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.entries[name]
 	if e == nil || e.confirmedAt().IsZero() {
-		return told{}, false
+		return report{}, false
 	}
-	copied := told{entry: *e, confirmed: e.confirmedAt()}
+	copied := report{entry: *e, confirmed: e.confirmedAt()}
 	copied.facts = slices.Clone(e.facts[:1])
 	return copied, true
 }
 
 // leastLoaded returns at most limit reports, taking the services in turn.
-func leastLoaded(reports []told, limit int) []told {
-	slices.SortFunc(reports, func(a, b told) int {
+func leastLoaded(reports []report, limit int) []report {
+	slices.SortFunc(reports, func(a, b report) int {
 		return cmp.Or(cmp.Compare(a.load.Waiting, b.load.Waiting), cmp.Compare(a.load.UsedTokens, b.load.UsedTokens))
 	})
 	rank := make(map[string]int)
@@ -147,9 +147,9 @@
 		ranks[r.vm.Name] = rank[r.vm.Service]
 		rank[r.vm.Service]++
 	}
-	slices.SortStableFunc(reports, func(a, b told) int { return cmp.Compare(ranks[a.vm.Name], ranks[b.vm.Name]) })
+	slices.SortStableFunc(reports, func(a, b report) int { return cmp.Compare(ranks[a.vm.Name], ranks[b.vm.Name]) })
 	reports = reports[:limit]
-	slices.SortFunc(reports, func(a, b told) int { return cmp.Compare(a.index, b.index) })
+	slices.SortFunc(reports, func(a, b report) int { return cmp.Compare(a.index, b.index) })
 	return reports
 }
 
@@ -164,13 +164,13 @@
 }
 
 func (d *Directory) factsWhere(now time.Time, wanted func(*entry) bool) []*peerpb.Fact {
-	var recent []told
+	var recent []report
 	d.each(func(e *entry) {
 		if e.current().state >= StateLeaving && wanted(e) {
-			recent = append(recent, told{entry: entry{vm: e.vm, changedAt: e.changedAt, facts: slices.Clone(e.facts[:1])}})
+			recent = append(recent, report{entry: entry{vm: e.vm, changedAt: e.changedAt, facts: slices.Clone(e.facts[:1])}})
 		}
 	})
-	slices.SortFunc(recent, func(a, b told) int {
+	slices.SortFunc(recent, func(a, b report) int {
 		return cmp.Or(b.changedAt.Compare(a.changedAt), cmp.Compare(a.vm.Name, b.vm.Name))
 	})
 	facts := make([]*peerpb.Fact, 0, min(len(recent), maxFacts))
@@ -211,8 +211,8 @@
 		if state != StateLeaving && state != StateGone {
 			continue
 		}
-		told := fact{incarnation: f.Incarnation, state: state, firstSeen: now, aliveAt: spokeAt(f, asked)}
-		changed = d.mergeFact(f.Name, told, now) || changed
+		received := fact{incarnation: f.Incarnation, state: state, firstSeen: now, aliveAt: spokeAt(f, asked)}
+		changed = d.mergeFact(f.Name, received, now) || changed
 	}
 	if changed {
 		d.notify()
@@ -228,7 +228,7 @@
 	return asked.Add(-time.Duration(f.AgeMillis) * time.Millisecond)
 }
 
-func (d *Directory) mergeFact(name string, told fact, now time.Time) bool {
+func (d *Directory) mergeFact(name string, received fact, now time.Time) bool {
 	s := d.shard(name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -237,6 +237,6 @@
 		return false
 	}
 	before := e.state()
-	e.merge(told)
+	e.merge(received)
 	return e.noteChange(before, now)
 }
--- a/internal/membership/entry.go
+++ b/internal/membership/entry.go
@@ -154,14 +154,14 @@
 }
 
 // merge takes a fact: the maximum of what is known and what is told.
-func (e *entry) merge(told fact) {
-	i := slices.IndexFunc(e.facts, func(f fact) bool { return f.incarnation == told.incarnation })
+func (e *entry) merge(received fact) {
+	i := slices.IndexFunc(e.facts, func(f fact) bool { return f.incarnation == received.incarnation })
 	if i < 0 {
-		e.facts = append(e.facts, told)
+		e.facts = append(e.facts, received)
 	} else {
 		known := &e.facts[i]
-		known.state = max(known.state, told.state)
-		known.aliveAt = later(known.aliveAt, told.aliveAt)
+		known.state = max(known.state, received.state)
+		known.aliveAt = later(known.aliveAt, received.aliveAt)
 	}
 	slices.SortFunc(e.facts, compareFacts)
 	if len(e.facts) > maxIncarnations {
--- a/internal/membership/report.go
+++ b/internal/membership/report.go
@@ -11,7 +11,7 @@
 )
 
 // wholeReport returns the report with everything in it.
-func wholeReport(c told, now time.Time) *peerpb.Load {
+func wholeReport(c report, now time.Time) *peerpb.Load {
 	load := &peerpb.Load{
 		Target: c.vm.Name, Incarnation: c.current().incarnation,
 		AgeMillis: age(c, now).Milliseconds(), LagMillis: lag(c).Milliseconds(),
@@ -33,7 +33,7 @@
 
 // shortReports builds the columns of reports, which are in the order of their zone's names. The asker
 // must share that order for byIndex.
-func shortReports(reports []told, byIndex bool, now time.Time) *peerpb.Reports {
+func shortReports(reports []report, byIndex bool, now time.Time) *peerpb.Reports {
 	columns := &peerpb.Reports{ByIndex: byIndex}
 	previous := 0
 	for _, c := range reports {
@@ -48,7 +48,7 @@
 	return columns
 }
 
-func appendShort(reports *peerpb.Reports, c told, now time.Time) {
+func appendShort(reports *peerpb.Reports, c report, now time.Time) {
 	reports.Identity = append(reports.Identity, c.identity())
 	reports.Age = append(reports.Age, units(age(c, now)))
 	reports.Lag = append(reports.Lag, units(lag(c)))
@@ -68,12 +68,12 @@
 
 // age is the time since the target told the report, rounded up to the unit of the wire, so that a
 // report never grows younger on its way.
-func age(c told, now time.Time) time.Duration {
+func age(c report, now time.Time) time.Duration {
 	return max(now.Sub(c.confirmed), 0).Truncate(ageUnit) + ageUnit
 }
 
 // lag is the time by which the load lagged behind when the target told it.
-func lag(c told) time.Duration {
+func lag(c report) time.Duration {
 	if c.load.AsOfUnixMillis == 0 {
 		return 0
 	}
--- a/internal/stand/failures/fault.go
+++ b/internal/stand/failures/fault.go
@@ -76,9 +76,9 @@
 	}
 }
 
-// isToldCopy reports whether the answer is a copy's that was told at once of the request that
+// isInformedCopy reports whether the answer is a copy's that was told at once of the request that
 // another caller was answered: nothing of it was cut off.
-func isToldCopy(record load.Record, answer load.Answer) bool {
+func isInformedCopy(record load.Record, answer load.Answer) bool {
 	if answer.Outcome != load.OutcomeError || answer.Text != "" {
 		return false
 	}
--- a/internal/stand/failures/oracle.go
+++ b/internal/stand/failures/oracle.go
@@ -76,7 +76,7 @@
 		o.judgeRuns(record)
 		for _, answer := range record.Answers {
 			o.judgeAnswer(record.Request, answer)
-			if !isToldCopy(record, answer) {
+			if !isInformedCopy(record, answer) {
 				o.judgePlannedStops(record.Request, answer)
 			}
 		}
