--- a/internal/admission/lane.go
+++ b/internal/admission/lane.go
@@ -258,7 +258,7 @@
 	r.skipped[w] = struct{}{}
 }
 
-// blocked notes why the waiter waits on. An error that waiting cannot mend ends it.
+// blocked notes why the waiter waits on. An error that waiting does not cure ends it.
 func (l *lane) blocked(w *waiter, r *round, err error) (delivery, bool) {
 	switch apierror.KindOf(err) {
 	case apierror.KindOverloaded:
