Guard the start of a stream's keep-alive timer

Cause: the race detector found, once in some runs of TestWaitingStreamIsKeptAlive, that the timer's function read the field that its maker was still writing. Change: the field is written under the sink's lock.

--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -90,6 +90,8 @@
 	s.before, s.after = meta.chunkFrame()
 	s.encoder = json.NewEncoder(&s.buffer)
 	s.encoder.SetEscapeHTML(false)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.wrote = time.Now()
 	s.keepAlive = time.AfterFunc(keepAliveInterval, s.breakSilence)
 	return s
