Look for an earlier copy while a request waits for room

Its caller had given up after 12.5 s of silence and repeated it; the copy waited 7 s in the queue for room that it did not need, and by then the drained engine, which had the whole answer, was gone. Ruled out: a second run, and the engine's own drain, which finished the generation.

--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -94,10 +94,13 @@
 // attempt places and drives one attempt, or joins that of an earlier copy of the request. Only an
 // attemptError may be followed by another attempt.
 func (g *generation) attempt(ctx context.Context) error {
-	placement, err := g.options.Placer.Place(ctx, g.request, g.excluded, g.attempts > 0)
+	placement, copied, err := g.claimant.place(ctx, g.options.Placer, g.excluded, g.attempts > 0)
 	if err != nil {
 		return g.refuse(ctx, err)
 	}
+	if copied != nil {
+		return g.join(ctx, copied)
+	}
 	binding := Binding{Address: placement.Address(), Attempt: g.options.NewID()}
 	existing, err := g.claimant.take(ctx, binding)
 	if err != nil || existing != nil {
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -102,10 +102,13 @@
 
 // attempt places the call and sends it, and hedges it when no answer comes.
 func (p *plainRun) attempt(ctx context.Context) (*Answer, error) {
-	placement, err := p.options.Placer.Place(ctx, p.request, p.excluded, p.attempts > 0)
+	placement, copied, err := p.claimant.place(ctx, p.options.Placer, p.excluded, p.attempts > 0)
 	if err != nil {
 		return nil, p.refuse(ctx, err)
 	}
+	if copied != nil {
+		return nil, p.tellCopy(ctx, copied)
+	}
 	binding := Binding{Address: placement.Address(), Attempt: p.options.NewID()}
 	if err := p.claim(ctx, binding); err != nil {
 		placement.Release(Outcome{State: request.AttemptNotSent})
--- a/internal/gateway/copies_test.go
+++ b/internal/gateway/copies_test.go
@@ -42,6 +42,20 @@
 	require.Len(t, h.ran(), 1)
 }
 
+// TestCopyNeedsNoRoom: a copy reads an answer that exists, so it does not wait in the queue of an entry VM
+// that has no target with room.
+func TestCopyNeedsNoRoom(t *testing.T) {
+	h := newHarness(t)
+	readEvents(t, h.do(keyed(0, letterBody)).Body, 1000)
+	h.full[1].Store(true)
+	requireWhole(t, joinTokens(t, readEvents(t, h.do(keyed(1, letterBody)).Body, 1000)), 40)
+	require.Len(t, h.ran(), 1)
+	plain := call{path: "/services/counter-api/margin", body: "check", header: map[string]string{"Idempotency-Key": "m-1"}}
+	require.Equal(t, http.StatusOK, h.do(plain).StatusCode)
+	plain.entry = 1
+	requireError(t, h.do(plain), http.StatusConflict, "conflict")
+}
+
 // TestDeadlineOfOneCopyLeavesTheOther gives the first copy a deadline that passes in the middle: the second,
 // which joined its attempt, gets the whole answer.
 func TestDeadlineOfOneCopyLeavesTheOther(t *testing.T) {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -91,6 +92,20 @@
 	return nil, apierror.New(apierror.KindOverloaded, "no target is left", "come back").WithRetryAfter(time.Second)
 }
 
+// gatedPlacer is the placer of one entry VM, for which all targets can be full.
+type gatedPlacer struct {
+	orderedPlacer
+	full *atomic.Bool
+}
+
+func (p gatedPlacer) Place(ctx context.Context, r *request.Request, excluded []string, retry bool) (dispatch.Placement, error) {
+	if p.full.Load() {
+		<-ctx.Done()
+		return nil, apierror.Wrap(context.Cause(ctx), apierror.KindOverloaded, "no target has room", "come back")
+	}
+	return p.orderedPlacer.Place(ctx, r, excluded, retry)
+}
+
 // Locate implements dispatch.Locator.
 func (p orderedPlacer) Locate(name string) (target.Address, bool) {
 	for _, addresses := range p {
@@ -117,6 +132,8 @@
 	entries []*httptest.Server
 	gates   []*gateway.Gateway
 	books   []*claim.Book
+	// full makes all targets full for the entry VM of the index.
+	full []*atomic.Bool
 }
 
 const (
@@ -174,6 +191,8 @@
 
 func (h *harness) addEntry() {
 	timeouts := target.Timeouts{Connect: time.Second, Answer: time.Second, Progress: time.Second, TokenGap: time.Second}
+	full := new(atomic.Bool)
+	h.full = append(h.full, full)
 	book := claim.NewBook(claim.Options{Store: h.store})
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -183,7 +202,8 @@
 		running.Wait()
 	})
 	dispatcher := dispatch.New(dispatch.Options{
-		Engines: target.NewEngineClient(timeouts), Plain: target.NewPlainClient(timeouts), Placer: h.placer,
+		Engines: target.NewEngineClient(timeouts), Plain: target.NewPlainClient(timeouts),
+		Placer: gatedPlacer{orderedPlacer: h.placer, full: full},
 		Claims: book, Locator: h.placer,
 		Budget: dispatch.NewRetryBudget(), VM: "vm", ResumeWindow: 10 * time.Second, NewID: rand.Text,
 	})
