Take two more waits and two dead pieces out

Cause: a last reading of the whole change: the failure runs and the platform's stand-in had waits of their own beside package pause; a timeout that nobody set and a method that nobody called stood in package target. Change: pause.For in their place; the dead pieces go. Behaviour is the same. Measured: the tests of the packages and of the gateway pass.

--- a/internal/stand/failures/inject.go
+++ b/internal/stand/failures/inject.go
@@ -12,6 +12,8 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
+
+	"godwitcart/internal/pause"
 )
 
 // reclaimNotice is how long a reclaimed target has between the notice and its end.
@@ -83,7 +85,7 @@
 		return i.killAndRestart(ctx, m, a.hold)
 	case FreezeEntry, FreezeTarget:
 		m.signal(syscall.SIGSTOP)
-		hold(ctx, a.hold)
+		pause.For(ctx, a.hold)
 		m.signal(syscall.SIGCONT)
 		return nil
 	case ReclaimTarget:
@@ -99,7 +101,7 @@
 	links := i.fleet.linksTo(m.name)
 	m.kill()
 	cutAll(links)
-	hold(ctx, down)
+	pause.For(ctx, down)
 	// The run's end must not leave a program half started.
 	if err := m.start(context.WithoutCancel(ctx)); err != nil {
 		return err
@@ -112,10 +114,10 @@
 	if err := i.announceLeaving(m); err != nil {
 		return err
 	}
-	hold(ctx, reclaimNotice)
+	pause.For(ctx, reclaimNotice)
 	m.kill()
 	cutAll(i.fleet.linksTo(m.name))
-	hold(ctx, down)
+	pause.For(ctx, down)
 	return i.replace(context.WithoutCancel(ctx), m)
 }
 
@@ -139,14 +141,14 @@
 		for _, l := range links {
 			l.stall()
 		}
-		hold(ctx, a.hold)
+		pause.For(ctx, a.hold)
 		for _, l := range links {
 			l.unstall()
 		}
 		return nil
 	}
 	cutAll(links)
-	hold(ctx, a.hold)
+	pause.For(ctx, a.hold)
 	return restoreAll(links)
 }
 
@@ -182,7 +184,7 @@
 	if err := control(address, "/faults", bodies.on); err != nil {
 		return err
 	}
-	hold(ctx, a.hold)
+	pause.For(ctx, a.hold)
 	return control(address, "/faults", bodies.off)
 }
 
@@ -208,12 +210,3 @@
 	}
 	return nil
 }
-
-func hold(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/stand/failures/operators.go
+++ b/internal/stand/failures/operators.go
@@ -12,6 +12,7 @@
 
 	"godwitcart/internal/admin"
 	"godwitcart/internal/apierror"
+	"godwitcart/internal/pause"
 	"godwitcart/internal/policy"
 )
 
@@ -96,7 +97,7 @@
 			m := o.entries[o.random.IntN(len(o.entries))]
 			group.Go(func() { o.rollOut(m, round%(2*rolloutEvery) != 0) })
 		}
-		hold(ctx, changeInterval)
+		pause.For(ctx, changeInterval)
 	}
 	group.Wait()
 }
@@ -118,7 +119,7 @@
 			return
 		}
 		log.Debug("roll-out", "error", err)
-		hold(ctx, rolloutRetry)
+		pause.For(ctx, rolloutRetry)
 	}
 }
 
@@ -153,7 +154,7 @@
 			o.observations = append(o.observations, seen)
 			o.mu.Unlock()
 		}
-		hold(ctx, observeInterval)
+		pause.For(ctx, observeInterval)
 	}
 }
 
--- a/internal/stand/failures/orders.go
+++ b/internal/stand/failures/orders.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"godwitcart/internal/pause"
 	"godwitcart/internal/policy"
 	"godwitcart/internal/wire/enginewire"
 )
@@ -32,7 +33,7 @@
 		if len(stale) == 0 || ctx.Err() != nil {
 			return stale, time.Since(started)
 		}
-		hold(ctx, ordersPoll)
+		pause.For(ctx, ordersPoll)
 	}
 }
 
--- a/internal/stand/failures/run.go
+++ b/internal/stand/failures/run.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
+	"godwitcart/internal/pause"
 	"godwitcart/internal/stand/journal"
 	"godwitcart/internal/stand/load"
 )
@@ -156,14 +157,14 @@
 	}
 	var running sync.WaitGroup
 	for _, a := range i.random.faults(duration) {
-		hold(ctx, time.Until(started.Add(a.after)))
+		pause.For(ctx, time.Until(started.Add(a.after)))
 		if ctx.Err() != nil {
 			break
 		}
 		running.Go(func() { i.do(ctx, a) })
 	}
 	running.Wait()
-	hold(ctx, settle)
+	pause.For(ctx, settle)
 	i.stopUntil(ctx, started.Add(duration))
 }
 
--- a/internal/stand/failures/stops.go
+++ b/internal/stand/failures/stops.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"godwitcart/internal/pause"
 )
 
 // stopTimeout bounds a planned stop; it exceeds the time that the programs give themselves.
@@ -34,7 +36,7 @@
 		targets := i.random.shuffled(i.fleet.targets())
 		if (i.fleet.seed+round)%3 == 0 {
 			i.plan(ctx, DrainTarget, targets[0], i.replaceTarget)
-			hold(ctx, vmLag+drainSpacing)
+			pause.For(ctx, vmLag+drainSpacing)
 			targets = targets[1:]
 		}
 		for n, m := range targets {
@@ -45,11 +47,11 @@
 			i.plan(ctx, DrainTarget, m, func(ctx context.Context, m *member) error {
 				return i.drainTarget(ctx, m, notice)
 			})
-			hold(ctx, drainSpacing)
+			pause.For(ctx, drainSpacing)
 		}
 		replaced := i.fleet.targets()[i.fleet.seed%uint64(engineCount+serviceCount)]
 		i.plan(ctx, DrainTarget, replaced, i.replaceTarget)
-		hold(ctx, vmLag+drainSpacing)
+		pause.For(ctx, vmLag+drainSpacing)
 	}
 }
 
@@ -88,7 +90,7 @@
 	if err := control(m.control, "/leave", ""); err != nil {
 		return err
 	}
-	hold(ctx, notice)
+	pause.For(ctx, notice)
 	if err := i.stopAndRefuse(m); err != nil {
 		return err
 	}
@@ -103,7 +105,7 @@
 	if err := i.announceLeaving(m); err != nil {
 		return err
 	}
-	hold(ctx, longNotice)
+	pause.For(ctx, longNotice)
 	if err := i.stopAndRefuse(m); err != nil {
 		return err
 	}
--- a/internal/stand/platform/faults.go
+++ b/internal/stand/platform/faults.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"godwitcart/internal/pause"
 )
 
 // Faults are the failures that the control listener switches on. The zero value is none.
@@ -68,7 +70,7 @@
 // pass waits out delay and freeze. It returns false when the caller is gone.
 func (f *faultSwitch) pass(r *http.Request) bool {
 	faults, lifted := f.get()
-	if faults.DelayMillis > 0 && !sleep(r, time.Duration(faults.DelayMillis)*time.Millisecond) {
+	if faults.DelayMillis > 0 && !pause.For(r.Context(), time.Duration(faults.DelayMillis)*time.Millisecond) {
 		return false
 	}
 	for faults.Freeze {
@@ -81,14 +83,3 @@
 	}
 	return true
 }
-
-func sleep(r *http.Request, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-r.Context().Done():
-		return false
-	}
-}
--- a/internal/target/engine.go
+++ b/internal/target/engine.go
@@ -28,9 +28,6 @@
 	Progress time.Duration
 	// TokenGap bounds the time between two tokens of a stream that is running.
 	TokenGap time.Duration
-	// PlainAnswer bounds the wait for the headers of a plain service's answer; zero leaves it to the
-	// request's deadline.
-	PlainAnswer time.Duration
 }
 
 // Address names a target and says where it listens.
--- a/internal/target/errors.go
+++ b/internal/target/errors.go
@@ -8,7 +8,6 @@
 import (
 	"fmt"
 	"net"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -27,11 +26,6 @@
 	return fmt.Sprintf("target %s refused (%s): %s; try another target", e.Target, e.Refusal.Kind, e.Refusal.Message)
 }
 
-// RetryAfter returns how long the target asks to be left alone; zero when it did not say.
-func (e *RefusedError) RetryAfter() time.Duration {
-	return time.Duration(e.Refusal.RetryAfterSeconds * float64(time.Second))
-}
-
 // NotSentError says that the connection could not be made, so that the target did not run the call.
 type NotSentError struct {
 	Target string
--- a/internal/target/plain.go
+++ b/internal/target/plain.go
@@ -35,11 +35,14 @@
 	fresh *http.Transport
 }
 
+// noAnswerTimeout leaves the wait for a plain service's answer to the request's deadline.
+const noAnswerTimeout = 0
+
 // NewPlainClient returns a client with the given timeouts.
 func NewPlainClient(timeouts Timeouts) *PlainClient {
-	fresh := newTransport(timeouts.Connect, timeouts.PlainAnswer)
+	fresh := newTransport(timeouts.Connect, noAnswerTimeout)
 	fresh.DisableKeepAlives = true
-	return &PlainClient{pooled: newTransport(timeouts.Connect, timeouts.PlainAnswer), fresh: fresh}
+	return &PlainClient{pooled: newTransport(timeouts.Connect, noAnswerTimeout), fresh: fresh}
 }
 
 // Call makes the call. The caller closes the answer's body. The answer is the target's own,
