Let the setting timeouts.request take effect

Cause: a last reading of the whole change found a documented setting that nothing read: the gateway used a constant of its own, equal to the setting's default. Change: the gateway takes the deadline of requests that state none from the settings. With the default nothing changes. Measured: TestDeadlineOfTheSettingsBoundsARequestThatStatesNone hangs without the change (timeout of 15 s) and passes with it.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -126,7 +126,7 @@
 	})
 	d.gateway = gateway.New(gateway.Options{
 		Policy: d.configuration, Dispatcher: dispatcher, Registry: d.registry, Sealer: sealer,
-		MaxBodyBytes: d.settings.Callers.MaxBodyBytes,
+		MaxBodyBytes: d.settings.Callers.MaxBodyBytes, Deadline: d.settings.Timeouts.Request,
 	})
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -165,6 +165,16 @@
 	requireWhole(t, joinTokens(t, readEvents(t, response.Body, 1000)), 5)
 }
 
+// TestDeadlineOfTheSettingsBoundsARequestThatStatesNone asks for an answer that never comes.
+func TestDeadlineOfTheSettingsBoundsARequestThatStatesNone(t *testing.T) {
+	h := newHarness(t)
+	h.deadline = 500 * time.Millisecond
+	h.addEntry()
+	h.service.SetFaults(service.Faults{Stall: true})
+	response := h.do(call{entry: testEntries, path: "/services/counter-api/order", body: "1"})
+	requireError(t, response, http.StatusGatewayTimeout, "deadline_exceeded")
+}
+
 // TestBadInput lists the answers to bad input; none of it reaches a target. The callers' guide
 // shows the same table.
 func TestBadInput(t *testing.T) {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"net/http"
@@ -62,6 +63,8 @@
 	Sealer     *request.Sealer
 	// MaxBodyBytes bounds the body of a generation request.
 	MaxBodyBytes int64
+	// Deadline bounds a request when neither the caller nor its class does; zero means ten minutes.
+	Deadline time.Duration
 }
 
 // Gateway serves callers. It is safe for concurrent use.
@@ -73,6 +76,7 @@
 
 // New returns a gateway.
 func New(options Options) *Gateway {
+	options.Deadline = cmp.Or(options.Deadline, defaultDeadline)
 	g := &Gateway{options: options, mux: http.NewServeMux()}
 	g.drain.handOver = make(chan struct{})
 	g.mux.HandleFunc("POST /v1/completions", g.serve(g.completions))
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -132,6 +132,8 @@
 	entries []*httptest.Server
 	gates   []*gateway.Gateway
 	books   []*claim.Book
+	// deadline is the gateways' option of the name.
+	deadline time.Duration
 	// full makes all targets full for the entry VM of the index.
 	full []*atomic.Bool
 }
@@ -209,6 +211,7 @@
 	})
 	gate := gateway.New(gateway.Options{
 		Policy: h.policy, Dispatcher: dispatcher, Registry: request.NewRegistry(), Sealer: h.sealer, MaxBodyBytes: 1 << 16,
+		Deadline: h.deadline,
 	})
 	server := httptest.NewServer(gate)
 	h.t.Cleanup(server.Close)
--- a/internal/gateway/parse.go
+++ b/internal/gateway/parse.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -19,7 +20,7 @@
 
 // The bounds of callers' input.
 const (
-	// defaultDeadline bounds a request when neither the caller nor its class does.
+	// defaultDeadline bounds a request when neither the caller, its class nor the settings do.
 	defaultDeadline = 10 * time.Minute
 	maxDeadline     = time.Hour
 	maxTokensLimit  = 1 << 20
@@ -81,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r, err := x.commonRequest(decision, decision.Service.NonIdempotent)
+	r, err := g.commonRequest(x, decision, decision.Service.NonIdempotent)
 	if err != nil {
 		return nil, err
 	}
@@ -132,13 +133,9 @@
 }
 
 // commonRequest reads the headers that all requests share.
-func (x *exchange) commonRequest(decision policy.Decision, nonIdempotent bool) (*request.Request, error) {
+func (g *Gateway) commonRequest(x *exchange, decision policy.Decision, nonIdempotent bool) (*request.Request, error) {
 	now := time.Now()
-	limit := decision.Class.Deadline
-	if limit <= 0 {
-		limit = defaultDeadline
-	}
-	limit, err := headerDeadline(x.r.Header, limit)
+	limit, err := headerDeadline(x.r.Header, cmp.Or(decision.Class.Deadline, g.options.Deadline))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -29,7 +29,7 @@
 	if service.Kind != policy.KindPlain {
 		return badRequest("service "+service.Name+" runs models", "use /v1/completions or /v1/chat/completions")
 	}
-	r, err := x.commonRequest(decision, service.NonIdempotent || !idempotentMethod(x.r.Method))
+	r, err := g.commonRequest(x, decision, service.NonIdempotent || !idempotentMethod(x.r.Method))
 	if err != nil {
 		return err
 	}
