--- a/cmd/godwitcartd/main.go
+++ b/cmd/godwitcartd/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -19,7 +20,8 @@
 
 // arguments are the command line; each overrides what the settings file says.
 type arguments struct {
-	Settings      string `help:"Settings file." required:"" type:"existingfile" env:"GODWITCART_SETTINGS"`
+	Settings      string `help:"Settings file." required:"" type:"existingfile" env:"GODWITCART_SETTINGS,GODWITCART_NODE_FILE"`
+	Deployment    bool   `help:"Forward requests in a deployment whose platform keeps the configuration."`
 	CheckSettings bool   `help:"Check the settings file and exit."`
 	LogLevel      string `help:"Log level: debug, info, warn or error." env:"GODWITCART_LOG_LEVEL"`
 	LogFormat     string `help:"Log format: text or json." env:"GODWITCART_LOG_FORMAT"`
@@ -40,6 +42,13 @@
 func main() {
 	var args arguments
 	kong.Parse(&args, kong.Name("godwitcartd"), kong.Description("Serves callers on one entry VM."))
+	if args.Deployment {
+		if err := runDeployment(&args); err != nil {
+			fmt.Fprintln(os.Stderr, "godwitcartd:", err)
+			os.Exit(exitUsage)
+		}
+		return
+	}
 	loaded, err := load(&args)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "godwitcartd:", err)
@@ -52,7 +61,7 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
-	logger := newLogger(loaded.Log)
+	logger := newLogger(os.Stderr, loaded.Log)
 	if err := run(loaded, logger); err != nil {
 		logger.Error("stopped", "error", err)
 		os.Exit(1)
@@ -83,8 +92,8 @@
 	}
 }
 
-func newLogger(options settings.Log) *log.Logger {
-	logger := log.NewWithOptions(os.Stderr, log.Options{ReportTimestamp: true, TimeFormat: "2006-01-02T15:04:05.000Z07:00"})
+func newLogger(out io.Writer, options settings.Log) *log.Logger {
+	logger := log.NewWithOptions(out, log.Options{ReportTimestamp: true, TimeFormat: "2006-01-02T15:04:05.000Z07:00"})
 	if options.Format == "json" {
 		logger.SetFormatter(log.JSONFormatter)
 	}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -96,7 +96,7 @@
 		options: options,
 		mux:     http.NewServeMux(),
 		tokens:  tokenEntries(options.Tokens),
-		metrics: newMetricsHandler(options.Metrics),
+		metrics: NewMetricsHandler(options.Metrics),
 	}
 	h.mux.HandleFunc("GET "+PathHealth, h.serveHealth)
 	h.mux.HandleFunc("GET "+PathReady, h.serveReadiness)
--- a/internal/admin/metrics.go
+++ b/internal/admin/metrics.go
@@ -71,8 +71,8 @@
 	return prometheus.NewConstSummary(prometheus.NewDesc(name, name, nil, nil), uint64(count), sum, values)
 }
 
-// newMetricsHandler serves the registry and the Go runtime's own metrics.
-func newMetricsHandler(registry metrics.Registry) http.Handler {
+// NewMetricsHandler serves the registry and the Go runtime's own metrics.
+func NewMetricsHandler(registry metrics.Registry) http.Handler {
 	gatherer := prometheus.NewRegistry()
 	gatherer.MustRegister(collector{registry: registry}, collectors.NewGoCollector())
 	return promhttp.HandlerFor(gatherer, promhttp.HandlerOpts{ErrorHandling: promhttp.ContinueOnError})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"godwitcart/internal/peer"
 	"godwitcart/internal/query"
 	"godwitcart/internal/request"
+	"godwitcart/internal/retrybudget"
 	"godwitcart/internal/routing"
 	"godwitcart/internal/settings"
 	"godwitcart/internal/target"
@@ -122,7 +123,7 @@
 	dispatcher := dispatch.New(dispatch.Options{
 		Engines: d.engines, Plain: d.plain, Claims: d.claims, Locator: d,
 		Placer: &placer{controller: d.controller, directory: d.directory, observe: d.observeAttempt},
-		Budget: dispatch.NewRetryBudget(), VM: d.settings.VM.Name, ResumeWindow: resumeWindow, NewID: rand.Text,
+		Budget: retrybudget.New(retrybudget.DefaultRatio, retrybudget.DefaultSlack), VM: d.settings.VM.Name, ResumeWindow: resumeWindow, NewID: rand.Text,
 	})
 	d.gateway = gateway.New(gateway.Options{
 		Policy: d.configuration, Dispatcher: dispatcher, Registry: d.registry, Sealer: sealer,
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"godwitcart/internal/request"
+	"godwitcart/internal/retrybudget"
 	"godwitcart/internal/target"
 	"godwitcart/internal/wire/enginewire"
 )
@@ -82,7 +83,7 @@
 	Placer  Placer
 	Claims  Claims
 	Locator Locator
-	Budget  *RetryBudget
+	Budget  *retrybudget.Budget
 	// VM is the name of this VM, entered in claims.
 	VM string
 	// ResumeWindow bounds the time for which an attempt that broke off is asked for.
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,270 @@
+// Package entry wires one godwitcartd of a deployment: it forwards callers' requests by the configuration and
+// the list of targets that the platform holds.
+package entry
+
+import (
+	"context"
+	"hash/fnv"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"godwitcart/internal/admin"
+	"godwitcart/internal/forward"
+	"godwitcart/internal/inforce"
+	"godwitcart/internal/lengths"
+	"godwitcart/internal/loadshare"
+	"godwitcart/internal/pause"
+	"godwitcart/internal/placement"
+	"godwitcart/internal/retrybudget"
+	"godwitcart/internal/roster"
+	"godwitcart/internal/settings"
+	"godwitcart/internal/upstream"
+	"godwitcart/platform"
+)
+
+const (
+	// memoryShare is the part of the granted memory that the heap may fill before it is collected harder.
+	memoryShare = 0.6
+	// unknownFleet is the number of entry VMs assumed until peers have been heard of: the retry slack is
+	// shared by all of them.
+	unknownFleet = 32
+	// slackShare is the part of the shared retry slack that is used; the rest covers VMs not yet heard of.
+	slackShare = 0.7
+	// headerTimeout and idleTimeout are above what configurations grant callers, so that no caller within
+	// its limits is cut off.
+	headerTimeout = 15 * time.Second
+	idleTimeout   = 2 * time.Minute
+	maxHeader     = 64 << 10
+	// leaveAfter is the least time between SIGTERM and the end: the balancer asks for readiness now and then.
+	leaveAfter = 2500 * time.Millisecond
+	// graceMargin is kept before the platform's SIGKILL, for answers on their way.
+	graceMargin = 400 * time.Millisecond
+	// idleCheck is the time between two looks at what is still in progress during a shutdown.
+	idleCheck = 100 * time.Millisecond
+)
+
+// Entry is one godwitcartd of a deployment.
+type Entry struct {
+	settings  atomic.Pointer[settings.Deployment]
+	logger    *log.Logger
+	keeper    *inforce.Keeper
+	follower  *roster.Follower
+	table     *placement.Table
+	forwarder *forward.Forwarder
+	budget    *retrybudget.Budget
+	store     *platform.Store
+	client    *upstream.Client
+
+	active   atomic.Int64
+	draining atomic.Bool
+	shutdown chan struct{}
+}
+
+// New builds an Entry; it opens no listener and calls nobody.
+func New(s *settings.Deployment, logger *log.Logger) *Entry {
+	e := &Entry{logger: logger, shutdown: make(chan struct{}), client: upstream.NewClient()}
+	e.settings.Store(s)
+	e.store = platform.NewStore(s.Platform.Address, platform.EagerWatch)
+	e.table = placement.NewTable(placement.Options{VM: s.VM.Name, Seed: seedOf(s.VM.Name)})
+	e.budget = retrybudget.New(s.Bounds.RetryRatio*slackShare, s.Bounds.RetrySlack*slackShare/unknownFleet)
+	e.keeper = inforce.NewKeeper(inforce.Options{
+		Reader: e.store, Logger: logger, InForceWithin: s.Bounds.Configuration(), RevokedWithin: s.Bounds.Revocation(),
+	})
+	e.forwarder = forward.New(forward.Options{
+		Codec: platform.Codec{}, Mover: platform.NewMover(e.client), Keeper: e.keeper, Table: e.table, Client: e.client,
+		Budget: e.budget, Lengths: lengths.NewBook(0), Logger: logger, Zone: s.VM.Zone, Draining: e.draining.Load,
+		FreshWithin: s.Bounds.Configuration(),
+	})
+	e.follower = roster.NewFollower(roster.Options{
+		Store: e.store, Prefix: platform.TargetsPrefix, Decode: platform.DecodeTarget, Listener: e, Logger: logger,
+	})
+	return e
+}
+
+func seedOf(name string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(name)) // never fails
+	return hash.Sum64()
+}
+
+// Listed implements roster.Listener.
+func (e *Entry) Listed(targets map[string]roster.Target) { e.table.Listed(targets, time.Now()) }
+
+// Left implements roster.Listener.
+func (e *Entry) Left(target roster.Target) {
+	e.table.MarkLeaving(target)
+	e.client.Forget(target.Address)
+	e.forwarder.Evacuate(target)
+}
+
+// Shutdown starts a graceful shutdown; Run returns when it is complete. It is called once.
+func (e *Entry) Shutdown() {
+	e.draining.Store(true)
+	close(e.shutdown)
+}
+
+// Active returns the number of callers' requests in progress.
+func (e *Entry) Active() int64 { return e.active.Load() }
+
+// Reload takes settings that have changed. Addresses stay as they were at the start.
+func (e *Entry) Reload(s *settings.Deployment) {
+	e.settings.Store(s)
+	e.applyLimits()
+	e.logger.Info("settings reloaded", "memory_mb", s.Limits.MemoryMB, "retry_slack", s.Bounds.RetrySlack)
+}
+
+func (e *Entry) applyLimits() {
+	if limit := e.settings.Load().Limits.MemoryMB; limit > 0 {
+		debug.SetMemoryLimit(int64(float64(limit) * memoryShare * (1 << 20)))
+	}
+}
+
+// Run serves until a graceful shutdown is complete or stop ends.
+func (e *Entry) Run(stop context.Context) error {
+	ctx, cancel := context.WithCancel(stop)
+	defer cancel()
+	e.applyLimits()
+	s := e.settings.Load()
+	group, ctx := errgroup.WithContext(ctx)
+	callers, err := e.serve(ctx, group, s.Callers.Listen, http.HandlerFunc(e.serveCaller))
+	if err != nil {
+		return err
+	}
+	if _, err := e.serve(ctx, group, s.Readiness.Listen, http.HandlerFunc(e.serveReady)); err != nil {
+		return err
+	}
+	if _, err := e.serve(ctx, group, s.Metrics.Listen, admin.NewMetricsHandler(metrics.DefaultRegistry)); err != nil {
+		return err
+	}
+	if err := e.shareLoads(ctx, group); err != nil {
+		return err
+	}
+	group.Go(func() error { return e.keeper.Run(ctx) })
+	group.Go(func() error { return e.follower.Run(ctx) })
+	group.Go(func() error {
+		defer cancel()
+		select {
+		case <-e.shutdown:
+			e.drain(ctx, callers)
+		case <-ctx.Done():
+		}
+		return nil
+	})
+	err = group.Wait()
+	if e.draining.Load() || stop.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// serve opens a listener that is closed when ctx ends.
+func (e *Entry) serve(ctx context.Context, group *errgroup.Group, address string, handler http.Handler) (*http.Server, error) {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		ErrorLog: e.logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+	}
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	context.AfterFunc(ctx, func() { server.Close() })
+	return server, nil
+}
+
+func (e *Entry) serveCaller(w http.ResponseWriter, r *http.Request) {
+	e.active.Add(1)
+	defer e.active.Add(-1)
+	e.forwarder.ServeHTTP(w, r)
+}
+
+// Ready reports whether this VM takes callers, and why not.
+func (e *Entry) Ready() (ready bool, reason string) {
+	switch {
+	case e.draining.Load():
+		return false, "shutting down"
+	case e.keeper.Current() == nil:
+		return false, "no configuration is known yet"
+	case !e.follower.Known():
+		return false, "the list of targets has not been read yet"
+	default:
+		return true, "ready"
+	}
+}
+
+func (e *Entry) serveReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != platform.PathReady {
+		http.NotFound(w, r)
+		return
+	}
+	ready, reason := e.Ready()
+	if !ready {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte(reason)) // the platform reads the status alone
+}
+
+// shareLoads exchanges loads with the other entry VMs.
+func (e *Entry) shareLoads(ctx context.Context, group *errgroup.Group) error {
+	s := e.settings.Load()
+	if s.Peers.Port == 0 {
+		return nil
+	}
+	own, err := netip.ParseAddr(s.VM.Address)
+	if err != nil {
+		return errors.Wrap(err, "vm.address")
+	}
+	address := netip.AddrPortFrom(own, uint16(s.Peers.Port))
+	conn, err := (&net.ListenConfig{}).ListenPacket(ctx, "udp4", address.String())
+	if err != nil {
+		return errors.Wrap(err, "listen for load digests")
+	}
+	share := loadshare.New(loadshare.Options{VM: s.VM.Name, Table: e.table, Conn: conn, Logger: e.logger, FleetChanged: e.fleetChanged})
+	directory := &loadshare.Directory{
+		Store: e.store.WithWatchWait(platform.PatientWatch), Name: s.VM.Name, Address: address, Logger: e.logger, Changed: share.SetPeers,
+	}
+	group.Go(func() error { return directory.Run(ctx) })
+	group.Go(func() error { return share.Run(ctx) })
+	return nil
+}
+
+// fleetChanged shares the retry slack by the live entry VMs.
+func (e *Entry) fleetChanged(vms int) {
+	slack := e.settings.Load().Bounds.RetrySlack * slackShare / float64(vms)
+	e.budget.SetSlack(slack)
+	e.logger.Info("number of entry VMs changed", "live", vms, "retry_slack", slack)
+}
+
+// drain waits for the requests in progress, and for the balancer to lead no more callers here.
+func (e *Entry) drain(ctx context.Context, callers *http.Server) {
+	startedAt := time.Now()
+	grace := e.settings.Load().Bounds.Grace() - graceMargin
+	for time.Since(startedAt) < grace {
+		if e.active.Load() == 0 && time.Since(startedAt) > leaveAfter {
+			break
+		}
+		if !pause.For(ctx, idleCheck) {
+			return
+		}
+	}
+	left := e.active.Load()
+	if left > 0 {
+		e.logger.Warn("grace is over: requests are cut off", "cut_off", left)
+	}
+	callers.Close()
+}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -27,6 +27,7 @@
 	"godwitcart/internal/object/objecttest"
 	"godwitcart/internal/policy"
 	"godwitcart/internal/request"
+	"godwitcart/internal/retrybudget"
 	"godwitcart/internal/stand/engine"
 	"godwitcart/internal/stand/service"
 	"godwitcart/internal/target"
@@ -207,7 +208,7 @@
 		Engines: target.NewEngineClient(timeouts), Plain: target.NewPlainClient(timeouts),
 		Placer: gatedPlacer{orderedPlacer: h.placer, full: full},
 		Claims: book, Locator: h.placer,
-		Budget: dispatch.NewRetryBudget(), VM: "vm", ResumeWindow: 10 * time.Second, NewID: rand.Text,
+		Budget: retrybudget.New(retrybudget.DefaultRatio, retrybudget.DefaultSlack), VM: "vm", ResumeWindow: 10 * time.Second, NewID: rand.Text,
 	})
 	gate := gateway.New(gateway.Options{
 		Policy: h.policy, Dispatcher: dispatcher, Registry: request.NewRegistry(), Sealer: h.sealer, MaxBodyBytes: 1 << 16,
--- /dev/null
+++ b/internal/placement/pick.go
@@ -0,0 +1,175 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"godwitcart/internal/apierror"
+	"godwitcart/internal/roster"
+)
+
+// The weights of a score. A score is the time in milliseconds after which the first event is expected, with
+// surcharges for what the choice may cost later.
+const (
+	// assumedPrefillRate is used until prompts have been timed, in tokens a millisecond: half of the rate
+	// that engines reach without other work.
+	assumedPrefillRate = 7.0
+	// rateWeight is the weight of one timed prompt in the observed rate.
+	rateWeight = 0.05
+	// minPrefillRate keeps one very late event from stopping all work.
+	minPrefillRate = 1.0
+	// otherZoneCost covers the way there and back, and the price of traffic between zones.
+	otherZoneCost = 8.0
+	// runningCost is what one more running generation adds to the steps of the others.
+	runningCost = 6.0
+	// fullMemoryCost is added as the expected memory goes from highMemory to all of it: an engine that runs
+	// out preempts generations, which costs a second and more.
+	fullMemoryCost = 3000.0
+	highMemory     = 0.7
+	// copyMemory is the share of an engine's memory up to which it takes copies.
+	copyMemory = 0.8
+	// plainRequestCost is what a request in progress adds at a plain target, in its slots.
+	plainRequestCost = 100.0
+	// failureCost is added to a target that fails all requests.
+	failureCost = 2000.0
+	// slowStartCost is added while a target warms up.
+	slowStartCost = 150.0
+	// jitter keeps VMs that see the same loads from choosing the same target.
+	jitter = 4.0
+)
+
+// Lease is the reservation of one request, or of one copy, at a target. Done must be called once.
+type Lease struct {
+	Target roster.Target
+	// Expected is the time after which the first event is expected.
+	Expected time.Duration
+	// Candidates is the number of targets that could be chosen.
+	Candidates int
+
+	table   *Table
+	target  *target
+	load    Load
+	sentAt  time.Time
+	backlog float64
+	started bool
+	done    bool
+}
+
+// Pick chooses a target and reserves it. The error is an *apierror.Error.
+func (t *Table) Pick(q Query, now time.Time) (*Lease, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.services[q.Service]
+	if s == nil {
+		return nil, apierror.Newf(apierror.KindNotRun, "come back after the time given", "no target of service %q is known", q.Service)
+	}
+	var best *target
+	lowest := math.Inf(1)
+	candidates := 0
+	for _, known := range s.targets {
+		if q.excludes(known.ID) || !known.usable(now) || q.Copy && !known.takesCopy(&q) {
+			continue
+		}
+		candidates++
+		score := s.score(known, &q, now) + t.random.Float64()*jitter
+		if score < lowest {
+			best, lowest = known, score
+		}
+	}
+	if best == nil {
+		return nil, apierror.Newf(apierror.KindNotRun, "come back after the time given",
+			"none of the %d targets of service %q may take the request", len(s.targets), q.Service)
+	}
+	return t.reserve(best, &q, now, candidates), nil
+}
+
+// PickTarget reserves the named target, where a generation goes on whose memory is there; false means that
+// it may take no work.
+func (t *Table) PickTarget(wanted roster.Target, q Query, now time.Time) (*Lease, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.targets[wanted.ID]
+	if known == nil || !known.SameIncarnation(wanted) || !known.usable(now) {
+		return nil, false
+	}
+	return t.reserve(known, &q, now, 1), true
+}
+
+// Hold reserves a target that may be leaving, for a generation that has nowhere else to go.
+func (t *Table) Hold(wanted roster.Target, q Query, now time.Time) *Lease {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.targets[wanted.ID]
+	if known == nil || !known.SameIncarnation(wanted) {
+		known = &target{Target: wanted, left: true, service: &service{prefillRate: assumedPrefillRate}}
+	}
+	return t.reserve(known, &q, now, 1)
+}
+
+func (t *Table) reserve(chosen *target, q *Query, now time.Time, candidates int) *Lease {
+	lease := &Lease{Target: chosen.Target, Candidates: candidates, table: t, target: chosen, load: q.load(), sentAt: now}
+	lease.backlog = float64(chosen.own.PrefillTokens + chosen.peers.PrefillTokens + q.PromptTokens)
+	lease.Expected = time.Duration(lease.backlog / chosen.service.prefillRate * float64(time.Millisecond))
+	chosen.own.add(lease.load)
+	return lease
+}
+
+// score estimates what the choice of the target costs the request and others, in milliseconds.
+func (s *service) score(known *target, q *Query, now time.Time) float64 {
+	load := known.own
+	load.add(known.peers)
+	score := failureCost * known.health.failureShare()
+	if known.Zone != q.Zone {
+		score += otherZoneCost
+	}
+	if now.Before(known.slowUntil) {
+		score += slowStartCost
+	}
+	if q.MemoryTokens == 0 {
+		return score + plainRequestCost*float64(load.Requests)/float64(max(known.Slots, 1))
+	}
+	score += float64(load.PrefillTokens+q.PromptTokens) / s.prefillRate
+	score += runningCost * float64(load.Requests)
+	used := float64(load.MemoryTokens+q.PromptTokens+q.OutputTokens) / float64(q.MemoryTokens)
+	if used > highMemory {
+		score += fullMemoryCost * (used - highMemory) / (1 - highMemory)
+	}
+	if load.Requests >= known.Slots {
+		score += fullMemoryCost
+	}
+	return score
+}
+
+// takesCopy reports whether the engine has memory to spare for a copy.
+func (t *target) takesCopy(q *Query) bool {
+	used := t.own.MemoryTokens + t.peers.MemoryTokens + q.PromptTokens + q.OutputTokens
+	return float64(used) <= copyMemory*float64(q.MemoryTokens)
+}
+
+// FirstEvent records that the first event, or the answer, has come.
+func (l *Lease) FirstEvent(now time.Time) {
+	l.table.mu.Lock()
+	defer l.table.mu.Unlock()
+	if l.started || l.done {
+		return
+	}
+	l.started = true
+	l.target.own.PrefillTokens -= l.load.PrefillTokens
+	l.load.PrefillTokens = 0
+	if waited := now.Sub(l.sentAt).Seconds() * 1000; waited > 0 && l.backlog > 0 {
+		s := l.target.service
+		s.prefillRate += rateWeight * (max(l.backlog/waited, minPrefillRate) - s.prefillRate)
+	}
+}
+
+// Done gives the reservation back.
+func (l *Lease) Done(outcome Outcome, now time.Time) {
+	l.table.mu.Lock()
+	defer l.table.mu.Unlock()
+	if l.done {
+		return
+	}
+	l.done = true
+	l.target.own.subtract(l.load)
+	l.target.health.record(outcome, now)
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,256 @@
+// Package placement chooses the target of each request and of each copy of a running generation.
+//
+// A Table knows the targets of the platform's list, what this VM has sent to each and what peers say that
+// they have sent, and how each target has answered of late. Pick filters the targets of a service, scores
+// the rest on a snapshot and reserves the best, so that the next decision counts what no report shows yet.
+// Time is passed in.
+package placement
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"godwitcart/internal/roster"
+)
+
+// Load is what one entry VM has sent to one target.
+type Load struct {
+	// Requests counts the requests in progress.
+	Requests int
+	// PrefillTokens counts prompt tokens of requests whose first event has not come.
+	PrefillTokens int
+	// MemoryTokens is the memory that the requests are expected to need at their end, copies included.
+	MemoryTokens int
+}
+
+func (l *Load) add(other Load) {
+	l.Requests += other.Requests
+	l.PrefillTokens += other.PrefillTokens
+	l.MemoryTokens += other.MemoryTokens
+}
+
+func (l *Load) subtract(other Load) {
+	l.Requests -= other.Requests
+	l.PrefillTokens -= other.PrefillTokens
+	l.MemoryTokens -= other.MemoryTokens
+}
+
+// Query describes a request that needs a target.
+type Query struct {
+	Service string
+	// Zone is preferred, since a request that stays in it costs less and survives a cut between zones.
+	Zone string
+	// MemoryTokens is the memory of an engine of the service; zero stands for a plain service.
+	MemoryTokens int
+	// PromptTokens is the length of the prompt, and OutputTokens the expected length of the output.
+	PromptTokens int
+	OutputTokens int
+	// Excluded names targets that must not be chosen.
+	Excluded []string
+	// Copy asks for room for a copy of a generation in place of work; it is refused where memory is short.
+	Copy bool
+}
+
+func (q *Query) load() Load {
+	load := Load{MemoryTokens: q.PromptTokens + q.OutputTokens}
+	if !q.Copy {
+		load.Requests = 1
+		load.PrefillTokens = q.PromptTokens
+	}
+	return load
+}
+
+func (q *Query) excludes(id string) bool {
+	for _, excluded := range q.Excluded {
+		if excluded == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Outcome says how a request ended at its target.
+type Outcome int
+
+// The outcomes.
+const (
+	// Answered means that the target gave an answer that reached the caller, or a part of a stream.
+	Answered Outcome = iota
+	// Refused means that the target stated that it did not run the request.
+	Refused
+	// Failed means that the target answered with a failure of its own, or broke off.
+	Failed
+	// Unreachable means that no connection could be made.
+	Unreachable
+	// Canceled means that the caller left or the time was over.
+	Canceled
+	// Moved means that the request goes on at another target.
+	Moved
+)
+
+// Options configures a Table.
+type Options struct {
+	// VM is the name of this VM.
+	VM string
+	// Seed makes the choice between equal targets reproducible.
+	Seed uint64
+}
+
+// Table is the view of all targets from one VM. It is safe for concurrent use.
+type Table struct {
+	mu       sync.Mutex
+	random   *rand.Rand
+	targets  map[string]*target
+	services map[string]*service
+	peers    map[string]peerLoad
+}
+
+// service is what is known of the targets of a service together.
+type service struct {
+	targets []*target
+	// prefillRate is the observed rate of reading prompts, in tokens a millisecond.
+	prefillRate float64
+}
+
+type target struct {
+	roster.Target
+	service *service
+	listed  bool
+	left    bool
+	own     Load
+	peers   Load
+	health  health
+	// slowUntil is when the target has warmed up after its start.
+	slowUntil time.Time
+}
+
+type peerLoad struct {
+	at    time.Time
+	loads map[string]Load
+}
+
+// peerLoadLife is how long a peer's digest counts; a VM that has stopped sends none.
+const peerLoadLife = 3 * time.Second
+
+// NewTable returns a Table without targets.
+func NewTable(options Options) *Table {
+	return &Table{
+		random:   rand.New(rand.NewPCG(options.Seed, 0)),
+		targets:  make(map[string]*target),
+		services: make(map[string]*service),
+		peers:    make(map[string]peerLoad),
+	}
+}
+
+// Listed replaces the targets by those listed.
+func (t *Table) Listed(listed map[string]roster.Target, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, known := range t.targets {
+		known.listed = false
+	}
+	for id, entry := range listed {
+		known := t.targets[id]
+		if known == nil || !known.SameIncarnation(entry) {
+			known = &target{}
+			t.targets[id] = known
+			if entry.SlowFor > 0 {
+				known.slowUntil = now.Add(entry.SlowFor)
+			}
+		}
+		known.left = known.left || entry.Leaving
+		known.Target = entry
+		known.listed = true
+	}
+	for id, known := range t.targets {
+		if !known.listed {
+			known.left = true
+			delete(t.targets, id)
+		}
+	}
+	t.regroup()
+}
+
+func (t *Table) regroup() {
+	for _, s := range t.services {
+		s.targets = s.targets[:0]
+	}
+	for _, known := range t.targets {
+		s := t.services[known.Service]
+		if s == nil {
+			s = &service{prefillRate: assumedPrefillRate}
+			t.services[known.Service] = s
+		}
+		known.service = s
+		s.targets = append(s.targets, known)
+	}
+	t.sumPeers()
+}
+
+// MarkLeaving records that the target said that it leaves; it gets no new work.
+func (t *Table) MarkLeaving(leaving roster.Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if known := t.targets[leaving.ID]; known != nil && known.SameIncarnation(leaving) {
+		known.left = true
+	}
+}
+
+// PeerLoads takes what a peer says that it has sent.
+func (t *Table) PeerLoads(vm string, loads map[string]Load, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peers[vm] = peerLoad{at: now, loads: loads}
+	for name, peer := range t.peers {
+		if now.Sub(peer.at) > peerLoadLife {
+			delete(t.peers, name)
+		}
+	}
+	t.sumPeers()
+}
+
+func (t *Table) sumPeers() {
+	for _, known := range t.targets {
+		known.peers = Load{}
+	}
+	for _, peer := range t.peers {
+		for id, load := range peer.loads {
+			if known := t.targets[id]; known != nil {
+				known.peers.add(load)
+			}
+		}
+	}
+}
+
+// OwnLoads returns what this VM has sent, for its peers.
+func (t *Table) OwnLoads() map[string]Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	loads := make(map[string]Load)
+	for id, known := range t.targets {
+		if known.own != (Load{}) {
+			loads[id] = known.own
+		}
+	}
+	return loads
+}
+
+// Usable returns the number of targets of the service that may take work.
+func (t *Table) Usable(serviceName string, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := 0
+	if s := t.services[serviceName]; s != nil {
+		for _, known := range s.targets {
+			if known.usable(now) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func (t *target) usable(now time.Time) bool {
+	return t.listed && !t.left && t.health.allows(now)
+}
--- a/internal/dispatch/budget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -1,17 +1,17 @@
-package dispatch_test
+package retrybudget_test
 
 import (
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
-	"godwitcart/internal/dispatch"
+	"godwitcart/internal/retrybudget"
 )
 
 // TestRetriesAreBoundedByTheRequests spends all that a service has saved and then counts what its
 // requests earn: at most one retry in ten requests, and nothing from another service.
 func TestRetriesAreBoundedByTheRequests(t *testing.T) {
-	budget := dispatch.NewRetryBudget()
+	budget := retrybudget.New(retrybudget.DefaultRatio, retrybudget.DefaultSlack)
 	for budget.Spend("drafter") {
 	}
 	require.True(t, budget.Spend("cardstat"))
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,277 @@
+// Package roster follows the platform's list of targets.
+//
+// The list lags and may be away. Invariants: an entry that cannot be read names no target and harms no other;
+// a target that is leaving or has left gets no new work under the same incarnation; after an outage of the
+// platform, entries that are missing are kept for a while, since live targets need that long to return to it.
+package roster
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"godwitcart/internal/object"
+	"godwitcart/internal/pause"
+)
+
+// Target is one incarnation of a target.
+type Target struct {
+	// ID names the target in the platform's list; a target that starts again may keep it.
+	ID string
+	// StartedAt is when the target started, in Unix milliseconds, or zero where it does not say.
+	StartedAt int64
+	Service   string
+	// Address is host:port.
+	Address string
+	Zone    string
+	// Slots is the number of requests that it works on at once.
+	Slots int
+	// Leaving targets take no new work.
+	Leaving bool
+	// SlowFor is how much longer the target is slow after its start.
+	SlowFor time.Duration
+}
+
+// SameIncarnation reports whether both are the same start of the same target.
+func (t Target) SameIncarnation(other Target) bool {
+	return t.ID == other.ID && t.StartedAt == other.StartedAt && t.Address == other.Address
+}
+
+// Decoder turns an object of the list into a target.
+type Decoder func(object.Object) (Target, error)
+
+// Listener learns of changes. Its methods are called from one goroutine.
+type Listener interface {
+	// Listed replaces the targets that may be used, leaving ones included.
+	Listed(targets map[string]Target)
+	// Left says that the target leaves, or has left the list and ends soon.
+	Left(target Target)
+}
+
+// errHistoryGone says that the list must be read again.
+var errHistoryGone = errors.New("the platform dropped the history that the watch continues from")
+
+// Options configures a Follower.
+type Options struct {
+	Store object.Store
+	// Prefix is the common start of the keys of the list.
+	Prefix   string
+	Decode   Decoder
+	Listener Listener
+	Logger   *log.Logger
+}
+
+const (
+	// returnTime is how long live targets need to return to the list after an outage of the platform.
+	returnTime = 2200 * time.Millisecond
+	// gatherTime is the wait before the next watch, so that changes that come together cost one call.
+	gatherTime = 80 * time.Millisecond
+	// retryPause is the least wait after a failed call; up to as much again is added at random.
+	retryPause = 100 * time.Millisecond
+	// listTimeout bounds one reading of the list.
+	listTimeout = 2 * time.Second
+	// removalSlack is the time past a held removal for which the watch that ends with it may last.
+	removalSlack = 500 * time.Millisecond
+	// outageAfter is the time without the platform after which entries may have lapsed.
+	outageAfter = 500 * time.Millisecond
+)
+
+// Follower follows the list.
+type Follower struct {
+	options Options
+	targets map[string]Target
+	// missing holds targets that have gone from the list since an outage, until the time given.
+	missing map[string]time.Time
+	// heldUntil is until when removals count as effects of an outage.
+	heldUntil time.Time
+	lastHeard time.Time
+	lost      bool
+	malformed sync.Map
+	listed    atomic.Bool
+}
+
+// NewFollower returns a Follower that knows no target.
+func NewFollower(options Options) *Follower {
+	return &Follower{options: options, targets: make(map[string]Target), missing: make(map[string]time.Time)}
+}
+
+// Known reports whether the list has been read once.
+func (f *Follower) Known() bool { return f.listed.Load() }
+
+// Run follows the list until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		revision, err := f.list(ctx)
+		for err == nil && ctx.Err() == nil {
+			revision, err = f.watch(ctx, revision)
+		}
+		if err != nil && !errors.Is(err, errHistoryGone) {
+			f.failed(ctx, err)
+			pause.For(ctx, retryPause+rand.N(retryPause))
+		}
+	}
+	return nil
+}
+
+func (f *Follower) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil || f.lost {
+		return
+	}
+	f.lost = true
+	f.options.Logger.Warn("dependency lost", "dependency", "list of targets", "age_ms", time.Since(f.lastHeard).Milliseconds(), "error", err)
+}
+
+// heard notes an answer of the platform; one after a long silence starts the time for targets to return.
+func (f *Follower) heard(now time.Time) {
+	if !f.lastHeard.IsZero() && f.lost && now.Sub(f.lastHeard) > outageAfter {
+		f.heldUntil = now.Add(returnTime)
+	}
+	if f.lost {
+		f.lost = false
+		f.options.Logger.Info("dependency regained", "dependency", "list of targets", "silent_ms", now.Sub(f.lastHeard).Milliseconds())
+	}
+	f.lastHeard = now
+}
+
+func (f *Follower) list(ctx context.Context) (uint64, error) {
+	bounded, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	listing, err := f.options.Store.List(bounded, f.options.Prefix)
+	if err != nil {
+		return 0, err
+	}
+	now := time.Now()
+	f.heard(now)
+	seen := make(map[string]bool, len(listing.Objects))
+	for _, entry := range listing.Objects {
+		if target, ok := f.decode(entry); ok {
+			seen[target.ID] = true
+			f.put(target)
+		}
+	}
+	for id := range f.targets {
+		if !seen[id] {
+			f.remove(id, now)
+		}
+	}
+	f.publish(now)
+	f.listed.Store(true)
+	return listing.Revision, nil
+}
+
+func (f *Follower) watch(ctx context.Context, after uint64) (uint64, error) {
+	bounded, cancel := f.untilNextRemoval(ctx)
+	defer cancel()
+	batch, err := f.options.Store.Watch(bounded, f.options.Prefix, after)
+	if err != nil {
+		return 0, err
+	}
+	now := time.Now()
+	f.heard(now)
+	if batch.Compacted {
+		f.options.Logger.Info("list of targets is read again", "reason", "the platform dropped its history", "revision", after)
+		return 0, errHistoryGone
+	}
+	for _, entry := range batch.Events {
+		f.apply(entry, now)
+	}
+	f.publish(now)
+	if len(batch.Events) > 0 {
+		pause.For(ctx, gatherTime)
+	}
+	return batch.Revision, nil
+}
+
+// untilNextRemoval bounds a watch so that it ends when the first held removal is due. The store cuts its
+// wait to the deadline of the context.
+func (f *Follower) untilNextRemoval(ctx context.Context) (context.Context, context.CancelFunc) {
+	var first time.Time
+	for _, until := range f.missing {
+		if first.IsZero() || until.Before(first) {
+			first = until
+		}
+	}
+	if first.IsZero() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, first.Add(removalSlack))
+}
+
+func (f *Follower) apply(entry object.Object, now time.Time) {
+	if entry.Deleted {
+		f.remove(f.idOf(entry), now)
+		return
+	}
+	target, ok := f.decode(entry)
+	if !ok {
+		f.remove(f.idOf(entry), now)
+		return
+	}
+	f.put(target)
+}
+
+func (f *Follower) idOf(entry object.Object) string { return entry.Key[len(f.options.Prefix):] }
+
+func (f *Follower) decode(entry object.Object) (Target, bool) {
+	target, err := f.options.Decode(entry)
+	if err == nil {
+		return target, true
+	}
+	if _, known := f.malformed.LoadOrStore(entry.Key, entry.Version); !known {
+		f.options.Logger.Warn("entry of the list ignored", "key", entry.Key, "revision", entry.Version, "error", err)
+	}
+	return Target{}, false
+}
+
+func (f *Follower) put(target Target) {
+	delete(f.missing, target.ID)
+	old, known := f.targets[target.ID]
+	same := known && old.SameIncarnation(target)
+	if same && old.Leaving {
+		target.Leaving = true
+	}
+	f.targets[target.ID] = target
+	if known && !same {
+		f.options.Listener.Left(old)
+	}
+	if same && target.Leaving && !old.Leaving {
+		f.options.Logger.Info("target is leaving", "target", target.ID, "service", target.Service, "source", "list")
+		f.options.Listener.Left(target)
+	}
+}
+
+// remove takes a target off the list, or holds it while targets return after an outage.
+func (f *Follower) remove(id string, now time.Time) {
+	target, known := f.targets[id]
+	if !known {
+		return
+	}
+	if now.Before(f.heldUntil) {
+		f.missing[id] = f.heldUntil
+		return
+	}
+	f.drop(id, target)
+}
+
+func (f *Follower) drop(id string, target Target) {
+	delete(f.targets, id)
+	delete(f.missing, id)
+	f.options.Logger.Info("target has left the list", "target", id, "service", target.Service, "was_leaving", target.Leaving)
+	f.options.Listener.Left(target)
+}
+
+// publish tells the listener the targets. Those that did not return in time go first.
+func (f *Follower) publish(now time.Time) {
+	for id, until := range f.missing {
+		if !now.Before(until) {
+			f.drop(id, f.targets[id])
+		}
+	}
+	f.options.Listener.Listed(maps.Clone(f.targets))
+}
