Take running generations off engines that leave by backups and short last copies

Change: the backup is asked while the source still works; a move copies until a copy is short and only then stops; destinations in the zone of the engine, spread by chance; a generation that the engine does not run now is asked for again; copies that nobody uses are freed.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -19,15 +20,17 @@
 type stream struct {
 	*exchange
 	flusher http.Flusher
-	// lastEventID is the last event that the caller has.
-	lastEventID string
+	// ctx ends with the caller's connection and at the deadline.
+	ctx         context.Context
 	events      int
 	lastEventAt time.Time
 
 	// mu guards what the evacuation of a leaving target shares with the relay.
-	mu     sync.Mutex
-	lease  *placement.Lease
-	answer *upstream.Response
+	mu sync.Mutex
+	// lastEventID is the last event that the caller has.
+	lastEventID string
+	lease       *placement.Lease
+	answer      *upstream.Response
 	// started is set once the current target has sent an event.
 	started bool
 	// backup is the engine that keeps a copy of the generation's memory; nil for none.
@@ -42,6 +45,9 @@
 type continuation struct {
 	lease *placement.Lease
 	from  *Memory
+	// answer is the target's answer where the call was sent already, and cancel ends it.
+	answer *upstream.Response
+	cancel context.CancelFunc
 }
 
 // stream answers a call with a stream of events.
@@ -50,7 +56,7 @@
 	if !ok {
 		return apierror.New(apierror.KindInternal, "the connection cannot carry a stream", "report the request id to the operators")
 	}
-	s := &stream{exchange: x, flusher: flusher, lastEventID: x.call.LastEventID}
+	s := &stream{exchange: x, flusher: flusher, ctx: ctx, lastEventID: x.call.LastEventID}
 	defer s.release()
 	for {
 		next, err := s.nextTarget()
@@ -128,12 +134,17 @@
 
 // attempt runs the generation at a target until it ends there; nil means that the answer is complete.
 func (s *stream) attempt(ctx context.Context, at *continuation) *ending {
-	send := Send{LastEventID: s.lastEventID, From: at.from, BackupAddress: s.reserveBackup(at.lease)}
-	answer, end := s.offer(ctx, at.lease, send)
-	if end != nil {
-		at.lease.Done(end.outcome, time.Now())
-		s.releaseBackup()
-		return end
+	answer := at.answer
+	if answer == nil {
+		var end *ending
+		send := Send{LastEventID: s.cursor(), From: at.from, BackupAddress: s.reserveBackup(at.lease)}
+		if answer, end = s.offer(ctx, at.lease, send); end != nil {
+			at.lease.Done(end.outcome, time.Now())
+			s.releaseBackup(false)
+			return end
+		}
+	} else {
+		defer at.cancel()
 	}
 	if answer.StatusCode/100 != 2 {
 		end := s.relayWhole(ctx, at.lease, answer)
@@ -150,6 +161,7 @@
 	answer.Close(!complete)
 	if complete {
 		at.lease.Done(placement.Answered, time.Now())
+		s.releaseBackup(true)
 		s.options.Lengths.Observe(s.lengthKey(), s.events*tokensPerEvent)
 		s.log("request ended", "outcome", "answered", "status", answer.StatusCode, "target", at.lease.Target.ID, "attempts", s.attempts, "events", s.events)
 		return nil
@@ -157,7 +169,7 @@
 	if err == nil {
 		err = io.ErrUnexpectedEOF
 	}
-	end = s.unanswered(ctx, errors.Wrap(err, "the stream broke off"))
+	end := s.unanswered(ctx, errors.Wrap(err, "the stream broke off"))
 	if moved {
 		end.outcome = placement.Moved
 	}
@@ -196,6 +208,9 @@
 		if err != nil {
 			return err
 		}
+		if !s.isNew(event.ID) {
+			continue
+		}
 		s.noteEvent(lease)
 		s.writeHead(answer)
 		if _, err := s.w.Write(event.Raw); err != nil {
@@ -203,11 +218,31 @@
 		}
 		s.flusher.Flush()
 		if event.ID != "" {
+			s.mu.Lock()
 			s.lastEventID = event.ID
+			s.mu.Unlock()
 		}
 	}
 }
 
+// cursor returns the last event that the caller has.
+func (s *stream) cursor() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastEventID
+}
+
+// isNew reports whether the caller does not have the event yet. A generation that goes on at its backup
+// repeats what its source sent meanwhile.
+func (s *stream) isNew(id string) bool {
+	number, err := strconv.ParseUint(id, 10, 64)
+	if err != nil {
+		return true // an event without a number belongs to the one before it
+	}
+	last, err := strconv.ParseUint(s.lastEventID, 10, 64)
+	return err != nil || number > last
+}
+
 // noteEvent times the event.
 func (s *stream) noteEvent(lease *placement.Lease) {
 	now := time.Now()
@@ -221,11 +256,15 @@
 	first := !s.started
 	s.started = true
 	s.mu.Unlock()
+	lease.Progress(s.events * tokensPerEvent)
 	if first {
 		lease.FirstEvent(now)
+		if s.options.Table.Leaving(lease.Target) {
+			go s.evacuate(lease.Target)
+		}
 		if s.events > 1 {
 			s.metrics.continuePause.Update(int64(now.Sub(s.lastEventAt)))
-			s.log("stream goes on", "target", lease.Target.ID, "pause_ms", now.Sub(s.lastEventAt).Milliseconds(), "after_event", s.lastEventID)
+			s.log("stream goes on", "target", lease.Target.ID, "pause_ms", now.Sub(s.lastEventAt).Milliseconds(), "after_event", s.cursor())
 		}
 	}
 	s.lastEventAt = now
@@ -251,8 +290,15 @@
 	next := s.next
 	s.next = nil
 	s.mu.Unlock()
-	s.releaseBackup()
-	if next != nil {
-		next.lease.Done(placement.Canceled, time.Now())
+	s.releaseBackup(false)
+	if next == nil {
+		return
+	}
+	next.lease.Done(placement.Canceled, time.Now())
+	if next.answer != nil {
+		next.answer.Close(true)
+		next.cancel()
+	} else if next.from != nil {
+		go s.drop(*next.from)
 	}
 }
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -6,6 +6,9 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"godwitcart/internal/pause"
 	"godwitcart/internal/placement"
 	"godwitcart/internal/roster"
 )
@@ -58,7 +61,7 @@
 	}
 }
 
-// evacuate takes the generation to another target, by its backup or by a move.
+// evacuate takes the generation to another target: to its backup, which has the memory already, else by a move.
 func (s *stream) evacuate(leaving roster.Target) {
 	if s.route.Resumable {
 		return // it starts again after its last event when the target ends; most end before
@@ -68,21 +71,17 @@
 		s.mu.Unlock()
 		return
 	}
-	if s.started && s.backup != nil && s.nextFromBackup() {
-		s.answer.Break()
-		s.mu.Unlock()
-		s.log("stream leaves its target", "target", leaving.ID, "way", "backup")
-		return
-	}
-	engine := s.service.Engine
-	if engine == nil || !engine.Moves {
-		s.mu.Unlock()
-		return
-	}
 	moving := make(chan struct{})
 	s.moving = moving
+	started := s.started
 	s.mu.Unlock()
-	next := s.move(leaving)
+	var next *continuation
+	if started {
+		next = s.switchToBackup(leaving)
+	}
+	if engine := s.service.Engine; next == nil && engine != nil && engine.Moves {
+		next = s.move(leaving)
+	}
 	s.mu.Lock()
 	s.next = next
 	s.moving = nil
@@ -93,54 +92,110 @@
 	close(moving)
 }
 
+// switchToBackup lets the generation go on at the engine that has a copy of it, and returns nil where that
+// engine refuses: it may have had no room for the copy. The source works on until the backup has answered, so
+// a refusal costs nothing; what both send meanwhile is told apart by the events' numbers.
+func (s *stream) switchToBackup(leaving roster.Target) *continuation {
+	next, found := s.fromBackup()
+	if !found {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(s.ctx, s.deadline)
+	next.cancel = cancel
+	answer, end := s.offer(ctx, next.lease, Send{LastEventID: s.cursor(), From: next.from, BackupAddress: s.reserveBackup(next.lease)})
+	if end == nil && answer.StatusCode/100 != 2 {
+		answer.Close(true)
+		end = &ending{outcome: placement.Failed, cause: errors.Newf("the backup answered with status %d", answer.StatusCode)}
+	}
+	if end != nil {
+		cancel()
+		next.lease.Done(end.outcome, time.Now())
+		s.releaseBackup(false)
+		s.moveFailed(leaving, next.lease.Target.ID, end, "way", "backup")
+		return nil
+	}
+	s.metrics.fromBackup.Inc(1)
+	s.log("stream leaves its target", "target", leaving.ID, "way", "backup", "destination", next.lease.Target.ID)
+	next.answer = answer
+	return next
+}
+
 const (
-	// moveTimeout bounds the copies of one move; engines give about two seconds of notice.
-	moveTimeout = 3 * time.Second
-	// moveTries bounds the destinations that one move asks.
-	moveTries = 3
-	// dropTimeout bounds the freeing of memory that nobody goes on from; the engine does it too, later.
+	// noticeTime is how long an engine surely works on after its notice; the brief speaks of about two seconds.
+	noticeTime = 1300 * time.Millisecond
+	// moveTimeout bounds a move; engines that are replaced without haste work on for longer than noticeTime.
+	moveTimeout = 6 * time.Second
+	// shortCopy is the time of a copy after which the generation may stop for the rest: with the way back
+	// and the start at the destination, the pause stays below what a reader notices.
+	shortCopy = 60 * time.Millisecond
+	// absentPause is the wait before a generation is asked for again that the engine does not run now, as
+	// while it is preempted.
+	absentPause = 150 * time.Millisecond
+	// dropTimeout bounds the freeing of memory that nobody goes on from.
 	dropTimeout = time.Second
 )
 
-// move copies the generation to another engine while it runs, stops it, copies the rest and returns where it
-// goes on; nil means that it stays.
+// move copies the generation to another engine while it runs, until little is left; then it stops it, copies
+// the rest and returns where it goes on. It returns nil when the generation stays at its source.
 func (s *stream) move(leaving roster.Target) *continuation {
-	ctx, cancel := context.WithTimeout(context.Background(), moveTimeout)
+	ctx, cancel := context.WithTimeout(s.ctx, moveTimeout)
 	defer cancel()
-	excluded := append(slices.Clone(s.excluded), leaving.ID)
 	startedAt := time.Now()
-	for range moveTries {
+	excluded := append(slices.Clone(s.excluded), leaving.ID)
+	for ctx.Err() == nil && s.runsAt(leaving) {
 		query := s.query()
-		query.PromptTokens += s.events * tokensPerEvent
 		query.Excluded = excluded
+		query.Zone = leaving.Zone
+		query.Move = true
 		lease, err := s.options.Table.Pick(query, time.Now())
 		if err != nil {
 			s.moveFailed(leaving, "", err)
 			return nil
 		}
-		destination := lease.Target.Address
-		copied, err := s.options.Mover.Copy(ctx, leaving.Address, s.call.ID, destination, false)
+		copied, err := s.copyTo(ctx, leaving, lease, startedAt)
 		if err == nil && !copied.Refused && !copied.Unknown {
-			copied, err = s.options.Mover.Copy(ctx, leaving.Address, s.call.ID, destination, true)
-			if err == nil && !copied.Refused && !copied.Unknown {
-				s.metrics.moves.Inc(1)
-				s.log("stream leaves its target", "target", leaving.ID, "way", "move", "destination", lease.Target.ID, "copied_ms", time.Since(startedAt).Milliseconds())
-				return &continuation{lease: lease, from: &copied.Memory}
-			}
+			s.metrics.moves.Inc(1)
+			s.log("stream leaves its target", "target", leaving.ID, "way", "move", "destination", lease.Target.ID, "copied_ms", time.Since(startedAt).Milliseconds())
+			return &continuation{lease: lease, from: &copied.Memory}
 		}
 		lease.Done(placement.Canceled, time.Now())
 		s.moveFailed(leaving, lease.Target.ID, err, "refused", copied.Refused, "unknown", copied.Unknown)
-		if err != nil || copied.Unknown {
+		switch {
+		case err != nil:
 			return nil
-		}
-		if copied.Memory.Handle != "" {
+		case copied.Unknown:
+			pause.For(ctx, absentPause)
+		case copied.Memory.Handle != "":
 			return s.stay(leaving, copied.Memory)
+		default:
+			excluded = append(excluded, lease.Target.ID)
 		}
-		excluded = append(excluded, lease.Target.ID)
 	}
 	return nil
 }
 
+// copyTo copies the generation to the destination of the lease and stops it at its source. Copies of several
+// generations queue on the engine's link, so it stops only after a copy that was short, or when time is short.
+func (s *stream) copyTo(ctx context.Context, leaving roster.Target, lease *placement.Lease, startedAt time.Time) (Copied, error) {
+	for {
+		copyAt := time.Now()
+		copied, err := s.options.Mover.Copy(ctx, leaving.Address, s.call.ID, lease.Target.Address, false)
+		if err != nil || copied.Refused || copied.Unknown {
+			return copied, err
+		}
+		if time.Since(copyAt) <= shortCopy || time.Since(startedAt) > noticeTime {
+			return s.options.Mover.Copy(ctx, leaving.Address, s.call.ID, lease.Target.Address, true)
+		}
+	}
+}
+
+// runsAt reports whether the stream still comes from the target.
+func (s *stream) runsAt(target roster.Target) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answer != nil && s.lease.Target.SameIncarnation(target)
+}
+
 // stay goes on at the source after the generation was stopped there and could not be copied.
 func (s *stream) stay(leaving roster.Target, memory Memory) *continuation {
 	lease := s.options.Table.Hold(leaving, s.query(), time.Now())
@@ -154,13 +209,14 @@
 
 // reserveBackup chooses an engine that keeps a copy of the generation, where memory allows it.
 func (s *stream) reserveBackup(lease *placement.Lease) string {
-	s.releaseBackup()
+	s.releaseBackup(false)
 	engine := s.service.Engine
 	if engine == nil || !engine.Backups || s.route.Resumable {
 		return ""
 	}
 	query := s.query()
 	query.Copy = true
+	query.Zone = lease.Target.Zone
 	query.Excluded = append(slices.Clone(s.excluded), lease.Target.ID)
 	backup, err := s.options.Table.Pick(query, time.Now())
 	if err != nil {
@@ -172,34 +228,65 @@
 	return backup.Target.Address
 }
 
-func (s *stream) releaseBackup() {
+// releaseBackup gives up the copy of the generation. An engine frees it by itself only when the generation
+// has ended well where it began; otherwise the copy would hold memory for seconds.
+func (s *stream) releaseBackup(endedWell bool) {
 	s.mu.Lock()
 	backup := s.backup
 	s.backup = nil
 	s.mu.Unlock()
-	if backup != nil {
-		backup.Done(placement.Moved, time.Now())
+	if backup == nil {
+		return
+	}
+	backup.Done(placement.Moved, time.Now())
+	if !endedWell {
+		go s.drop(Memory{Address: backup.Target.Address, Handle: s.call.ID})
+	}
+}
+
+// drop frees memory that nobody goes on from. It is best effort: the engine frees it too, later.
+func (s *stream) drop(memory Memory) {
+	ctx, cancel := context.WithTimeout(context.Background(), dropTimeout)
+	defer cancel()
+	if err := s.options.Mover.Drop(ctx, memory); err != nil {
+		s.log("copy not freed", "address", memory.Address, "error", err)
 	}
 }
 
 // useBackup prepares to go on from the backup after the target has broken off.
 func (s *stream) useBackup() bool {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.started && s.backup != nil && s.nextFromBackup()
+	started := s.started
+	s.mu.Unlock()
+	if !started {
+		return false
+	}
+	next, found := s.fromBackup()
+	if !found {
+		return false
+	}
+	s.metrics.fromBackup.Inc(1)
+	s.mu.Lock()
+	s.next = next
+	s.mu.Unlock()
+	return true
 }
 
-// nextFromBackup is called with mu held.
-func (s *stream) nextFromBackup() bool {
+// fromBackup turns the reservation of the backup into one for the generation to go on there.
+func (s *stream) fromBackup() (*continuation, bool) {
+	s.mu.Lock()
 	backup := s.backup
+	s.backup = nil
+	s.mu.Unlock()
+	if backup == nil {
+		return nil, false
+	}
+	backup.Done(placement.Moved, time.Now())
 	query := s.query()
+	query.Move = true
 	lease, usable := s.options.Table.PickTarget(backup.Target, query, time.Now())
 	if !usable {
-		return false
+		return nil, false
 	}
-	s.backup = nil
-	backup.Done(placement.Moved, time.Now())
-	s.next = &continuation{lease: lease, from: &Memory{Address: backup.Target.Address, Handle: s.call.ID}}
-	s.metrics.fromBackup.Inc(1)
-	return true
+	return &continuation{lease: lease, from: &Memory{Address: backup.Target.Address, Handle: s.call.ID}}, true
 }
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -20,6 +20,8 @@
 	minPrefillRate = 1.0
 	// otherZoneCost covers the way there and back, and the price of traffic between zones.
 	otherZoneCost = 8.0
+	// transferZoneCost is added for a transfer of memory to another zone, which takes twice as long.
+	transferZoneCost = 400.0
 	// runningCost is what one more running generation adds to the steps of the others.
 	runningCost = 6.0
 	// fullMemoryCost is added as the expected memory goes from highMemory to all of it: an engine that runs
@@ -27,15 +29,17 @@
 	fullMemoryCost = 3000.0
 	highMemory     = 0.7
 	// copyMemory is the share of an engine's memory up to which it takes copies.
-	copyMemory = 0.8
+	copyMemory = 0.6
 	// plainRequestCost is what a request in progress adds at a plain target, in its slots.
 	plainRequestCost = 100.0
 	// failureCost is added to a target that fails all requests.
 	failureCost = 2000.0
 	// slowStartCost is added while a target warms up.
 	slowStartCost = 150.0
-	// jitter keeps VMs that see the same loads from choosing the same target.
-	jitter = 4.0
+	// jitter keeps VMs that see the same loads from choosing the same target. Transfers are chosen by many
+	// VMs at the same moment, when an engine leaves.
+	jitter         = 4.0
+	transferJitter = 150.0
 )
 
 // Lease is the reservation of one request, or of one copy, at a target. Done must be called once.
@@ -49,6 +53,7 @@
 	table   *Table
 	target  *target
 	load    Load
+	prompt  int
 	sentAt  time.Time
 	backlog float64
 	started bool
@@ -66,12 +71,16 @@
 	var best *target
 	lowest := math.Inf(1)
 	candidates := 0
+	spread := jitter
+	if q.Copy || q.Move {
+		spread = transferJitter
+	}
 	for _, known := range s.targets {
 		if q.excludes(known.ID) || !known.usable(now) || q.Copy && !known.takesCopy(&q) {
 			continue
 		}
 		candidates++
-		score := s.score(known, &q, now) + t.random.Float64()*jitter
+		score := s.score(known, &q, now) + t.random.Float64()*spread
 		if score < lowest {
 			best, lowest = known, score
 		}
@@ -107,8 +116,8 @@
 }
 
 func (t *Table) reserve(chosen *target, q *Query, now time.Time, candidates int) *Lease {
-	lease := &Lease{Target: chosen.Target, Candidates: candidates, table: t, target: chosen, load: q.load(), sentAt: now}
-	lease.backlog = float64(chosen.own.PrefillTokens + chosen.peers.PrefillTokens + q.PromptTokens)
+	lease := &Lease{Target: chosen.Target, Candidates: candidates, table: t, target: chosen, load: q.load(), prompt: q.PromptTokens, sentAt: now}
+	lease.backlog = float64(chosen.own.PrefillTokens + chosen.peers.PrefillTokens + q.prefill())
 	lease.Expected = time.Duration(lease.backlog / chosen.service.prefillRate * float64(time.Millisecond))
 	chosen.own.add(lease.load)
 	return lease
@@ -119,7 +128,11 @@
 	load := known.own
 	load.add(known.peers)
 	score := failureCost * known.health.failureShare()
-	if known.Zone != q.Zone {
+	switch {
+	case known.Zone == q.Zone:
+	case q.Copy || q.Move:
+		score += transferZoneCost
+	default:
 		score += otherZoneCost
 	}
 	if now.Before(known.slowUntil) {
@@ -128,9 +141,9 @@
 	if q.MemoryTokens == 0 {
 		return score + plainRequestCost*float64(load.Requests)/float64(max(known.Slots, 1))
 	}
-	score += float64(load.PrefillTokens+q.PromptTokens) / s.prefillRate
+	score += float64(load.PrefillTokens+q.prefill()) / s.prefillRate
 	score += runningCost * float64(load.Requests)
-	used := float64(load.MemoryTokens+q.PromptTokens+q.OutputTokens) / float64(q.MemoryTokens)
+	used := float64(load.MemoryTokens+q.memory()) / float64(q.MemoryTokens)
 	if used > highMemory {
 		score += fullMemoryCost * (used - highMemory) / (1 - highMemory)
 	}
@@ -142,7 +155,7 @@
 
 // takesCopy reports whether the engine has memory to spare for a copy.
 func (t *target) takesCopy(q *Query) bool {
-	used := t.own.MemoryTokens + t.peers.MemoryTokens + q.PromptTokens + q.OutputTokens
+	used := t.own.MemoryTokens + t.peers.MemoryTokens + q.memory()
 	return float64(used) <= copyMemory*float64(q.MemoryTokens)
 }
 
@@ -162,6 +175,24 @@
 	}
 }
 
+// Progress records the tokens that the generation has produced in all.
+func (l *Lease) Progress(produced int) {
+	l.table.mu.Lock()
+	defer l.table.mu.Unlock()
+	if more := l.prompt + produced - l.load.MemoryTokens; more > 0 && !l.done {
+		l.load.MemoryTokens += more
+		l.target.own.MemoryTokens += more
+	}
+}
+
+// Leaving reports whether the target is known to leave, or has left.
+func (t *Table) Leaving(wanted roster.Target) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.targets[wanted.ID]
+	return known == nil || !known.SameIncarnation(wanted) || known.left
+}
+
 // Done gives the reservation back.
 func (l *Lease) Done(outcome Outcome, now time.Time) {
 	l.table.mu.Lock()
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -20,7 +20,7 @@
 	Requests int
 	// PrefillTokens counts prompt tokens of requests whose first event has not come.
 	PrefillTokens int
-	// MemoryTokens is the memory that the requests are expected to need at their end, copies included.
+	// MemoryTokens is the memory of the requests' generations, copies included.
 	MemoryTokens int
 }
 
@@ -50,17 +50,31 @@
 	Excluded []string
 	// Copy asks for room for a copy of a generation in place of work; it is refused where memory is short.
 	Copy bool
+	// Move says that the memory of the generation comes from another engine, so that little is read anew.
+	Move bool
 }
 
 func (q *Query) load() Load {
-	load := Load{MemoryTokens: q.PromptTokens + q.OutputTokens}
+	load := Load{MemoryTokens: q.memory()}
 	if !q.Copy {
 		load.Requests = 1
-		load.PrefillTokens = q.PromptTokens
 	}
+	load.PrefillTokens = q.prefill()
 	return load
 }
 
+// memory returns the tokens that count for the generation from its start: others end while it grows, so that
+// half of its expected output stands for the growth.
+func (q *Query) memory() int { return q.PromptTokens + q.OutputTokens/2 }
+
+// prefill returns the number of prompt tokens that the target reads.
+func (q *Query) prefill() int {
+	if q.Copy || q.Move {
+		return 0
+	}
+	return q.PromptTokens
+}
+
 func (q *Query) excludes(id string) bool {
 	for _, excluded := range q.Excluded {
 		if excluded == id {
