Share the platform's lists and proofs between entry VMs

Change: one reader a zone follows the store; the others learn of targets, versions and proofs from digests, and read themselves when they hear nobody. Fleets of up to 16 VMs exchange digests directly; larger ones sum their loads by zone.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,10 +18,10 @@
 	"golang.org/x/sync/errgroup"
 
 	"godwitcart/internal/admin"
+	"godwitcart/internal/fleet"
 	"godwitcart/internal/forward"
 	"godwitcart/internal/inforce"
 	"godwitcart/internal/lengths"
-	"godwitcart/internal/loadshare"
 	"godwitcart/internal/pause"
 	"godwitcart/internal/placement"
 	"godwitcart/internal/retrybudget"
@@ -63,6 +63,8 @@
 	budget    *retrybudget.Budget
 	store     *platform.Store
 	client    *upstream.Client
+	// fleet is nil where digests are not exchanged.
+	fleet *fleet.Fleet
 
 	active   atomic.Int64
 	draining atomic.Bool
@@ -78,6 +80,7 @@
 	e.budget = retrybudget.New(s.Bounds.RetryRatio*slackShare, s.Bounds.RetrySlack*slackShare/unknownFleet)
 	e.keeper = inforce.NewKeeper(inforce.Options{
 		Reader: e.store, Logger: logger, InForceWithin: s.Bounds.Configuration(), RevokedWithin: s.Bounds.Revocation(),
+		Close: e.readsClosely,
 	})
 	e.forwarder = forward.New(forward.Options{
 		Codec: platform.Codec{}, Mover: platform.NewMover(e.client), Keeper: e.keeper, Table: e.table, Client: e.client,
@@ -86,6 +89,7 @@
 	})
 	e.follower = roster.NewFollower(roster.Options{
 		Store: e.store, Prefix: platform.TargetsPrefix, Decode: platform.DecodeTarget, Listener: e, Logger: logger,
+		Close: e.readsClosely, Learnt: e.tell,
 	})
 	return e
 }
@@ -234,15 +238,26 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for load digests")
 	}
-	share := loadshare.New(loadshare.Options{VM: s.VM.Name, Table: e.table, Conn: conn, Logger: e.logger, FleetChanged: e.fleetChanged})
-	directory := &loadshare.Directory{
-		Store: e.store.WithWatchWait(platform.PatientWatch), Name: s.VM.Name, Address: address, Logger: e.logger, Changed: share.SetPeers,
-	}
+	self := fleet.Member{Name: s.VM.Name, Zone: s.VM.Zone, Address: address}
+	e.fleet = fleet.New(fleet.Options{
+		Self: self, Table: e.table, Knowledge: e.keeper, Conn: conn, Logger: e.logger, SizeChanged: e.fleetChanged, Learnt: e.follower.Hint,
+	})
+	directory := &fleet.Directory{Store: e.store.WithWatchWait(platform.PatientWatch), Self: self, Logger: e.logger, Changed: e.fleet.SetMembers}
 	group.Go(func() error { return directory.Run(ctx) })
-	group.Go(func() error { return share.Run(ctx) })
+	group.Go(func() error { return e.fleet.Run(ctx) })
 	return nil
 }
 
+// readsClosely reports whether this VM follows the platform closely, not by its peers.
+func (e *Entry) readsClosely() bool { return e.fleet == nil || e.fleet.Reader() }
+
+// tell passes what the platform said of a target on to the other VMs.
+func (e *Entry) tell(target roster.Target) {
+	if e.fleet != nil {
+		e.fleet.Tell(target)
+	}
+}
+
 // fleetChanged shares the retry slack by the live entry VMs.
 func (e *Entry) fleetChanged(vms int) {
 	slack := e.settings.Load().Bounds.RetrySlack * slackShare / float64(vms)
--- a/internal/loadshare/directory.go
+++ b/internal/fleet/directory.go
@@ -1,4 +1,4 @@
-package loadshare
+package fleet
 
 import (
 	"context"
@@ -26,17 +26,24 @@
 // entryVM is the stored entry of one VM.
 type entryVM struct {
 	Address string `json:"digest_address"`
+	Zone    string `json:"zone"`
+}
+
+// Member is an entry VM as the directory knows it.
+type Member struct {
+	Name    string
+	Zone    string
+	Address netip.AddrPort
 }
 
 // Directory makes this VM known in the platform's store and learns of its peers there. Entries of VMs that
 // are gone stay; digests to them are lost.
 type Directory struct {
-	Store   object.Store
-	Name    string
-	Address netip.AddrPort
-	Logger  *log.Logger
-	// Changed receives the addresses of all VMs by name.
-	Changed func(map[string]netip.AddrPort)
+	Store  object.Store
+	Self   Member
+	Logger *log.Logger
+	// Changed receives all entry VMs but this one, by name.
+	Changed func(map[string]Member)
 }
 
 // Run keeps the directory until ctx ends.
@@ -63,7 +70,7 @@
 	if err != nil {
 		return err
 	}
-	peers := make(map[string]netip.AddrPort)
+	peers := make(map[string]Member)
 	for _, entry := range listing.Objects {
 		d.put(peers, entry)
 	}
@@ -85,7 +92,7 @@
 	}
 }
 
-func (d *Directory) put(peers map[string]netip.AddrPort, entry object.Object) {
+func (d *Directory) put(peers map[string]Member, entry object.Object) {
 	name := entry.Key[len(entriesPrefix):]
 	var stored entryVM
 	if entry.Deleted {
@@ -93,20 +100,23 @@
 		return
 	}
 	err := json.Unmarshal(entry.Value, &stored)
+	var address netip.AddrPort
 	if err == nil {
-		peers[name], err = netip.ParseAddrPort(stored.Address)
+		address, err = netip.ParseAddrPort(stored.Address)
 	}
 	if err != nil {
 		delete(peers, name)
 		d.Logger.Warn("entry of an entry VM ignored", "key", entry.Key, "error", err)
+		return
 	}
+	peers[name] = Member{Name: name, Zone: stored.Zone, Address: address}
 }
 
-func (d *Directory) publish(peers map[string]netip.AddrPort) {
-	others := make(map[string]netip.AddrPort, len(peers))
-	for name, address := range peers {
-		if name != d.Name {
-			others[name] = address
+func (d *Directory) publish(peers map[string]Member) {
+	others := make(map[string]Member, len(peers))
+	for name, member := range peers {
+		if name != d.Self.Name {
+			others[name] = member
 		}
 	}
 	d.Changed(others)
@@ -114,8 +124,8 @@
 
 // announce writes where this VM takes digests, unless that is known already.
 func (d *Directory) announce(ctx context.Context) error {
-	key := entriesPrefix + d.Name
-	wanted := entryVM{Address: d.Address.String()}
+	key := entriesPrefix + d.Self.Name
+	wanted := entryVM{Address: d.Self.Address.String(), Zone: d.Self.Zone}
 	stored, err := d.Store.Get(ctx, key)
 	if err != nil && !object.IsNotFound(err) {
 		return err
--- a/internal/inforce/inforce.go
+++ b/internal/inforce/inforce.go
@@ -35,6 +35,9 @@
 	RevokedWithin time.Duration
 	// Changed is called after a new version is in force.
 	Changed func(*policy.RouteTable)
+	// Close reports whether this VM reads closely; nil stands for always. Others rely on the proofs of
+	// peers, and read when they hear of a newer version or when proofs grow old.
+	Close func() bool
 	// Now reads the clock that ages proofs; nil stands for boottime.Now.
 	Now func() boottime.Instant
 }
@@ -44,6 +47,12 @@
 	readsPerBound = 2
 	// readsPerRevocation is the number of reads within the bound on revoked keys: three may be lost.
 	readsPerRevocation = 4
+	// checksPerInterval is how often within an interval it is looked whether a read is due.
+	checksPerInterval = 4
+	// storePause is the least time between two reads, so that a storm of versions costs few.
+	storePause = 150 * time.Millisecond
+	// oldProof is the share of the bound on revoked keys at which a VM that relies on peers reads itself.
+	oldProof = 0.6
 	// proofMargin is kept between the age of a proof and the bound, for the way from the check to the target.
 	proofMargin = 300 * time.Millisecond
 	// retryPause is the least wait after a failed read; up to as much again is added at random, so that
@@ -58,7 +67,10 @@
 	current  atomic.Pointer[policy.RouteTable]
 	// proof is when the read was sent that last proved the current version to be the newest; zero is never.
 	proof atomic.Int64
-	lost  bool
+	// heardOf is the newest version that a peer has named.
+	heardOf atomic.Uint64
+	wake    chan struct{}
+	lost    bool
 }
 
 // NewKeeper returns a Keeper without a configuration.
@@ -67,7 +79,7 @@
 		options.Now = boottime.Now
 	}
 	interval := min(options.InForceWithin/readsPerBound, options.RevokedWithin/readsPerRevocation)
-	return &Keeper{options: options, interval: interval}
+	return &Keeper{options: options, interval: interval, wake: make(chan struct{}, 1)}
 }
 
 // Current returns the configuration in force, or nil before the first is known.
@@ -89,13 +101,34 @@
 	return known && age <= k.options.RevokedWithin-proofMargin
 }
 
-// Prove records a proof, told by a peer, that the version was the newest at the instant.
+// Proof returns the version in force and when it was last proven to be the newest; zeros stand for none.
+func (k *Keeper) Proof() (version uint64, at boottime.Instant) {
+	// The proof is read first: it holds for the version that was in force then, and for none before it.
+	proof := boottime.Instant(k.proof.Load())
+	current := k.current.Load()
+	if current == nil {
+		return 0, 0
+	}
+	return current.Version, proof
+}
+
+// Prove records a proof, told by a peer, that the version was the newest at the instant; zero proves nothing.
+// A version that is newer than the one in force is read at once.
 func (k *Keeper) Prove(version uint64, at boottime.Instant) {
 	current := k.current.Load()
-	if current == nil || current.Version != version {
-		return
+	switch {
+	case current == nil || version < current.Version:
+	case version == current.Version:
+		if at != 0 {
+			k.advance(at)
+		}
+	default:
+		k.heardOf.Store(max(version, k.heardOf.Load()))
+		select {
+		case k.wake <- struct{}{}:
+		default:
+		}
 	}
-	k.advance(at)
 }
 
 func (k *Keeper) advance(at boottime.Instant) {
@@ -107,25 +140,48 @@
 	}
 }
 
-// ProofInstant returns when the current proof was taken; zero means never.
-func (k *Keeper) ProofInstant() boottime.Instant { return boottime.Instant(k.proof.Load()) }
-
 // Run reads the configuration until ctx ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		started := time.Now()
-		wait := k.interval
 		if err := k.read(ctx); err != nil {
 			k.failed(ctx, err)
-			wait = min(retryPause+rand.N(retryPause), k.interval)
-			pause.For(ctx, wait)
+			pause.For(ctx, retryPause+rand.N(retryPause))
 			continue
 		}
-		pause.For(ctx, wait-time.Since(started))
+		k.wait(ctx, started)
 	}
 	return nil
 }
 
+// wait waits until the next read is due.
+func (k *Keeper) wait(ctx context.Context, started time.Time) {
+	if !pause.For(ctx, storePause) {
+		return
+	}
+	for ctx.Err() == nil && !k.due(started) {
+		timer := time.NewTimer(k.interval / checksPerInterval)
+		select {
+		case <-ctx.Done():
+		case <-k.wake:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// due reports whether the configuration must be read.
+func (k *Keeper) due(lastRead time.Time) bool {
+	if current := k.current.Load(); current == nil || k.heardOf.Load() > current.Version {
+		return true
+	}
+	if k.options.Close == nil || k.options.Close() {
+		return time.Since(lastRead) >= k.interval
+	}
+	age, known := k.ProofAge()
+	return !known || age > time.Duration(float64(k.options.RevokedWithin)*oldProof)
+}
+
 func (k *Keeper) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil || k.lost {
 		return
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -30,6 +30,12 @@
 	l.MemoryTokens += other.MemoryTokens
 }
 
+// Plus returns the sum of both.
+func (l Load) Plus(other Load) Load {
+	l.add(other)
+	return l
+}
+
 func (l *Load) subtract(other Load) {
 	l.Requests -= other.Requests
 	l.PrefillTokens -= other.PrefillTokens
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -65,6 +65,11 @@
 	Decode   Decoder
 	Listener Listener
 	Logger   *log.Logger
+	// Close reports whether this VM follows the list closely; nil stands for always. Others learn of changes
+	// from peers first, and watch now and then for what they missed.
+	Close func() bool
+	// Learnt is called with each change that this VM learns from the platform; nil for nobody.
+	Learnt func(Target)
 }
 
 const (
@@ -72,6 +77,10 @@
 	returnTime = 2200 * time.Millisecond
 	// gatherTime is the wait before the next watch, so that changes that come together cost one call.
 	gatherTime = 80 * time.Millisecond
+	// relaxedTime is the wait between two watches of a VM that learns of changes from peers.
+	relaxedTime = 5 * time.Second
+	// closeCheck is how often it is looked whether the list must be followed closely after all.
+	closeCheck = 200 * time.Millisecond
 	// retryPause is the least wait after a failed call; up to as much again is added at random.
 	retryPause = 100 * time.Millisecond
 	// listTimeout bounds one reading of the list.
@@ -94,11 +103,34 @@
 	lost      bool
 	malformed sync.Map
 	listed    atomic.Bool
+	hints     chan Target
+	// dropped are targets that have left the list lately; a peer's older word does not bring them back.
+	dropped map[string]Target
 }
 
 // NewFollower returns a Follower that knows no target.
 func NewFollower(options Options) *Follower {
-	return &Follower{options: options, targets: make(map[string]Target), missing: make(map[string]time.Time)}
+	return &Follower{options: options, targets: make(map[string]Target), missing: make(map[string]time.Time), hints: make(chan Target, maxHints), dropped: make(map[string]Target)}
+}
+
+// The sources of a change.
+const (
+	fromList = "list"
+	fromPeer = "peer"
+)
+
+// maxDropped bounds the targets that are remembered after they have left; peers repeat a change for seconds.
+const maxDropped = 1024
+
+// maxHints bounds the peers' changes that wait to be taken; one that does not fit comes again.
+const maxHints = 256
+
+// Hint takes what a peer has learnt of a target from the platform.
+func (f *Follower) Hint(target Target) {
+	select {
+	case f.hints <- target:
+	default:
+	}
 }
 
 // Known reports whether the list has been read once.
@@ -152,7 +184,7 @@
 	for _, entry := range listing.Objects {
 		if target, ok := f.decode(entry); ok {
 			seen[target.ID] = true
-			f.put(target)
+			f.put(target, fromList)
 		}
 	}
 	for id := range f.targets {
@@ -183,11 +215,66 @@
 	}
 	f.publish(now)
 	if len(batch.Events) > 0 {
-		pause.For(ctx, gatherTime)
+		f.gather(ctx)
 	}
 	return batch.Revision, nil
 }
 
+// gather waits before the next watch, and takes peers' changes meanwhile.
+func (f *Follower) gather(ctx context.Context) {
+	started := time.Now()
+	for ctx.Err() == nil {
+		f.takeHints()
+		wait := closeCheck
+		if f.options.Close == nil || f.options.Close() {
+			wait = gatherTime
+		} else if time.Since(started) > relaxedTime {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case target := <-f.hints:
+			f.takeHint(target)
+			f.publish(time.Now())
+		case <-time.After(wait):
+			if wait == gatherTime {
+				return
+			}
+		}
+	}
+}
+
+func (f *Follower) takeHints() {
+	taken := false
+	for {
+		select {
+		case target := <-f.hints:
+			taken = f.takeHint(target) || taken
+		default:
+			if taken {
+				f.publish(time.Now())
+			}
+			return
+		}
+	}
+}
+
+// takeHint reports whether the peer's change was new. A target that this VM knows to be leaving stays so.
+func (f *Follower) takeHint(target Target) bool {
+	known, found := f.targets[target.ID]
+	if found && known.SameIncarnation(target) && (known.Leaving || !target.Leaving) {
+		return false
+	}
+	if found && !known.SameIncarnation(target) && target.StartedAt <= known.StartedAt {
+		return false
+	}
+	if gone, left := f.dropped[target.ID]; !found && (target.Leaving || left && target.StartedAt <= gone.StartedAt) {
+		return false
+	}
+	f.put(target, fromPeer)
+	return true
+}
+
 // untilNextRemoval bounds a watch so that it ends when the first held removal is due. The store cuts its
 // wait to the deadline of the context.
 func (f *Follower) untilNextRemoval(ctx context.Context) (context.Context, context.CancelFunc) {
@@ -213,7 +300,7 @@
 		f.remove(f.idOf(entry), now)
 		return
 	}
-	f.put(target)
+	f.put(target, fromList)
 }
 
 func (f *Follower) idOf(entry object.Object) string { return entry.Key[len(f.options.Prefix):] }
@@ -229,7 +316,7 @@
 	return Target{}, false
 }
 
-func (f *Follower) put(target Target) {
+func (f *Follower) put(target Target, source string) {
 	delete(f.missing, target.ID)
 	old, known := f.targets[target.ID]
 	same := known && old.SameIncarnation(target)
@@ -237,11 +324,14 @@
 		target.Leaving = true
 	}
 	f.targets[target.ID] = target
+	if changed := !same || target.Leaving && !old.Leaving; changed && source == fromList && f.options.Learnt != nil {
+		f.options.Learnt(target)
+	}
 	if known && !same {
 		f.options.Listener.Left(old)
 	}
 	if same && target.Leaving && !old.Leaving {
-		f.options.Logger.Info("target is leaving", "target", target.ID, "service", target.Service, "source", "list")
+		f.options.Logger.Info("target is leaving", "target", target.ID, "service", target.Service, "source", source)
 		f.options.Listener.Left(target)
 	}
 }
@@ -262,6 +352,15 @@
 func (f *Follower) drop(id string, target Target) {
 	delete(f.targets, id)
 	delete(f.missing, id)
+	if len(f.dropped) >= maxDropped {
+		clear(f.dropped)
+	}
+	f.dropped[id] = target
+	if !target.Leaving && f.options.Learnt != nil {
+		gone := target
+		gone.Leaving = true
+		f.options.Learnt(gone)
+	}
 	f.options.Logger.Info("target has left the list", "target", id, "service", target.Service, "was_leaving", target.Leaving)
 	f.options.Listener.Left(target)
 }
