Draw destinations by free memory and let VMs take turns on a leaving engine's link

Cause: all VMs chose the same destination when an engine left, and their full copies shared its link so that none was done in time (reports of refused moves showed 30k of 34k tokens held by copies on one engine). Change: destinations are drawn by free memory; VMs move in an order that each works out from the digests, and one generation after the other; backups only where memory is below 0.35.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -76,7 +76,7 @@
 	e := &Entry{logger: logger, shutdown: make(chan struct{}), client: upstream.NewClient()}
 	e.settings.Store(s)
 	e.store = platform.NewStore(s.Platform.Address, platform.EagerWatch)
-	e.table = placement.NewTable(placement.Options{VM: s.VM.Name, Seed: seedOf(s.VM.Name)})
+	e.table = placement.NewTable(placement.Options{Self: placement.Sender{VM: s.VM.Name, Zone: s.VM.Zone}, Seed: seedOf(s.VM.Name)})
 	e.budget = retrybudget.New(s.Bounds.RetryRatio*slackShare, s.Bounds.RetrySlack*slackShare/unknownFleet)
 	e.keeper = inforce.NewKeeper(inforce.Options{
 		Reader: e.store, Logger: logger, InForceWithin: s.Bounds.Configuration(), RevokedWithin: s.Bounds.Revocation(),
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -379,13 +379,13 @@
 		f.heardReader = now
 	}
 	f.mu.Unlock()
-	key := in.VM
+	sender := placement.Sender{VM: in.VM, Zone: in.Zone}
 	if in.Sum {
-		key = zoneKey(in.Zone)
+		sender.VM = ""
 	}
-	f.options.Table.PeerLoads(key, loads, now)
+	f.options.Table.PeerLoads(sender, loads, now)
 	for _, zone := range in.Zones {
-		f.options.Table.PeerLoads(zoneKey(zone.Zone), unpackLoads(zone.Loads), now)
+		f.options.Table.PeerLoads(placement.Sender{Zone: zone.Zone}, unpackLoads(zone.Loads), now)
 	}
 	if !proven {
 		proof = 0
@@ -400,6 +400,3 @@
 func (f *Fleet) takeZone(zone zoneLoads, now time.Time) {
 	f.zones[zone.Zone] = &peer{heardAt: now, vms: zone.VMs, loads: unpackLoads(zone.Loads)}
 }
-
-// zoneKey names a zone among the peers of a placement table.
-func zoneKey(zone string) string { return "zone " + zone }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -246,7 +246,9 @@
 // noteEvent times the event.
 func (s *stream) noteEvent(lease *placement.Lease) {
 	now := time.Now()
+	s.mu.Lock()
 	s.events++
+	s.mu.Unlock()
 	if s.events == 1 {
 		s.metrics.firstEvent.Update(int64(now.Sub(s.arrivedAt)))
 	} else {
@@ -260,7 +262,7 @@
 	if first {
 		lease.FirstEvent(now)
 		if s.options.Table.Leaving(lease.Target) {
-			go s.evacuate(lease.Target)
+			go s.evacuate(lease.Target, now)
 		}
 		if s.events > 1 {
 			s.metrics.continuePause.Update(int64(now.Sub(s.lastEventAt)))
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -10,6 +10,7 @@
 
 	"godwitcart/internal/pause"
 	"godwitcart/internal/placement"
+	"godwitcart/internal/policy"
 	"godwitcart/internal/roster"
 )
 
@@ -54,15 +55,59 @@
 // Evacuate takes the running generations off a target that leaves. It does not wait for them.
 func (f *Forwarder) Evacuate(leaving roster.Target) {
 	streams := f.streams.at(leaving.ID)
-	// Those that have just begun have the most to lose, and the least memory to copy.
-	slices.SortFunc(streams, func(a, b *stream) int { return b.arrivedAt.Compare(a.arrivedAt) })
+	if len(streams) > 0 {
+		go f.evacuate(streams, leaving, time.Now())
+	}
+}
+
+// evacuate takes streams to their backups at once, and moves the others one after the other when it is the
+// turn of this VM. Those that have produced the most come first: they have the most to lose.
+func (f *Forwarder) evacuate(streams []*stream, leaving roster.Target, toldAt time.Time) {
+	slices.SortFunc(streams, func(a, b *stream) int { return b.produced() - a.produced() })
+	var moves []*stream
 	for _, held := range streams {
-		go held.evacuate(leaving)
+		if held.hasBackup() {
+			go held.evacuate(leaving, toldAt)
+		} else if !held.route.Resumable {
+			moves = append(moves, held)
+		}
+	}
+	if len(moves) == 0 {
+		return
+	}
+	ahead := f.options.Table.TokensAhead(leaving.ID)
+	wait := transferTime(moves[0].service.Engine, ahead)
+	moves[0].log("move waits for its turn", "target", leaving.ID, "streams", len(moves), "tokens_ahead", ahead, "wait_ms", wait.Milliseconds())
+	pause.For(moves[0].ctx, min(wait, noticeTime))
+	for _, held := range moves {
+		held.evacuate(leaving, toldAt)
+	}
+}
+
+// transferTime is the time in which an engine sends the memory of generations within its zone.
+func transferTime(engine *policy.Engine, tokens int) time.Duration {
+	if engine == nil || engine.LinkMegabits <= 0 {
+		return 0
 	}
+	const bitsPerByte, bitsPerMegabit = 8, 1e6
+	seconds := float64(tokens) * engine.BytesPerToken * bitsPerByte / (engine.LinkMegabits * bitsPerMegabit)
+	return time.Duration(seconds * float64(time.Second))
+}
+
+func (s *stream) produced() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.events
+}
+
+func (s *stream) hasBackup() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.started && s.backup != nil
 }
 
 // evacuate takes the generation to another target: to its backup, which has the memory already, else by a move.
-func (s *stream) evacuate(leaving roster.Target) {
+func (s *stream) evacuate(leaving roster.Target, toldAt time.Time) {
 	if s.route.Resumable {
 		return // it starts again after its last event when the target ends; most end before
 	}
@@ -80,7 +125,7 @@
 		next = s.switchToBackup(leaving)
 	}
 	if engine := s.service.Engine; next == nil && engine != nil && engine.Moves {
-		next = s.move(leaving)
+		next = s.move(leaving, toldAt)
 	}
 	s.mu.Lock()
 	s.next = next
@@ -128,8 +173,8 @@
 	// shortCopy is the time of a copy after which the generation may stop for the rest: with the way back
 	// and the start at the destination, the pause stays below what a reader notices.
 	shortCopy = 60 * time.Millisecond
-	// absentPause is the wait before a generation is asked for again that the engine does not run now, as
-	// while it is preempted.
+	// absentPause is the wait before the next try where the engine does not run the generation now, as while
+	// it is preempted, and where no other has room.
 	absentPause = 150 * time.Millisecond
 	// dropTimeout bounds the freeing of memory that nobody goes on from.
 	dropTimeout = time.Second
@@ -137,25 +182,26 @@
 
 // move copies the generation to another engine while it runs, until little is left; then it stops it, copies
 // the rest and returns where it goes on. It returns nil when the generation stays at its source.
-func (s *stream) move(leaving roster.Target) *continuation {
+func (s *stream) move(leaving roster.Target, toldAt time.Time) *continuation {
 	ctx, cancel := context.WithTimeout(s.ctx, moveTimeout)
 	defer cancel()
-	startedAt := time.Now()
-	excluded := append(slices.Clone(s.excluded), leaving.ID)
+	full := []string{leaving.ID}
 	for ctx.Err() == nil && s.runsAt(leaving) {
 		query := s.query()
-		query.Excluded = excluded
+		query.Excluded = full
 		query.Zone = leaving.Zone
 		query.Move = true
 		lease, err := s.options.Table.Pick(query, time.Now())
 		if err != nil {
 			s.moveFailed(leaving, "", err)
-			return nil
+			full = full[:1]
+			pause.For(ctx, absentPause)
+			continue
 		}
-		copied, err := s.copyTo(ctx, leaving, lease, startedAt)
+		copied, err := s.copyTo(ctx, leaving, lease, toldAt)
 		if err == nil && !copied.Refused && !copied.Unknown {
 			s.metrics.moves.Inc(1)
-			s.log("stream leaves its target", "target", leaving.ID, "way", "move", "destination", lease.Target.ID, "copied_ms", time.Since(startedAt).Milliseconds())
+			s.log("stream leaves its target", "target", leaving.ID, "way", "move", "destination", lease.Target.ID, "told_ms", time.Since(toldAt).Milliseconds())
 			return &continuation{lease: lease, from: &copied.Memory}
 		}
 		lease.Done(placement.Canceled, time.Now())
@@ -168,7 +214,7 @@
 		case copied.Memory.Handle != "":
 			return s.stay(leaving, copied.Memory)
 		default:
-			excluded = append(excluded, lease.Target.ID)
+			full = append(full, lease.Target.ID)
 		}
 	}
 	return nil
@@ -176,14 +222,14 @@
 
 // copyTo copies the generation to the destination of the lease and stops it at its source. Copies of several
 // generations queue on the engine's link, so it stops only after a copy that was short, or when time is short.
-func (s *stream) copyTo(ctx context.Context, leaving roster.Target, lease *placement.Lease, startedAt time.Time) (Copied, error) {
+func (s *stream) copyTo(ctx context.Context, leaving roster.Target, lease *placement.Lease, toldAt time.Time) (Copied, error) {
 	for {
 		copyAt := time.Now()
 		copied, err := s.options.Mover.Copy(ctx, leaving.Address, s.call.ID, lease.Target.Address, false)
 		if err != nil || copied.Refused || copied.Unknown {
 			return copied, err
 		}
-		if time.Since(copyAt) <= shortCopy || time.Since(startedAt) > noticeTime {
+		if time.Since(copyAt) <= shortCopy || time.Since(toldAt) > noticeTime {
 			return s.options.Mover.Copy(ctx, leaving.Address, s.call.ID, lease.Target.Address, true)
 		}
 	}
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -20,26 +20,26 @@
 	minPrefillRate = 1.0
 	// otherZoneCost covers the way there and back, and the price of traffic between zones.
 	otherZoneCost = 8.0
-	// transferZoneCost is added for a transfer of memory to another zone, which takes twice as long.
-	transferZoneCost = 400.0
 	// runningCost is what one more running generation adds to the steps of the others.
 	runningCost = 6.0
 	// fullMemoryCost is added as the expected memory goes from highMemory to all of it: an engine that runs
 	// out preempts generations, which costs a second and more.
 	fullMemoryCost = 3000.0
 	highMemory     = 0.7
-	// copyMemory is the share of an engine's memory up to which it takes copies.
-	copyMemory = 0.6
+	// copyMemory and movedMemory are the shares of an engine's memory up to which it takes copies, and
+	// generations that move.
+	copyMemory  = 0.35
+	movedMemory = 0.95
+	// otherZoneTransfer is the weight of engines in other zones, to which transfers take twice as long.
+	otherZoneTransfer = 0.1
 	// plainRequestCost is what a request in progress adds at a plain target, in its slots.
 	plainRequestCost = 100.0
 	// failureCost is added to a target that fails all requests.
 	failureCost = 2000.0
 	// slowStartCost is added while a target warms up.
 	slowStartCost = 150.0
-	// jitter keeps VMs that see the same loads from choosing the same target. Transfers are chosen by many
-	// VMs at the same moment, when an engine leaves.
-	jitter         = 4.0
-	transferJitter = 150.0
+	// jitter keeps VMs that see the same loads from choosing the same target.
+	jitter = 4.0
 )
 
 // Lease is the reservation of one request, or of one copy, at a target. Done must be called once.
@@ -69,27 +69,68 @@
 		return nil, apierror.Newf(apierror.KindNotRun, "come back after the time given", "no target of service %q is known", q.Service)
 	}
 	var best *target
-	lowest := math.Inf(1)
-	candidates := 0
-	spread := jitter
+	var candidates int
 	if q.Copy || q.Move {
-		spread = transferJitter
+		best, candidates = t.drawTransfer(s, &q, now)
+	} else {
+		best, candidates = t.lowestScore(s, &q, now)
 	}
+	if best == nil {
+		return nil, apierror.Newf(apierror.KindNotRun, "come back after the time given",
+			"none of the %d targets of service %q may take the request", len(s.targets), q.Service)
+	}
+	return t.reserve(best, &q, now, candidates), nil
+}
+
+// lowestScore returns the target with the lowest score, and the number of those that may take the request.
+func (t *Table) lowestScore(s *service, q *Query, now time.Time) (best *target, candidates int) {
+	lowest := math.Inf(1)
 	for _, known := range s.targets {
-		if q.excludes(known.ID) || !known.usable(now) || q.Copy && !known.takesCopy(&q) {
+		if q.excludes(known.ID) || !known.usable(now) {
 			continue
 		}
 		candidates++
-		score := s.score(known, &q, now) + t.random.Float64()*spread
-		if score < lowest {
+		if score := s.score(known, q, now) + t.random.Float64()*jitter; score < lowest {
 			best, lowest = known, score
 		}
 	}
-	if best == nil {
-		return nil, apierror.Newf(apierror.KindNotRun, "come back after the time given",
-			"none of the %d targets of service %q may take the request", len(s.targets), q.Service)
+	return best, candidates
+}
+
+// drawTransfer draws the engine that takes the memory of a generation, by the memory that it has free. When an
+// engine leaves, many VMs choose at the same moment on the same view; the one with the most memory for all of
+// them would be full at once.
+func (t *Table) drawTransfer(s *service, q *Query, now time.Time) (drawn *target, candidates int) {
+	total := 0.0
+	for _, known := range s.targets {
+		weight := known.transferWeight(q)
+		if weight <= 0 || q.excludes(known.ID) || !known.usable(now) {
+			continue
+		}
+		candidates++
+		total += weight
+		if t.random.Float64()*total < weight {
+			drawn = known
+		}
 	}
-	return t.reserve(best, &q, now, candidates), nil
+	return drawn, candidates
+}
+
+// transferWeight is the free memory of the engine in tokens, less where the transfer takes longer; zero where
+// the memory does not fit.
+func (t *target) transferWeight(q *Query) float64 {
+	limit := movedMemory
+	if q.Copy {
+		limit = copyMemory
+	}
+	free := limit*float64(q.MemoryTokens) - float64(t.own.MemoryTokens+t.peers.MemoryTokens)
+	if free < float64(q.memory()) || t.own.Requests+t.peers.Requests >= t.Slots {
+		return 0
+	}
+	if t.Zone != q.Zone {
+		free *= otherZoneTransfer
+	}
+	return free
 }
 
 // PickTarget reserves the named target, where a generation goes on whose memory is there; false means that
@@ -128,11 +169,7 @@
 	load := known.own
 	load.add(known.peers)
 	score := failureCost * known.health.failureShare()
-	switch {
-	case known.Zone == q.Zone:
-	case q.Copy || q.Move:
-		score += transferZoneCost
-	default:
+	if known.Zone != q.Zone {
 		score += otherZoneCost
 	}
 	if now.Before(known.slowUntil) {
@@ -153,12 +190,6 @@
 	return score
 }
 
-// takesCopy reports whether the engine has memory to spare for a copy.
-func (t *target) takesCopy(q *Query) bool {
-	used := t.own.MemoryTokens + t.peers.MemoryTokens + q.memory()
-	return float64(used) <= copyMemory*float64(q.MemoryTokens)
-}
-
 // FirstEvent records that the first event, or the answer, has come.
 func (l *Lease) FirstEvent(now time.Time) {
 	l.table.mu.Lock()
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -109,10 +109,15 @@
 	Moved
 )
 
+// Sender is an entry VM, or with an empty VM all those of a zone together.
+type Sender struct {
+	VM   string
+	Zone string
+}
+
 // Options configures a Table.
 type Options struct {
-	// VM is the name of this VM.
-	VM string
+	Self Sender
 	// Seed makes the choice between equal targets reproducible.
 	Seed uint64
 }
@@ -123,7 +128,8 @@
 	random   *rand.Rand
 	targets  map[string]*target
 	services map[string]*service
-	peers    map[string]peerLoad
+	self     Sender
+	peers    map[Sender]peerLoad
 }
 
 // service is what is known of the targets of a service together.
@@ -159,7 +165,8 @@
 		random:   rand.New(rand.NewPCG(options.Seed, 0)),
 		targets:  make(map[string]*target),
 		services: make(map[string]*service),
-		peers:    make(map[string]peerLoad),
+		self:     options.Self,
+		peers:    make(map[Sender]peerLoad),
 	}
 }
 
@@ -218,13 +225,13 @@
 }
 
 // PeerLoads takes what a peer says that it has sent.
-func (t *Table) PeerLoads(vm string, loads map[string]Load, now time.Time) {
+func (t *Table) PeerLoads(peer Sender, loads map[string]Load, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.peers[vm] = peerLoad{at: now, loads: loads}
-	for name, peer := range t.peers {
-		if now.Sub(peer.at) > peerLoadLife {
-			delete(t.peers, name)
+	t.peers[peer] = peerLoad{at: now, loads: loads}
+	for sender, sent := range t.peers {
+		if now.Sub(sent.at) > peerLoadLife {
+			delete(t.peers, sender)
 		}
 	}
 	t.sumPeers()
