Wait for memory at the entry VM and tell placements at once

Change: a digest is sent as soon as work is placed; a generation waits for room at the entry VM, the most urgent first, and is refused at once where the queue will not reach it in a quarter of its objective.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -76,7 +76,7 @@
 	e := &Entry{logger: logger, shutdown: make(chan struct{}), client: upstream.NewClient()}
 	e.settings.Store(s)
 	e.store = platform.NewStore(s.Platform.Address, platform.EagerWatch)
-	e.table = placement.NewTable(placement.Options{Self: placement.Sender{VM: s.VM.Name, Zone: s.VM.Zone}, Seed: seedOf(s.VM.Name)})
+	e.table = placement.NewTable(placement.Options{Self: placement.Sender{VM: s.VM.Name, Zone: s.VM.Zone}, Placed: e.hurry, Seed: seedOf(s.VM.Name)})
 	e.budget = retrybudget.New(s.Bounds.RetryRatio*slackShare, s.Bounds.RetrySlack*slackShare/unknownFleet)
 	e.keeper = inforce.NewKeeper(inforce.Options{
 		Reader: e.store, Logger: logger, InForceWithin: s.Bounds.Configuration(), RevokedWithin: s.Bounds.Revocation(),
@@ -251,6 +251,13 @@
 // readsClosely reports whether this VM follows the platform closely, not by its peers.
 func (e *Entry) readsClosely() bool { return e.fleet == nil || e.fleet.Reader() }
 
+// hurry tells the other VMs at once what this one has placed.
+func (e *Entry) hurry() {
+	if e.fleet != nil {
+		e.fleet.Hurry()
+	}
+}
+
 // tell passes what the platform said of a target on to the other VMs.
 func (e *Entry) tell(target roster.Target) {
 	if e.fleet != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -29,6 +29,8 @@
 const (
 	// baseInterval is the least time between two digests; reading a prompt takes several times as long.
 	baseInterval = 100 * time.Millisecond
+	// hurryGap is the least time between two digests that are sent before their time.
+	hurryGap = 10 * time.Millisecond
 	// perPeer lengthens the interval with the zone, so that a VM takes in at a bounded rate.
 	perPeer = 8 * time.Millisecond
 	// idleInterval is the time between digests while nothing changes.
@@ -151,11 +153,12 @@
 	f.mu.Lock()
 	f.changes = append(f.changes, timedChange{at: time.Now(), change: newChange(target)})
 	f.mu.Unlock()
-	f.hurry()
+	f.Hurry()
 }
 
-// hurry has the next digest sent at once.
-func (f *Fleet) hurry() {
+// Hurry has the next digest sent at once, as when work was placed that others' next choice should count. It
+// does not block.
+func (f *Fleet) Hurry() {
 	select {
 	case f.wake <- struct{}{}:
 	default:
@@ -182,6 +185,9 @@
 		}
 		f.send(loads, now)
 		last, sentAt = loads, now
+		if !pause.For(ctx, hurryGap) {
+			return nil
+		}
 	}
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -44,7 +45,7 @@
 const refusedRetryAfter = 400 * time.Millisecond
 
 func (x *exchange) query() placement.Query {
-	query := placement.Query{Service: x.service.Name, Zone: x.options.Zone, Excluded: x.excluded}
+	query := placement.Query{Service: x.service.Name, Zone: x.options.Zone, Priority: x.priority(), Excluded: x.excluded}
 	if engine := x.service.Engine; engine != nil && x.call.Prompt.Tokens > 0 {
 		query.MemoryTokens = engine.MemoryTokens
 		query.PromptTokens = x.call.Prompt.Tokens
@@ -66,15 +67,44 @@
 	return lengths.Key{Service: x.service.Name, Class: x.route.Name, Account: x.account.Name}
 }
 
-// place chooses a target for the next attempt.
-func (x *exchange) place() (*placement.Lease, error) {
-	lease, err := x.options.Table.Pick(x.query(), time.Now())
+// waitShare is the part of the latency objective for which a request may wait for room: the rest is for
+// reading the prompt. One that has no objective waits for unboundedWait.
+const (
+	waitShare     = 0.25
+	unboundedWait = time.Second
+)
+
+// place chooses a target for the next attempt, and waits for room for a while.
+func (x *exchange) place(ctx context.Context) (*placement.Lease, error) {
+	patience := unboundedWait
+	if x.route.Objective > 0 {
+		patience = time.Duration(waitShare * float64(x.route.Objective))
+	}
+	lease, err := x.options.Table.Await(ctx, x.query(), min(patience, time.Until(x.deadline)))
 	if err != nil {
-		return nil, asTyped(err).WithRetryAfter(refusedRetryAfter)
+		return nil, asTyped(err).WithRetryAfter(x.returnAfter())
 	}
 	return lease, nil
 }
 
+// The bounds of the time after which a refused caller comes back: generations last for seconds, and callers
+// that come back together are refused together.
+const (
+	minReturn = 1500 * time.Millisecond
+	maxReturn = 4500 * time.Millisecond
+	// returnShare is the part of the time left after which a return is of use.
+	returnShare = 0.3
+)
+
+// returnAfter draws when a refused caller comes back.
+func (x *exchange) returnAfter() time.Duration {
+	if x.call.Prompt.Tokens == 0 {
+		return refusedRetryAfter
+	}
+	drawn := minReturn + rand.N(maxReturn-minReturn)
+	return min(drawn, time.Duration(returnShare*float64(time.Until(x.deadline))))
+}
+
 // offer sends the call to the target of the lease.
 func (x *exchange) offer(ctx context.Context, lease *placement.Lease, send Send) (*upstream.Response, *ending) {
 	x.attempts++
@@ -164,7 +194,7 @@
 // whole answers a call whose answer is held until it is complete.
 func (x *exchange) whole(ctx context.Context) error {
 	for {
-		lease, err := x.place()
+		lease, err := x.place(ctx)
 		if err != nil {
 			return x.finalError(ctx, err)
 		}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -59,7 +59,7 @@
 	s := &stream{exchange: x, flusher: flusher, ctx: ctx, lastEventID: x.call.LastEventID}
 	defer s.release()
 	for {
-		next, err := s.nextTarget()
+		next, err := s.nextTarget(ctx)
 		if err != nil {
 			return x.finalError(ctx, err)
 		}
@@ -89,7 +89,7 @@
 }
 
 // nextTarget returns where the generation starts or goes on.
-func (s *stream) nextTarget() (*continuation, error) {
+func (s *stream) nextTarget(ctx context.Context) (*continuation, error) {
 	s.mu.Lock()
 	next := s.next
 	s.next = nil
@@ -97,7 +97,7 @@
 	if next != nil {
 		return next, nil
 	}
-	lease, err := s.place()
+	lease, err := s.place(ctx)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -26,9 +26,13 @@
 	// out preempts generations, which costs a second and more.
 	fullMemoryCost = 3000.0
 	highMemory     = 0.7
+	// ordinaryMemory and urgentMemory are the shares of an engine's memory up to which it takes new
+	// generations: what is left is for those that move there and for the growth of those that run.
+	ordinaryMemory = 0.85
+	urgentMemory   = 1.0
 	// copyMemory and movedMemory are the shares of an engine's memory up to which it takes copies, and
 	// generations that move.
-	copyMemory  = 0.35
+	copyMemory  = 0.25
 	movedMemory = 0.95
 	// otherZoneTransfer is the weight of engines in other zones, to which transfers take twice as long.
 	otherZoneTransfer = 0.1
@@ -68,21 +72,44 @@
 	if s == nil {
 		return nil, apierror.Newf(apierror.KindNotRun, "come back after the time given", "no target of service %q is known", q.Service)
 	}
+	return t.pick(s, &q, now)
+}
+
+// pick is called with the lock held. The error is of kind overloaded where targets serve and none has room.
+func (t *Table) pick(s *service, q *Query, now time.Time) (*Lease, error) {
 	var best *target
 	var candidates int
 	if q.Copy || q.Move {
-		best, candidates = t.drawTransfer(s, &q, now)
+		best, candidates = t.drawTransfer(s, q, now)
 	} else {
-		best, candidates = t.lowestScore(s, &q, now)
+		best, candidates = t.lowestScore(s, q, now)
+	}
+	if best == nil && candidates > 0 {
+		return nil, apierror.Newf(apierror.KindOverloaded, "come back after the time given",
+			"none of the %d targets of service %q that serve has room", candidates, q.Service)
 	}
 	if best == nil {
 		return nil, apierror.Newf(apierror.KindNotRun, "come back after the time given",
 			"none of the %d targets of service %q may take the request", len(s.targets), q.Service)
 	}
-	return t.reserve(best, &q, now, candidates), nil
+	return t.reserve(best, q, now, candidates), nil
 }
 
-// lowestScore returns the target with the lowest score, and the number of those that may take the request.
+// hasRoom reports whether a new generation fits the target's memory and slots. Plain services queue themselves.
+func (t *target) hasRoom(q *Query) bool {
+	if q.MemoryTokens == 0 {
+		return true
+	}
+	limit := ordinaryMemory
+	if q.Priority <= 0 {
+		limit = urgentMemory
+	}
+	used := t.own.MemoryTokens + t.peers.MemoryTokens
+	fits := float64(used+q.memory()) <= limit*float64(q.MemoryTokens) || used == 0
+	return fits && t.own.Requests+t.peers.Requests < t.Slots
+}
+
+// lowestScore returns the target with the lowest score of those with room, and the number of those that serve.
 func (t *Table) lowestScore(s *service, q *Query, now time.Time) (best *target, candidates int) {
 	lowest := math.Inf(1)
 	for _, known := range s.targets {
@@ -90,6 +117,9 @@
 			continue
 		}
 		candidates++
+		if !known.hasRoom(q) {
+			continue
+		}
 		if score := s.score(known, q, now) + t.random.Float64()*jitter; score < lowest {
 			best, lowest = known, score
 		}
@@ -103,11 +133,14 @@
 func (t *Table) drawTransfer(s *service, q *Query, now time.Time) (drawn *target, candidates int) {
 	total := 0.0
 	for _, known := range s.targets {
-		weight := known.transferWeight(q)
-		if weight <= 0 || q.excludes(known.ID) || !known.usable(now) {
+		if q.excludes(known.ID) || !known.usable(now) {
 			continue
 		}
 		candidates++
+		weight := known.transferWeight(q)
+		if weight <= 0 {
+			continue
+		}
 		total += weight
 		if t.random.Float64()*total < weight {
 			drawn = known
@@ -161,6 +194,9 @@
 	lease.backlog = float64(chosen.own.PrefillTokens + chosen.peers.PrefillTokens + q.prefill())
 	lease.Expected = time.Duration(lease.backlog / chosen.service.prefillRate * float64(time.Millisecond))
 	chosen.own.add(lease.load)
+	if q.MemoryTokens > 0 && t.placed != nil {
+		t.placed()
+	}
 	return lease
 }
 
@@ -184,9 +220,6 @@
 	if used > highMemory {
 		score += fullMemoryCost * (used - highMemory) / (1 - highMemory)
 	}
-	if load.Requests >= known.Slots {
-		score += fullMemoryCost
-	}
 	return score
 }
 
@@ -234,4 +267,5 @@
 	l.done = true
 	l.target.own.subtract(l.load)
 	l.target.health.record(outcome, now)
+	l.table.wakeWaiters()
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -52,6 +52,8 @@
 	// PromptTokens is the length of the prompt, and OutputTokens the expected length of the output.
 	PromptTokens int
 	OutputTokens int
+	// Priority orders requests that wait for room; the lowest comes first.
+	Priority int
 	// Excluded names targets that must not be chosen.
 	Excluded []string
 	// Copy asks for room for a copy of a generation in place of work; it is refused where memory is short.
@@ -118,6 +120,8 @@
 // Options configures a Table.
 type Options struct {
 	Self Sender
+	// Placed is called, with the lock held, when work was reserved at an engine; nil for nobody.
+	Placed func()
 	// Seed makes the choice between equal targets reproducible.
 	Seed uint64
 }
@@ -129,12 +133,17 @@
 	targets  map[string]*target
 	services map[string]*service
 	self     Sender
+	placed   func()
 	peers    map[Sender]peerLoad
+	// changed is closed when room may have become free.
+	changed chan struct{}
 }
 
 // service is what is known of the targets of a service together.
 type service struct {
 	targets []*target
+	// queue are the requests that wait for room.
+	queue queue
 	// prefillRate is the observed rate of reading prompts, in tokens a millisecond.
 	prefillRate float64
 }
@@ -166,7 +175,9 @@
 		targets:  make(map[string]*target),
 		services: make(map[string]*service),
 		self:     options.Self,
+		placed:   options.Placed,
 		peers:    make(map[Sender]peerLoad),
+		changed:  make(chan struct{}),
 	}
 }
 
@@ -197,6 +208,7 @@
 		}
 	}
 	t.regroup()
+	t.wakeWaiters()
 }
 
 func (t *Table) regroup() {
@@ -235,6 +247,7 @@
 		}
 	}
 	t.sumPeers()
+	t.wakeWaiters()
 }
 
 func (t *Table) sumPeers() {
