Exchange digests directly up to 128 entry VMs

Cause: logs of each first event beside the load at its decision showed engines that looked empty take nine requests at once from VMs of other zones, whose sums were up to half a second old. Change: digests go to all VMs up to 128, on every placement and first event; echoes only from readers. An engine takes no prompt whose backlog would cost more than 0.6 of the objective.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,6 +1,6 @@
 // Package fleet lets entry VMs share what each of them knows, so that the platform's store is read by few.
 //
-// Each VM sends a digest to the VMs of its zone, in a small fleet to all, as one datagram: what it has sent to targets, and how fresh
+// Each VM sends a digest to the VMs of its zone, up to a certain size of the fleet to all, as one datagram: what it has sent to targets, and how fresh
 // its view of the platform is. In each zone the live VM of the highest rank is the reader: it follows the
 // platform closely, and exchanges the sums of its zone with the readers of the others. A VM that hears no
 // reader reads the platform itself. A datagram that is lost is replaced by the next one.
@@ -41,8 +41,9 @@
 	hearingFor = 1200 * time.Millisecond
 	// changeLife is how long a change is repeated in digests, against the loss of some.
 	changeLife = 2 * time.Second
-	// meshSize is the number of entry VMs up to which all of them exchange digests directly.
-	meshSize = 16
+	// meshSize is the number of entry VMs up to which all of them exchange digests directly: each takes in two
+	// small datagrams for every generation that the fleet places.
+	meshSize = 128
 	// unknownReaders is the number of VMs that a reader sends to in a zone whose reader it has not heard.
 	unknownReaders = 3
 	// sentKept is the number of own digests whose send times are kept for echoes.
@@ -258,8 +259,10 @@
 	reader := f.leads(now)
 	near, far := f.recipients(now, reader)
 	out := digest{VM: f.options.Self.Name, Zone: f.options.Self.Zone, Sequence: f.sequence, Reader: reader, Echoes: make(map[uint32]uint32, len(f.peers))}
-	for name, known := range f.peers {
-		out.Echoes[sum(name)] = known.sequence
+	if reader {
+		for name, known := range f.peers {
+			out.Echoes[sum(name)] = known.sequence
+		}
 	}
 	for _, change := range f.changes {
 		out.Changes = append(out.Changes, change.change)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -45,7 +45,7 @@
 const refusedRetryAfter = 400 * time.Millisecond
 
 func (x *exchange) query() placement.Query {
-	query := placement.Query{Service: x.service.Name, Zone: x.options.Zone, Priority: x.priority(), Excluded: x.excluded}
+	query := placement.Query{Service: x.service.Name, Zone: x.options.Zone, Priority: x.priority(), Objective: x.route.Objective, Excluded: x.excluded}
 	if engine := x.service.Engine; engine != nil && x.call.Prompt.Tokens > 0 {
 		query.MemoryTokens = engine.MemoryTokens
 		query.PromptTokens = x.call.Prompt.Tokens
--- a/internal/inforce/inforce.go
+++ b/internal/inforce/inforce.go
@@ -52,7 +52,7 @@
 	// storePause is the least time between two reads, so that a storm of versions costs few.
 	storePause = 150 * time.Millisecond
 	// oldProof is the share of the bound on revoked keys at which a VM that relies on peers reads itself.
-	oldProof = 0.6
+	oldProof = 0.75
 	// proofMargin is kept between the age of a proof and the bound, for the way from the check to the target.
 	proofMargin = 300 * time.Millisecond
 	// retryPause is the least wait after a failed read; up to as much again is added at random, so that
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -18,8 +18,11 @@
 	rateWeight = 0.05
 	// minPrefillRate keeps one very late event from stopping all work.
 	minPrefillRate = 1.0
-	// otherZoneCost covers the way there and back, and the price of traffic between zones.
-	otherZoneCost = 8.0
+	// nearZoneCost covers the way to another zone and back, and the price of the traffic. summedZoneCost holds
+	// where the loads of another zone are known only by its sums, which are older: many VMs would choose the
+	// same engine of it.
+	nearZoneCost   = 8.0
+	summedZoneCost = 200.0
 	// runningCost is what one more running generation adds to the steps of the others.
 	runningCost = 6.0
 	// fullMemoryCost is added as the expected memory goes from highMemory to all of it: an engine that runs
@@ -30,6 +33,8 @@
 	// generations: what is left is for those that move there and for the growth of those that run.
 	ordinaryMemory = 0.85
 	urgentMemory   = 1.0
+	// backlogShare is the part of the objective that the prompts at an engine may take to be read.
+	backlogShare = 0.6
 	// copyMemory and movedMemory are the shares of an engine's memory up to which it takes copies, and
 	// generations that move.
 	copyMemory  = 0.25
@@ -95,8 +100,9 @@
 	return t.reserve(best, q, now, candidates), nil
 }
 
-// hasRoom reports whether a new generation fits the target's memory and slots. Plain services queue themselves.
-func (t *target) hasRoom(q *Query) bool {
+// hasRoom reports whether a new generation fits the target's memory and slots, and its first event the
+// objective. Plain services queue themselves.
+func (s *service) hasRoom(t *target, q *Query) bool {
 	if q.MemoryTokens == 0 {
 		return true
 	}
@@ -106,7 +112,12 @@
 	}
 	used := t.own.MemoryTokens + t.peers.MemoryTokens
 	fits := float64(used+q.memory()) <= limit*float64(q.MemoryTokens) || used == 0
-	return fits && t.own.Requests+t.peers.Requests < t.Slots
+	if !fits || t.own.Requests+t.peers.Requests >= t.Slots {
+		return false
+	}
+	backlog := t.own.PrefillTokens + t.peers.PrefillTokens
+	expected := float64(backlog+q.prefill()) / s.prefillRate * float64(time.Millisecond)
+	return q.Objective == 0 || backlog == 0 || expected <= backlogShare*float64(q.Objective)
 }
 
 // lowestScore returns the target with the lowest score of those with room, and the number of those that serve.
@@ -117,10 +128,10 @@
 			continue
 		}
 		candidates++
-		if !known.hasRoom(q) {
+		if !s.hasRoom(known, q) {
 			continue
 		}
-		if score := s.score(known, q, now) + t.random.Float64()*jitter; score < lowest {
+		if score := t.score(s, known, q, now) + t.random.Float64()*jitter; score < lowest {
 			best, lowest = known, score
 		}
 	}
@@ -201,12 +212,12 @@
 }
 
 // score estimates what the choice of the target costs the request and others, in milliseconds.
-func (s *service) score(known *target, q *Query, now time.Time) float64 {
+func (t *Table) score(s *service, known *target, q *Query, now time.Time) float64 {
 	load := known.own
 	load.add(known.peers)
 	score := failureCost * known.health.failureShare()
 	if known.Zone != q.Zone {
-		score += otherZoneCost
+		score += t.otherZoneCost
 	}
 	if now.Before(known.slowUntil) {
 		score += slowStartCost
@@ -233,6 +244,9 @@
 	l.started = true
 	l.target.own.PrefillTokens -= l.load.PrefillTokens
 	l.load.PrefillTokens = 0
+	if l.table.placed != nil && l.prompt > 0 {
+		l.table.placed()
+	}
 	if waited := now.Sub(l.sentAt).Seconds() * 1000; waited > 0 && l.backlog > 0 {
 		s := l.target.service
 		s.prefillRate += rateWeight * (max(l.backlog/waited, minPrefillRate) - s.prefillRate)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -52,6 +52,8 @@
 	// PromptTokens is the length of the prompt, and OutputTokens the expected length of the output.
 	PromptTokens int
 	OutputTokens int
+	// Objective is the time within which the first event is on time; zero where there is none.
+	Objective time.Duration
 	// Priority orders requests that wait for room; the lowest comes first.
 	Priority int
 	// Excluded names targets that must not be chosen.
@@ -120,7 +122,7 @@
 // Options configures a Table.
 type Options struct {
 	Self Sender
-	// Placed is called, with the lock held, when work was reserved at an engine; nil for nobody.
+	// Placed is called, with the lock held, when the work at an engine has changed; nil for nobody.
 	Placed func()
 	// Seed makes the choice between equal targets reproducible.
 	Seed uint64
@@ -135,6 +137,8 @@
 	self     Sender
 	placed   func()
 	peers    map[Sender]peerLoad
+	// otherZoneCost is what a score adds for a target of another zone.
+	otherZoneCost float64
 	// changed is closed when room may have become free.
 	changed chan struct{}
 }
@@ -178,6 +182,8 @@
 		placed:   options.Placed,
 		peers:    make(map[Sender]peerLoad),
 		changed:  make(chan struct{}),
+
+		otherZoneCost: nearZoneCost,
 	}
 }
 
@@ -254,7 +260,11 @@
 	for _, known := range t.targets {
 		known.peers = Load{}
 	}
-	for _, peer := range t.peers {
+	t.otherZoneCost = nearZoneCost
+	for sender, peer := range t.peers {
+		if sender.VM == "" {
+			t.otherZoneCost = summedZoneCost
+		}
 		for id, load := range peer.loads {
 			if known := t.targets[id]; known != nil {
 				known.peers.add(load)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -78,7 +78,7 @@
 	// gatherTime is the wait before the next watch, so that changes that come together cost one call.
 	gatherTime = 80 * time.Millisecond
 	// relaxedTime is the wait between two watches of a VM that learns of changes from peers.
-	relaxedTime = 5 * time.Second
+	relaxedTime = 8 * time.Second
 	// closeCheck is how often it is looked whether the list must be followed closely after all.
 	closeCheck = 200 * time.Millisecond
 	// retryPause is the least wait after a failed call; up to as much again is added at random.
