Test a whole entry VM against stand-ins of the platform; retry past refusing targets

Cause: found by the new tests, which failed first: with two targets a call that the first refused was not offered to the second, since the refusing one was counted twice; and a VM without peers assumed 32 of them for the retry slack.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -77,7 +77,7 @@
 	e.settings.Store(s)
 	e.store = platform.NewStore(s.Platform.Address, platform.EagerWatch)
 	e.table = placement.NewTable(placement.Options{Self: placement.Sender{VM: s.VM.Name, Zone: s.VM.Zone}, Placed: e.hurry, Seed: seedOf(s.VM.Name)})
-	e.budget = retrybudget.New(s.Bounds.RetryRatio*slackShare, s.Bounds.RetrySlack*slackShare/unknownFleet)
+	e.budget = retrybudget.New(s.Bounds.RetryRatio*slackShare, s.Bounds.RetrySlack*slackShare/expectedFleet(s))
 	e.keeper = inforce.NewKeeper(inforce.Options{
 		Reader: e.store, Logger: logger, InForceWithin: s.Bounds.Configuration(), RevokedWithin: s.Bounds.Revocation(),
 		Close: e.readsClosely,
@@ -94,6 +94,14 @@
 	return e
 }
 
+// expectedFleet is the number of entry VMs that share the retry slack before any has been heard of.
+func expectedFleet(s *settings.Deployment) float64 {
+	if s.Peers.Port == 0 {
+		return 1
+	}
+	return unknownFleet
+}
+
 func seedOf(name string) uint64 {
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(name)) // never fails
--- /dev/null
+++ b/internal/entry/harness_test.go
@@ -0,0 +1,227 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"godwitcart/internal/entry"
+	"godwitcart/internal/settings"
+	"godwitcart/platform/platformtest"
+)
+
+const (
+	zone = "regina-a"
+	host = "prairie.example"
+	// patience bounds the wait for something that happens soon.
+	patience = 20 * time.Second
+	poll     = 10 * time.Millisecond
+)
+
+// deployment is a platform with targets, on loopback.
+type deployment struct {
+	t       *testing.T
+	store   *platformtest.Store
+	address string
+	cluster *platformtest.Cluster
+	version int
+}
+
+func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	d := &deployment{t: t, store: platformtest.NewStore(), cluster: platformtest.NewCluster()}
+	server := httptest.NewServer(d.store)
+	t.Cleanup(server.CloseClientConnections)
+	t.Cleanup(server.Close)
+	d.address = server.Listener.Addr().String()
+	return d
+}
+
+// target starts a target and lists it.
+func (d *deployment) target(id, service string) *platformtest.Target {
+	d.t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(d.t, err)
+	target := platformtest.NewTarget(id, listener.Addr().String(), d.cluster)
+	server := &http.Server{Handler: target, ErrorLog: log.New(io.Discard).StandardLog()}
+	go server.Serve(listener)
+	d.t.Cleanup(func() { server.Close() })
+	d.list(target, service, "ready")
+	return target
+}
+
+func (d *deployment) list(target *platformtest.Target, service, state string) {
+	d.store.Put("servers", target.ID, target.Entry(service, zone, state))
+}
+
+// configure writes the next version with the keys given.
+func (d *deployment) configure(keys ...string) {
+	d.version += 3
+	route := func(name, path, kind, service string, extra map[string]any) map[string]any {
+		fields := map[string]any{
+			"name": name, "hostname": host, "path_prefix": path, "route_kind": kind, "timeout_ms": 10000, "slo_ms": 1500,
+			"priority": 1, "service": service, "max_attempts": 2, "anonymous": false,
+		}
+		for field, value := range extra {
+			fields[field] = value
+		}
+		return fields
+	}
+	d.store.Put("config", "main", map[string]any{
+		"version": d.version,
+		"routes": []any{
+			route("letters", "/letters/", "streaming", "drafter", map[string]any{"max_attempts": 1, "session_affinity": true}),
+			route("checks", "/checks/", "streaming", "drafter", map[string]any{"stream_resume": true, "priority": 0}),
+			route("lookup", "/lookup/", "unsafe", "counter", map[string]any{"max_attempts": 1}),
+			route("peek", "/peek/", "safe", "counter", nil),
+			route("hurried", "/hurried/", "safe", "counter", map[string]any{"timeout_ms": 300}),
+			route("open", "/open/", "safe", "counter", map[string]any{"anonymous": true}),
+		},
+		"services": []any{
+			map[string]any{"name": "drafter", "health_path": "/healthz", "max_connections": 200, "engine": map[string]any{
+				"slots": 24, "kv_capacity": 30000, "kv_bytes": 1000, "link_mbps": 24000, "moves": true, "backups": true, "handle_ttl_s": 5,
+			}},
+			map[string]any{"name": "counter", "health_path": "/healthz", "max_connections": 100},
+		},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4096, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []any{map[string]any{"name": "acme", "api_keys": keys, "priority": 1}},
+	})
+}
+
+// vm is one running entry VM.
+type vm struct {
+	t        *testing.T
+	entry    *entry.Entry
+	callers  string
+	ready    string
+	metrics  string
+	client   *http.Client
+	stopped  chan struct{}
+	shutdown sync.Once
+}
+
+// freePort returns host:port of a port that was free a moment ago.
+func freePort(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// start runs an entry VM; change may alter its settings. It is ready on return.
+func (d *deployment) start(name string, change func(*settings.Deployment)) *vm {
+	d.t.Helper()
+	s := settings.DefaultDeployment()
+	s.VM = settings.DeploymentVM{Name: name, Zone: zone, Region: "sk", Address: "127.0.0.1"}
+	s.Callers.Listen, s.Readiness.Listen, s.Metrics.Listen = freePort(d.t), freePort(d.t), freePort(d.t)
+	s.Platform.Address = d.address
+	s.Bounds.ConfigurationMillis = 600
+	s.Bounds.GraceSeconds = 4
+	if change != nil {
+		change(s)
+	}
+	require.Empty(d.t, settings.CheckDeployment(s))
+	v := &vm{
+		t: d.t, entry: entry.New(s, log.New(io.Discard)), callers: s.Callers.Listen, ready: s.Readiness.Listen, metrics: s.Metrics.Listen,
+		client: &http.Client{Transport: &http.Transport{}}, stopped: make(chan struct{}),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		defer close(v.stopped)
+		if err := v.entry.Run(ctx); err != nil {
+			d.t.Errorf("entry VM %s: %v", name, err)
+		}
+	}()
+	d.t.Cleanup(func() {
+		cancel()
+		<-v.stopped
+		v.client.CloseIdleConnections()
+	})
+	require.Eventually(d.t, func() bool { return v.readiness() == http.StatusOK }, patience, poll)
+	return v
+}
+
+func (v *vm) readiness() int {
+	response, err := v.client.Get("http://" + v.ready + "/v1/readyz")
+	if err != nil {
+		return 0
+	}
+	response.Body.Close()
+	return response.StatusCode
+}
+
+var attempts struct {
+	sync.Mutex
+	count int
+}
+
+// request returns a caller's request with an attempt id of its own.
+func (v *vm) request(method, path, body string) *http.Request {
+	v.t.Helper()
+	request, err := http.NewRequest(method, "http://"+v.callers+path, strings.NewReader(body))
+	require.NoError(v.t, err)
+	attempts.Lock()
+	attempts.count++
+	request.Header.Set("X-Attempt-Id", fmt.Sprintf("attempt-%d", attempts.count))
+	attempts.Unlock()
+	request.Host = host
+	request.Header.Set("X-Api-Key", "key-1")
+	request.Header.Set("X-Deadline-Ms", "8000")
+	return request
+}
+
+// generation returns the request of a stream of events.
+func (v *vm) generation(path string, events, gapMillis int) *http.Request {
+	v.t.Helper()
+	request := v.request(http.MethodPost, path, "prompt")
+	request.Header.Set("X-Model", "m")
+	request.Header.Set("X-Token-Usage", "500,400")
+	request.Header.Set(platformtest.HeaderEvents, fmt.Sprint(events))
+	request.Header.Set(platformtest.HeaderGapMillis, fmt.Sprint(gapMillis))
+	return request
+}
+
+func (v *vm) do(request *http.Request) (*http.Response, string) {
+	v.t.Helper()
+	response, err := v.client.Do(request)
+	require.NoError(v.t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(v.t, err)
+	return response, string(body)
+}
+
+// follow reads a stream to its end and calls seen after each event; it requires the events to be the numbers
+// from 1 to events, in order.
+func follow(t *testing.T, response *http.Response, events int, seen func(number int)) {
+	t.Helper()
+	defer response.Body.Close()
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	lines := bufio.NewScanner(response.Body)
+	number := 0
+	for lines.Scan() {
+		text, found := strings.CutPrefix(lines.Text(), "id: ")
+		if !found {
+			continue
+		}
+		number++
+		require.Equal(t, fmt.Sprint(number), text, "an event is missing, twice or out of order")
+		if seen != nil {
+			seen(number)
+		}
+	}
+	require.NoError(t, lines.Err())
+	require.Equal(t, events, number)
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -165,7 +165,7 @@
 	if !end.notRun && (!x.repeatable() || x.attempts >= x.route.MaxAttempts) {
 		return false
 	}
-	if x.options.Table.Usable(x.service.Name, time.Now()) <= len(x.excluded) {
+	if !x.options.Table.Serves(x.service.Name, x.excluded, time.Now()) {
 		return false
 	}
 	return x.options.Budget.Spend(x.service.Name)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -8,6 +8,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -85,14 +86,7 @@
 	return q.PromptTokens
 }
 
-func (q *Query) excludes(id string) bool {
-	for _, excluded := range q.Excluded {
-		if excluded == id {
-			return true
-		}
-	}
-	return false
-}
+func (q *Query) excludes(id string) bool { return slices.Contains(q.Excluded, id) }
 
 // Outcome says how a request ended at its target.
 type Outcome int
@@ -286,19 +280,16 @@
 	return loads
 }
 
-// Usable returns the number of targets of the service that may take work.
-func (t *Table) Usable(serviceName string, now time.Time) int {
+// Serves reports whether the service has a target that may take work, beside those excluded.
+func (t *Table) Serves(serviceName string, excluded []string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	count := 0
-	if s := t.services[serviceName]; s != nil {
-		for _, known := range s.targets {
-			if known.usable(now) {
-				count++
-			}
-		}
+	s := t.services[serviceName]
+	if s == nil {
+		return false
 	}
-	return count
+	query := Query{Excluded: excluded}
+	return slices.ContainsFunc(s.targets, func(known *target) bool { return known.usable(now) && !query.excludes(known.ID) })
 }
 
 func (t *target) usable(now time.Time) bool {
