--- /dev/null
+++ b/internal/inforce/inforce_test.go
@@ -0,0 +1,133 @@
+package inforce_test
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"godwitcart/internal/boottime"
+	"godwitcart/internal/inforce"
+	"godwitcart/internal/policy"
+)
+
+// platform answers reads with its version.
+type platform struct {
+	version atomic.Uint64
+	down    atomic.Bool
+	reads   atomic.Int64
+}
+
+// ReadConfiguration implements inforce.Reader.
+func (p *platform) ReadConfiguration(context.Context) (*policy.RouteTable, error) {
+	p.reads.Add(1)
+	if p.down.Load() {
+		return nil, errors.New("the platform is away")
+	}
+	return policy.BuildRouteTable(policy.RouteTableParts{Version: p.version.Load()}), nil
+}
+
+// suspended is added to the clock that ages proofs: the time for which the VM was suspended.
+type clock struct {
+	started   time.Time
+	suspended time.Duration
+}
+
+func (c *clock) now() boottime.Instant {
+	return boottime.Instant(time.Since(c.started)+c.suspended) + 1
+}
+
+const (
+	inForceWithin = 2 * time.Second
+	revokedWithin = 5 * time.Second
+)
+
+func run(t *testing.T, closely func() bool, test func(*inforce.Keeper, *platform, *clock)) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &platform{}
+		source.version.Store(4)
+		c := &clock{started: time.Now()}
+		keeper := inforce.NewKeeper(inforce.Options{
+			Reader: source, Logger: log.New(io.Discard), InForceWithin: inForceWithin, RevokedWithin: revokedWithin, Close: closely, Now: c.now,
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = keeper.Run(ctx)
+		}()
+		synctest.Wait()
+		test(keeper, source, c)
+		cancel()
+		<-done
+	})
+}
+
+// TestNewVersion checks the bound on a new version, and that versions never fall.
+func TestNewVersion(t *testing.T) {
+	run(t, nil, func(keeper *inforce.Keeper, source *platform, _ *clock) {
+		require.Equal(t, uint64(4), keeper.Current().Version)
+		source.version.Store(9)
+		time.Sleep(inForceWithin)
+		require.Equal(t, uint64(9), keeper.Current().Version)
+		source.version.Store(5)
+		time.Sleep(2 * inForceWithin)
+		require.Equal(t, uint64(9), keeper.Current().Version)
+	})
+}
+
+// TestProofEnds checks that keys are accepted while the platform answers, and for less than the bound after it.
+func TestProofEnds(t *testing.T) {
+	run(t, nil, func(keeper *inforce.Keeper, source *platform, _ *clock) {
+		for range 20 {
+			time.Sleep(500 * time.Millisecond)
+			require.True(t, keeper.KeysProven())
+		}
+		source.down.Store(true)
+		time.Sleep(revokedWithin)
+		require.False(t, keeper.KeysProven())
+		source.down.Store(false)
+		time.Sleep(300 * time.Millisecond)
+		require.True(t, keeper.KeysProven(), "the platform is back and keys are still refused")
+	})
+}
+
+// TestSuspendedVM checks that a proof ages while the VM is suspended.
+func TestSuspendedVM(t *testing.T) {
+	run(t, nil, func(keeper *inforce.Keeper, _ *platform, c *clock) {
+		require.True(t, keeper.KeysProven())
+		c.suspended = revokedWithin
+		require.False(t, keeper.KeysProven())
+	})
+}
+
+// TestPeersProofs checks that a VM that hears fresh proofs reads the platform seldom, reads a newer version at
+// once, and takes no proof for another version than its own.
+func TestPeersProofs(t *testing.T) {
+	run(t, func() bool { return false }, func(keeper *inforce.Keeper, source *platform, c *clock) {
+		before := source.reads.Load()
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			keeper.Prove(4, c.now()-boottime.Instant(time.Second))
+			require.True(t, keeper.KeysProven())
+		}
+		require.Equal(t, before, source.reads.Load())
+		source.version.Store(6)
+		keeper.Prove(6, c.now())
+		time.Sleep(200 * time.Millisecond)
+		require.Equal(t, uint64(6), keeper.Current().Version)
+		source.down.Store(true)
+		for range 60 {
+			time.Sleep(100 * time.Millisecond)
+			keeper.Prove(5, c.now())
+			keeper.Prove(7, c.now())
+		}
+		require.False(t, keeper.KeysProven(), "a proof for another version counts")
+	})
+}
--- /dev/null
+++ b/internal/logsink/logsink_test.go
@@ -0,0 +1,52 @@
+package logsink_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitcart/internal/logsink"
+)
+
+// TestBurst writes more lines than the rate allows: none waits, the rest is counted.
+func TestBurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		sink := logsink.New(&out)
+		const lines = 5000
+		for i := range lines {
+			fmt.Fprintf(sink, "{\"line\":%d}\n", i)
+		}
+		sink.Close()
+		written := strings.Count(out.String(), "\n")
+		require.Less(t, written, lines/2)
+		require.Positive(t, written)
+	})
+}
+
+// blocked is a reader of the log that takes nothing until it is released.
+type blocked struct{ release chan struct{} }
+
+// Write implements io.Writer.
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.release
+	return len(p), nil
+}
+
+// TestSlowReader checks that writers go on while the log is not read.
+func TestSlowReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &blocked{release: make(chan struct{})}
+		sink := logsink.New(out)
+		for range 700 {
+			_, err := sink.Write([]byte(strings.Repeat("x", 2000) + "\n"))
+			require.NoError(t, err)
+		}
+		close(out.release)
+		sink.Close()
+	})
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -54,8 +54,8 @@
 	Left(target Target)
 }
 
-// errHistoryGone says that the list must be read again.
-var errHistoryGone = errors.New("the platform dropped the history that the watch continues from")
+// errListAgain says that the list must be read again.
+var errListAgain = errors.New("the list must be read again")
 
 // Options configures a Follower.
 type Options struct {
@@ -143,7 +143,7 @@
 		for err == nil && ctx.Err() == nil {
 			revision, err = f.watch(ctx, revision)
 		}
-		if err != nil && !errors.Is(err, errHistoryGone) {
+		if err != nil && !errors.Is(err, errListAgain) {
 			f.failed(ctx, err)
 			pause.For(ctx, retryPause+rand.N(retryPause))
 		}
@@ -201,6 +201,9 @@
 	bounded, cancel := f.untilNextRemoval(ctx)
 	defer cancel()
 	batch, err := f.options.Store.Watch(bounded, f.options.Prefix, after)
+	if err != nil && bounded.Err() != nil && ctx.Err() == nil {
+		return 0, errListAgain // a held removal is due, which is no failure of the platform
+	}
 	if err != nil {
 		return 0, err
 	}
@@ -208,7 +211,7 @@
 	f.heard(now)
 	if batch.Compacted {
 		f.options.Logger.Info("list of targets is read again", "reason", "the platform dropped its history", "revision", after)
-		return 0, errHistoryGone
+		return 0, errListAgain
 	}
 	for _, entry := range batch.Events {
 		f.apply(entry, now)
@@ -342,6 +345,9 @@
 	if !known {
 		return
 	}
+	if _, held := f.missing[id]; held {
+		return // publish drops it when its time is over
+	}
 	if now.Before(f.heldUntil) {
 		f.missing[id] = f.heldUntil
 		return
--- /dev/null
+++ b/internal/settings/deployment_test.go
@@ -0,0 +1,73 @@
+package settings_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitcart/internal/settings"
+)
+
+// rendered fills the deployment's template in as the platform does.
+func rendered(t *testing.T, values map[string]string) string {
+	t.Helper()
+	template, err := os.ReadFile("../../deploy/settings.yaml.tmpl")
+	require.NoError(t, err)
+	text := string(template)
+	for name, value := range values {
+		text = strings.ReplaceAll(text, "{{"+name+"}}", value)
+	}
+	require.NotContains(t, text, "{{", "the template names a field that the test does not know")
+	return text
+}
+
+var example = map[string]string{
+	"node_name|json": `"edge-a-1"`, "zone|json": `"a"`, "region|json": `"r"`, "ip|json": `"10.1.0.19"`, "ip": "10.1.0.19",
+	"listen.frontend|json": `"10.1.0.19:8740"`, "listen.ready|json": `"10.1.0.19:8749"`, "port_range.0": "7200",
+	"platform.address|json": `"10.200.1.7:8742"`, "limits.memory_mb": "134", "limits.max_fds": "4100", "limits.cpu_share": "0.4",
+	"bounds.config_ms": "2000", "bounds.revoke_ms": "5000", "bounds.strict_revoke|json": "true", "bounds.grace_s": "8",
+	"bounds.retry_ratio": "0.2", "bounds.retry_slack": "56", "bounds.retry_window_s": "10", "bounds.pass_ms": "120",
+}
+
+// TestDeploymentTemplate checks that the rendered template is a valid settings file.
+func TestDeploymentTemplate(t *testing.T) {
+	s, err := settings.ParseDeployment("boot.yaml", []byte(rendered(t, example)))
+	require.NoError(t, err)
+	require.Equal(t, "edge-a-1", s.VM.Name)
+	require.Equal(t, "10.1.0.19:9464", s.Metrics.Listen)
+	require.Equal(t, 7200, s.Peers.Port)
+	require.Equal(t, 5*time.Second, s.Bounds.Revocation())
+	require.Equal(t, 8*time.Second, s.Bounds.Grace())
+	require.True(t, s.Bounds.StrictRevocation)
+}
+
+// TestDeploymentProblems checks that each wrong setting is named with its line and a remedy.
+func TestDeploymentProblems(t *testing.T) {
+	cases := map[string]struct{ field, value, problem string }{
+		"no name":       {"node_name|json", `""`, "vm.name"},
+		"no zone":       {"zone|json", `""`, "vm.zone"},
+		"host name":     {"ip|json", `"host"`, "vm.address"},
+		"no port":       {"listen.frontend|json", `"10.1.0.19"`, "callers.listen"},
+		"no bound":      {"bounds.revoke_ms", "0", "bounds.revocation_ms"},
+		"no grace":      {"bounds.grace_s", "-1", "bounds.grace_s"},
+		"no port range": {"port_range.0", "99999", "peers.port"},
+		"budget":        {"bounds.retry_ratio", "-0.1", "bounds.retry_ratio"},
+		"not a number":  {"limits.memory_mb", "much", "boot.yaml"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			values := make(map[string]string)
+			for field, value := range example {
+				values[field] = value
+			}
+			values[c.field] = c.value
+			_, err := settings.ParseDeployment("boot.yaml", []byte(rendered(t, values)))
+			require.ErrorContains(t, err, c.problem)
+		})
+	}
+	_, err := settings.ParseDeployment("boot.yaml", []byte(rendered(t, example)+"unknown: 1\n"))
+	require.ErrorContains(t, err, "unknown")
+}
