--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -34,6 +34,7 @@
 }
 
 type targetLoads struct {
+	//lint:ignore U1000 the codec reads its tag
 	_msgpack struct{} `msgpack:",as_array"`
 	Target   string
 	Requests int
@@ -42,6 +43,7 @@
 }
 
 type zoneLoads struct {
+	//lint:ignore U1000 the codec reads its tag
 	_msgpack struct{} `msgpack:",as_array"`
 	Zone     string
 	VMs      int
@@ -49,6 +51,7 @@
 }
 
 type targetChange struct {
+	//lint:ignore U1000 the codec reads its tag
 	_msgpack   struct{} `msgpack:",as_array"`
 	ID         string
 	StartedAt  int64
