--- a/cmd/godwitcartd/deployment.go
+++ b/cmd/godwitcartd/deployment.go
@@ -43,7 +43,7 @@
 	go followSignals(e, signals, reloader, logger, stopNow)
 	logger.Info("started", "zone", loaded.VM.Zone, "callers", loaded.Callers.Listen, "platform", loaded.Platform.Address, "pid", os.Getpid())
 	err = e.Run(stop)
-	logger.Info("stopped", "error", err, "cut_off", e.Active())
+	logger.Info("stopped", "error", err)
 	return err
 }
 
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -44,6 +44,8 @@
 	Logger *log.Logger
 	// Changed receives all entry VMs but this one, by name.
 	Changed func(map[string]Member)
+
+	lost bool
 }
 
 // Run keeps the directory until ctx ends.
@@ -51,10 +53,14 @@
 	announced := false
 	for ctx.Err() == nil {
 		err := d.follow(ctx, &announced)
-		if err != nil && ctx.Err() == nil {
-			d.Logger.Warn("directory of entry VMs is not followed", "error", err)
-			pause.For(ctx, directoryRetry)
+		if err == nil || ctx.Err() != nil {
+			continue
+		}
+		if !d.lost {
+			d.lost = true
+			d.Logger.Warn("dependency lost", "dependency", "directory of entry VMs", "error", err)
 		}
+		pause.For(ctx, directoryRetry)
 	}
 	return nil
 }
@@ -70,6 +76,10 @@
 	if err != nil {
 		return err
 	}
+	if d.lost {
+		d.lost = false
+		d.Logger.Info("dependency regained", "dependency", "directory of entry VMs")
+	}
 	peers := make(map[string]Member)
 	for _, entry := range listing.Objects {
 		d.put(peers, entry)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -218,7 +218,9 @@
 	for name, known := range f.peers {
 		if now.Sub(known.heardAt) > liveFor {
 			delete(f.peers, name)
-			f.options.Logger.Info("peer lost", "peer", name, "zone", known.zone, "silent_ms", now.Sub(known.heardAt).Milliseconds())
+			if !known.sum {
+				f.options.Logger.Info("peer lost", "peer", name, "zone", known.zone, "silent_ms", now.Sub(known.heardAt).Milliseconds())
+			}
 		}
 	}
 	maps.DeleteFunc(f.zones, func(_ string, zone *peer) bool { return now.Sub(zone.heardAt) > 2*liveFor })
--- a/internal/inforce/inforce.go
+++ b/internal/inforce/inforce.go
@@ -71,6 +71,8 @@
 	heardOf atomic.Uint64
 	wake    chan struct{}
 	lost    bool
+	// refusing is set while keys are refused for want of a proof.
+	refusing atomic.Bool
 }
 
 // NewKeeper returns a Keeper without a configuration.
@@ -98,7 +100,11 @@
 // certain to be missing from the current version.
 func (k *Keeper) KeysProven() bool {
 	age, known := k.ProofAge()
-	return known && age <= k.options.RevokedWithin-proofMargin
+	proven := known && age <= k.options.RevokedWithin-proofMargin
+	if k.refusing.Load() == proven && k.refusing.CompareAndSwap(proven, !proven) {
+		k.options.Logger.Warn("acceptance of API keys changed", "accepted", proven, "proof_age_ms", age.Milliseconds())
+	}
+	return proven
 }
 
 // Proof returns the version in force and when it was last proven to be the newest; zeros stand for none.
