Remove settings and fields without effect, share what stood twice

Cause: reading the change as a newcomer: six settings and eight fields had no effect; the hop-by-hop fields and the typing of errors stood twice. Change: they are removed or moved (hopheader, apierror.Typed); callers' connections are bounded by the descriptors granted; the copy that lets a generation stop follows the route's longest pause. Measured: tests of the packages pass.

--- a/internal/apierror/apierror.go
+++ b/internal/apierror/apierror.go
@@ -104,6 +104,15 @@
 // Unwrap returns the cause, or nil.
 func (e *Error) Unwrap() error { return e.cause }
 
+// Typed returns the first Error in err's chain. Anything else is a fault of this program, whose text stays inside.
+func Typed(err error) *Error {
+	var typed *Error
+	if errors.As(err, &typed) {
+		return typed
+	}
+	return Wrap(err, KindInternal, "godwitcart failed", "report the request id to the operators")
+}
+
 // KindOf returns the kind of the first Error in err's chain, and KindInternal when there is none.
 func KindOf(err error) Kind {
 	var typed *Error
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"godwitcart/internal/admin"
@@ -34,6 +35,8 @@
 const (
 	// memoryShare is the part of the granted memory that the heap may fill before it is collected harder.
 	memoryShare = 0.6
+	// callerShare is the part of the descriptors that callers' connections may take.
+	callerShare = 0.5
 	// unknownFleet is the number of entry VMs assumed until peers have been heard of: the retry slack is
 	// shared by all of them.
 	unknownFleet = 32
@@ -147,14 +150,14 @@
 	e.applyLimits()
 	s := e.settings.Load()
 	group, ctx := errgroup.WithContext(ctx)
-	callers, err := e.serve(ctx, group, s.Callers.Listen, http.HandlerFunc(e.serveCaller))
+	callers, err := e.serve(ctx, group, s.Callers.Listen, http.HandlerFunc(e.serveCaller), e.callerConnections())
 	if err != nil {
 		return err
 	}
-	if _, err := e.serve(ctx, group, s.Readiness.Listen, http.HandlerFunc(e.serveReady)); err != nil {
+	if _, err := e.serve(ctx, group, s.Readiness.Listen, http.HandlerFunc(e.serveReady), 0); err != nil {
 		return err
 	}
-	if _, err := e.serve(ctx, group, s.Metrics.Listen, admin.NewMetricsHandler(metrics.DefaultRegistry)); err != nil {
+	if _, err := e.serve(ctx, group, s.Metrics.Listen, admin.NewMetricsHandler(metrics.DefaultRegistry), 0); err != nil {
 		return err
 	}
 	if err := e.shareLoads(ctx, group); err != nil {
@@ -178,12 +181,21 @@
 	return err
 }
 
-// serve opens a listener that is closed when ctx ends.
-func (e *Entry) serve(ctx context.Context, group *errgroup.Group, address string, handler http.Handler) (*http.Server, error) {
+// callerConnections is the number of callers' connections that are held at once; those beyond wait to be
+// accepted. The rest of the descriptors is for connections to targets.
+func (e *Entry) callerConnections() int {
+	return int(callerShare * float64(e.settings.Load().Limits.OpenFiles))
+}
+
+// serve opens a listener that is closed when ctx ends. It holds limit connections at once, where that is not zero.
+func (e *Entry) serve(ctx context.Context, group *errgroup.Group, address string, handler http.Handler, limit int) (*http.Server, error) {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
+	if limit > 0 {
+		listener = netutil.LimitListener(listener, limit)
+	}
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 		ErrorLog: e.logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -82,7 +82,7 @@
 	}
 	lease, err := x.options.Table.Await(ctx, x.query(), min(patience, time.Until(x.deadline)))
 	if err != nil {
-		return nil, asTyped(err).WithRetryAfter(x.returnAfter())
+		return nil, apierror.Typed(err).WithRetryAfter(x.returnAfter())
 	}
 	return lease, nil
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -10,7 +10,6 @@
 	"math/rand/v2"
 
 	"github.com/charmbracelet/log"
-	"github.com/cockroachdb/errors"
 
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/inforce"
@@ -97,7 +96,7 @@
 		f.metrics.left(x)
 		panic(http.ErrAbortHandler)
 	}
-	typed := asTyped(err)
+	typed := apierror.Typed(err)
 	x.log("request ended", "outcome", string(typed.Kind), "reason", typed, "attempts", x.attempts)
 	f.metrics.failed(x, typed.Kind)
 	if x.begun {
@@ -219,14 +218,6 @@
 	return x.route.Priority
 }
 
-func asTyped(err error) *apierror.Error {
-	var typed *apierror.Error
-	if errors.As(err, &typed) {
-		return typed
-	}
-	return apierror.Wrap(err, apierror.KindInternal, "godwitcart failed", "report the request id to the operators")
-}
-
 func (x *exchange) writeError(typed *apierror.Error) {
 	header := x.w.Header()
 	header.Set("Content-Type", "text/plain; charset=utf-8")
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -170,9 +170,11 @@
 	noticeTime = 1300 * time.Millisecond
 	// moveTimeout bounds a move; engines that are replaced without haste work on for longer than noticeTime.
 	moveTimeout = 6 * time.Second
-	// shortCopy is the time of a copy after which the generation may stop for the rest: with the way back
-	// and the start at the destination, the pause stays below what a reader notices.
-	shortCopy = 60 * time.Millisecond
+	// shortShare is the part of the longest pause that is on time in which a copy is made that lets the
+	// generation stop for the rest: the start at the destination takes another part. unboundedCopy holds where
+	// a route names no pause.
+	shortShare    = 1.0 / 3
+	unboundedCopy = 60 * time.Millisecond
 	// absentPause is the wait before the next try where the engine does not run the generation now, as while
 	// it is preempted, and where no other has room.
 	absentPause = 150 * time.Millisecond
@@ -229,12 +231,20 @@
 		if err != nil || copied.Refused || copied.Unknown {
 			return copied, err
 		}
-		if time.Since(copyAt) <= shortCopy || time.Since(toldAt) > noticeTime {
+		if time.Since(copyAt) <= s.shortCopy() || time.Since(toldAt) > noticeTime {
 			return s.options.Mover.Copy(ctx, leaving.Address, s.call.ID, lease.Target.Address, true)
 		}
 	}
 }
 
+// shortCopy is the time of a copy after which the generation may stop.
+func (s *stream) shortCopy() time.Duration {
+	if s.route.MaxGap == 0 {
+		return unboundedCopy
+	}
+	return time.Duration(shortShare * float64(s.route.MaxGap))
+}
+
 // runsAt reports whether the stream still comes from the target.
 func (s *stream) runsAt(target roster.Target) bool {
 	s.mu.Lock()
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -77,8 +77,6 @@
 	OtherTarget bool
 	// Foreign says that the answer belongs to another request, or is not the target's own.
 	Foreign bool
-	// Closing says that the target closes the connection, as those that leave do.
-	Closing bool
 }
 
 // Codec translates between HTTP messages and calls.
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -27,16 +27,6 @@
 	RequestID         string  `json:"request_id"`
 }
 
-// typedError returns the apierror.Error of err. Anything else is a fault of this program, whose
-// text stays inside.
-func typedError(err error) *apierror.Error {
-	var typed *apierror.Error
-	if errors.As(err, &typed) {
-		return typed
-	}
-	return apierror.Wrap(err, apierror.KindInternal, "godwitcart failed", "report the request id to the operators")
-}
-
 func newErrorBody(id string, typed *apierror.Error) errorBody {
 	return errorBody{Error: errorDetail{
 		Type: typed.Kind, Code: typed.Kind, Message: typed.Message, Remedy: typed.Remedy,
@@ -49,7 +39,7 @@
 	if errors.Is(err, errAnswerBegun) {
 		return
 	}
-	typed := aboutCopies(x, typedError(err))
+	typed := aboutCopies(x, apierror.Typed(err))
 	countError(typed.Kind)
 	header := x.w.Header()
 	header.Set("Content-Type", "application/json")
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"godwitcart/internal/apierror"
 	"godwitcart/internal/dispatch"
 	"godwitcart/internal/request"
 	"godwitcart/internal/request/cursorpb"
@@ -253,7 +254,7 @@
 	}
 	s.buffer.Reset()
 	s.buffer.WriteString("event: error\n")
-	typed := typedError(err)
+	typed := apierror.Typed(err)
 	countError(typed.Kind)
 	if encodeErr := s.writeData(newErrorBody(s.x.id, typed)); encodeErr == nil {
 		_ = s.flush()
--- a/internal/policy/route.go
+++ b/internal/policy/route.go
@@ -53,16 +53,11 @@
 	Moves bool
 	// Backups says that an engine can keep a growing copy of a generation that another one runs.
 	Backups bool
-	// CopyLifetime is how long an engine keeps a copy that is not used.
-	CopyLifetime time.Duration
 }
 
 // RoutedService is a service that routes lead to.
 type RoutedService struct {
-	Name       string
-	HealthPath string
-	// MaxConnections bounds the connections of all callers to one target.
-	MaxConnections int
+	Name string
 	// Engine is nil for plain services.
 	Engine *Engine
 }
@@ -77,10 +72,8 @@
 
 // CallerLimits bound what callers may send.
 type CallerLimits struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
+	// MaxBodyBytes bounds a request's body; zero means the default.
+	MaxBodyBytes int64
 }
 
 // KeyDigest is the SHA-256 digest of an API key.
--- a/internal/settings/deployment.go
+++ b/internal/settings/deployment.go
@@ -52,9 +52,10 @@
 
 // ResourceLimits are what the VM grants the process.
 type ResourceLimits struct {
-	MemoryMB       int     `yaml:"memory_mb"`
-	OpenFiles      int     `yaml:"open_files"`
-	ProcessorShare float64 `yaml:"processor_share"`
+	// MemoryMB bounds the process's memory; zero means no bound.
+	MemoryMB int `yaml:"memory_mb"`
+	// OpenFiles bounds the process's descriptors; zero means no bound.
+	OpenFiles int `yaml:"open_files"`
 }
 
 // Bounds are the times and shares that the deployment's operators have promised.
@@ -63,17 +64,12 @@
 	ConfigurationMillis float64 `yaml:"configuration_ms"`
 	// RevocationMillis bounds the time for which a revoked key may still be accepted.
 	RevocationMillis float64 `yaml:"revocation_ms"`
-	// StrictRevocation applies RevocationMillis also to a VM that the platform cannot reach.
-	StrictRevocation bool `yaml:"strict_revocation"`
 	// GraceSeconds is the time between SIGTERM and SIGKILL.
 	GraceSeconds float64 `yaml:"grace_s"`
-	// RetryRatio and RetrySlack bound the retries at a service, over all entry VMs, within
-	// RetryWindowSeconds: ratio times its requests, plus the slack.
-	RetryRatio         float64 `yaml:"retry_ratio"`
-	RetrySlack         float64 `yaml:"retry_slack"`
-	RetryWindowSeconds float64 `yaml:"retry_window_s"`
-	// RelayMillis bounds the time in which an event passes through an entry VM.
-	RelayMillis float64 `yaml:"relay_ms"`
+	// RetryRatio and RetrySlack bound the retries at a service over all entry VMs: within any time the ratio
+	// times its requests, plus the slack.
+	RetryRatio float64 `yaml:"retry_ratio"`
+	RetrySlack float64 `yaml:"retry_slack"`
 }
 
 // Configuration returns the bound on putting a configuration in force.
@@ -85,9 +81,6 @@
 // Grace returns the time between SIGTERM and SIGKILL.
 func (b Bounds) Grace() time.Duration { return millis(b.GraceSeconds * 1000) }
 
-// RetryWindow returns the window of the retry budget.
-func (b Bounds) RetryWindow() time.Duration { return millis(b.RetryWindowSeconds * 1000) }
-
 func millis(value float64) time.Duration {
 	return time.Duration(value * float64(time.Millisecond))
 }
@@ -99,8 +92,6 @@
 	defaultGraceSeconds        = 8
 	defaultRetryRatio          = 0.1
 	defaultRetrySlack          = 20
-	defaultRetryWindowSeconds  = 10
-	defaultRelayMillis         = 100
 )
 
 // DefaultDeployment returns settings that hold only the defaults; they do not pass CheckDeployment.
@@ -109,7 +100,6 @@
 		Bounds: Bounds{
 			ConfigurationMillis: defaultConfigurationMillis, RevocationMillis: defaultRevocationMillis,
 			GraceSeconds: defaultGraceSeconds, RetryRatio: defaultRetryRatio, RetrySlack: defaultRetrySlack,
-			RetryWindowSeconds: defaultRetryWindowSeconds, RelayMillis: defaultRelayMillis,
 		},
 		Log: Log{Level: DefaultLogLevel, Format: "json"},
 	}
@@ -173,8 +163,7 @@
 		value float64
 	}{
 		{"bounds.configuration_ms", s.Bounds.ConfigurationMillis}, {"bounds.revocation_ms", s.Bounds.RevocationMillis},
-		{"bounds.grace_s", s.Bounds.GraceSeconds}, {"bounds.retry_window_s", s.Bounds.RetryWindowSeconds},
-		{"bounds.relay_ms", s.Bounds.RelayMillis},
+		{"bounds.grace_s", s.Bounds.GraceSeconds},
 	} {
 		if bound.value <= 0 {
 			add(bound.key, "is not above zero", "write a time above zero")
--- a/internal/target/plain.go
+++ b/internal/target/plain.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"godwitcart/internal/hopheader"
 	"godwitcart/internal/wire/enginewire"
 )
 
@@ -102,21 +104,8 @@
 	}
 }
 
-// hopByHop lists the headers that concern one connection only.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // copyEndToEnd copies the headers that concern both ends.
-func copyEndToEnd(to, from http.Header) {
-	for name, values := range from {
-		to[name] = append([]string(nil), values...)
-	}
-	for _, name := range hopByHop {
-		to.Del(name)
-	}
-}
+func copyEndToEnd(to, from http.Header) { maps.Copy(to, hopheader.Without(from)) }
 
 // CopyAnswerHeaders copies the headers of a target's answer that concern the caller.
 func CopyAnswerHeaders(to, from http.Header) {
