Leave the callers' estimate of the output aside

Cause: the estimate was decoded and not used. Change: the field is removed; the header reaches the engine as before.

--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -41,8 +41,6 @@
 	Tokens int
 	// MaxOutput bounds the output in tokens.
 	MaxOutput int
-	// ExpectedOutput is the caller's estimate of the output in tokens; zero where there is none.
-	ExpectedOutput int
 }
 
 // Send describes one sending of a call to a target.
