Hear a reader whose proof is up to two seconds old

Cause: readers renew their proof each 1 to 1.25 s, but only digests with a proof below 1.2 s counted as hearing them, so that other VMs read the store in turn.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -37,8 +37,10 @@
 	idleInterval = 500 * time.Millisecond
 	// liveFor is how long a peer that sends nothing counts as live.
 	liveFor = 2 * time.Second
-	// hearingFor is how long a digest with a fresh proof stands for hearing a reader.
+	// hearingFor is how long a digest with a fresh proof stands for hearing a reader, and freshProof the age of
+	// such a proof: a reader renews its own about every second.
 	hearingFor = 1200 * time.Millisecond
+	freshProof = 2 * time.Second
 	// changeLife is how long a change is repeated in digests, against the loss of some.
 	changeLife = 2 * time.Second
 	// meshSize is the number of entry VMs up to which all of them exchange digests directly: each takes in two
@@ -386,7 +388,7 @@
 	echo, proven := in.Echoes[sum(f.options.Self.Name)]
 	proven = proven && in.Version > 0 && f.sequence-echo < sentKept && f.sentAt[echo%sentKept] != 0
 	proof := f.sentAt[echo%sentKept] - boottime.Instant(time.Duration(in.ProofMillis)*time.Millisecond)
-	if in.Reader && in.Version > 0 && time.Duration(in.ProofMillis)*time.Millisecond < hearingFor {
+	if in.Reader && in.Version > 0 && time.Duration(in.ProofMillis)*time.Millisecond < freshProof {
 		f.heardReader = now
 	}
 	f.mu.Unlock()
