--- /dev/null
+++ b/cmd/godwitstand/deployment.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"context"
+	"net/http"
+
+	"golang.org/x/sync/errgroup"
+
+	"godwitcart/internal/stand/standhttp"
+	"godwitcart/platform/platformtest"
+)
+
+// deploymentCommand runs the users' platform as godwitcartd --deployment meets it.
+type deploymentCommand struct {
+	listeners
+	Zone     string            `default:"regina-a" help:"Availability zone of the targets."`
+	Engines  map[string]string `name:"engine" help:"Model engines: ID=host:port."`
+	Services map[string]string `name:"service" help:"Targets of the plain service: ID=host:port."`
+	Keys     []string          `name:"key" help:"API keys of the one client account."`
+}
+
+// Run serves until ctx ends.
+func (c *deploymentCommand) Run(ctx context.Context) error {
+	stand := platformtest.NewDeployment()
+	stand.Store.Put("config", "main", platformtest.Configuration(1, c.Keys...))
+	group, ctx := errgroup.WithContext(ctx)
+	for service, targets := range map[string]map[string]string{platformtest.EngineName: c.Engines, platformtest.ServiceName: c.Services} {
+		for id, address := range targets {
+			target := stand.Add(id, address, service, c.Zone)
+			group.Go(func() error { return serve(ctx, address, target) })
+		}
+	}
+	group.Go(func() error {
+		return standhttp.Program{
+			Name: "deployment", Listen: c.Listen, Control: c.Control, Traffic: stand.Store, Operate: stand.ControlHandler(),
+		}.Run(ctx)
+	})
+	return group.Wait()
+}
+
+// serve serves until ctx ends.
+func serve(ctx context.Context, address string, handler http.Handler) error {
+	server := &http.Server{Addr: address, Handler: handler}
+	context.AfterFunc(ctx, func() { server.Close() })
+	if err := server.ListenAndServe(); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
--- a/cmd/godwitstand/main.go
+++ b/cmd/godwitstand/main.go
@@ -15,11 +15,12 @@
 
 // commandLine lists the stand-ins, one subcommand each.
 type commandLine struct {
-	Platform platformCommand `cmd:"" help:"Run the platform: object API, list of VMs, weight store."`
-	Engine   engineCommand   `cmd:"" help:"Run a model engine."`
-	Service  serviceCommand  `cmd:"" help:"Run a plain service."`
-	Load     loadCommand     `cmd:"" help:"Send the load of many callers and print a summary."`
-	Failures failuresCommand `cmd:"" help:"Run godwitcartd and the stand-ins under faults and judge the answers."`
+	Platform   platformCommand   `cmd:"" help:"Run the platform: object API, list of VMs, weight store."`
+	Engine     engineCommand     `cmd:"" help:"Run a model engine."`
+	Service    serviceCommand    `cmd:"" help:"Run a plain service."`
+	Load       loadCommand       `cmd:"" help:"Send the load of many callers and print a summary."`
+	Deployment deploymentCommand `cmd:"" help:"Run the users' platform with engines and plain services, for godwitcartd --deployment."`
+	Failures   failuresCommand   `cmd:"" help:"Run godwitcartd and the stand-ins under faults and judge the answers."`
 }
 
 // listeners are the addresses that every stand-in needs.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -13,7 +13,6 @@
 	"github.com/stretchr/testify/require"
 
 	"godwitcart/internal/settings"
-	"godwitcart/platform/platformtest"
 )
 
 // TestWholePath sends one request of each kind through an entry VM.
@@ -29,7 +28,7 @@
 	require.Equal(t, http.StatusOK, response.StatusCode)
 	require.Equal(t, "POST of c1", body)
 	require.Equal(t, "stamp.c1", response.Header.Get("X-Response-Stamp"))
-	runs := d.cluster.Runs(lookup.Header.Get("X-Attempt-Id"))
+	runs := d.Cluster.Runs(lookup.Header.Get("X-Attempt-Id"))
 	require.Len(t, runs, 1)
 	require.Equal(t, "acme", runs[0].Account)
 	require.Equal(t, "flour", runs[0].Body)
@@ -82,7 +81,7 @@
 				require.NotEmpty(t, response.Header.Get("Retry-After"))
 			}
 			if c.status != http.StatusOK {
-				require.Empty(t, d.cluster.Runs(request.Header.Get("X-Attempt-Id")))
+				require.Empty(t, d.Cluster.Runs(request.Header.Get("X-Attempt-Id")))
 			}
 		})
 	}
@@ -117,7 +116,7 @@
 	request.Header.Set("X-Secret", "for one connection")
 	response, _ := v.do(request)
 	require.Equal(t, http.StatusOK, response.StatusCode)
-	run := d.cluster.Runs(request.Header.Get("X-Attempt-Id"))[0]
+	run := d.Cluster.Runs(request.Header.Get("X-Attempt-Id"))[0]
 	require.Equal(t, "acme", run.Account)
 	require.Equal(t, "kept", run.Header.Get("X-Note"))
 	for _, name := range []string{"X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From", "Kv-Fetch", "X-Expect-Version", "X-Secret"} {
@@ -131,9 +130,8 @@
 	for name, memory := range map[string]int{"by a move": 2000, "by a backup": 30000} {
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t)
-			engines := map[string]*platformtest.Target{}
 			for _, id := range []string{"e1", "e2", "e3"} {
-				engines[id] = d.target(id, "drafter")
+				d.target(id, "drafter")
 			}
 			d.configure("key-1")
 			v := d.start("vm-1", nil)
@@ -146,11 +144,11 @@
 			id := letter.Header.Get("X-Attempt-Id")
 			follow(t, response, 120, func(number int) {
 				if number == 30 || number == 80 {
-					runs := d.cluster.Runs(id)
-					d.list(engines[runs[len(runs)-1].Target], "drafter", "draining")
+					runs := d.Cluster.Runs(id)
+					require.True(t, d.Leave(runs[len(runs)-1].Target))
 				}
 			})
-			runs := d.cluster.Runs(id)
+			runs := d.Cluster.Runs(id)
 			require.Len(t, runs, 3)
 			require.False(t, runs[0].Continued)
 			require.True(t, runs[1].Continued)
@@ -174,10 +172,10 @@
 	require.NoError(t, err)
 	follow(t, response, 100, func(number int) {
 		if number == 20 {
-			d.store.Put("servers", d.cluster.Runs(letter.Header.Get("X-Attempt-Id"))[0].Target, json.RawMessage(`{"service":7}`))
+			d.Store.Put("servers", d.Cluster.Runs(letter.Header.Get("X-Attempt-Id"))[0].Target, json.RawMessage(`{"service":7}`))
 		}
 	})
-	require.Len(t, d.cluster.Runs(letter.Header.Get("X-Attempt-Id")), 2, "an entry that cannot be read names no target to use")
+	require.Len(t, d.Cluster.Runs(letter.Header.Get("X-Attempt-Id")), 2, "an entry that cannot be read names no target to use")
 }
 
 // TestBrokenStream checks what callers get when an engine breaks off: a resumable stream goes on elsewhere, a
@@ -276,7 +274,7 @@
 	lookup := v.request(http.MethodPost, "/lookup/1", "x")
 	response, _ := v.do(lookup)
 	require.Equal(t, http.StatusOK, response.StatusCode)
-	require.Len(t, d.cluster.Runs(lookup.Header.Get("X-Attempt-Id")), 1)
+	require.Len(t, d.Cluster.Runs(lookup.Header.Get("X-Attempt-Id")), 1)
 }
 
 // TestForeignAnswers checks that an answer that belongs to another request, has no stamp or is encoded reaches
@@ -333,7 +331,7 @@
 	_, err = io.ReadFull(response.Body, make([]byte, 16))
 	require.NoError(t, err)
 	leave()
-	require.Eventually(t, func() bool { return d.cluster.Cut() == 1 }, patience, poll)
+	require.Eventually(t, func() bool { return d.Cluster.Cut() == 1 }, patience, poll)
 }
 
 // TestRevokedKey checks that a revoked key is denied, and that no key is accepted while the platform is away
@@ -350,7 +348,7 @@
 		response, _ := v.do(v.request(http.MethodGet, "/peek/1", ""))
 		return response.StatusCode == http.StatusUnauthorized
 	}, patience, poll)
-	d.store.SetDown(true)
+	d.Store.SetDown(true)
 	require.Eventually(t, func() bool {
 		request := v.request(http.MethodGet, "/peek/1", "")
 		request.Header.Set("X-Api-Key", "key-2")
@@ -360,7 +358,7 @@
 	request := v.request(http.MethodGet, "/open/1", "")
 	response, _ = v.do(request)
 	require.Equal(t, http.StatusOK, response.StatusCode, "a route without keys needs no proof")
-	d.store.SetDown(false)
+	d.Store.SetDown(false)
 	require.Eventually(t, func() bool {
 		request := v.request(http.MethodGet, "/peek/1", "")
 		request.Header.Set("X-Api-Key", "key-2")
@@ -374,7 +372,7 @@
 	d := newDeployment(t)
 	d.target("c2", "counter")
 	reused := d.target("somebody-else", "other")
-	d.store.Put("servers", "c1", reused.Entry("counter", zone, "ready"))
+	d.Store.Put("servers", "c1", reused.Entry("counter", zone, "ready"))
 	d.configure("key-1")
 	v := d.start("vm-1", nil)
 	for range 6 {
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -23,7 +23,7 @@
 
 const (
 	zone = "regina-a"
-	host = "prairie.example"
+	host = platformtest.Host
 	// patience bounds the wait for something that happens soon.
 	patience = 20 * time.Second
 	poll     = 10 * time.Millisecond
@@ -31,17 +31,16 @@
 
 // deployment is a platform with targets, on loopback.
 type deployment struct {
+	*platformtest.Deployment
 	t       *testing.T
-	store   *platformtest.Store
 	address string
-	cluster *platformtest.Cluster
 	version int
 }
 
 func newDeployment(t *testing.T) *deployment {
 	t.Helper()
-	d := &deployment{t: t, store: platformtest.NewStore(), cluster: platformtest.NewCluster()}
-	server := httptest.NewServer(d.store)
+	d := &deployment{Deployment: platformtest.NewDeployment(), t: t}
+	server := httptest.NewServer(d.Store)
 	t.Cleanup(server.CloseClientConnections)
 	t.Cleanup(server.Close)
 	d.address = server.Listener.Addr().String()
@@ -53,50 +52,17 @@
 	d.t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(d.t, err)
-	target := platformtest.NewTarget(id, listener.Addr().String(), d.cluster)
+	target := d.Add(id, listener.Addr().String(), service, zone)
 	server := &http.Server{Handler: target, ErrorLog: log.New(io.Discard).StandardLog()}
 	go server.Serve(listener)
 	d.t.Cleanup(func() { server.Close() })
-	d.list(target, service, "ready")
 	return target
 }
 
-func (d *deployment) list(target *platformtest.Target, service, state string) {
-	d.store.Put("servers", target.ID, target.Entry(service, zone, state))
-}
-
 // configure writes the next version with the keys given.
 func (d *deployment) configure(keys ...string) {
 	d.version += 3
-	route := func(name, path, kind, service string, extra map[string]any) map[string]any {
-		fields := map[string]any{
-			"name": name, "hostname": host, "path_prefix": path, "route_kind": kind, "timeout_ms": 10000, "slo_ms": 1500,
-			"priority": 1, "service": service, "max_attempts": 2, "anonymous": false,
-		}
-		for field, value := range extra {
-			fields[field] = value
-		}
-		return fields
-	}
-	d.store.Put("config", "main", map[string]any{
-		"version": d.version,
-		"routes": []any{
-			route("letters", "/letters/", "streaming", "drafter", map[string]any{"max_attempts": 1, "session_affinity": true}),
-			route("checks", "/checks/", "streaming", "drafter", map[string]any{"stream_resume": true, "priority": 0}),
-			route("lookup", "/lookup/", "unsafe", "counter", map[string]any{"max_attempts": 1}),
-			route("peek", "/peek/", "safe", "counter", nil),
-			route("hurried", "/hurried/", "safe", "counter", map[string]any{"timeout_ms": 300}),
-			route("open", "/open/", "safe", "counter", map[string]any{"anonymous": true}),
-		},
-		"services": []any{
-			map[string]any{"name": "drafter", "health_path": "/healthz", "max_connections": 200, "engine": map[string]any{
-				"slots": 24, "kv_capacity": 30000, "kv_bytes": 1000, "link_mbps": 24000, "moves": true, "backups": true, "handle_ttl_s": 5,
-			}},
-			map[string]any{"name": "counter", "health_path": "/healthz", "max_connections": 100},
-		},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4096, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "acme", "api_keys": keys, "priority": 1}},
-	})
+	d.Store.Put("config", "main", platformtest.Configuration(d.version, keys...))
 }
 
 // vm is one running entry VM.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -156,7 +156,11 @@
 		return
 	}
 	f.lost = true
-	f.options.Logger.Warn("dependency lost", "dependency", "list of targets", "age_ms", time.Since(f.lastHeard).Milliseconds(), "error", err)
+	var age time.Duration
+	if !f.lastHeard.IsZero() {
+		age = time.Since(f.lastHeard)
+	}
+	f.options.Logger.Warn("dependency lost", "dependency", "list of targets", "age_ms", age.Milliseconds(), "error", err)
 }
 
 // heard notes an answer of the platform; one after a long silence starts the time for targets to return.
@@ -166,7 +170,7 @@
 	}
 	if f.lost {
 		f.lost = false
-		f.options.Logger.Info("dependency regained", "dependency", "list of targets", "silent_ms", now.Sub(f.lastHeard).Milliseconds())
+		f.options.Logger.Info("dependency regained", "dependency", "list of targets")
 	}
 	f.lastHeard = now
 }
