Refuse what a stopping VM would cut off; tell the truth of moved prompts

Reading the code found that a prompt that was moved before its first event, and whose destination refused, was answered 503, though it had run. Ruled out: a longer grace (it is the platform's). Change: from 2.5 s after SIGTERM on, streams and calls that may outlast the grace are refused at once as not run; a call whose target sent a head counts as run; a generation that finds no room no longer keeps the next ones from moving.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -71,12 +71,15 @@
 
 	active   atomic.Int64
 	draining atomic.Bool
-	shutdown chan struct{}
+	// stopAt is when the shutdown began, in nanoseconds since the start of the process.
+	stopAt    atomic.Int64
+	startedAt time.Time
+	shutdown  chan struct{}
 }
 
 // New builds an Entry; it opens no listener and calls nobody.
 func New(s *settings.Deployment, logger *log.Logger) *Entry {
-	e := &Entry{logger: logger, shutdown: make(chan struct{}), client: upstream.NewClient()}
+	e := &Entry{logger: logger, startedAt: time.Now(), shutdown: make(chan struct{}), client: upstream.NewClient()}
 	e.settings.Store(s)
 	e.store = platform.NewStore(s.Platform.Address, platform.EagerWatch)
 	e.table = placement.NewTable(placement.Options{Self: placement.Sender{VM: s.VM.Name, Zone: s.VM.Zone}, Placed: e.hurry, Seed: seedOf(s.VM.Name)})
@@ -87,7 +90,7 @@
 	})
 	e.forwarder = forward.New(forward.Options{
 		Codec: platform.Codec{}, Mover: platform.NewMover(e.client), Keeper: e.keeper, Table: e.table, Client: e.client,
-		Budget: e.budget, Lengths: lengths.NewBook(0), Logger: logger, Zone: s.VM.Zone, Draining: e.draining.Load,
+		Budget: e.budget, Lengths: lengths.NewBook(0), Logger: logger, Zone: s.VM.Zone, Stopping: e.stopping,
 		FreshWithin: s.Bounds.Configuration(),
 	})
 	e.follower = roster.NewFollower(roster.Options{
@@ -123,10 +126,23 @@
 
 // Shutdown starts a graceful shutdown; Run returns when it is complete. It is called once.
 func (e *Entry) Shutdown() {
+	e.stopAt.Store(int64(time.Since(e.startedAt)))
 	e.draining.Store(true)
 	close(e.shutdown)
 }
 
+// stopping reports whether a graceful shutdown is in progress, and how far it is.
+func (e *Entry) stopping() (forward.Stop, bool) {
+	if !e.draining.Load() {
+		return forward.Stop{}, false
+	}
+	since := time.Since(e.startedAt) - time.Duration(e.stopAt.Load())
+	return forward.Stop{Since: since, Left: e.grace() - since}, true
+}
+
+// grace is the time from the start of a shutdown until what still runs is cut off.
+func (e *Entry) grace() time.Duration { return e.settings.Load().Bounds.Grace() - graceMargin }
+
 // Active returns the number of callers' requests in progress.
 func (e *Entry) Active() int64 { return e.active.Load() }
 
@@ -295,8 +311,7 @@
 // drain waits for the requests in progress, and for the balancer to lead no more callers here.
 func (e *Entry) drain(ctx context.Context, callers *http.Server) {
 	startedAt := time.Now()
-	grace := e.settings.Load().Bounds.Grace() - graceMargin
-	for time.Since(startedAt) < grace {
+	for time.Since(startedAt) < e.grace() {
 		if e.active.Load() == 0 && time.Since(startedAt) > leaveAfter {
 			break
 		}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -158,6 +158,36 @@
 	}
 }
 
+// TestMovedBeforeItsFirstEvent has an engine leave while it reads a prompt, and the destination refuse to go on:
+// the caller must not be told that the request did not run.
+func TestMovedBeforeItsFirstEvent(t *testing.T) {
+	d := newDeployment(t)
+	for _, id := range []string{"e1", "e2"} {
+		d.target(id, "drafter").Behave(func(w http.ResponseWriter, r *http.Request) bool {
+			refuse := r.Header.Get("Kv-From") != ""
+			if refuse {
+				w.Header().Set("X-Not-Executed", "1")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+			return refuse
+		})
+	}
+	d.configure("key-1")
+	v := d.start("vm-1", nil)
+	letter := v.generation("/letters/1", 3, 3000)
+	letter.Header.Set("X-Token-Usage", "9000,9000")
+	go func() {
+		for len(d.Cluster.Runs(letter.Header.Get("X-Attempt-Id"))) == 0 {
+			time.Sleep(poll)
+		}
+		time.Sleep(20 * poll)
+		d.Leave(d.Cluster.Runs(letter.Header.Get("X-Attempt-Id"))[0].Target)
+	}()
+	response, _ := v.do(letter)
+	require.Equal(t, http.StatusBadGateway, response.StatusCode)
+	require.Len(t, d.Cluster.Runs(letter.Header.Get("X-Attempt-Id")), 1)
+}
+
 // TestRefusedCopies has the first destinations refuse: the move asks others until one has room.
 func TestRefusedCopies(t *testing.T) {
 	d := newDeployment(t)
@@ -402,3 +432,32 @@
 		t.Fatal("the entry VM does not end")
 	}
 }
+
+// TestLateRequestsWhileStopping sends requests to a VM that stops: one that it might cut off is refused as not
+// run, while one that is in progress ends whole.
+func TestLateRequestsWhileStopping(t *testing.T) {
+	d := newDeployment(t)
+	d.target("e1", "drafter")
+	d.configure("key-1")
+	v := d.start("vm-1", func(s *settings.Deployment) { s.Bounds.GraceSeconds = 60 })
+	response, err := v.client.Do(v.generation("/letters/1", 40, 100))
+	require.NoError(t, err)
+	refused := make(chan *http.Request, 1)
+	follow(t, response, 40, func(number int) {
+		if number == 1 {
+			v.entry.Shutdown()
+			go func() {
+				for {
+					letter := v.generation("/letters/2", 1, 1)
+					response, _ := v.do(letter)
+					if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") != "" {
+						refused <- letter
+						return
+					}
+					time.Sleep(poll)
+				}
+			}()
+		}
+	})
+	require.Empty(t, d.Cluster.Runs((<-refused).Header.Get("X-Attempt-Id")))
+}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -22,20 +22,27 @@
 
 // Options are the parts of a Forwarder.
 type Options struct {
-	Codec    Codec
-	Mover    Mover
-	Keeper   *inforce.Keeper
-	Table    *placement.Table
-	Client   *upstream.Client
-	Budget   *retrybudget.Budget
-	Lengths  *lengths.Book
-	Logger   *log.Logger
-	Zone     string
-	Draining func() bool
+	Codec   Codec
+	Mover   Mover
+	Keeper  *inforce.Keeper
+	Table   *placement.Table
+	Client  *upstream.Client
+	Budget  *retrybudget.Budget
+	Lengths *lengths.Book
+	Logger  *log.Logger
+	Zone    string
+	// Stopping reports whether the VM is shutting down gracefully, since when, and when it cuts off what still runs.
+	Stopping func() (stop Stop, stopping bool)
 	// FreshWithin is the age of the configuration's proof up to which an unknown route or key is denied.
 	FreshWithin time.Duration
 }
 
+// Stop is a graceful shutdown in progress.
+type Stop struct {
+	// Since is the time since its start, and Left the time until what still runs is cut off.
+	Since, Left time.Duration
+}
+
 // Forwarder is the callers' HTTP handler. It is safe for concurrent use.
 type Forwarder struct {
 	options Options
@@ -55,6 +62,10 @@
 	defaultBodyBytes = 4 << 20
 	// proofRetryAfter is when a caller comes back that was refused for want of a fresh configuration.
 	proofRetryAfter = 700 * time.Millisecond
+	// settleTime is how long a VM that stops takes every request: the balancer learns of it meanwhile.
+	settleTime = 2500 * time.Millisecond
+	// stoppingRetryAfter is when a caller comes back whose request a stopping VM did not take; another VM gets it.
+	stoppingRetryAfter = 50 * time.Millisecond
 	// startRetryAfter is when a caller comes back that found no configuration at all.
 	startRetryAfter = 500 * time.Millisecond
 )
@@ -83,7 +94,7 @@
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{Forwarder: f, w: w, arrivedAt: time.Now()}
-	if f.options.Draining() {
+	if _, stopping := f.options.Stopping(); stopping {
 		w.Header().Set("Connection", "close")
 	}
 	err := x.serve(r)
@@ -155,7 +166,18 @@
 	}
 	x.service = service
 	x.deadline = x.arrivedAt.Add(patience(x.call.Patience, route.Timeout))
-	return nil
+	return x.endsInTime()
+}
+
+// endsInTime refuses a request that a stopping VM might have to cut off. It answers callers that go on sending
+// to a VM whose readiness has failed, as while all VMs of a zone stop.
+func (x *exchange) endsInTime() error {
+	stop, stopping := x.options.Stopping()
+	if !stopping || stop.Since < settleTime || !x.route.Streaming && time.Until(x.deadline) < stop.Left {
+		return nil
+	}
+	return apierror.Newf(apierror.KindNotRun, "send it again on a new connection",
+		"this VM stops in %d ms, which may be before the answer is complete", stop.Left.Milliseconds()).WithRetryAfter(stoppingRetryAfter)
 }
 
 // unlimited stands for the time of a request that neither its caller nor its route bounds.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -180,8 +180,9 @@
 // tokensPerEvent is the number of tokens that an event usually holds; engines join some of them.
 const tokensPerEvent = 4
 
-// attach makes the current target known to evacuations.
+// attach makes the current target, which runs the call, known to evacuations.
 func (s *stream) attach(lease *placement.Lease, answer *upstream.Response) {
+	s.mayHaveRun = true
 	s.mu.Lock()
 	s.lease, s.answer, s.started = lease, answer, false
 	s.mu.Unlock()
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -80,7 +80,16 @@
 	moves[0].log("move waits for its turn", "target", leaving.ID, "streams", len(moves), "tokens_ahead", ahead, "wait_ms", wait.Milliseconds())
 	pause.For(moves[0].ctx, min(wait, noticeTime))
 	for _, held := range moves {
-		held.evacuate(leaving, toldAt)
+		moved := make(chan struct{})
+		go func() {
+			defer close(moved)
+			held.evacuate(leaving, toldAt)
+		}()
+		// One that finds no room must not keep the others from moving.
+		select {
+		case <-moved:
+		case <-time.After(transferTime(held.service.Engine, held.tokens()) + moveSlack):
+		}
 	}
 }
 
@@ -94,12 +103,16 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
+// produced is the number of events that the caller has.
 func (s *stream) produced() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.events
 }
 
+// tokens is the memory of the generation.
+func (s *stream) tokens() int { return s.call.Prompt.Tokens + s.produced()*tokensPerEvent }
+
 func (s *stream) hasBackup() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -170,6 +183,8 @@
 	noticeTime = 1300 * time.Millisecond
 	// moveTimeout bounds a move; engines that are replaced without haste work on for longer than noticeTime.
 	moveTimeout = 6 * time.Second
+	// moveSlack is added to the time of one move before the next begins, for the way there and back.
+	moveSlack = 100 * time.Millisecond
 	// shortShare is the part of the longest pause that is on time in which a copy is made that lets the
 	// generation stop for the rest: the start at the destination takes another part. unboundedCopy holds where
 	// a route names no pause.
