Give each listener of the entry tests a loopback address of its own

The port was probed as free and taken by another test's connection before the VM listened on it. Ruled out: a fault of the daemon, which reported the error and ended. Change: tests only; ports are probed on an address that nobody else uses.

--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -8,8 +8,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -76,10 +78,16 @@
 	stopped chan struct{}
 }
 
-// freePort returns host:port of a port that was free a moment ago.
+// listeners counts the loopback addresses given out in this process.
+var listeners atomic.Uint32
+
+// freePort returns host:port of a port that was free a moment ago, on a loopback address of its own: on a shared
+// one another test's connection may take the port before it is listened on.
 func freePort(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	number := listeners.Add(1)
+	address := fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%64, number/250, 1+number%250)
+	listener, err := net.Listen("tcp4", address)
 	require.NoError(t, err)
 	defer listener.Close()
 	return listener.Addr().String()
