Remove a counter that nothing counted

Cause: reading the change: forward.resumed was registered and never moved, so it showed zero for something that happens. Measured: go vet of the package and go test ./internal/entry pass.

--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -18,7 +18,7 @@
 type requestMetrics struct {
 	answers, callersLeft    metrics.Counter
 	moves, movesFailed      metrics.Counter
-	resumed, fromBackup     metrics.Counter
+	fromBackup              metrics.Counter
 	answerTime, firstEvent  metrics.Histogram
 	eventGap, continuePause metrics.Histogram
 }
@@ -30,7 +30,7 @@
 	}
 	return &requestMetrics{
 		answers: counter("answers"), callersLeft: counter("callers_left"),
-		moves: counter("moves"), movesFailed: counter("moves_failed"), resumed: counter("resumed"), fromBackup: counter("from_backup"),
+		moves: counter("moves"), movesFailed: counter("moves_failed"), fromBackup: counter("from_backup"),
 		answerTime: histogram("answer_nanoseconds"), firstEvent: histogram("first_event_nanoseconds"),
 		eventGap: histogram("event_gap_nanoseconds"), continuePause: histogram("continue_pause_nanoseconds"),
 	}
