Let the first request in line wait whatever earlier waits were like

Cause: a VM estimated the time between two grants of room from grants alone, pauses without any waiting request included (up to a second). Once the estimate exceeded the patience of a request every later one was refused on arrival ("0 requests wait for room, about 392 ms"), no grant followed and the estimate never changed again.

Ruled out: a real queue (the lines name 0 or 1 waiting requests).

Change: the estimate follows how long the first in line waits, granted or not, and the first in line is always let in, which shows when room is free again. TestAwaitAfterSpells failed at its fifth spell before.

--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -252,6 +252,31 @@
 	})
 }
 
+// TestAwaitAfterSpells plays engines that fill up now and then, and stay full for longer than a request waits: the
+// next spell must find the queue open, whatever the ones before were like.
+func TestAwaitAfterSpells(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const patience = 400 * time.Millisecond
+		table := newTestTable("vm-1", 1, engine("e1", zoneA))
+		peer := Sender{VM: "vm-2", Zone: zoneA}
+		full := map[string]Load{"e1": {Requests: 5, MemoryTokens: 20000}}
+		for spell := range 20 {
+			table.PeerLoads(peer, full, time.Now())
+			if spell%2 == 0 {
+				_, err := table.Await(context.Background(), letter(3000), patience)
+				require.True(t, apierror.Is(err, apierror.KindOverloaded))
+				time.Sleep(2 * time.Second)
+				table.PeerLoads(peer, full, time.Now())
+			}
+			time.AfterFunc(patience/2, func() { table.PeerLoads(peer, nil, time.Now()) })
+			lease, err := table.Await(context.Background(), letter(3000), patience)
+			require.NoError(t, err, "spell %d: refused while room comes in time", spell)
+			lease.Done(Answered, time.Now())
+			time.Sleep(2 * time.Second)
+		}
+	})
+}
+
 func BenchmarkPick(b *testing.B) {
 	targets := []roster.Target{}
 	for i := range 60 {
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// assumedGrantInterval is the time between two grants of room before any was seen.
+	// assumedGrantInterval is the time until room for the first that waits, before any wait was seen.
 	assumedGrantInterval = 50 * time.Millisecond
-	// grantWeight is the weight of one grant in the observed interval.
+	// grantWeight is the weight of one wait in the observed interval.
 	grantWeight = 0.2
 )
 
@@ -20,9 +20,10 @@
 // another, which is read again, so that both are late.
 type queue struct {
 	waiting []*waiter
-	// grantInterval is the observed time between two grants, and grantedAt the last one.
+	// grantInterval is the observed time for which the first of those waiting waits.
 	grantInterval time.Duration
-	grantedAt     time.Time
+	// firstSince is when the one that is first now became it.
+	firstSince time.Time
 }
 
 type waiter struct {
@@ -70,11 +71,11 @@
 			return lease, nil, err
 		}
 	}
-	if expected := s.queue.expectedWait(ahead + 1); expected > patience {
+	if expected := s.queue.expectedWait(ahead); expected > patience {
 		return nil, nil, apierror.Newf(apierror.KindOverloaded, "come back after the time given",
 			"%d requests wait for room at service %q, about %d ms", ahead, q.Service, expected.Milliseconds())
 	}
-	return nil, s.queue.join(q.Priority), nil
+	return nil, s.queue.join(q.Priority, now), nil
 }
 
 // tryFirst picks a target if no other request comes first, and returns what tells of the next change.
@@ -90,14 +91,13 @@
 	if err != nil {
 		return nil, t.changed, err
 	}
-	s.queue.granted(now)
 	return lease, nil, nil
 }
 
 func (t *Table) leave(service string, w *waiter) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.services[service].queue.remove(w)
+	t.services[service].queue.remove(w, time.Now())
 	t.wakeWaiters()
 }
 
@@ -118,33 +118,35 @@
 	return count
 }
 
-func (q *queue) join(priority int) *waiter {
+func (q *queue) join(priority int, now time.Time) *waiter {
 	w := &waiter{priority: priority}
-	q.waiting = slices.Insert(q.waiting, q.ahead(priority), w)
+	position := q.ahead(priority)
+	q.waiting = slices.Insert(q.waiting, position, w)
+	if position == 0 {
+		q.firstSince = now
+	}
 	return w
 }
 
-func (q *queue) remove(w *waiter) {
+// remove takes out one that got room or has given up. The first of them tells how long room takes, also when
+// it got none: a longer wait would have been needed.
+func (q *queue) remove(w *waiter, now time.Time) {
+	if q.waiting[0] == w {
+		if q.grantInterval == 0 {
+			q.grantInterval = assumedGrantInterval
+		}
+		q.grantInterval += time.Duration(grantWeight * float64(now.Sub(q.firstSince)-q.grantInterval))
+		q.firstSince = now
+	}
 	q.waiting = slices.DeleteFunc(q.waiting, func(held *waiter) bool { return held == w })
 }
 
-func (q *queue) expectedWait(position int) time.Duration {
+// expectedWait is the time until room for one that has so many ahead of it. One that would be first is let in
+// whatever was observed: nothing else shows that room has become free again.
+func (q *queue) expectedWait(ahead int) time.Duration {
 	interval := q.grantInterval
 	if interval == 0 {
 		interval = assumedGrantInterval
 	}
-	return time.Duration(position) * interval
-}
-
-// granted notes that a waiting request got room.
-func (q *queue) granted(now time.Time) {
-	if q.grantInterval == 0 {
-		q.grantInterval = assumedGrantInterval
-	}
-	if !q.grantedAt.IsZero() {
-		// A pause without waiting requests says nothing about the rate; it counts as a second at most.
-		passed := min(now.Sub(q.grantedAt), time.Second)
-		q.grantInterval += time.Duration(grantWeight * float64(passed-q.grantInterval))
-	}
-	q.grantedAt = now
+	return assumedGrantInterval + time.Duration(ahead)*interval
 }
