Tell operators what a VM of a deployment decided about a request

The log lines of a request could only be read where logs are gathered. The lines "sent" name the length of the prompt now, and refusals the room that was wanted.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,11 +14,9 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
-	"github.com/rcrowley/go-metrics"
 	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
-	"godwitcart/internal/admin"
 	"godwitcart/internal/fleet"
 	"godwitcart/internal/forward"
 	"godwitcart/internal/inforce"
@@ -28,6 +26,7 @@
 	"godwitcart/internal/retrybudget"
 	"godwitcart/internal/roster"
 	"godwitcart/internal/settings"
+	"godwitcart/internal/trail"
 	"godwitcart/internal/upstream"
 	"godwitcart/platform"
 )
@@ -66,6 +65,7 @@
 	budget    *retrybudget.Budget
 	store     *platform.Store
 	client    *upstream.Client
+	trail     *trail.Book
 	// fleet is nil where digests are not exchanged.
 	fleet *fleet.Fleet
 
@@ -79,7 +79,7 @@
 
 // New builds an Entry; it opens no listener and calls nobody.
 func New(s *settings.Deployment, logger *log.Logger) *Entry {
-	e := &Entry{logger: logger, startedAt: time.Now(), shutdown: make(chan struct{}), client: upstream.NewClient()}
+	e := &Entry{logger: logger, startedAt: time.Now(), shutdown: make(chan struct{}), client: upstream.NewClient(), trail: trail.New()}
 	e.settings.Store(s)
 	e.store = platform.NewStore(s.Platform.Address, platform.EagerWatch)
 	e.table = placement.NewTable(placement.Options{Self: placement.Sender{VM: s.VM.Name, Zone: s.VM.Zone}, Placed: e.hurry, Seed: seedOf(s.VM.Name)})
@@ -90,7 +90,7 @@
 	})
 	e.forwarder = forward.New(forward.Options{
 		Codec: platform.Codec{}, Mover: platform.NewMover(e.client), Keeper: e.keeper, Table: e.table, Client: e.client,
-		Budget: e.budget, Lengths: lengths.NewBook(0), Logger: logger, Zone: s.VM.Zone, Stopping: e.stopping,
+		Budget: e.budget, Lengths: lengths.NewBook(0), Logger: logger, Trail: e.trail, Zone: s.VM.Zone, Stopping: e.stopping,
 		FreshWithin: s.Bounds.Configuration(),
 	})
 	e.follower = roster.NewFollower(roster.Options{
@@ -173,7 +173,7 @@
 	if _, err := e.serve(ctx, group, s.Readiness.Listen, http.HandlerFunc(e.serveReady), 0); err != nil {
 		return err
 	}
-	if _, err := e.serve(ctx, group, s.Metrics.Listen, admin.NewMetricsHandler(metrics.DefaultRegistry), 0); err != nil {
+	if _, err := e.serve(ctx, group, s.Metrics.Listen, e.operatorsHandler(), 0); err != nil {
 		return err
 	}
 	if err := e.shareLoads(ctx, group); err != nil {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -12,6 +15,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"godwitcart/internal/admin"
+	"godwitcart/internal/apierror"
 	"godwitcart/internal/settings"
 )
 
@@ -47,6 +52,38 @@
 	require.Contains(t, string(text), "godwitcart_forward_answers_total")
 }
 
+// TestExplain asks a running VM what it decided about a request, as godwitctl does.
+func TestExplain(t *testing.T) {
+	d := newDeployment(t)
+	d.target("c1", "counter")
+	d.configure("key-1")
+	digest := sha256.Sum256([]byte("secret"))
+	v := d.start("vm-1", func(s *settings.Deployment) {
+		s.Operators.Tokens = []settings.Token{{Name: "alice", Role: settings.RoleRead, SHA256: hex.EncodeToString(digest[:])}}
+	})
+	lookup := v.request(http.MethodPost, "/lookup/7", "flour")
+	v.do(lookup)
+	id := lookup.Header.Get("X-Attempt-Id")
+
+	client := &admin.Client{BaseURL: "http://" + v.metrics, Token: "secret"}
+	answer, err := client.Query(context.Background(), "explain "+strconv.Quote(id))
+	require.NoError(t, err)
+	require.Equal(t, "vm-1", answer.Life.Request.VM)
+	require.Len(t, answer.Life.Steps, 2)
+	require.Equal(t, "sent", answer.Life.Steps[0].State)
+	require.Contains(t, answer.Life.Steps[0].Reason, "target=c1")
+	require.Equal(t, "request ended", answer.Life.Steps[1].State)
+	require.Contains(t, answer.Life.Steps[1].Reason, "outcome=answered status=200")
+
+	_, err = client.Query(context.Background(), "explain nobody")
+	require.True(t, apierror.Is(err, apierror.KindNotFound))
+	_, err = client.Query(context.Background(), "show targets")
+	require.True(t, apierror.Is(err, apierror.KindNotFound))
+	client.Token = "wrong"
+	_, err = client.Query(context.Background(), "explain "+strconv.Quote(id))
+	require.True(t, apierror.Is(err, apierror.KindUnauthenticated))
+}
+
 // TestBadRequests checks what callers are told whose requests cannot be served.
 func TestBadRequests(t *testing.T) {
 	d := newDeployment(t)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -113,7 +113,7 @@
 	send.Priority = x.priority()
 	send.Left = time.Until(x.deadline)
 	x.log("sent", "target", lease.Target.ID, "zone", lease.Target.Zone, "attempt", x.attempts, "expected_ms", lease.Expected.Milliseconds(),
-		"candidates", lease.Candidates, "from", send.From != nil, "backup", send.BackupAddress, "after_event", send.LastEventID)
+		"candidates", lease.Candidates, "prompt_tokens", x.call.Prompt.Tokens, "from", send.From != nil, "backup", send.BackupAddress, "after_event", send.LastEventID)
 	request := x.options.Codec.NewRequest(x.call, send)
 	fresh := !x.route.Idempotent && !x.route.Resumable
 	answer, err := x.options.Client.Do(ctx, lease.Target.Address, request, x.call.Body, fresh)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -17,6 +18,7 @@
 	"godwitcart/internal/placement"
 	"godwitcart/internal/policy"
 	"godwitcart/internal/retrybudget"
+	"godwitcart/internal/trail"
 	"godwitcart/internal/upstream"
 )
 
@@ -30,7 +32,9 @@
 	Budget  *retrybudget.Budget
 	Lengths *lengths.Book
 	Logger  *log.Logger
-	Zone    string
+	// Trail remembers the lines about recent requests.
+	Trail *trail.Book
+	Zone  string
 	// Stopping reports whether the VM is shutting down gracefully, since when, and when it cuts off what still runs.
 	Stopping func() (stop Stop, stopping bool)
 	// FreshWithin is the age of the configuration's proof up to which an unknown route or key is denied.
@@ -253,9 +257,10 @@
 	}
 }
 
-// log writes one line about the request.
+// log writes one line about the request, and keeps it for operators who ask.
 func (x *exchange) log(message string, fields ...any) {
 	if x.call != nil {
+		x.options.Trail.Note(x.call.ID, time.Now(), message, slices.Clip(fields))
 		fields = append(fields, "request", x.call.ID)
 	}
 	if x.route != nil {
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -91,7 +91,7 @@
 	}
 	if best == nil && candidates > 0 {
 		return nil, apierror.Newf(apierror.KindOverloaded, "come back after the time given",
-			"none of the %d targets of service %q that serve has room", candidates, q.Service)
+			"none of the %d targets of service %q that serve has room for %d tokens", candidates, q.Service, q.memory())
 	}
 	if best == nil {
 		return nil, apierror.Newf(apierror.KindNotRun, "come back after the time given",
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -73,7 +73,7 @@
 	}
 	if expected := s.queue.expectedWait(ahead); expected > patience {
 		return nil, nil, apierror.Newf(apierror.KindOverloaded, "come back after the time given",
-			"%d requests wait for room at service %q, about %d ms", ahead, q.Service, expected.Milliseconds())
+			"%d requests wait for room at service %q, about %d ms, before this one of %d tokens", ahead, q.Service, expected.Milliseconds(), q.memory())
 	}
 	return nil, s.queue.join(q.Priority, now), nil
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -71,9 +71,13 @@
 	if len(operators.Tokens) == 0 {
 		c.add("operators.tokens", "there is no token", "add a token with name, role and sha256")
 	}
+	c.checkTokens("operators.tokens", operators.Tokens)
+}
+
+func (c *checker) checkTokens(section string, tokens []Token) {
 	names := map[string]bool{}
-	for i, token := range operators.Tokens {
-		key := fmt.Sprintf("operators.tokens[%d]", i)
+	for i, token := range tokens {
+		key := fmt.Sprintf("%s[%d]", section, i)
 		c.present(key+".name", token.Name, "name the operator")
 		if names[token.Name] {
 			c.add(key+".name", fmt.Sprintf("%q stands twice", token.Name), "give each token a name of its own")
--- a/internal/settings/deployment.go
+++ b/internal/settings/deployment.go
@@ -15,15 +15,16 @@
 // Deployment are the start-up settings of a godwitcartd that forwards callers' requests in a deployment
 // whose platform keeps the configuration and the list of targets.
 type Deployment struct {
-	VM        DeploymentVM   `yaml:"vm"`
-	Callers   ListenAddress  `yaml:"callers"`
-	Readiness ListenAddress  `yaml:"readiness"`
-	Metrics   ListenAddress  `yaml:"metrics"`
-	Peers     PeerPort       `yaml:"peers"`
-	Platform  StoreAddress   `yaml:"platform"`
-	Limits    ResourceLimits `yaml:"limits"`
-	Bounds    Bounds         `yaml:"bounds"`
-	Log       Log            `yaml:"log"`
+	VM        DeploymentVM        `yaml:"vm"`
+	Callers   ListenAddress       `yaml:"callers"`
+	Readiness ListenAddress       `yaml:"readiness"`
+	Metrics   ListenAddress       `yaml:"metrics"`
+	Operators DeploymentOperators `yaml:"operators"`
+	Peers     PeerPort            `yaml:"peers"`
+	Platform  StoreAddress        `yaml:"platform"`
+	Limits    ResourceLimits      `yaml:"limits"`
+	Bounds    Bounds              `yaml:"bounds"`
+	Log       Log                 `yaml:"log"`
 }
 
 // DeploymentVM says where the process runs.
@@ -35,6 +36,11 @@
 	Address string `yaml:"address"`
 }
 
+// DeploymentOperators says who may ask on the metrics' address. Without tokens only metrics are served.
+type DeploymentOperators struct {
+	Tokens []Token `yaml:"tokens"`
+}
+
 // ListenAddress is the host:port of a listener.
 type ListenAddress struct {
 	Listen string `yaml:"listen"`
@@ -134,10 +140,8 @@
 
 // CheckDeployment returns what is wrong with the settings.
 func CheckDeployment(s *Deployment) []Problem {
-	var problems []Problem
-	add := func(key, message, remedy string) {
-		problems = append(problems, Problem{Key: key, Message: message, Remedy: remedy})
-	}
+	c := &checker{}
+	add := c.add
 	if s.VM.Name == "" {
 		add("vm.name", "is missing", "name the VM")
 	}
@@ -172,7 +176,8 @@
 	if s.Bounds.RetryRatio < 0 || s.Bounds.RetrySlack < 0 {
 		add("bounds.retry_ratio", "the retry budget is negative", "write a ratio and a slack of zero or more")
 	}
-	return problems
+	c.checkTokens("operators.tokens", s.Operators.Tokens)
+	return c.problems
 }
 
 func isHostPort(address string) bool {
