Share the retry slack by all entry VMs, not by those that are heard

Cause: the slack of the retry budget was divided by the number of live VMs. VMs that lose sight of each other go on working, and each then took a share of its own part of the fleet: a VM alone took all of it, so that k separate parts could spend k times the slack.

Ruled out: counting VMs heard within a minute (a cut may last longer).

Change: the slack is divided by the VMs that the directory names, or by those heard where they are more, and there is none until the directory has been read.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -36,9 +36,6 @@
 	memoryShare = 0.6
 	// callerShare is the part of the descriptors that callers' connections may take.
 	callerShare = 0.5
-	// unknownFleet is the number of entry VMs assumed until peers have been heard of: the retry slack is
-	// shared by all of them.
-	unknownFleet = 32
 	// slackShare is the part of the shared retry slack that is used; the rest covers VMs not yet heard of.
 	slackShare = 0.7
 	// headerTimeout and idleTimeout are above what configurations grant callers, so that no caller within
@@ -83,7 +80,7 @@
 	e.settings.Store(s)
 	e.store = platform.NewStore(s.Platform.Address, platform.EagerWatch)
 	e.table = placement.NewTable(placement.Options{Self: placement.Sender{VM: s.VM.Name, Zone: s.VM.Zone}, Placed: e.hurry, Seed: seedOf(s.VM.Name)})
-	e.budget = retrybudget.New(s.Bounds.RetryRatio*slackShare, s.Bounds.RetrySlack*slackShare/expectedFleet(s))
+	e.budget = retrybudget.New(s.Bounds.RetryRatio*slackShare, firstSlack(s))
 	e.keeper = inforce.NewKeeper(inforce.Options{
 		Reader: e.store, Logger: logger, InForceWithin: s.Bounds.Configuration(), RevokedWithin: s.Bounds.Revocation(),
 		Close: e.readsClosely,
@@ -100,12 +97,12 @@
 	return e
 }
 
-// expectedFleet is the number of entry VMs that share the retry slack before any has been heard of.
-func expectedFleet(s *settings.Deployment) float64 {
+// firstSlack is the retry slack of this VM until it knows how many share it: all VMs may start at once.
+func firstSlack(s *settings.Deployment) float64 {
 	if s.Peers.Port == 0 {
-		return 1
+		return s.Bounds.RetrySlack * slackShare
 	}
-	return unknownFleet
+	return 0
 }
 
 func seedOf(name string) uint64 {
@@ -301,11 +298,11 @@
 	}
 }
 
-// fleetChanged shares the retry slack by the live entry VMs.
-func (e *Entry) fleetChanged(vms int) {
-	slack := e.settings.Load().Bounds.RetrySlack * slackShare / float64(vms)
+// fleetChanged shares the retry slack by all entry VMs.
+func (e *Entry) fleetChanged(size fleet.Size) {
+	slack := e.settings.Load().Bounds.RetrySlack * slackShare / float64(size.Known)
 	e.budget.SetSlack(slack)
-	e.logger.Info("number of entry VMs changed", "live", vms, "retry_slack", slack)
+	e.logger.Info("number of entry VMs changed", "live", size.Live, "known", size.Known, "retry_slack", slack)
 }
 
 // drain waits for the requests in progress, and for the balancer to lead no more callers here.
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -93,6 +93,15 @@
 	return listener.Addr().String()
 }
 
+// udpPort returns a port on which no datagrams were awaited a moment ago.
+func udpPort(t *testing.T) int {
+	t.Helper()
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer conn.Close()
+	return conn.LocalAddr().(*net.UDPAddr).Port
+}
+
 // start runs an entry VM; change may alter its settings. It is ready on return.
 func (d *deployment) start(name string, change func(*settings.Deployment)) *vm {
 	d.t.Helper()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -70,12 +70,21 @@
 	// Conn is the socket that digests are sent from and come in at.
 	Conn   net.PacketConn
 	Logger *log.Logger
-	// SizeChanged is called with the number of live entry VMs, this one included, when it has changed.
-	SizeChanged func(vms int)
+	// SizeChanged is called when the number of entry VMs has changed, once the directory has been read.
+	SizeChanged func(size Size)
 	// Learnt is called with what a peer has learnt of a target.
 	Learnt func(target roster.Target)
 }
 
+// Size counts entry VMs, this one included.
+type Size struct {
+	// Live counts those that were heard lately.
+	Live int
+	// Known counts those of the directory too: what all share must be divided by this number, since a VM that is
+	// silent may be cut off and work on.
+	Known int
+}
+
 // peer is what is known of another entry VM.
 type peer struct {
 	zone     string
@@ -92,7 +101,8 @@
 type Fleet struct {
 	options Options
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// members is nil until the directory has been read.
 	members map[string]Member
 	peers   map[string]*peer
 	// zones are the loads of other zones, by zone.
@@ -102,7 +112,7 @@
 	sentAt   [sentKept]boottime.Instant
 	// heardReader is when a digest with a fresh proof last came in.
 	heardReader time.Time
-	size        int
+	size        Size
 	wake        chan struct{}
 }
 
@@ -114,8 +124,8 @@
 // New returns a Fleet that knows no peer.
 func New(options Options) *Fleet {
 	return &Fleet{
-		options: options, members: make(map[string]Member), peers: make(map[string]*peer),
-		zones: make(map[string]*peer), size: 1, wake: make(chan struct{}, 1),
+		options: options, peers: make(map[string]*peer),
+		zones: make(map[string]*peer), wake: make(chan struct{}, 1),
 	}
 }
 
@@ -227,17 +237,20 @@
 	}
 	maps.DeleteFunc(f.zones, func(_ string, zone *peer) bool { return now.Sub(zone.heardAt) > 2*liveFor })
 	f.changes = slices.DeleteFunc(f.changes, func(c timedChange) bool { return now.Sub(c.at) > changeLife })
-	size := 1
+	live := 1
 	for _, known := range f.peers {
 		if !known.sum {
-			size++
+			live++
 		}
 	}
 	for _, zone := range f.zones {
-		size += zone.vms
+		live += zone.vms
+	}
+	size := Size{Live: live, Known: max(live, 1+len(f.members))}
+	changed := f.members != nil && size != f.size
+	if changed {
+		f.size = size
 	}
-	changed := size != f.size
-	f.size = size
 	f.mu.Unlock()
 	if changed {
 		f.options.SizeChanged(size)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -63,7 +63,7 @@
 	knowledge *knowledge
 	mu        sync.Mutex
 	learnt    []roster.Target
-	size      int
+	size      fleet.Size
 	address   string
 	stop      context.CancelFunc
 	stopped   chan struct{}
@@ -87,7 +87,7 @@
 		v.table.Listed(map[string]roster.Target{"e1": {ID: "e1", Service: "drafter", Slots: 24, Zone: "a"}}, time.Now())
 		v.Fleet = fleet.New(fleet.Options{
 			Self: member, Table: v.table, Knowledge: v.knowledge, Conn: conns[name], Logger: log.New(io.Discard),
-			SizeChanged: func(size int) { v.mu.Lock(); defer v.mu.Unlock(); v.size = size },
+			SizeChanged: func(size fleet.Size) { v.mu.Lock(); defer v.mu.Unlock(); v.size = size },
 			Learnt:      func(target roster.Target) { v.mu.Lock(); defer v.mu.Unlock(); v.learnt = append(v.learnt, target) },
 		})
 		others := make(map[string]fleet.Member)
@@ -109,7 +109,7 @@
 	return vms
 }
 
-func (v *vm) seenSize() int {
+func (v *vm) seenSize() fleet.Size {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.size
@@ -136,7 +136,7 @@
 	}
 	settled := func() bool { renew(); return len(readers("a")) == 1 && len(readers("b")) == 1 }
 	require.Eventually(t, settled, patience, poll)
-	require.Eventually(t, func() bool { return vms["vm-1"].seenSize() == 5 }, patience, poll)
+	require.Eventually(t, func() bool { return vms["vm-1"].seenSize().Live == 5 }, patience, poll)
 	first := readers("a")[0]
 	vms[first].stop()
 	<-vms[first].stopped
@@ -165,6 +165,19 @@
 	}
 }
 
+// TestSizeWhileCutOff lets a VM lose all others at once, as in a cut network, where they work on: what all share
+// must not be shared by fewer.
+func TestSizeWhileCutOff(t *testing.T) {
+	vms := startFleet(t, map[string]string{"vm-1": "a", "vm-2": "a", "vm-3": "b", "vm-4": "c"})
+	kept := vms["vm-1"]
+	require.Eventually(t, func() bool { return kept.seenSize().Live == 4 }, patience, poll)
+	for _, name := range []string{"vm-2", "vm-3", "vm-4"} {
+		vms[name].stop()
+	}
+	require.Eventually(t, func() bool { return kept.seenSize().Live == 1 }, patience, poll)
+	require.Equal(t, 4, kept.seenSize().Known)
+}
+
 // TestNews checks that loads, changes of targets and newer versions reach the other VMs.
 func TestNews(t *testing.T) {
 	vms := startFleet(t, map[string]string{"vm-1": "a", "vm-2": "b"})
@@ -198,7 +211,7 @@
 		_, err := stranger.Write([]byte(bytes))
 		require.NoError(t, err)
 	}
-	require.Eventually(t, func() bool { return vms["vm-1"].seenSize() == 2 && vms["vm-2"].seenSize() == 2 }, patience, poll)
+	require.Eventually(t, func() bool { return vms["vm-1"].seenSize().Live == 2 && vms["vm-2"].seenSize().Live == 2 }, patience, poll)
 }
 
 // TestDirectory has VMs make themselves known and learn of each other.
