Move the parts that failure runs share into a package of their own

Links, real processes and free ports of internal/stand/failures go to internal/stand/rig, so that the soak of deployments uses the same ones.

--- a/internal/stand/failures/fleet.go
+++ b/internal/stand/failures/fleet.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"godwitcart/internal/stand/platform"
+	"godwitcart/internal/stand/rig"
 	"godwitcart/internal/wire/platformwire"
 )
 
@@ -34,7 +35,7 @@
 
 // member is one entry VM or target of the fleet.
 type member struct {
-	*program
+	*rig.Program
 	vm platformwire.VM
 	// control is the host:port of a target's control listener.
 	control string
@@ -57,8 +58,8 @@
 // rename gives the member the name of its next VM, which has the same addresses.
 func (m *member) rename() {
 	m.replaced = min(m.replaced+1, maxReplacements)
-	m.vm.Name = replacementName(m.name, m.replaced)
-	m.args[m.nameArgument] = m.vm.Name
+	m.vm.Name = replacementName(m.Name, m.replaced)
+	m.Args[m.nameArgument] = m.vm.Name
 }
 
 // fleet is everything that runs.
@@ -69,10 +70,10 @@
 	directory string
 	binaries  string
 	seed      uint64
-	ports     *portPool
-	spawner   *spawner
+	ports     *rig.PortPool
+	spawner   *rig.Spawner
 
-	platform        *program
+	platform        *rig.Program
 	platformControl string
 	platformListen  string
 	// platformViews is where each zone's view of the platform listens.
@@ -80,7 +81,7 @@
 
 	entries, engines, services []*member
 	// links are by the zone that a connection comes from and the destination's name.
-	links map[linkKey]*link
+	links map[linkKey]*rig.Link
 }
 
 type linkKey struct {
@@ -92,14 +93,14 @@
 
 // newFleet lays out addresses and files; nothing runs yet.
 func newFleet(options Options) (*fleet, error) {
-	ports, err := newPortPool()
+	ports, err := rig.NewPortPool()
 	if err != nil {
 		return nil, err
 	}
 	f := &fleet{
-		directory: options.Directory, binaries: options.Binaries, seed: options.Seed, ports: ports, spawner: newSpawner(),
+		directory: options.Directory, binaries: options.Binaries, seed: options.Seed, ports: ports, spawner: rig.NewSpawner(),
 		memoryTokens:  cmp.Or(options.MemoryTokens, defaultMemoryTokens),
-		platformViews: make(map[string]string), links: make(map[linkKey]*link),
+		platformViews: make(map[string]string), links: make(map[linkKey]*rig.Link),
 	}
 	steps := []func() error{f.layOutPlatform, f.layOutMembers, f.layOutLinks, f.writeFiles}
 	for _, step := range steps {
@@ -113,7 +114,7 @@
 // addresses fills each field with an address of its own.
 func (f *fleet) addresses(fields ...*string) error {
 	for _, field := range fields {
-		address, err := f.ports.address()
+		address, err := f.ports.Address()
 		if err != nil {
 			return err
 		}
@@ -132,7 +133,7 @@
 func (f *fleet) entryZones() map[string]string {
 	byName := make(map[string]string)
 	for _, m := range f.entries {
-		byName[m.name] = m.vm.Zone
+		byName[m.Name] = m.vm.Zone
 	}
 	return byName
 }
@@ -152,7 +153,7 @@
 			if m.vm.PeerAddress != "" {
 				destination = m.vm.PeerAddress
 			}
-			if err := f.addLink(zone, m.name, destination); err != nil {
+			if err := f.addLink(zone, m.Name, destination); err != nil {
 				return err
 			}
 		}
@@ -161,18 +162,18 @@
 }
 
 func (f *fleet) addLink(zone, destination, address string) error {
-	listen, err := f.ports.address()
+	listen, err := f.ports.Address()
 	if err != nil {
 		return err
 	}
-	made, err := newLink(listen, address)
+	made, err := rig.NewLink(listen, address)
 	f.links[linkKey{zone, destination}] = made
 	return err
 }
 
 // linksTo returns the links of all zones to a member.
-func (f *fleet) linksTo(name string) []*link {
-	var found []*link
+func (f *fleet) linksTo(name string) []*rig.Link {
+	var found []*rig.Link
 	for _, zone := range zones {
 		found = append(found, f.links[linkKey{zone, name}])
 	}
@@ -180,12 +181,12 @@
 }
 
 // linksAcross returns the links between a zone and everything outside it.
-func (f *fleet) linksAcross(zone string) []*link {
-	found := []*link{f.links[linkKey{zone, platformName}]}
+func (f *fleet) linksAcross(zone string) []*rig.Link {
+	found := []*rig.Link{f.links[linkKey{zone, platformName}]}
 	for _, m := range f.members() {
 		for _, from := range zones {
 			if (from == zone) != (m.vm.Zone == zone) {
-				found = append(found, f.links[linkKey{from, m.name}])
+				found = append(found, f.links[linkKey{from, m.Name}])
 			}
 		}
 	}
@@ -196,12 +197,12 @@
 func (f *fleet) view(zone string) platform.View {
 	view := make(platform.View)
 	for _, m := range f.members() {
-		through := f.links[linkKey{zone, m.name}].listen
+		through := f.links[linkKey{zone, m.Name}].Address
 		if m.vm.PeerAddress != "" {
-			view[m.name] = platform.Addresses{PeerAddress: through}
+			view[m.Name] = platform.Addresses{PeerAddress: through}
 		} else {
 			for after := range maxReplacements + 1 {
-				view[replacementName(m.name, after)] = platform.Addresses{Address: through}
+				view[replacementName(m.Name, after)] = platform.Addresses{Address: through}
 			}
 		}
 	}
@@ -224,7 +225,7 @@
 
 // start runs the stand-ins, then the entry VMs, and waits until all are ready.
 func (f *fleet) start(ctx context.Context) error {
-	if err := f.platform.start(ctx); err != nil {
+	if err := f.platform.Start(ctx); err != nil {
 		return err
 	}
 	if err := startAll(ctx, f.targets()); err != nil {
@@ -236,7 +237,7 @@
 func startAll(ctx context.Context, members []*member) error {
 	var group errgroup.Group
 	for _, m := range members {
-		group.Go(func() error { return m.start(ctx) })
+		group.Go(func() error { return m.Start(ctx) })
 	}
 	return group.Wait()
 }
@@ -244,12 +245,12 @@
 // stop ends everything at once.
 func (f *fleet) stop() {
 	for _, m := range f.members() {
-		m.kill()
+		m.Kill()
 	}
-	f.platform.kill()
+	f.platform.Kill()
 	for _, l := range f.links {
-		l.close()
+		l.Close()
 	}
-	close(f.spawner.requests)
-	f.ports.close()
+	f.spawner.Close()
+	f.ports.Close()
 }
--- a/internal/stand/failures/inject.go
+++ b/internal/stand/failures/inject.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"godwitcart/internal/pause"
+	"godwitcart/internal/stand/rig"
 )
 
 // reclaimNotice is how long a reclaimed target has between the notice and its end.
@@ -58,11 +59,11 @@
 // lockOf returns the lock of the program that the action acts on; links have none.
 func (i *injector) lockOf(a action) *sync.Mutex {
 	if a.subject == platformName {
-		return &i.fleet.platform.busy
+		return &i.fleet.platform.Busy
 	}
 	for _, m := range i.fleet.members() {
-		if m.name == a.subject {
-			return &m.busy
+		if m.Name == a.subject {
+			return &m.Busy
 		}
 	}
 	return nil
@@ -70,7 +71,7 @@
 
 func (i *injector) member(name string) *member {
 	for _, m := range i.fleet.members() {
-		if m.name == name {
+		if m.Name == name {
 			return m
 		}
 	}
@@ -84,9 +85,9 @@
 	case KillEntry, KillTarget:
 		return i.killAndRestart(ctx, m, a.hold)
 	case FreezeEntry, FreezeTarget:
-		m.signal(syscall.SIGSTOP)
+		m.Signal(syscall.SIGSTOP)
 		pause.For(ctx, a.hold)
-		m.signal(syscall.SIGCONT)
+		m.Signal(syscall.SIGCONT)
 		return nil
 	case ReclaimTarget:
 		return i.reclaim(ctx, m, a.hold)
@@ -98,12 +99,12 @@
 }
 
 func (i *injector) killAndRestart(ctx context.Context, m *member, down time.Duration) error {
-	links := i.fleet.linksTo(m.name)
-	m.kill()
+	links := i.fleet.linksTo(m.Name)
+	m.Kill()
 	cutAll(links)
 	pause.For(ctx, down)
 	// The run's end must not leave a program half started.
-	if err := m.start(context.WithoutCancel(ctx)); err != nil {
+	if err := m.Start(context.WithoutCancel(ctx)); err != nil {
 		return err
 	}
 	return restoreAll(links)
@@ -115,22 +116,22 @@
 		return err
 	}
 	pause.For(ctx, reclaimNotice)
-	m.kill()
-	cutAll(i.fleet.linksTo(m.name))
+	m.Kill()
+	cutAll(i.fleet.linksTo(m.Name))
 	pause.For(ctx, down)
 	return i.replace(context.WithoutCancel(ctx), m)
 }
 
-func cutAll(links []*link) {
+func cutAll(links []*rig.Link) {
 	for _, l := range links {
-		l.cut()
+		l.Cut()
 	}
 }
 
-func restoreAll(links []*link) error {
+func restoreAll(links []*rig.Link) error {
 	var result error
 	for _, l := range links {
-		result = errors.CombineErrors(result, l.restore())
+		result = errors.CombineErrors(result, l.Restore())
 	}
 	return result
 }
@@ -139,11 +140,11 @@
 	links := i.linksOf(a)
 	if a.kind == StallLink {
 		for _, l := range links {
-			l.stall()
+			l.Stall()
 		}
 		pause.For(ctx, a.hold)
 		for _, l := range links {
-			l.unstall()
+			l.Unstall()
 		}
 		return nil
 	}
@@ -152,15 +153,15 @@
 	return restoreAll(links)
 }
 
-func (i *injector) linksOf(a action) []*link {
+func (i *injector) linksOf(a action) []*rig.Link {
 	switch a.kind {
 	case CutZone:
 		return i.fleet.linksAcross(a.subject)
 	case CutPlatform:
-		return []*link{i.fleet.links[linkKey{a.subject, platformName}]}
+		return []*rig.Link{i.fleet.links[linkKey{a.subject, platformName}]}
 	default:
 		zone, destination, _ := strings.Cut(a.subject, linkSeparator)
-		return []*link{i.fleet.links[linkKey{zone, destination}]}
+		return []*rig.Link{i.fleet.links[linkKey{zone, destination}]}
 	}
 }
 
--- a/internal/stand/failures/layout.go
+++ b/internal/stand/failures/layout.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"godwitcart/internal/policy"
+	"godwitcart/internal/stand/rig"
 	"godwitcart/internal/wire/platformwire"
 )
 
@@ -89,8 +90,8 @@
 
 func (f *fleet) settings(m *member) string {
 	digest := sha256.Sum256([]byte(operatorToken))
-	through := f.links[linkKey{m.vm.Zone, platformName}].listen
-	return fmt.Sprintf(settingsTemplate, m.name, m.vm.Zone, m.vm.Address, m.vm.AdminAddress,
+	through := f.links[linkKey{m.vm.Zone, platformName}].Address
+	return fmt.Sprintf(settingsTemplate, m.Name, m.vm.Zone, m.vm.Address, m.vm.AdminAddress,
 		hex.EncodeToString(digest[:]), m.vm.PeerAddress, through, drainTimeout)
 }
 
@@ -116,7 +117,7 @@
 func (f *fleet) newMember(kind string, i int, role, service, binary string) *member {
 	name := kind + "-" + strconv.Itoa(i+1)
 	return &member{
-		program: &program{name: name, path: f.binaries + "/" + binary, logPath: f.file(name + ".log"), spawner: f.spawner},
+		Program: &rig.Program{Name: name, Path: f.binaries + "/" + binary, LogPath: f.file(name + ".log"), Spawner: f.spawner},
 		vm:      platformwire.VM{Name: name, Role: role, Region: "region-1", Zone: zones[i%len(zones)], Service: service},
 	}
 }
@@ -126,8 +127,8 @@
 	if err := f.addresses(&m.vm.Address, &m.vm.PeerAddress, &m.vm.AdminAddress); err != nil {
 		return err
 	}
-	m.args = []string{"--settings", f.file(m.name + ".yaml"), "--seed", f.file("configuration.yaml")}
-	m.readyURL = "http://" + m.vm.AdminAddress + "/readyz"
+	m.Args = []string{"--settings", f.file(m.Name + ".yaml"), "--seed", f.file("configuration.yaml")}
+	m.ReadyURL = "http://" + m.vm.AdminAddress + "/readyz"
 	f.entries = append(f.entries, m)
 	return nil
 }
@@ -137,13 +138,13 @@
 	if err := f.addresses(&m.vm.Address, &m.control); err != nil {
 		return err
 	}
-	m.args = []string{
-		"engine", "--name", m.name, "--listen", m.vm.Address, "--control", m.control, "--zone", m.vm.Zone,
+	m.Args = []string{
+		"engine", "--name", m.Name, "--listen", m.vm.Address, "--control", m.control, "--zone", m.vm.Zone,
 		"--weights", "http://" + f.platformListen, "--load", model + "@" + modelVersion, "--text", "attempt", "--checks-fencing",
 		"--memory-tokens", strconv.Itoa(f.memoryTokens), "--journal", f.file("journal"),
 	}
 	m.nameArgument = 2
-	m.readyURL = "http://" + m.control + "/faults"
+	m.ReadyURL = "http://" + m.control + "/faults"
 	f.engines = append(f.engines, m)
 	return nil
 }
@@ -153,12 +154,12 @@
 	if err := f.addresses(&m.vm.Address, &m.control); err != nil {
 		return err
 	}
-	m.args = []string{
-		"service", "--name", m.name, "--listen", m.vm.Address, "--control", m.control, "--zone", m.vm.Zone,
+	m.Args = []string{
+		"service", "--name", m.Name, "--listen", m.vm.Address, "--control", m.control, "--zone", m.vm.Zone,
 		"--latency", "30ms", "--journal", f.file("journal"),
 	}
 	m.nameArgument = 2
-	m.readyURL = "http://" + m.control + "/faults"
+	m.ReadyURL = "http://" + m.control + "/faults"
 	f.services = append(f.services, m)
 	return nil
 }
@@ -172,16 +173,16 @@
 		"--vm-lag", vmLag.String(), "--seed", strconv.FormatUint(f.seed, 10),
 	}
 	for _, zone := range zones {
-		address, err := f.ports.address()
+		address, err := f.ports.Address()
 		if err != nil {
 			return err
 		}
 		f.platformViews[zone] = address
 		args = append(args, "--view", address+"="+f.file(zone+".yaml"))
 	}
-	f.platform = &program{
-		name: platformName, path: f.binaries + "/godwitstand", args: args, logPath: f.file("platform.log"),
-		readyURL: "http://" + f.platformControl + "/faults", spawner: f.spawner,
+	f.platform = &rig.Program{
+		Name: platformName, Path: f.binaries + "/godwitstand", Args: args, LogPath: f.file("platform.log"),
+		ReadyURL: "http://" + f.platformControl + "/faults", Spawner: f.spawner,
 	}
 	return nil
 }
@@ -201,7 +202,7 @@
 		}
 	}
 	for _, m := range f.entries {
-		if err := f.writeText(m.name+".yaml", f.settings(m)); err != nil {
+		if err := f.writeText(m.Name+".yaml", f.settings(m)); err != nil {
 			return err
 		}
 	}
--- a/internal/stand/failures/operators.go
+++ b/internal/stand/failures/operators.go
@@ -159,7 +159,7 @@
 }
 
 func ask(m *member) (Observation, bool) {
-	seen := Observation{Entry: m.name, Sent: time.Now()}
+	seen := Observation{Entry: m.Name, Sent: time.Now()}
 	configuration, err := inForce(m)
 	seen.Received = time.Now()
 	if err != nil {
--- a/internal/stand/failures/orders.go
+++ b/internal/stand/failures/orders.go
@@ -43,7 +43,7 @@
 	for _, m := range f.engines {
 		loaded, err := loadedBy(m)
 		if err != nil || !slices.Equal(loaded, wanted) {
-			differ = append(differ, m.name+" has "+strings.Join(loaded, ",")+", not "+strings.Join(wanted, ","))
+			differ = append(differ, m.Name+" has "+strings.Join(loaded, ",")+", not "+strings.Join(wanted, ","))
 		}
 	}
 	return differ
@@ -78,12 +78,12 @@
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return nil, errors.Wrap(err, "read the load of "+m.name)
+		return nil, errors.Wrap(err, "read the load of "+m.Name)
 	}
 	defer response.Body.Close()
 	var report enginewire.LoadReport
 	if err := json.NewDecoder(response.Body).Decode(&report); err != nil {
-		return nil, errors.Wrap(err, "decode the load of "+m.name)
+		return nil, errors.Wrap(err, "decode the load of "+m.Name)
 	}
 	var list []string
 	for _, loaded := range report.Loaded {
--- a/internal/stand/failures/plan.go
+++ b/internal/stand/failures/plan.go
@@ -60,7 +60,7 @@
 func names(members []*member) []string {
 	var list []string
 	for _, m := range members {
-		list = append(list, m.name)
+		list = append(list, m.Name)
 	}
 	return list
 }
--- a/internal/stand/failures/run.go
+++ b/internal/stand/failures/run.go
@@ -186,7 +186,7 @@
 	}
 	for _, m := range f.entries {
 		l.Entries = append(l.Entries, "http://"+m.vm.Address)
-		l.Ready = append(l.Ready, m.readyURL)
+		l.Ready = append(l.Ready, m.ReadyURL)
 	}
 	return l
 }
--- a/internal/stand/failures/stops.go
+++ b/internal/stand/failures/stops.go
@@ -59,9 +59,9 @@
 	if ctx.Err() != nil {
 		return
 	}
-	m.busy.Lock()
-	defer m.busy.Unlock()
-	fault := Fault{Kind: kind, Subject: m.name, From: time.Now()}
+	m.Busy.Lock()
+	defer m.Busy.Unlock()
+	fault := Fault{Kind: kind, Subject: m.Name, From: time.Now()}
 	if kind == StopEntry {
 		fault.Entry = "http://" + m.vm.Address
 	}
@@ -78,10 +78,10 @@
 	if err := i.stopAndRefuse(m); err != nil {
 		return err
 	}
-	if err := m.start(ctx); err != nil {
+	if err := m.Start(ctx); err != nil {
 		return err
 	}
-	return restoreAll(i.fleet.linksTo(m.name))
+	return restoreAll(i.fleet.linksTo(m.Name))
 }
 
 // drainTarget makes a target leave, stops it by SIGTERM and starts it again on its VM, which stays
@@ -94,10 +94,10 @@
 	if err := i.stopAndRefuse(m); err != nil {
 		return err
 	}
-	if err := m.start(ctx); err != nil {
+	if err := m.Start(ctx); err != nil {
 		return err
 	}
-	return restoreAll(i.fleet.linksTo(m.name))
+	return restoreAll(i.fleet.linksTo(m.Name))
 }
 
 // replaceTarget takes a VM away in order and puts another one in its place.
@@ -134,20 +134,20 @@
 	if err := controlMethod(http.MethodPut, i.fleet.platformControl, "/vms/"+m.vm.Name, body); err != nil {
 		return err
 	}
-	if err := m.start(ctx); err != nil {
+	if err := m.Start(ctx); err != nil {
 		return err
 	}
-	return restoreAll(i.fleet.linksTo(m.name))
+	return restoreAll(i.fleet.linksTo(m.Name))
 }
 
 // stopAndRefuse sends SIGTERM, waits for the end and closes the links of a program that has ended.
 func (i *injector) stopAndRefuse(m *member) error {
-	m.signal(syscall.SIGTERM)
-	if !m.waitEnd(stopTimeout) {
-		m.kill()
-		cutAll(i.fleet.linksTo(m.name))
-		return errors.Newf("%s did not end %v after SIGTERM", m.name, stopTimeout)
+	m.Signal(syscall.SIGTERM)
+	if !m.WaitEnd(stopTimeout) {
+		m.Kill()
+		cutAll(i.fleet.linksTo(m.Name))
+		return errors.Newf("%s did not end %v after SIGTERM", m.Name, stopTimeout)
 	}
-	cutAll(i.fleet.linksTo(m.name))
+	cutAll(i.fleet.linksTo(m.Name))
 	return nil
 }
--- a/internal/stand/failures/link.go
+++ b/internal/stand/rig/link.go
@@ -1,4 +1,6 @@
-package failures
+// Package rig holds what failure runs have in common: real processes that are started again, free ports, and TCP
+// links that stall, slow down and break.
+package rig
 
 import (
 	"io"
@@ -15,9 +17,11 @@
 // linkBufferBytes is how much of a connection a link reads at once.
 const linkBufferBytes = 16 << 10
 
-// link forwards TCP connections to one destination. Faults overlap, so that each is counted.
-type link struct {
-	listen, destination string
+// Link forwards TCP connections to one destination. Faults overlap, so that each is counted.
+type Link struct {
+	// Address is where the link listens.
+	Address     string
+	destination string
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -28,9 +32,10 @@
 	open    map[net.Conn]struct{}
 }
 
-func newLink(listen, destination string) (*link, error) {
-	l := &link{
-		listen: listen, destination: destination,
+// NewLink returns a link that listens at once.
+func NewLink(listen, destination string) (*Link, error) {
+	l := &Link{
+		Address: listen, destination: destination,
 		changed: make(chan struct{}), open: make(map[net.Conn]struct{}),
 	}
 	l.mu.Lock()
@@ -38,8 +43,8 @@
 	return l, l.startListening()
 }
 
-func (l *link) startListening() error {
-	listener, err := net.Listen("tcp", l.listen)
+func (l *Link) startListening() error {
+	listener, err := net.Listen("tcp", l.Address)
 	if err != nil {
 		return errors.Wrap(err, "listen for a link")
 	}
@@ -48,7 +53,7 @@
 	return nil
 }
 
-func (l *link) accept(listener net.Listener) {
+func (l *Link) accept(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -58,12 +63,13 @@
 	}
 }
 
-// stall holds back the bytes of all connections until unstall.
-func (l *link) stall() { l.addStalls(1) }
+// Stall holds back the bytes of all connections until Unstall.
+func (l *Link) Stall() { l.addStalls(1) }
 
-func (l *link) unstall() { l.addStalls(-1) }
+// Unstall ends one Stall.
+func (l *Link) Unstall() { l.addStalls(-1) }
 
-func (l *link) addStalls(by int) {
+func (l *Link) addStalls(by int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.stalls += by
@@ -71,8 +77,8 @@
 	l.changed = make(chan struct{})
 }
 
-// cut breaks all connections and refuses new ones until restore.
-func (l *link) cut() {
+// Cut breaks all connections and refuses new ones until Restore.
+func (l *Link) Cut() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.cuts++
@@ -85,8 +91,8 @@
 	}
 }
 
-// restore ends one cut. The listener cannot fail in a way that the run could go on from.
-func (l *link) restore() error {
+// Restore ends one cut. The listener cannot fail in a way that the run could go on from.
+func (l *Link) Restore() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.cuts--
@@ -103,10 +109,11 @@
 	_ = conn.Close()
 }
 
-func (l *link) close() { l.cut() }
+// Close breaks the link for good.
+func (l *Link) Close() { l.Cut() }
 
 // register keeps the connection for cut; it reports false while the link is cut.
-func (l *link) register(conn net.Conn) bool {
+func (l *Link) register(conn net.Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.cuts > 0 {
@@ -116,13 +123,13 @@
 	return true
 }
 
-func (l *link) unregister(conn net.Conn) {
+func (l *Link) unregister(conn net.Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.open, conn)
 }
 
-func (l *link) forward(near net.Conn) {
+func (l *Link) forward(near net.Conn) {
 	defer reset(near)
 	l.waitWhileStalled()
 	far, err := net.DialTimeout("tcp", l.destination, linkDialTimeout)
@@ -142,7 +149,7 @@
 }
 
 // pump copies one direction until it ends, and passes its end on.
-func (l *link) pump(to, from net.Conn) {
+func (l *Link) pump(to, from net.Conn) {
 	buffer := make([]byte, linkBufferBytes)
 	for {
 		count, err := from.Read(buffer)
@@ -170,7 +177,7 @@
 	}
 }
 
-func (l *link) waitWhileStalled() {
+func (l *Link) waitWhileStalled() {
 	for {
 		l.mu.Lock()
 		stalled, changed := l.stalls > 0, l.changed
--- a/internal/stand/failures/ports.go
+++ b/internal/stand/rig/ports.go
@@ -1,4 +1,4 @@
-package failures
+package rig
 
 import (
 	"math/rand/v2"
@@ -17,21 +17,21 @@
 	loopbackHost = "127.0.0.1"
 )
 
-// portPool hands out free ports of 127.0.0.1, each once. It holds the first port of its block, so
+// PortPool hands out free ports of 127.0.0.1, each once. It holds the first port of its block, so
 // that runs at the same time keep off each other's ports.
-type portPool struct {
+type PortPool struct {
 	lock net.Listener
 	next int
 	last int
 }
 
-// newPortPool takes a block that no other run holds.
-func newPortPool() (*portPool, error) {
+// NewPortPool takes a block that no other run holds.
+func NewPortPool() (*PortPool, error) {
 	for range 10 * blockCount {
 		base := lowestPort + blockSize*rand.IntN(blockCount)
 		lock, err := net.Listen("tcp", hostPort(base))
 		if err == nil {
-			return &portPool{lock: lock, next: base + 1, last: base + blockSize - 1}, nil
+			return &PortPool{lock: lock, next: base + 1, last: base + blockSize - 1}, nil
 		}
 	}
 	return nil, errors.New("no block of ports is free; end other runs")
@@ -39,8 +39,8 @@
 
 func hostPort(port int) string { return net.JoinHostPort(loopbackHost, strconv.Itoa(port)) }
 
-// address returns the host:port of a port that was free.
-func (p *portPool) address() (string, error) {
+// Address returns the host:port of a port that was free.
+func (p *PortPool) Address() (string, error) {
 	for p.next <= p.last {
 		address := hostPort(p.next)
 		p.next++
@@ -51,7 +51,8 @@
 	return "", errors.New("the block of ports is used up")
 }
 
-func (p *portPool) close() { _ = p.lock.Close() }
+// Close gives the block back.
+func (p *PortPool) Close() { _ = p.lock.Close() }
 
 func isFree(address string) bool {
 	listener, err := net.Listen("tcp", address)
