Add a randomized soak of entry VMs of a deployment

scripts/soak starts real godwitcartd processes on stand-ins of the store, engines and plain services, injects faults from outside (signals, links that stall, slow down, reset and break, a store that refuses or forgets, engines that leave, keys and configurations that change) in series and overlapping, and judges what callers got against what targets ran. A short seeded run without bounds in time is part of make test.

Seed 1 showed a letter that was cut off at the end of a stop's grace time; traced: it had begun 2.1 s after SIGTERM, while callers were still led there, which the design allows, so only cuts before that end count.

--- a/Makefile
+++ b/Makefile
@@ -19,9 +19,11 @@
 unit:
 	./scripts/unit
 
-# The demo checks the whole path with real processes.
+# The demo checks the whole path with real processes; the soak adds faults. Its bounds in time are off: the verdict
+# must not depend on how busy the machine is.
 processes: build
 	./scripts/demo
+	./scripts/soak --seed 7 --seconds 12 --slack 30s
 
 lint:
 	./scripts/lint
--- a/cmd/godwitstand/failures.go
+++ b/cmd/godwitstand/failures.go
@@ -36,7 +36,7 @@
 	if c.Verbose {
 		log.SetLevel(log.DebugLevel)
 	}
-	directory, err := c.directory()
+	directory, err := runDirectory(c.Out)
 	if err != nil {
 		return err
 	}
@@ -56,23 +56,24 @@
 	return nil
 }
 
-func (c *failuresCommand) directory() (string, error) {
-	if c.Out == "" {
-		directory, err := os.MkdirTemp("", "godwitcart-failures-")
+// runDirectory returns the directory for a run's logs, a new one where none is named.
+func runDirectory(named string) (string, error) {
+	if named == "" {
+		directory, err := os.MkdirTemp("", "godwitcart-run-")
 		return directory, errors.Wrap(err, "make a directory for logs")
 	}
-	if err := os.MkdirAll(c.Out, 0o755); err != nil {
+	if err := os.MkdirAll(named, 0o755); err != nil {
 		return "", errors.Wrap(err, "make the --out directory")
 	}
-	entries, err := os.ReadDir(c.Out)
+	entries, err := os.ReadDir(named)
 	if err != nil {
 		return "", errors.Wrap(err, "read the --out directory")
 	}
 	if len(entries) > 0 {
 		// The journal of an earlier run would be judged with this one's.
-		return "", errors.Newf("the --out directory %s is not empty; name another", c.Out)
+		return "", errors.Newf("the --out directory %s is not empty; name another", named)
 	}
-	return c.Out, nil
+	return named, nil
 }
 
 func (c *failuresCommand) run(ctx context.Context, directory string) (failures.Report, error) {
--- a/cmd/godwitstand/main.go
+++ b/cmd/godwitstand/main.go
@@ -20,6 +20,7 @@
 	Service    serviceCommand    `cmd:"" help:"Run a plain service."`
 	Load       loadCommand       `cmd:"" help:"Send the load of many callers and print a summary."`
 	Deployment deploymentCommand `cmd:"" help:"Run the users' platform with engines and plain services, for godwitcartd --deployment."`
+	Soak       soakCommand       `cmd:"" help:"Run godwitcartd --deployment and the stand-ins under random faults and judge what callers and targets see."`
 	Failures   failuresCommand   `cmd:"" help:"Run godwitcartd and the stand-ins under faults and judge the answers."`
 }
 
--- /dev/null
+++ b/cmd/godwitstand/soak.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"godwitcart/internal/stand/soak"
+)
+
+type soakCommand struct {
+	Seed     uint64        `default:"1" help:"Seed of load and faults."`
+	Seconds  float64       `default:"30" help:"How long requests start."`
+	VMs      int           `name:"vms" default:"6" help:"Entry VMs."`
+	Engines  int           `default:"9" help:"Model engines."`
+	Plain    int           `default:"3" help:"Targets of the plain service."`
+	Callers  int           `default:"40" help:"Callers, each with one request at a time."`
+	Slack    time.Duration `default:"800ms" help:"Added to the bounds in time that are checked; above 3s requests without an answer are not judged."`
+	Binaries string        `default:"bin" type:"existingdir" help:"Directory of the programs."`
+	Out      string        `help:"Directory for logs and settings; without it they are kept only when a promise was violated."`
+}
+
+// Run prints a soak.Report as one JSON line and fails when a promise was violated.
+func (c *soakCommand) Run(ctx context.Context) error {
+	if c.Seconds <= 0 || c.VMs <= 0 || c.Engines <= 0 || c.Plain <= 0 || c.Callers <= 0 {
+		return errors.New("--seconds, --vms, --engines, --plain and --callers must be above zero")
+	}
+	directory, err := runDirectory(c.Out)
+	if err != nil {
+		return err
+	}
+	report, err := soak.Run(ctx, soak.Options{
+		Binaries: c.Binaries, Directory: directory, Seed: c.Seed, Duration: time.Duration(c.Seconds * float64(time.Second)),
+		VMs: c.VMs, Engines: c.Engines, Plain: c.Plain, Callers: c.Callers, Slack: c.Slack,
+	})
+	if err != nil {
+		return errors.Wrap(err, "the run failed; logs are in "+directory)
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(report); err != nil {
+		return errors.Wrap(err, "print the report")
+	}
+	if !report.Clean() {
+		return errors.Newf("a promise was violated; logs are in %s", directory)
+	}
+	if c.Out == "" {
+		return errors.Wrap(os.RemoveAll(directory), "remove the logs")
+	}
+	return nil
+}
--- a/internal/stand/rig/link.go
+++ b/internal/stand/rig/link.go
@@ -25,9 +25,12 @@
 
 	mu       sync.Mutex
 	listener net.Listener
-	// stalls holds bytes back; cuts refuses and breaks connections. Above zero they are on.
-	stalls, cuts int
-	// changed is closed and replaced when stalls changes.
+	// stalls holds bytes back, answerStalls those on their way back from the destination alone; cuts refuses and
+	// breaks connections. Above zero they are on.
+	stalls, answerStalls, cuts int
+	// delay is added to each piece of bytes.
+	delay time.Duration
+	// changed is closed and replaced when stalls or answerStalls changes.
 	changed chan struct{}
 	open    map[net.Conn]struct{}
 }
@@ -64,15 +67,38 @@
 }
 
 // Stall holds back the bytes of all connections until Unstall.
-func (l *Link) Stall() { l.addStalls(1) }
+func (l *Link) Stall() { l.addStalls(1, 0) }
 
 // Unstall ends one Stall.
-func (l *Link) Unstall() { l.addStalls(-1) }
+func (l *Link) Unstall() { l.addStalls(-1, 0) }
 
-func (l *Link) addStalls(by int) {
+// StallAnswers holds back what comes from the destination until UnstallAnswers; what goes there arrives.
+func (l *Link) StallAnswers() { l.addStalls(0, 1) }
+
+// UnstallAnswers ends one StallAnswers.
+func (l *Link) UnstallAnswers() { l.addStalls(0, -1) }
+
+// Delay adds to the time that each piece of bytes takes; a negative time takes it off again.
+func (l *Link) Delay(by time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay += by
+}
+
+// Reset breaks all connections; new ones work.
+func (l *Link) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for conn := range l.open {
+		reset(conn)
+	}
+}
+
+func (l *Link) addStalls(by, answers int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.stalls += by
+	l.answerStalls += answers
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
@@ -131,7 +157,7 @@
 
 func (l *Link) forward(near net.Conn) {
 	defer reset(near)
-	l.waitWhileStalled()
+	l.hold(false)
 	far, err := net.DialTimeout("tcp", l.destination, linkDialTimeout)
 	if err != nil {
 		return
@@ -143,17 +169,17 @@
 	defer l.unregister(near)
 	defer l.unregister(far)
 	var pumps sync.WaitGroup
-	pumps.Go(func() { l.pump(far, near) })
-	pumps.Go(func() { l.pump(near, far) })
+	pumps.Go(func() { l.pump(far, near, false) })
+	pumps.Go(func() { l.pump(near, far, true) })
 	pumps.Wait()
 }
 
 // pump copies one direction until it ends, and passes its end on.
-func (l *Link) pump(to, from net.Conn) {
+func (l *Link) pump(to, from net.Conn, answers bool) {
 	buffer := make([]byte, linkBufferBytes)
 	for {
 		count, err := from.Read(buffer)
-		l.waitWhileStalled()
+		l.hold(answers)
 		if count > 0 {
 			if _, writeErr := to.Write(buffer[:count]); writeErr != nil {
 				reset(from)
@@ -177,10 +203,17 @@
 	}
 }
 
-func (l *Link) waitWhileStalled() {
+// hold waits for the delay, and while the direction is stalled.
+func (l *Link) hold(answers bool) {
+	l.mu.Lock()
+	delay := l.delay
+	l.mu.Unlock()
+	if delay > 0 {
+		time.Sleep(delay)
+	}
 	for {
 		l.mu.Lock()
-		stalled, changed := l.stalls > 0, l.changed
+		stalled, changed := l.stalls > 0 || answers && l.answerStalls > 0, l.changed
 		l.mu.Unlock()
 		if !stalled {
 			return
--- a/internal/stand/rig/link_test.go
+++ b/internal/stand/rig/link_test.go
@@ -60,6 +60,20 @@
 	_, err = bufio.NewReader(conn).ReadString('\n')
 	require.NoError(t, err, "what was held back arrives")
 
+	l.StallAnswers()
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+	require.Error(t, say(t, conn), "the answer is held back")
+	require.NoError(t, conn.SetReadDeadline(time.Time{}))
+	l.UnstallAnswers()
+	_, err = bufio.NewReader(conn).ReadString('\n')
+	require.NoError(t, err)
+
+	l.Reset()
+	require.Error(t, say(t, conn))
+	conn, err = net.Dial("tcp", address)
+	require.NoError(t, err)
+	require.NoError(t, say(t, conn), "a new connection works after a reset")
+
 	l.Cut()
 	l.Cut()
 	require.Error(t, say(t, conn))
--- a/internal/stand/rig/program.go
+++ b/internal/stand/rig/program.go
@@ -130,6 +130,21 @@
 	}
 }
 
+// Running reports whether the process was started and has not ended.
+func (p *Program) Running() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil {
+		return false
+	}
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return true
+	}
+}
+
 // WaitEnd waits until the process has ended. It reports false when that takes longer than limit.
 func (p *Program) WaitEnd(limit time.Duration) bool {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/stand/soak/judge_test.go
@@ -0,0 +1,82 @@
+package soak
+
+import (
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitcart/platform/platformtest"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// good is a letter that was answered whole.
+func good() *call {
+	return &call{
+		id: "c", kind: "letter", vm: "vm-1", key: key{text: "k", addedAt: at(0)}, runsOnce: true, streaming: true,
+		sentAt: at(10), endedAt: at(12), deadline: 9 * time.Second, status: http.StatusOK, fromTarget: true, whole: true, events: 5, wanted: 5,
+	}
+}
+
+var run = platformtest.Run{Target: "t-1", ID: "c"}
+
+// TestPlantedViolations checks that each broken promise is seen, and that an answer without fault breaks none.
+func TestPlantedViolations(t *testing.T) {
+	broken := errors.New("connection reset")
+	cases := map[string]struct {
+		change  func(*call)
+		runs    []platformtest.Run
+		faults  []fault
+		promise string
+	}{
+		"whole":              {func(*call) {}, []platformtest.Run{run}, nil, ""},
+		"continued":          {func(*call) {}, []platformtest.Run{run, {Target: "t-2", Continued: true}}, nil, ""},
+		"ran twice":          {func(*call) {}, []platformtest.Run{run, run}, nil, "ran_twice"},
+		"a check runs twice": {func(c *call) { c.runsOnce = false }, []platformtest.Run{run, run}, nil, ""},
+		"refused":            {refuse, nil, nil, ""},
+		"refused but ran":    {refuse, []platformtest.Run{run}, nil, "not_run_but_ran"},
+		"crossed":            {func(c *call) { c.foreign = true }, []platformtest.Run{run}, nil, "crossed_answer"},
+		"disorder":           {func(c *call) { c.disorder = "event 4 in place of 3" }, []platformtest.Run{run}, nil, "events_out_of_order"},
+		"short":              {func(c *call) { c.events = 4 }, []platformtest.Run{run}, nil, "looks_complete"},
+		"short but left":     {func(c *call) { c.events, c.left = 4, true }, []platformtest.Run{run}, nil, ""},
+		"long":               {func(c *call) { c.events = 6 }, []platformtest.Run{run}, nil, "too_many_events"},
+		"late":               {func(c *call) { c.endedAt = at(30) }, []platformtest.Run{run}, nil, "unanswered"},
+		"late in a freeze":   {func(c *call) { c.endedAt = at(30) }, []platformtest.Run{run}, []fault{{"vm_freeze", "vm-1", at(11), at(20)}}, ""},
+		"odd status":         {func(c *call) { c.status, c.fromTarget = http.StatusTeapot, false }, nil, nil, "bad_answer"},
+		"revoked key":        {func(c *call) { c.key.revoked, c.key.revokedAt = true, at(5) }, []platformtest.Run{run}, nil, "revoked_key_served"},
+		"key just revoked":   {func(c *call) { c.key.revoked, c.key.revokedAt = true, at(8) }, []platformtest.Run{run}, nil, ""},
+		"valid key denied":   {func(c *call) { c.status, c.fromTarget = http.StatusUnauthorized, false }, nil, nil, "valid_key_denied"},
+		"cut off":            {func(c *call) { c.err = broken }, []platformtest.Run{run}, nil, "answer_lost"},
+		"cut off, not run":   {func(c *call) { c.err = broken }, nil, nil, ""},
+		"cut off by a stop":  {func(c *call) { c.err = broken }, []platformtest.Run{run}, []fault{{"vm_stop", "vm-1", at(9), at(12)}}, "answer_lost"},
+		"end of the grace":   {func(c *call) { c.err = broken }, []platformtest.Run{run}, []fault{{"vm_stop", "vm-1", at(6.3), at(12)}}, ""},
+		"engine left":        {func(c *call) { c.err = broken }, []platformtest.Run{run}, []fault{{"target_leaves", "t-1", at(9), at(12)}}, ""},
+		"another engine left": {func(c *call) { c.err = broken }, []platformtest.Run{run}, []fault{{"target_leaves", "t-2", at(9), at(12)}},
+			"answer_lost"},
+		"long after a fault": {func(c *call) { c.err = broken }, []platformtest.Run{run}, []fault{{"target_reset", "t-1", at(1), at(2)}}, "answer_lost"},
+	}
+	for name, planted := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := &world{options: Options{Slack: 500 * time.Millisecond}, faults: planted.faults}
+			w.keys.keys = []*key{{text: "k", addedAt: at(0)}}
+			c := good()
+			planted.change(c)
+			var want []string
+			if planted.promise != "" {
+				want = []string{planted.promise}
+			}
+			require.Equal(t, want, w.broken(c, planted.runs))
+		})
+	}
+}
+
+func refuse(c *call) {
+	c.status, c.fromTarget, c.events = http.StatusServiceUnavailable, false, 0
+}
