Count a peer's loads by what its digest changes

Cause: each digest had the loads of all peers summed up anew over all targets.

Ruled out: fewer digests (placement lives on them where memory is short).

Change: what the peer said before is taken off and what it says now is added; the sum is made anew only when the list of targets changes. Nobody is woken where nobody waits. TestPeerLoadsAddUp compares both over random histories.

--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -217,7 +217,7 @@
 	load.add(known.peers)
 	score := failureCost * known.health.failureShare()
 	if known.Zone != q.Zone {
-		score += t.otherZoneCost
+		score += t.otherZoneCost()
 	}
 	if now.Before(known.slowUntil) {
 		score += slowStartCost
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -131,8 +131,8 @@
 	self     Sender
 	placed   func()
 	peers    map[Sender]peerLoad
-	// otherZoneCost is what a score adds for a target of another zone.
-	otherZoneCost float64
+	// sums counts the peers that stand for a whole zone.
+	sums int
 	// changed is closed when room may have become free.
 	changed chan struct{}
 }
@@ -176,8 +176,6 @@
 		placed:   options.Placed,
 		peers:    make(map[Sender]peerLoad),
 		changed:  make(chan struct{}),
-
-		otherZoneCost: nearZoneCost,
 	}
 }
 
@@ -240,31 +238,63 @@
 func (t *Table) PeerLoads(peer Sender, loads map[string]Load, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.peers[peer] = peerLoad{at: now, loads: loads}
+	t.forget(peer)
 	for sender, sent := range t.peers {
 		if now.Sub(sent.at) > peerLoadLife {
-			delete(t.peers, sender)
+			t.forget(sender)
 		}
 	}
-	t.sumPeers()
+	t.peers[peer] = peerLoad{at: now, loads: loads}
+	if peer.VM == "" {
+		t.sums++
+	}
+	t.count(loads)
 	t.wakeWaiters()
 }
 
+// forget takes off what a peer had sent. It is called with the lock held, as count is: digests come in many times
+// a second, so the loads of all peers are not summed up anew for each.
+func (t *Table) forget(sender Sender) {
+	sent, found := t.peers[sender]
+	if !found {
+		return
+	}
+	delete(t.peers, sender)
+	if sender.VM == "" {
+		t.sums--
+	}
+	for id, load := range sent.loads {
+		if known := t.targets[id]; known != nil {
+			known.peers.subtract(load)
+		}
+	}
+}
+
+// count adds what a peer has sent.
+func (t *Table) count(loads map[string]Load) {
+	for id, load := range loads {
+		if known := t.targets[id]; known != nil {
+			known.peers.add(load)
+		}
+	}
+}
+
+// sumPeers counts the loads of all peers anew, after the targets have changed.
 func (t *Table) sumPeers() {
 	for _, known := range t.targets {
 		known.peers = Load{}
 	}
-	t.otherZoneCost = nearZoneCost
-	for sender, peer := range t.peers {
-		if sender.VM == "" {
-			t.otherZoneCost = summedZoneCost
-		}
-		for id, load := range peer.loads {
-			if known := t.targets[id]; known != nil {
-				known.peers.add(load)
-			}
-		}
+	for _, sent := range t.peers {
+		t.count(sent.loads)
+	}
+}
+
+// otherZoneCost is the surcharge of a target in another zone.
+func (t *Table) otherZoneCost() float64 {
+	if t.sums > 0 {
+		return summedZoneCost
 	}
+	return nearZoneCost
 }
 
 // OwnLoads returns what this VM has sent, for its peers.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -277,6 +277,63 @@
 	})
 }
 
+// TestPeerLoadsAddUp has peers come, change and fall silent, and targets come and go: what is counted at each target
+// must always be the sum of what the peers said last.
+func TestPeerLoadsAddUp(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 3))
+	table := newTestTable("vm-1", 1)
+	now := start
+	for range 2000 {
+		now = now.Add(time.Duration(random.IntN(200)) * time.Millisecond)
+		if random.IntN(20) == 0 {
+			listed := make(map[string]roster.Target)
+			for i := range 8 {
+				if random.IntN(3) > 0 {
+					id := fmt.Sprint("e", i)
+					listed[id] = engine(id, zoneA)
+				}
+			}
+			table.Listed(listed, now)
+		}
+		loads := make(map[string]Load)
+		for range random.IntN(4) {
+			loads[fmt.Sprint("e", random.IntN(8))] = Load{Requests: random.IntN(5), PrefillTokens: random.IntN(900), MemoryTokens: random.IntN(9000)}
+		}
+		sender := Sender{VM: fmt.Sprint("vm-", random.IntN(6)), Zone: zoneA}
+		if random.IntN(5) == 0 {
+			sender.VM = ""
+		}
+		table.PeerLoads(sender, loads, now)
+		counted := make(map[string]Load)
+		for id, known := range table.targets {
+			counted[id] = known.peers
+		}
+		table.sumPeers()
+		for id, known := range table.targets {
+			require.Equal(t, known.peers, counted[id])
+		}
+	}
+}
+
+// BenchmarkPeerLoads takes digests of a hundred peers in a fleet with three thousand engines.
+func BenchmarkPeerLoads(b *testing.B) {
+	targets := make([]roster.Target, 0, 3000)
+	for i := range 3000 {
+		targets = append(targets, engine(fmt.Sprint("e", i), zoneA))
+	}
+	table := newTestTable("vm-1", 1, targets...)
+	digests := make([]map[string]Load, 100)
+	for i := range digests {
+		digests[i] = make(map[string]Load)
+		for j := range 13 {
+			digests[i][fmt.Sprint("e", (i*13+j*7)%3000)] = Load{Requests: 1, MemoryTokens: 3000}
+		}
+	}
+	for n := 0; b.Loop(); n++ {
+		table.PeerLoads(Sender{VM: fmt.Sprint("vm-", n%100), Zone: zoneA}, digests[n%100], start)
+	}
+}
+
 func BenchmarkPick(b *testing.B) {
 	targets := []roster.Target{}
 	for i := range 60 {
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -103,8 +103,13 @@
 
 // wakeWaiters is called with the lock held.
 func (t *Table) wakeWaiters() {
-	close(t.changed)
-	t.changed = make(chan struct{})
+	for _, s := range t.services {
+		if len(s.queue.waiting) > 0 {
+			close(t.changed)
+			t.changed = make(chan struct{})
+			return
+		}
+	}
 }
 
 // ahead returns the number of waiting requests that come before a new one of the priority.
