Go on from a backup only once the engine before it has sent an event

Cause: a stream remembered that "the current target has sent an event" from the target before when a continuation was answered with a failure, since only a target that answers 2xx was attached. The backup reserved for that continuation, which had no copy yet, was then asked to go on: a second run, and with engines that keep failing one after the other without end.

Change: the mark is cleared when an attempt begins.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -290,6 +290,36 @@
 	})
 }
 
+// TestFailedContinuation has an engine break off and the one that has a copy of the generation fail when it goes on:
+// the third one, which was to keep the next copy, has none yet, and a start there would be a second run.
+func TestFailedContinuation(t *testing.T) {
+	d := newDeployment(t)
+	var continued atomic.Int64
+	for _, id := range []string{"e1", "e2", "e3"} {
+		d.target(id, "drafter").Behave(func(w http.ResponseWriter, r *http.Request) bool {
+			w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+			w.Header().Set("X-Response-Stamp", "stamp."+id)
+			if r.Header.Get("Kv-From") != "" {
+				continued.Add(1)
+				w.WriteHeader(http.StatusInternalServerError)
+				return true
+			}
+			_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+			w.(http.Flusher).Flush()
+			time.Sleep(20 * time.Millisecond)
+			panic(http.ErrAbortHandler)
+		})
+	}
+	d.configure("key-1")
+	v := d.start("vm-1", nil)
+	response, err := v.client.Do(v.generation("/letters/1", 8, 1))
+	require.NoError(t, err)
+	defer response.Body.Close()
+	_, err = io.ReadAll(response.Body)
+	require.Error(t, err, "an answer that broke off looks complete")
+	require.Equal(t, int64(1), continued.Load())
+}
+
 // TestRunsOnce has the target break off without an answer: a call that may run once is not sent again and is
 // not said not to have run; an idempotent one is tried elsewhere.
 func TestRunsOnce(t *testing.T) {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -135,6 +135,9 @@
 // attempt runs the generation at a target until it ends there; nil means that the answer is complete.
 func (s *stream) attempt(ctx context.Context, at *continuation) *ending {
 	answer := at.answer
+	s.mu.Lock()
+	s.started = false // a copy at a backup is of use only once this target has sent an event
+	s.mu.Unlock()
 	if answer == nil {
 		var end *ending
 		send := Send{LastEventID: s.cursor(), From: at.from, BackupAddress: s.reserveBackup(at.lease)}
@@ -184,7 +187,7 @@
 func (s *stream) attach(lease *placement.Lease, answer *upstream.Response) {
 	s.mayHaveRun = true
 	s.mu.Lock()
-	s.lease, s.answer, s.started = lease, answer, false
+	s.lease, s.answer = lease, answer
 	s.mu.Unlock()
 	s.streams.add(lease.Target.ID, s)
 }
