Read what may be known late at a tenth of the price

Cause: calls to the store are the largest price on the grown sites. The directory of entry VMs and the watches of VMs that learn of targets from their peers were paid in full, though neither needs the newest data.

Ruled out: relaxed reads for the configuration, for readers and for the first list of targets; what they decide has bounds in time.

Change: platform.Store.Relaxed allows reads whose answers are seconds old; they cost a tenth and do not count toward the store's rate.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -91,7 +91,7 @@
 		FreshWithin: s.Bounds.Configuration(),
 	})
 	e.follower = roster.NewFollower(roster.Options{
-		Store: e.store, Prefix: platform.TargetsPrefix, Decode: platform.DecodeTarget, Listener: e, Logger: logger,
+		Store: e.store, Relaxed: e.store.Relaxed(platform.EagerWatch), Prefix: platform.TargetsPrefix, Decode: platform.DecodeTarget, Listener: e, Logger: logger,
 		Close: e.readsClosely, Learnt: e.tell,
 	})
 	return e
@@ -275,7 +275,7 @@
 	e.fleet = fleet.New(fleet.Options{
 		Self: self, Table: e.table, Knowledge: e.keeper, Conn: conn, Logger: e.logger, SizeChanged: e.fleetChanged, Learnt: e.follower.Hint,
 	})
-	directory := &fleet.Directory{Store: e.store.WithWatchWait(platform.PatientWatch), Self: self, Logger: e.logger, Changed: e.fleet.SetMembers}
+	directory := &fleet.Directory{Store: e.store.Relaxed(platform.PatientWatch), Self: self, Logger: e.logger, Changed: e.fleet.SetMembers}
 	group.Go(func() error { return directory.Run(ctx) })
 	group.Go(func() error { return e.fleet.Run(ctx) })
 	return nil
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -60,6 +60,9 @@
 // Options configures a Follower.
 type Options struct {
 	Store object.Store
+	// Relaxed is a store whose answers may be seconds old and cost less. It is watched while peers tell of changes
+	// first; nil stands for Store.
+	Relaxed object.Store
 	// Prefix is the common start of the keys of the list.
 	Prefix   string
 	Decode   Decoder
@@ -204,7 +207,7 @@
 func (f *Follower) watch(ctx context.Context, after uint64) (uint64, error) {
 	bounded, cancel := f.untilNextRemoval(ctx)
 	defer cancel()
-	batch, err := f.options.Store.Watch(bounded, f.options.Prefix, after)
+	batch, err := f.watched().Watch(bounded, f.options.Prefix, after)
 	if err != nil && bounded.Err() != nil && ctx.Err() == nil {
 		return 0, errListAgain // a held removal is due, which is no failure of the platform
 	}
@@ -227,6 +230,14 @@
 	return batch.Revision, nil
 }
 
+// watched is the store for the next watch.
+func (f *Follower) watched() object.Store {
+	if f.options.Relaxed == nil || f.options.Close == nil || f.options.Close() {
+		return f.options.Store
+	}
+	return f.options.Relaxed
+}
+
 // gather waits before the next watch, and takes peers' changes meanwhile.
 func (f *Follower) gather(ctx context.Context) {
 	started := time.Now()
