Count a deadline that a target let pass as a failure of the target

Cause: an attempt that ended with the caller's deadline was judged like one whose caller had left, which says nothing of the target.

Ruled out: connections that cannot be made (these were counted).

Change: only the end of the caller's connection says nothing now. TestMuteTarget saw 21 of 40 requests at the mute target before, under 10 now.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -84,6 +84,28 @@
 	require.True(t, apierror.Is(err, apierror.KindUnauthenticated))
 }
 
+// TestMuteTarget has one of two targets take requests and never answer: the deadlines that it lets pass must lead
+// later requests to the other one.
+func TestMuteTarget(t *testing.T) {
+	d := newDeployment(t)
+	var mute atomic.Int64
+	d.target("c1", "counter").Behave(func(_ http.ResponseWriter, r *http.Request) bool {
+		mute.Add(1)
+		<-r.Context().Done()
+		return true
+	})
+	d.target("c2", "counter")
+	d.configure("key-1")
+	v := d.start("vm-1", nil)
+	const requests = 40
+	for range requests {
+		request := v.request(http.MethodPost, "/lookup/1", "x")
+		request.Header.Set("X-Deadline-Ms", "40")
+		v.do(request)
+	}
+	require.Less(t, mute.Load(), int64(requests/4))
+}
+
 // TestBadRequests checks what callers are told whose requests cannot be served.
 func TestBadRequests(t *testing.T) {
 	d := newDeployment(t)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -142,11 +142,13 @@
 	switch {
 	case errors.As(err, &notSent) && ctx.Err() == nil:
 		return &ending{notRun: true, outcome: placement.Unreachable, cause: err}
-	case errors.As(err, &notSent):
+	case errors.As(err, &notSent) && errors.Is(ctx.Err(), context.Canceled):
 		return &ending{notRun: true, outcome: placement.Canceled, cause: err}
-	case ctx.Err() != nil:
+	case errors.As(err, &notSent):
+		return &ending{notRun: true, outcome: placement.Unreachable, cause: err}
+	case errors.Is(ctx.Err(), context.Canceled):
 		return &ending{outcome: placement.Canceled, cause: err}
-	default:
+	default: // broken off, or silent until the time for the request was over
 		return &ending{outcome: placement.Failed, cause: err}
 	}
 }
