Take what peers say of targets while the platform is silent

Cause: changes told by peers were taken between two watches only.

Ruled out: lost digests (the log shows all changes at once as soon as the list was read, with source=peer).

Change: peers' changes are taken while a call or a pause lasts. TestHintsWhileThePlatformIsAway failed before in both parts.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -148,7 +148,7 @@
 		}
 		if err != nil && !errors.Is(err, errListAgain) {
 			f.failed(ctx, err)
-			pause.For(ctx, retryPause+rand.N(retryPause))
+			f.meanwhile(ctx, func() { pause.For(ctx, retryPause+rand.N(retryPause)) })
 		}
 	}
 	return nil
@@ -181,7 +181,9 @@
 func (f *Follower) list(ctx context.Context) (uint64, error) {
 	bounded, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	listing, err := f.options.Store.List(bounded, f.options.Prefix)
+	var listing object.Listing
+	var err error
+	f.meanwhile(ctx, func() { listing, err = f.options.Store.List(bounded, f.options.Prefix) })
 	if err != nil {
 		return 0, err
 	}
@@ -207,7 +209,9 @@
 func (f *Follower) watch(ctx context.Context, after uint64) (uint64, error) {
 	bounded, cancel := f.untilNextRemoval(ctx)
 	defer cancel()
-	batch, err := f.watched().Watch(bounded, f.options.Prefix, after)
+	var batch object.Batch
+	var err error
+	f.meanwhile(ctx, func() { batch, err = f.watched().Watch(bounded, f.options.Prefix, after) })
 	if err != nil && bounded.Err() != nil && ctx.Err() == nil {
 		return 0, errListAgain // a held removal is due, which is no failure of the platform
 	}
@@ -230,6 +234,25 @@
 	return batch.Revision, nil
 }
 
+// meanwhile takes peers' changes until wait, which may take seconds while the platform is away, has ended.
+func (f *Follower) meanwhile(ctx context.Context, wait func()) {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		wait()
+	}()
+	for {
+		select {
+		case <-ended:
+			return
+		case target := <-f.hints:
+			if ctx.Err() == nil && f.takeHint(target) {
+				f.publish(time.Now())
+			}
+		}
+	}
+}
+
 // watched is the store for the next watch.
 func (f *Follower) watched() object.Store {
 	if f.options.Relaxed == nil || f.options.Close == nil || f.options.Close() {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -185,3 +185,20 @@
 		require.Equal(t, []string{"e2", "e3", "e4"}, f.listener.usable(), "older word of a peer brings a target back")
 	})
 }
+
+// TestHintsWhileThePlatformIsAway has peers tell of a target that leaves while this VM alone has lost the platform, and
+// while its watch waits.
+func TestHintsWhileThePlatformIsAway(t *testing.T) {
+	run(t, nil, func(f *fixture) {
+		f.settle(500 * time.Millisecond)
+		f.follower.Hint(roster.Target{ID: "e2", StartedAt: 1, Leaving: true})
+		f.settle(10 * time.Millisecond)
+		require.Equal(t, []string{"e1"}, f.listener.usable())
+		f.store.SetOutage(true)
+		f.settle(3 * time.Second)
+		f.follower.Hint(roster.Target{ID: "e1", StartedAt: 1, Leaving: true})
+		f.settle(10 * time.Millisecond)
+		require.Empty(t, f.listener.usable())
+		require.Equal(t, []string{"e2", "e1"}, f.listener.left)
+	})
+}
