Let targets of the soak fail requests that they run

A third of the requests at such a target run and end with 500; a run that may happen once must not go on after that (ran_after_failure, planted in TestPlantedViolations).

--- a/internal/stand/soak/faults.go
+++ b/internal/stand/soak/faults.go
@@ -34,6 +34,8 @@
 	shortestHold, longestHold = 200 * time.Millisecond, 5 * time.Second
 	// notice is the time between an engine's notice and its end.
 	notice = 2 * time.Second
+	// failEvery is how many requests at a failing target come to one that fails.
+	failEvery = 3
 	// slowBy is the delay of each piece of bytes on a slow link.
 	slowBy = 80 * time.Millisecond
 )
@@ -42,7 +44,7 @@
 var kinds = []string{
 	"vm_kill", "vm_stop", "vm_stop", "vm_freeze", "vm_reload", "store_cut", "store_stall", "store_slow", "zone_store_cut",
 	"store_down", "store_forgets", "target_stall", "target_answers_stall", "target_slow", "target_reset", "target_cut",
-	"target_leaves", "target_leaves", "target_leaves", "copies_refused", "revoke", "versions", "rolling_stop",
+	"target_leaves", "target_leaves", "target_leaves", "copies_refused", "target_fails", "target_fails", "revoke", "versions", "rolling_stop",
 }
 
 // inject draws faults and plays them, in series and overlapping, and returns when all have ended.
@@ -206,6 +208,10 @@
 		target.RefuseCopies(true)
 		time.Sleep(hold)
 		target.RefuseCopies(false)
+	case "target_fails":
+		target.FailEvery(failEvery)
+		time.Sleep(hold)
+		target.FailEvery(0)
 	case "target_leaves":
 		w.leave(p, target, hold)
 	}
