Let one VM of a zone find the platform back for the others

Ruled out: longer waits for all (a VM alone must come back soon, and proofs age).

Change: the VM of the highest rank that is heard in a zone tries again as before; the others wait 0.5 to 1 s and learn from its digests that the platform is back. The wait has one place for both. TestRetries counts the calls.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -83,7 +83,7 @@
 	e.budget = retrybudget.New(s.Bounds.RetryRatio*slackShare, firstSlack(s))
 	e.keeper = inforce.NewKeeper(inforce.Options{
 		Reader: e.store, Logger: logger, InForceWithin: s.Bounds.Configuration(), RevokedWithin: s.Bounds.Revocation(),
-		Close: e.readsClosely,
+		Close: e.readsClosely, First: e.readsFirst,
 	})
 	e.forwarder = forward.New(forward.Options{
 		Codec: platform.Codec{}, Mover: platform.NewMover(e.client), Keeper: e.keeper, Table: e.table, Client: e.client,
@@ -92,7 +92,7 @@
 	})
 	e.follower = roster.NewFollower(roster.Options{
 		Store: e.store, Relaxed: e.store.Relaxed(platform.EagerWatch), Prefix: platform.TargetsPrefix, Decode: platform.DecodeTarget, Listener: e, Logger: logger,
-		Close: e.readsClosely, Learnt: e.tell,
+		Close: e.readsClosely, First: e.readsFirst, Learnt: e.tell,
 	})
 	return e
 }
@@ -284,6 +284,9 @@
 // readsClosely reports whether this VM follows the platform closely, not by its peers.
 func (e *Entry) readsClosely() bool { return e.fleet == nil || e.fleet.Reader() }
 
+// readsFirst reports whether this VM is the one of its zone that others rely on to find the platform back.
+func (e *Entry) readsFirst() bool { return e.fleet == nil || e.fleet.First() }
+
 // hurry tells the other VMs at once what this one has placed.
 func (e *Entry) hurry() {
 	if e.fleet != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -144,6 +144,13 @@
 	return now.Sub(f.heardReader) > hearingFor || f.leads(now)
 }
 
+// First reports whether this VM has the highest rank of those heard in its zone.
+func (f *Fleet) First() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leads(time.Now())
+}
+
 // leads reports whether this VM has the highest rank of its zone. It is called with mu held.
 func (f *Fleet) leads(now time.Time) bool {
 	own := sum(f.options.Self.Name)
--- a/internal/inforce/inforce.go
+++ b/internal/inforce/inforce.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +37,8 @@
 	// Close reports whether this VM reads closely; nil stands for always. Others rely on the proofs of
 	// peers, and read when they hear of a newer version or when proofs grow old.
 	Close func() bool
+	// First reports whether this VM tries again soon after a failed read; nil stands for always.
+	First func() bool
 	// Now reads the clock that ages proofs; nil stands for boottime.Now.
 	Now func() boottime.Instant
 }
@@ -55,9 +56,6 @@
 	oldProof = 0.75
 	// proofMargin is kept between the age of a proof and the bound, for the way from the check to the target.
 	proofMargin = 300 * time.Millisecond
-	// retryPause is the least wait after a failed read; up to as much again is added at random, so that
-	// VMs that fail together do not come back together.
-	retryPause = 100 * time.Millisecond
 )
 
 // Keeper holds the configuration in force. It is safe for concurrent use.
@@ -152,7 +150,7 @@
 		started := time.Now()
 		if err := k.read(ctx); err != nil {
 			k.failed(ctx, err)
-			pause.For(ctx, retryPause+rand.N(retryPause))
+			pause.For(ctx, pause.RetryWait(k.options.First == nil || k.options.First()))
 			continue
 		}
 		k.wait(ctx, started)
--- a/internal/inforce/inforce_test.go
+++ b/internal/inforce/inforce_test.go
@@ -131,3 +131,26 @@
 		require.False(t, keeper.KeysProven(), "a proof for another version counts")
 	})
 }
+
+// TestRetries counts the calls of a VM while the platform is away: one that others rely on comes back soon, the others
+// cost little.
+func TestRetries(t *testing.T) {
+	const outage = 10 * time.Second
+	reads := func(first bool) (count int64) {
+		synctest.Test(t, func(t *testing.T) {
+			source := &platform{}
+			source.down.Store(true)
+			keeper := inforce.NewKeeper(inforce.Options{
+				Reader: source, Logger: log.New(io.Discard), InForceWithin: inForceWithin, RevokedWithin: revokedWithin,
+				First: func() bool { return first },
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), outage)
+			defer cancel()
+			_ = keeper.Run(ctx)
+			count = source.reads.Load()
+		})
+		return count
+	}
+	require.Greater(t, reads(true), int64(50))
+	require.LessOrEqual(t, reads(false), int64(20))
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -71,6 +70,8 @@
 	// Close reports whether this VM follows the list closely; nil stands for always. Others learn of changes
 	// from peers first, and watch now and then for what they missed.
 	Close func() bool
+	// First reports whether this VM tries again soon after a failed call; nil stands for always.
+	First func() bool
 	// Learnt is called with each change that this VM learns from the platform; nil for nobody.
 	Learnt func(Target)
 }
@@ -84,8 +85,6 @@
 	relaxedTime = 8 * time.Second
 	// closeCheck is how often it is looked whether the list must be followed closely after all.
 	closeCheck = 200 * time.Millisecond
-	// retryPause is the least wait after a failed call; up to as much again is added at random.
-	retryPause = 100 * time.Millisecond
 	// listTimeout bounds one reading of the list.
 	listTimeout = 2 * time.Second
 	// removalSlack is the time past a held removal for which the watch that ends with it may last.
@@ -148,7 +147,8 @@
 		}
 		if err != nil && !errors.Is(err, errListAgain) {
 			f.failed(ctx, err)
-			f.meanwhile(ctx, func() { pause.For(ctx, retryPause+rand.N(retryPause)) })
+			wait := pause.RetryWait(f.options.First == nil || f.options.First())
+			f.meanwhile(ctx, func() { pause.For(ctx, wait) })
 		}
 	}
 	return nil
