Bound the changes of targets in a digest

Cause: after a start of all VMs each told its peers of every target of its first list.

Ruled out: loads (a fleet that has just started has none).

Change: what the first list says is not told, as all VMs read it; of changes the newest 256 are kept for a digest. TestManyChanges: a peer never heard the newest of 3,000 changes before; TestTellsChanges checks what is told.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -43,6 +43,9 @@
 	freshProof = 2 * time.Second
 	// changeLife is how long a change is repeated in digests, against the loss of some.
 	changeLife = 2 * time.Second
+	// maxChanges bounds the changes in a digest, which must fit a datagram; the oldest go, as others learn of them
+	// from the platform.
+	maxChanges = 256
 	// meshSize is the number of entry VMs up to which all of them exchange digests directly: each takes in two
 	// small datagrams for every generation that the fleet places.
 	meshSize = 128
@@ -172,6 +175,9 @@
 func (f *Fleet) Tell(target roster.Target) {
 	f.mu.Lock()
 	f.changes = append(f.changes, timedChange{at: time.Now(), change: newChange(target)})
+	if excess := len(f.changes) - maxChanges; excess > 0 {
+		f.changes = slices.Delete(f.changes, 0, excess)
+	}
 	f.mu.Unlock()
 	f.Hurry()
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -201,6 +203,23 @@
 	}, patience, poll)
 }
 
+// TestManyChanges tells of more changes than a digest holds: the other VMs must still hear this one, and learn the
+// newest.
+func TestManyChanges(t *testing.T) {
+	vms := startFleet(t, map[string]string{"vm-1": "a", "vm-2": "a"})
+	require.Eventually(t, func() bool { return vms["vm-2"].seenSize().Live == 2 }, patience, poll)
+	const changes = 3000
+	for i := range changes {
+		vms["vm-1"].Tell(roster.Target{ID: fmt.Sprint("target-", i), Service: "drafter", Address: "192.0.2.17:8080", Zone: "a", Slots: 24, StartedAt: 1700000000000})
+	}
+	newest := fmt.Sprint("target-", changes-1)
+	require.Eventually(t, func() bool {
+		vms["vm-2"].mu.Lock()
+		defer vms["vm-2"].mu.Unlock()
+		return slices.ContainsFunc(vms["vm-2"].learnt, func(target roster.Target) bool { return target.ID == newest })
+	}, patience, poll)
+}
+
 // TestMalformedDigest checks that bytes that are no digest change nothing.
 func TestMalformedDigest(t *testing.T) {
 	vms := startFleet(t, map[string]string{"vm-1": "a", "vm-2": "a"})
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -72,7 +72,7 @@
 	Close func() bool
 	// First reports whether this VM tries again soon after a failed call; nil stands for always.
 	First func() bool
-	// Learnt is called with each change that this VM learns from the platform; nil for nobody.
+	// Learnt is called with each change that this VM learns from the platform after its first list; nil for nobody.
 	Learnt func(Target)
 }
 
@@ -365,7 +365,7 @@
 		target.Leaving = true
 	}
 	f.targets[target.ID] = target
-	if changed := !same || target.Leaving && !old.Leaving; changed && source == fromList && f.options.Learnt != nil {
+	if changed := !same || target.Leaving && !old.Leaving; changed && source == fromList && f.listed.Load() && f.options.Learnt != nil {
 		f.options.Learnt(target)
 	}
 	if known && !same {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -60,6 +60,8 @@
 	listener *listener
 	follower *roster.Follower
 	versions map[string]uint64
+	// learnt are the targets that this VM would tell its peers of.
+	learnt []string
 }
 
 func run(t *testing.T, closely func() bool, test func(*fixture)) {
@@ -69,6 +71,7 @@
 		f.put("e2", roster.Target{StartedAt: 1})
 		f.follower = roster.NewFollower(roster.Options{
 			Store: f.store, Prefix: prefix, Decode: decode, Listener: f.listener, Logger: log.New(io.Discard), Close: closely,
+			Learnt: func(target roster.Target) { f.learnt = append(f.learnt, target.ID) },
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
@@ -202,3 +205,15 @@
 		require.Equal(t, []string{"e2", "e1"}, f.listener.left)
 	})
 }
+
+// TestTellsChanges checks what a VM tells its peers: what has changed since its first list, which all have read.
+func TestTellsChanges(t *testing.T) {
+	run(t, nil, func(f *fixture) {
+		require.Empty(t, f.learnt)
+		f.put("e3", roster.Target{StartedAt: 1})
+		f.settle(200 * time.Millisecond)
+		f.put("e1", roster.Target{StartedAt: 1, Leaving: true})
+		f.settle(200 * time.Millisecond)
+		require.Equal(t, []string{"e3", "e1"}, f.learnt)
+	})
+}
