--- a/cmd/godwitstand/failures.go
+++ b/cmd/godwitstand/failures.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"os"
 	"path/filepath"
 	"time"
@@ -44,36 +43,7 @@
 	if err != nil {
 		return errors.Wrap(err, "the run failed; logs are in "+directory)
 	}
-	if err := json.NewEncoder(os.Stdout).Encode(report); err != nil {
-		return errors.Wrap(err, "print the report")
-	}
-	if !report.Clean() {
-		return errors.Newf("a promise was violated; logs are in %s", directory)
-	}
-	if c.Out == "" {
-		return errors.Wrap(os.RemoveAll(directory), "remove the logs")
-	}
-	return nil
-}
-
-// runDirectory returns the directory for a run's logs, a new one where none is named.
-func runDirectory(named string) (string, error) {
-	if named == "" {
-		directory, err := os.MkdirTemp("", "godwitcart-run-")
-		return directory, errors.Wrap(err, "make a directory for logs")
-	}
-	if err := os.MkdirAll(named, 0o755); err != nil {
-		return "", errors.Wrap(err, "make the --out directory")
-	}
-	entries, err := os.ReadDir(named)
-	if err != nil {
-		return "", errors.Wrap(err, "read the --out directory")
-	}
-	if len(entries) > 0 {
-		// The journal of an earlier run would be judged with this one's.
-		return "", errors.Newf("the --out directory %s is not empty; name another", named)
-	}
-	return named, nil
+	return finish(report, report.Clean(), c.Out, directory)
 }
 
 func (c *failuresCommand) run(ctx context.Context, directory string) (failures.Report, error) {
--- a/cmd/godwitstand/soak.go
+++ b/cmd/godwitstand/soak.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -39,14 +37,5 @@
 	if err != nil {
 		return errors.Wrap(err, "the run failed; logs are in "+directory)
 	}
-	if err := json.NewEncoder(os.Stdout).Encode(report); err != nil {
-		return errors.Wrap(err, "print the report")
-	}
-	if !report.Clean() {
-		return errors.Newf("a promise was violated; logs are in %s", directory)
-	}
-	if c.Out == "" {
-		return errors.Wrap(os.RemoveAll(directory), "remove the logs")
-	}
-	return nil
+	return finish(report, report.Clean(), c.Out, directory)
 }
--- a/internal/stand/soak/faults.go
+++ b/internal/stand/soak/faults.go
@@ -11,8 +11,6 @@
 	"godwitcart/platform/platformtest"
 )
 
-const syscallContinue = syscall.SIGCONT
-
 // fault is a disturbance of one subject for a while.
 type fault struct {
 	kind    string
--- a/internal/stand/soak/world.go
+++ b/internal/stand/soak/world.go
@@ -185,7 +185,6 @@
 
 func (w *world) stop() {
 	for _, v := range w.vms {
-		v.Signal(syscallContinue)
 		v.Kill()
 		v.store.Close()
 	}
