Read the platform in time when all readers of the fleet have lost it

The store was silent towards one VM of each zone, and these three were the readers. The other VMs went on hearing them and left the reading to them until their proofs were 2 s old, and for 1.2 s more: 3.2 s, where a version must be in force within 2 s.

Change: both times are shares of the bound on new versions, 0.55 and 0.2.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -274,6 +274,7 @@
 	self := fleet.Member{Name: s.VM.Name, Zone: s.VM.Zone, Address: address}
 	e.fleet = fleet.New(fleet.Options{
 		Self: self, Table: e.table, Knowledge: e.keeper, Conn: conn, Logger: e.logger, SizeChanged: e.fleetChanged, Learnt: e.follower.Hint,
+		InForceWithin: s.Bounds.Configuration(),
 	})
 	directory := &fleet.Directory{Store: e.store.Relaxed(platform.PatientWatch), Self: self, Logger: e.logger, Changed: e.fleet.SetMembers}
 	group.Go(func() error { return directory.Run(ctx) })
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -37,10 +37,11 @@
 	idleInterval = 500 * time.Millisecond
 	// liveFor is how long a peer that sends nothing counts as live.
 	liveFor = 2 * time.Second
-	// hearingFor is how long a digest with a fresh proof stands for hearing a reader, and freshProof the age of
-	// such a proof: a reader renews its own about every second.
-	hearingFor = 1200 * time.Millisecond
-	freshProof = 2 * time.Second
+	// freshShare is the age of a reader's proof, as a share of the bound on new versions, up to which others leave the
+	// reading to it, and hearingShare how long a digest with such a proof stands for hearing a reader. A reader renews
+	// its proof within about 0.6 of the bound; what both leave of it is for the read of a VM that hears none.
+	freshShare   = 0.55
+	hearingShare = 0.2
 	// changeLife is how long a change is repeated in digests, against the loss of some.
 	changeLife = 2 * time.Second
 	// maxChanges bounds the changes in a digest, which must fit a datagram; the oldest go, as others learn of them
@@ -75,6 +76,8 @@
 	Logger *log.Logger
 	// SizeChanged is called when the number of entry VMs has changed, once the directory has been read.
 	SizeChanged func(size Size)
+	// InForceWithin bounds the time until an accepted configuration is in force on every VM.
+	InForceWithin time.Duration
 	// Learnt is called with what a peer has learnt of a target.
 	Learnt func(target roster.Target)
 }
@@ -144,7 +147,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	return now.Sub(f.heardReader) > hearingFor || f.leads(now)
+	return now.Sub(f.heardReader) > f.boundShare(hearingShare) || f.leads(now)
+}
+
+func (f *Fleet) boundShare(share float64) time.Duration {
+	return time.Duration(share * float64(f.options.InForceWithin))
 }
 
 // First reports whether this VM has the highest rank of those heard in its zone.
@@ -414,7 +421,7 @@
 	echo, proven := in.Echoes[sum(f.options.Self.Name)]
 	proven = proven && in.Version > 0 && f.sequence-echo < sentKept && f.sentAt[echo%sentKept] != 0
 	proof := f.sentAt[echo%sentKept] - boottime.Instant(time.Duration(in.ProofMillis)*time.Millisecond)
-	if in.Reader && in.Version > 0 && time.Duration(in.ProofMillis)*time.Millisecond < freshProof {
+	if in.Reader && in.Version > 0 && time.Duration(in.ProofMillis)*time.Millisecond < f.boundShare(freshShare) {
 		f.heardReader = now
 	}
 	f.mu.Unlock()
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -88,7 +88,7 @@
 		v.table = placement.NewTable(placement.Options{Self: placement.Sender{VM: name, Zone: member.Zone}})
 		v.table.Listed(map[string]roster.Target{"e1": {ID: "e1", Service: "drafter", Slots: 24, Zone: "a"}}, time.Now())
 		v.Fleet = fleet.New(fleet.Options{
-			Self: member, Table: v.table, Knowledge: v.knowledge, Conn: conns[name], Logger: log.New(io.Discard),
+			Self: member, Table: v.table, Knowledge: v.knowledge, Conn: conns[name], Logger: log.New(io.Discard), InForceWithin: 4 * time.Second,
 			SizeChanged: func(size fleet.Size) { v.mu.Lock(); defer v.mu.Unlock(); v.size = size },
 			Learnt:      func(target roster.Target) { v.mu.Lock(); defer v.mu.Unlock(); v.learnt = append(v.learnt, target) },
 		})
