--- a/internal/stand/soak/callers.go
+++ b/internal/stand/soak/callers.go
@@ -41,6 +41,8 @@
 }
 
 const (
+	// plainDeadline and streamDeadline are how long callers wait for an answer; the longest stream takes half of it.
+	plainDeadline, streamDeadline = 2 * time.Second, 9 * time.Second
 	// unansweredAfter is how long after its deadline a caller gives up on an answer.
 	unansweredAfter = 3 * time.Second
 	// readinessPoll is the time between two looks of the balancer.
@@ -97,10 +99,8 @@
 	return before
 }
 
-// send sends one request of a drawn kind and records what comes back.
-func (w *world) send(client *http.Client, v *vm, c *call, random *rand.Rand) {
-	path, body := "", "flour"
-	header := http.Header{}
+// draw fills the call with a request of a drawn kind and returns its path and header.
+func (c *call) draw(random *rand.Rand) (path string, header http.Header) {
 	switch draw := random.Float64(); {
 	case draw < 0.3:
 		c.kind, path, c.runsOnce = "lookup", "/lookup/1", true
@@ -111,27 +111,34 @@
 	default:
 		c.kind, path, c.streaming = "check", "/checks/1", true
 	}
-	c.deadline = 2 * time.Second
+	header = http.Header{}
+	c.deadline = plainDeadline
 	if c.streaming {
-		c.deadline = 9 * time.Second
+		c.deadline = streamDeadline
 		c.wanted = 5 + random.IntN(150)
 		header.Set("X-Model", "m")
 		header.Set("X-Token-Usage", fmt.Sprintf("%d,400", 100+random.IntN(3000)))
 		header.Set(platformtest.HeaderEvents, fmt.Sprint(c.wanted))
 		header.Set(platformtest.HeaderGapMillis, fmt.Sprint(1+random.IntN(25)))
 	}
+	header.Set("X-Attempt-Id", c.id)
+	header.Set("X-Api-Key", c.key.text)
+	header.Set("X-Deadline-Ms", fmt.Sprint(c.deadline.Milliseconds()))
+	return path, header
+}
+
+// send sends one request of a drawn kind and records what comes back.
+func (w *world) send(client *http.Client, v *vm, c *call, random *rand.Rand) {
+	path, header := c.draw(random)
 	ctx, cancel := context.WithTimeout(context.Background(), c.deadline+unansweredAfter)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+v.callers+path, strings.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+v.callers+path, strings.NewReader("flour"))
 	if err != nil {
 		panic(err) // the address is the run's own
 	}
 	request.GetBody = nil // net/http must not send it twice
 	request.Host = platformtest.Host
 	request.Header = header
-	request.Header.Set("X-Attempt-Id", c.id)
-	request.Header.Set("X-Api-Key", c.key.text)
-	request.Header.Set("X-Deadline-Ms", fmt.Sprint(c.deadline.Milliseconds()))
 	c.sentAt = time.Now()
 	defer func() {
 		c.endedAt = time.Now()
@@ -145,8 +152,7 @@
 	defer response.Body.Close()
 	c.status = response.StatusCode
 	c.fromTarget = response.Header.Get("X-Response-Stamp") != ""
-	echo := response.Header.Get(platformtest.HeaderEcho)
-	c.foreign = c.fromTarget && echo != c.id
+	c.foreign = c.fromTarget && response.Header.Get(platformtest.HeaderEcho) != c.id
 	leaveAt := -1
 	if c.streaming && random.Float64() < leavesEarly {
 		leaveAt = random.IntN(c.wanted)
