Make one piece of what stood twice

- admin.TokensOf replaces two copies of the same loop.
- placement: "listed" could be derived from the map; it is gone.
- roster: changes that peers tell at once are published once, not each by itself; one closely().
- forward: one place passes a target's own failure on.
- platformtest makes callers' requests, configures and removes, for the entry tests and the soak, so that the soak holds no names of the wire; links are disturbed, and readiness is asked, in one place.

--- a/cmd/godwitstand/deployment.go
+++ b/cmd/godwitstand/deployment.go
@@ -22,7 +22,7 @@
 // Run serves until ctx ends.
 func (c *deploymentCommand) Run(ctx context.Context) error {
 	stand := platformtest.NewDeployment()
-	stand.Store.Put("config", "main", platformtest.Configuration(1, c.Keys...))
+	stand.Configure(1, c.Keys...)
 	group, ctx := errgroup.WithContext(ctx)
 	for service, targets := range map[string]map[string]string{platformtest.EngineName: c.Engines, platformtest.ServiceName: c.Services} {
 		for id, address := range targets {
--- a/internal/admin/token.go
+++ b/internal/admin/token.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"godwitcart/internal/apierror"
+	"godwitcart/internal/settings"
 )
 
 // Role says what the bearer of a token may do.
@@ -30,6 +31,15 @@
 	SHA256 string
 }
 
+// TokensOf returns the tokens that settings name.
+func TokensOf(configured []settings.Token) []Token {
+	tokens := make([]Token, 0, len(configured))
+	for _, token := range configured {
+		tokens = append(tokens, Token{Operator: token.Name, Role: Role(token.Role), SHA256: token.SHA256})
+	}
+	return tokens
+}
+
 type tokenEntry struct {
 	token  Token
 	digest []byte
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -15,20 +15,12 @@
 // operatorsHandler serves the operators' interface.
 func (d *Daemon) operatorsHandler() http.Handler {
 	return admin.NewHandler(admin.Options{
-		Ready: d.Ready, Tokens: d.operatorTokens(), States: d.states(), Queries: d.queries,
+		Ready: d.Ready, Tokens: admin.TokensOf(d.settings.Operators.Tokens), States: d.states(), Queries: d.queries,
 		Commands: command.NewExecutor(d.configuration, &operations{daemon: d}),
 		Current:  d.configuration.Current,
 	})
 }
 
-func (d *Daemon) operatorTokens() []admin.Token {
-	var tokens []admin.Token
-	for _, token := range d.settings.Operators.Tokens {
-		tokens = append(tokens, admin.Token{Operator: token.Name, Role: admin.Role(token.Role), SHA256: token.SHA256})
-	}
-	return tokens
-}
-
 // buildQueries makes the answers to operators' queries, here and for peers.
 func (d *Daemon) buildQueries() {
 	d.queries = query.NewEngine(d.settings.VM.Name, &query.Process{
--- a/internal/entry/budget_test.go
+++ b/internal/entry/budget_test.go
@@ -25,8 +25,7 @@
 	for _, id := range []string{"c1", "c2", "c3"} {
 		d.target(id, "counter").Behave(func(w http.ResponseWriter, _ *http.Request) bool {
 			arrivals.Add(1)
-			w.Header().Set("X-Not-Executed", "1")
-			w.WriteHeader(http.StatusServiceUnavailable)
+			notRun(w)
 			return true
 		})
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -225,8 +225,7 @@
 		d.target(id, "drafter").Behave(func(w http.ResponseWriter, r *http.Request) bool {
 			refuse := r.Header.Get("Kv-From") != ""
 			if refuse {
-				w.Header().Set("X-Not-Executed", "1")
-				w.WriteHeader(http.StatusServiceUnavailable)
+				notRun(w)
 			}
 			return refuse
 		})
@@ -382,8 +381,7 @@
 		d.target(id, "counter").Behave(func(w http.ResponseWriter, _ *http.Request) bool {
 			refuse := refused.CompareAndSwap(false, true)
 			if refuse {
-				w.Header().Set("X-Not-Executed", "1")
-				w.WriteHeader(http.StatusServiceUnavailable)
+				notRun(w)
 			}
 			return refuse
 		})
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -10,7 +10,6 @@
 	"net/http/httptest"
 	"os"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -20,6 +19,7 @@
 
 	"godwitcart/internal/entry"
 	"godwitcart/internal/settings"
+	"godwitcart/platform"
 	"godwitcart/platform/platformtest"
 )
 
@@ -64,7 +64,7 @@
 // configure writes the next version with the keys given.
 func (d *deployment) configure(keys ...string) {
 	d.version += 3
-	d.Store.Put("config", "main", platformtest.Configuration(d.version, keys...))
+	d.Configure(d.version, keys...)
 }
 
 // vm is one running entry VM.
@@ -136,7 +136,7 @@
 }
 
 func (v *vm) readiness() int {
-	response, err := v.client.Get("http://" + v.ready + "/v1/readyz")
+	response, err := v.client.Get("http://" + v.ready + platform.PathReady)
 	if err != nil {
 		return 0
 	}
@@ -144,23 +144,15 @@
 	return response.StatusCode
 }
 
-var attempts struct {
-	sync.Mutex
-	count int
-}
+// attempts counts the requests made in this process.
+var attempts atomic.Int64
 
 // request returns a caller's request with an attempt id of its own.
 func (v *vm) request(method, path, body string) *http.Request {
 	v.t.Helper()
 	request, err := http.NewRequest(method, "http://"+v.callers+path, strings.NewReader(body))
 	require.NoError(v.t, err)
-	attempts.Lock()
-	attempts.count++
-	request.Header.Set("X-Attempt-Id", fmt.Sprintf("attempt-%d", attempts.count))
-	attempts.Unlock()
-	request.Host = host
-	request.Header.Set("X-Api-Key", "key-1")
-	request.Header.Set("X-Deadline-Ms", "8000")
+	platformtest.SetCaller(request, fmt.Sprintf("attempt-%d", attempts.Add(1)), "key-1", 8*time.Second)
 	return request
 }
 
@@ -168,13 +160,16 @@
 func (v *vm) generation(path string, events, gapMillis int) *http.Request {
 	v.t.Helper()
 	request := v.request(http.MethodPost, path, "prompt")
-	request.Header.Set("X-Model", "m")
-	request.Header.Set("X-Token-Usage", "500,400")
-	request.Header.Set(platformtest.HeaderEvents, fmt.Sprint(events))
-	request.Header.Set(platformtest.HeaderGapMillis, fmt.Sprint(gapMillis))
+	platformtest.SetGeneration(request, platformtest.Generation{PromptTokens: 500, Events: events, Gap: time.Duration(gapMillis) * time.Millisecond})
 	return request
 }
 
+// notRun answers as a target that did not run the request.
+func notRun(w http.ResponseWriter) {
+	w.Header().Set("X-Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 func (v *vm) do(request *http.Request) (*http.Response, string) {
 	v.t.Helper()
 	response, err := v.client.Do(request)
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -11,7 +11,6 @@
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/peer/peerpb"
 	"godwitcart/internal/query"
-	"godwitcart/internal/settings"
 )
 
 // operatorsHandler serves the metrics to all, and to operators with a token what was decided about a request.
@@ -20,19 +19,11 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET "+admin.PathMetrics, admin.NewMetricsHandler(metrics.DefaultRegistry))
 	mux.Handle("/", admin.NewHandler(admin.Options{
-		Ready: e.Ready, Tokens: operatorTokens(s.Operators.Tokens), Queries: query.NewEngine(s.VM.Name, &decisions{entry: e}, noPeers{}),
+		Ready: e.Ready, Tokens: admin.TokensOf(s.Operators.Tokens), Queries: query.NewEngine(s.VM.Name, &decisions{entry: e}, noPeers{}),
 	}))
 	return mux
 }
 
-func operatorTokens(configured []settings.Token) []admin.Token {
-	tokens := make([]admin.Token, 0, len(configured))
-	for _, token := range configured {
-		tokens = append(tokens, admin.Token{Operator: token.Name, Role: admin.Role(token.Role), SHA256: token.SHA256})
-	}
-	return tokens
-}
-
 // decisions answers operators' queries about the requests that this VM has had.
 type decisions struct{ entry *Entry }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -210,8 +210,7 @@
 			continue
 		}
 		if end.failure != nil {
-			x.writeWhole(end.failure)
-			x.log("request ended", "outcome", "failed by the target", "status", x.status, "target", lease.Target.ID, "attempts", x.attempts)
+			x.passFailure(end.failure, lease.Target.ID)
 			return nil
 		}
 		return x.finalError(ctx, end)
@@ -247,6 +246,12 @@
 	return nil
 }
 
+// passFailure gives the caller the target's own failure.
+func (x *exchange) passFailure(failure *heldAnswer, target string) {
+	x.writeWhole(failure)
+	x.log("request ended", "outcome", "failed by the target", "status", x.status, "target", target, "attempts", x.attempts)
+}
+
 func (x *exchange) writeWhole(held *heldAnswer) {
 	header := x.w.Header()
 	for name, values := range held.header {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -69,8 +69,7 @@
 		}
 		x.log("attempt ended", "target", next.lease.Target.ID, "not_run", end.notRun, "events", s.events, "reason", end)
 		if end.failure != nil && !x.begun {
-			x.writeWhole(end.failure)
-			x.log("request ended", "outcome", "failed by the target", "status", x.status, "target", next.lease.Target.ID, "attempts", x.attempts)
+			x.passFailure(end.failure, next.lease.Target.ID)
 			return nil
 		}
 		if ctx.Err() == nil && s.goesOn(ctx, end, next) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -149,7 +149,6 @@
 type target struct {
 	roster.Target
 	service *service
-	listed  bool
 	left    bool
 	own     Load
 	peers   Load
@@ -183,9 +182,6 @@
 func (t *Table) Listed(listed map[string]roster.Target, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, known := range t.targets {
-		known.listed = false
-	}
 	for id, entry := range listed {
 		known := t.targets[id]
 		if known == nil || !known.SameIncarnation(entry) {
@@ -197,10 +193,9 @@
 		}
 		known.left = known.left || entry.Leaving
 		known.Target = entry
-		known.listed = true
 	}
 	for id, known := range t.targets {
-		if !known.listed {
+		if _, found := listed[id]; !found {
 			known.left = true
 			delete(t.targets, id)
 		}
@@ -323,5 +318,5 @@
 }
 
 func (t *target) usable(now time.Time) bool {
-	return t.listed && !t.left && t.health.allows(now)
+	return !t.left && t.health.allows(now)
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -247,6 +247,7 @@
 			return
 		case target := <-f.hints:
 			if ctx.Err() == nil && f.takeHint(target) {
+				f.takeHints() // those that came with it are published together
 				f.publish(time.Now())
 			}
 		}
@@ -255,19 +256,23 @@
 
 // watched is the store for the next watch.
 func (f *Follower) watched() object.Store {
-	if f.options.Relaxed == nil || f.options.Close == nil || f.options.Close() {
+	if f.options.Relaxed == nil || f.closely() {
 		return f.options.Store
 	}
 	return f.options.Relaxed
 }
 
+func (f *Follower) closely() bool { return f.options.Close == nil || f.options.Close() }
+
 // gather waits before the next watch, and takes peers' changes meanwhile.
 func (f *Follower) gather(ctx context.Context) {
 	started := time.Now()
 	for ctx.Err() == nil {
-		f.takeHints()
+		if f.takeHints() {
+			f.publish(time.Now())
+		}
 		wait := closeCheck
-		if f.options.Close == nil || f.options.Close() {
+		if f.closely() {
 			wait = gatherTime
 		} else if time.Since(started) > relaxedTime {
 			return
@@ -285,17 +290,14 @@
 	}
 }
 
-func (f *Follower) takeHints() {
-	taken := false
+// takeHints takes the peers' changes that wait and reports whether one was new.
+func (f *Follower) takeHints() (taken bool) {
 	for {
 		select {
 		case target := <-f.hints:
 			taken = f.takeHint(target) || taken
 		default:
-			if taken {
-				f.publish(time.Now())
-			}
-			return
+			return taken
 		}
 	}
 }
--- a/internal/settings/deployment.go
+++ b/internal/settings/deployment.go
@@ -1,15 +1,8 @@
 package settings
 
 import (
-	"fmt"
 	"net"
-	"os"
-	"strconv"
 	"time"
-
-	"github.com/goccy/go-yaml"
-
-	"godwitcart/internal/apierror"
 )
 
 // Deployment are the start-up settings of a godwitcartd that forwards callers' requests in a deployment
@@ -112,30 +105,11 @@
 }
 
 // LoadDeployment reads the file at path, fills in the defaults and checks the result.
-func LoadDeployment(path string) (*Deployment, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, apierror.Wrap(err, apierror.KindBadRequest, "cannot read settings "+path, "name a settings file that the process may read")
-	}
-	return ParseDeployment(path, text)
-}
+func LoadDeployment(path string) (*Deployment, error) { return load(path, ParseDeployment) }
 
 // ParseDeployment is LoadDeployment on the text of the file that path names.
 func ParseDeployment(path string, text []byte) (*Deployment, error) {
-	if len(text) > maxFileBytes {
-		return nil, apierror.Newf(apierror.KindBadRequest, "name a settings file", "%s: larger than %d bytes", path, maxFileBytes)
-	}
-	if err := refuseAliases(path, text); err != nil {
-		return nil, err
-	}
-	s := DefaultDeployment()
-	if err := yaml.UnmarshalWithOptions(text, s, yaml.DisallowUnknownField()); err != nil {
-		return nil, syntaxError(path, err)
-	}
-	if problems := CheckDeployment(s); len(problems) > 0 {
-		return nil, problemsError(path, text, problems)
-	}
-	return s, nil
+	return parse(path, text, DefaultDeployment(), CheckDeployment)
 }
 
 // CheckDeployment returns what is wrong with the settings.
@@ -155,9 +129,7 @@
 		{"callers.listen", s.Callers.Listen}, {"readiness.listen", s.Readiness.Listen},
 		{"metrics.listen", s.Metrics.Listen}, {"platform.address", s.Platform.Address},
 	} {
-		if !isHostPort(address.value) {
-			add(address.key, fmt.Sprintf("%q is not host:port", address.value), "write host:port")
-		}
+		c.address(address.key, address.value)
 	}
 	if s.Peers.Port < 0 || s.Peers.Port > 65535 {
 		add("peers.port", "is not a port", "write a number from 0 to 65535; 0 exchanges no digests")
@@ -179,12 +151,3 @@
 	c.checkTokens("operators.tokens", s.Operators.Tokens)
 	return c.problems
 }
-
-func isHostPort(address string) bool {
-	_, port, err := net.SplitHostPort(address)
-	if err != nil {
-		return false
-	}
-	number, err := strconv.ParseUint(port, 10, 16)
-	return err == nil && number <= 65535
-}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -19,30 +19,34 @@
 
 // Load reads the file at path, fills in the defaults and checks the result. The error is an
 // apierror.Error that joins every problem found, each with its file, line and remedy.
-func Load(path string) (*Settings, error) {
+func Load(path string) (*Settings, error) { return load(path, Parse) }
+
+// Parse is Load on the text of the file that path names.
+func Parse(path string, text []byte) (*Settings, error) { return parse(path, text, Default(), Check) }
+
+func load[T any](path string, parse func(path string, text []byte) (*T, error)) (*T, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, apierror.Wrap(err, apierror.KindBadRequest, "cannot read settings "+path, "name a settings file that the process may read")
 	}
-	return Parse(path, text)
+	return parse(path, text)
 }
 
-// Parse is Load on the text of the file that path names.
-func Parse(path string, text []byte) (*Settings, error) {
+// parse decodes the text over the defaults and checks the result.
+func parse[T any](path string, text []byte, defaults *T, check func(*T) []Problem) (*T, error) {
 	if len(text) > maxFileBytes {
 		return nil, apierror.Newf(apierror.KindBadRequest, "name a settings file", "%s: larger than %d bytes", path, maxFileBytes)
 	}
 	if err := refuseAliases(path, text); err != nil {
 		return nil, err
 	}
-	s := Default()
-	if err := yaml.UnmarshalWithOptions(text, s, yaml.DisallowUnknownField()); err != nil {
+	if err := yaml.UnmarshalWithOptions(text, defaults, yaml.DisallowUnknownField()); err != nil {
 		return nil, syntaxError(path, err)
 	}
-	if problems := Check(s); len(problems) > 0 {
+	if problems := check(defaults); len(problems) > 0 {
 		return nil, problemsError(path, text, problems)
 	}
-	return s, nil
+	return defaults, nil
 }
 
 // refuseAliases keeps YAML aliases from the decoder, which does not end on recursive ones.
--- a/internal/stand/rig/program.go
+++ b/internal/stand/rig/program.go
@@ -91,7 +91,7 @@
 func (p *Program) waitReady(ctx context.Context, ended <-chan struct{}) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	for !answersOK(ctx, p.ReadyURL) {
+	for !p.Ready(ctx) {
 		select {
 		case <-ended:
 			return errors.Newf("%s ended while it started; see %s", p.Name, p.LogPath)
@@ -106,10 +106,11 @@
 // readyTimeout bounds one question whether a program is ready.
 const readyTimeout = time.Second
 
-func answersOK(ctx context.Context, url string) bool {
+// Ready reports whether the program says that it is ready.
+func (p *Program) Ready(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, p.ReadyURL, nil)
 	if err != nil {
 		return false
 	}
--- a/internal/stand/soak/callers.go
+++ b/internal/stand/soak/callers.go
@@ -56,15 +56,9 @@
 
 // watchReadiness leads new connections to VMs that are ready, as the platform's balancer does.
 func (w *world) watchReadiness(ctx context.Context) {
-	client := &http.Client{Timeout: time.Second}
 	for ctx.Err() == nil {
 		for _, v := range w.vms {
-			response, err := client.Get(v.ready)
-			ready := err == nil && response.StatusCode == http.StatusOK
-			if err == nil {
-				response.Body.Close()
-			}
-			v.inRotation.Store(ready)
+			v.inRotation.Store(v.Ready(ctx))
 		}
 		pause.For(ctx, readinessPoll)
 	}
@@ -99,8 +93,8 @@
 	return before
 }
 
-// draw fills the call with a request of a drawn kind and returns its path and header.
-func (c *call) draw(random *rand.Rand) (path string, header http.Header) {
+// draw fills the call with a request of a drawn kind, and returns its path and what it generates.
+func (c *call) draw(random *rand.Rand) (path string, generation platformtest.Generation) {
 	switch draw := random.Float64(); {
 	case draw < 0.3:
 		c.kind, path, c.runsOnce = "lookup", "/lookup/1", true
@@ -111,25 +105,20 @@
 	default:
 		c.kind, path, c.streaming = "check", "/checks/1", true
 	}
-	header = http.Header{}
 	c.deadline = plainDeadline
 	if c.streaming {
 		c.deadline = streamDeadline
 		c.wanted = 5 + random.IntN(150)
-		header.Set("X-Model", "m")
-		header.Set("X-Token-Usage", fmt.Sprintf("%d,400", 100+random.IntN(3000)))
-		header.Set(platformtest.HeaderEvents, fmt.Sprint(c.wanted))
-		header.Set(platformtest.HeaderGapMillis, fmt.Sprint(1+random.IntN(25)))
+		generation = platformtest.Generation{
+			PromptTokens: 100 + random.IntN(3000), Events: c.wanted, Gap: time.Duration(1+random.IntN(25)) * time.Millisecond,
+		}
 	}
-	header.Set("X-Attempt-Id", c.id)
-	header.Set("X-Api-Key", c.key.text)
-	header.Set("X-Deadline-Ms", fmt.Sprint(c.deadline.Milliseconds()))
-	return path, header
+	return path, generation
 }
 
 // send sends one request of a drawn kind and records what comes back.
 func (w *world) send(client *http.Client, v *vm, c *call, random *rand.Rand) {
-	path, header := c.draw(random)
+	path, generation := c.draw(random)
 	ctx, cancel := context.WithTimeout(context.Background(), c.deadline+unansweredAfter)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+v.callers+path, strings.NewReader("flour"))
@@ -137,8 +126,10 @@
 		panic(err) // the address is the run's own
 	}
 	request.GetBody = nil // net/http must not send it twice
-	request.Host = platformtest.Host
-	request.Header = header
+	platformtest.SetCaller(request, c.id, c.key.text, c.deadline)
+	if c.streaming {
+		platformtest.SetGeneration(request, generation)
+	}
 	c.sentAt = time.Now()
 	defer func() {
 		c.endedAt = time.Now()
@@ -151,8 +142,9 @@
 	}
 	defer response.Body.Close()
 	c.status = response.StatusCode
-	c.fromTarget = response.Header.Get("X-Response-Stamp") != ""
-	c.foreign = c.fromTarget && response.Header.Get(platformtest.HeaderEcho) != c.id
+	made, attempt := platformtest.FromTarget(response)
+	c.fromTarget = made
+	c.foreign = made && attempt != c.id
 	leaveAt := -1
 	if c.streaming && random.Float64() < leavesEarly {
 		leaveAt = random.IntN(c.wanted)
--- a/internal/stand/soak/faults.go
+++ b/internal/stand/soak/faults.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"godwitcart/internal/stand/rig"
 	"godwitcart/platform/platformtest"
 )
 
@@ -153,24 +154,35 @@
 	}
 }
 
-func (w *world) playStoreLink(kind string, v *vm, hold time.Duration) {
-	defer w.begin(kind, v.Name+"/"+storeSubject)()
+// disturb plays a fault of a link; the kind names it after the link's other end.
+func (w *world) disturb(link *rig.Link, kind string, hold time.Duration) {
 	switch kind {
-	case "store_cut":
-		v.store.Cut()
+	case "store_cut", "target_cut":
+		link.Cut()
 		time.Sleep(hold)
-		w.mustRestore(v.store.Restore())
-	case "store_stall":
-		v.store.Stall()
+		w.mustRestore(link.Restore())
+	case "store_stall", "target_stall":
+		link.Stall()
+		time.Sleep(hold)
+		link.Unstall()
+	case "target_answers_stall":
+		link.StallAnswers()
 		time.Sleep(hold)
-		v.store.Unstall()
-	case "store_slow":
-		v.store.Delay(slowBy)
+		link.UnstallAnswers()
+	case "store_slow", "target_slow":
+		link.Delay(slowBy)
 		time.Sleep(hold)
-		v.store.Delay(-slowBy)
+		link.Delay(-slowBy)
+	case "target_reset":
+		link.Reset()
 	}
 }
 
+func (w *world) playStoreLink(kind string, v *vm, hold time.Duration) {
+	defer w.begin(kind, v.Name+"/"+storeSubject)()
+	w.disturb(v.store, kind, hold)
+}
+
 // mustRestore notes a fault of the harness itself: the run says nothing then.
 func (w *world) mustRestore(err error) {
 	if err != nil {
@@ -184,24 +196,6 @@
 	target := p.target.Load()
 	defer w.begin(kind, target.ID)()
 	switch kind {
-	case "target_stall":
-		p.link.Stall()
-		time.Sleep(hold)
-		p.link.Unstall()
-	case "target_answers_stall":
-		p.link.StallAnswers()
-		time.Sleep(hold)
-		p.link.UnstallAnswers()
-	case "target_slow":
-		p.link.Delay(slowBy)
-		time.Sleep(hold)
-		p.link.Delay(-slowBy)
-	case "target_reset":
-		p.link.Reset()
-	case "target_cut":
-		p.link.Cut()
-		time.Sleep(hold)
-		w.mustRestore(p.link.Restore())
 	case "copies_refused":
 		target.RefuseCopies(true)
 		time.Sleep(hold)
@@ -212,6 +206,8 @@
 		target.FailEvery(0)
 	case "target_leaves":
 		w.leave(p, target, hold)
+	default:
+		w.disturb(p.link, kind, hold)
 	}
 }
 
@@ -222,7 +218,7 @@
 	w.Leave(target.ID)
 	time.Sleep(notice)
 	p.link.Cut()
-	w.Store.Delete("servers", target.ID)
+	w.Remove(target.ID)
 	time.Sleep(min(hold, time.Second))
 	w.occupy(p, service)
 	w.mustRestore(p.link.Restore())
--- a/internal/stand/soak/world.go
+++ b/internal/stand/soak/world.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"godwitcart/internal/stand/rig"
+	"godwitcart/platform"
 	"godwitcart/platform/platformtest"
 )
 
@@ -32,7 +33,6 @@
 	*rig.Program
 	zone    string
 	callers string
-	ready   string
 	// store leads to the platform's store.
 	store *rig.Link
 	// inRotation is set while new connections of callers are led here.
@@ -160,7 +160,7 @@
 			return err
 		}
 	}
-	v.callers, v.ready = addresses[0], "http://"+addresses[1]+"/v1/readyz"
+	v.callers = addresses[0]
 	name := fmt.Sprintf("vm-%d", i+1)
 	file := filepath.Join(w.options.Directory, name+".yaml")
 	text := fmt.Sprintf(`vm: {name: %s, zone: %s, region: region, address: 127.0.0.%d}
@@ -177,7 +177,7 @@
 	}
 	v.Program = &rig.Program{
 		Name: name, Path: filepath.Join(w.options.Binaries, "godwitcartd"), Args: []string{"--deployment", "--settings", file},
-		LogPath: filepath.Join(w.options.Directory, name+".log"), ReadyURL: v.ready, Spawner: w.spawner,
+		LogPath: filepath.Join(w.options.Directory, name+".log"), ReadyURL: "http://" + addresses[1] + platform.PathReady, Spawner: w.spawner,
 	}
 	w.vms = append(w.vms, v)
 	return nil
@@ -245,7 +245,7 @@
 			valid = append(valid, k.text)
 		}
 	}
-	w.Store.Put("config", "main", platformtest.Configuration(r.version, valid...))
+	w.Configure(r.version, valid...)
 }
 
 // rewrite stores a new version with the same content.
