Keep targets in a fixed order and mend the race in TestGrantOrder

Cause: regroupTargets took the targets of a service in map order, so that the seeded choices among equal targets differed from run to run; TestGrantOrder wrote its results on the goroutine of the recheck timer without a lock. Change: targets are sorted by id; the test receives grants and ids through channels and asserts the same orders.

--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -45,21 +45,24 @@
 	synctest.Test(t, func(t *testing.T) {
 		picker := &slotPicker{freeSlots: 1}
 		c := NewController(options, picker)
-		var openGrant *Grant
-		c.Submit(Ticket{Service: "s", Class: "first"}, func(g *Grant, err error) { openGrant = g })
+		// A channel, since a grant may be made on the goroutine of the controller's timer.
+		grants := make(chan *Grant, len(tickets)+1)
+		ids := make(chan string, len(tickets))
+		c.Submit(Ticket{Service: "s", Class: "first"}, func(g *Grant, err error) { grants <- g })
 		for _, ticket := range tickets {
 			ticket.Service = "s"
 			c.Submit(ticket, func(g *Grant, err error) {
 				require.NoError(t, err)
-				order = append(order, ticket.RequestID)
-				openGrant = g
+				ids <- ticket.RequestID
+				grants <- g
 			})
 			time.Sleep(spacing)
 		}
+		(<-grants).Release(routing.OutcomeCompleted)
 		for range tickets {
-			openGrant.Release(routing.OutcomeCompleted)
+			order = append(order, <-ids)
+			(<-grants).Release(routing.OutcomeCompleted)
 		}
-		openGrant.Release(routing.OutcomeCompleted)
 		synctest.Wait()
 		require.Empty(t, c.Rows())
 	})
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -6,6 +6,7 @@
 package placement
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -219,6 +220,10 @@
 		member.service = s
 		s.targets = append(s.targets, member)
 	}
+	for _, s := range t.services {
+		// A fixed order makes the random choices reproducible.
+		slices.SortFunc(s.targets, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
+	}
 	t.recomputePeerLoads()
 }
 
