forward: refuse streams at SIGTERM that the grace period would cut off

Cause: a VM took new streams for 2.5 s after SIGTERM and aborted them 7.6 s after it; a bulletin lasts 8 s. Change: durations of complete streams are estimated by route; a stream that cannot be resumed is refused at once, as not run, where mean and deviation exceed what is left. Its caller's repeat reaches another VM within 50 ms.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -550,3 +550,32 @@
 	})
 	require.Empty(t, d.Cluster.Runs((<-refused).Header.Get("X-Attempt-Id")))
 }
+
+// TestShutdownRefusesLongStreams guards against streams that a VM accepts after SIGTERM, while the load balancer still
+// sends to it, and then aborts at the end of its grace period.
+func TestShutdownRefusesLongStreams(t *testing.T) {
+	d := newDeployment(t)
+	d.target("e1", "drafter")
+	d.configure("key-1")
+	v := d.start("vm-1", func(s *settings.Deployment) { s.Bounds.GraceSeconds = 2 })
+	response, err := v.client.Do(v.generation("/letters/1", 30, 50))
+	require.NoError(t, err)
+	readEvents(t, response, 30, nil)
+	running := v.generation("/letters/1", 10, 100)
+	response, err = v.client.Do(running)
+	require.NoError(t, err)
+	readEvents(t, response, 10, func(number int) {
+		if number != 1 {
+			return
+		}
+		v.entry.Shutdown()
+		time.Sleep(200 * time.Millisecond)
+		long := v.generation("/letters/2", 30, 50)
+		refusal, _ := v.do(long)
+		require.Equal(t, http.StatusServiceUnavailable, refusal.StatusCode)
+		require.NotEmpty(t, refusal.Header.Get("Retry-After"))
+		require.Empty(t, d.Cluster.Runs(long.Header.Get("X-Attempt-Id")))
+		short, _ := v.do(v.generation("/checks/1", 3, 1))
+		require.Equal(t, http.StatusOK, short.StatusCode, "a resumable stream is accepted until the load balancer has noticed")
+	})
+}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -50,14 +50,15 @@
 
 // Forwarder is the HTTP handler for callers' requests. It is safe for concurrent use.
 type Forwarder struct {
-	options Options
-	streams streamSet
-	metrics *requestMetrics
+	options   Options
+	streams   streamSet
+	durations *routeDurations
+	metrics   *requestMetrics
 }
 
 // New returns a Forwarder.
 func New(options Options) *Forwarder {
-	return &Forwarder{options: options, streams: newStreamSet(), metrics: newRequestMetrics()}
+	return &Forwarder{options: options, streams: newStreamSet(), durations: newRouteDurations(), metrics: newRequestMetrics()}
 }
 
 const (
@@ -175,18 +176,27 @@
 	return x.refuseIfStopping()
 }
 
-// refuseIfStopping refuses a request that this VM might abort before it completes because it is shutting down. This
-// concerns callers that still send to a VM that is not ready, as when all VMs of a zone shut down. Until drainDelay
-// has passed, every request is accepted; then only a buffered one whose deadline is before requests are aborted.
+// refuseIfStopping refuses a request that this VM might abort before it completes because it is shutting down. Callers
+// still send to it until the load balancer has noticed, and longer if all VMs of a zone shut down.
 func (x *exchange) refuseIfStopping() error {
 	stop, stopping := x.options.Stopping()
-	if !stopping || stop.Since < drainDelay || !x.route.Streaming && time.Until(x.deadline) < stop.Remaining {
+	if !stopping || x.completesBefore(stop) {
 		return nil
 	}
 	return apierror.Newf(apierror.KindNotRun, "send it again on a new connection",
 		"this VM stops in %d ms, which may be before the answer is complete", stop.Remaining.Milliseconds()).WithRetryAfter(stoppingRetryAfter)
 }
 
+// completesBefore reports whether the request is accepted during the shutdown. Until drainDelay has passed, only
+// streams are refused that no target can continue and that last too long; then all except buffered requests whose
+// deadline is before requests are aborted.
+func (x *exchange) completesBefore(stop Stop) bool {
+	if stop.Since >= drainDelay {
+		return !x.route.Streaming && time.Until(x.deadline) < stop.Remaining
+	}
+	return !x.route.Streaming || x.route.Resumable || x.durations.completesWithin(x.route.Name, stop.Remaining)
+}
+
 // defaultTimeout applies where neither the caller nor the route sets a timeout, and caps both.
 const defaultTimeout = 10 * time.Minute
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -166,6 +166,7 @@
 		next.lease.Done(placement.Answered, time.Now())
 		s.releaseBackup(true)
 		s.options.Lengths.Observe(s.lengthKey(), s.events*tokensPerEvent)
+		s.durations.observe(s.route.Name, time.Since(s.arrivedAt))
 		s.log("request ended", "outcome", "answered", "status", response.StatusCode, "target", next.lease.Target.ID, "attempts", s.attempts, "events", s.events)
 		return nil
 	}
