forward: continue a silent stream at a backup near its VM

Change: backups lie in the zone of the VM and may use 0.6 of an engine's memory (0.25 before); a switch waits until the copy is expected to hold the prompt; one that refused stays reserved. A stream with a backup that is silent for longer than its own gaps explain (mean and four deviations, at least half of the maximum gap) continues there, while the source is kept until the backup has answered.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -18,6 +18,7 @@
 	"godwitcart/internal/admin"
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/settings"
+	"godwitcart/platform/platformtest"
 )
 
 // TestForwarding sends a plain call and a streamed generation through an entry VM.
@@ -217,6 +218,28 @@
 	}
 }
 
+// TestSilentEngine guards against a stream that stalls until TCP gives up, seconds later, because its engine was cut off
+// without a close: the stream continues at its backup as soon as it is silent for longer than its gaps explain, and the
+// caller receives every event once.
+func TestSilentEngine(t *testing.T) {
+	d := newDeployment(t)
+	for _, id := range []string{"e1", "e2"} {
+		d.target(id, "drafter")
+	}
+	d.configure("key-1")
+	v := d.start("vm-1", nil)
+	request := v.generation("/letters/1", 60, 10)
+	request.Header.Set(platformtest.HeaderSilentAfter, "30")
+	response, err := v.client.Do(request)
+	require.NoError(t, err)
+	readEvents(t, response, 60, nil)
+	runs := d.Cluster.Runs(request.Header.Get("X-Attempt-Id"))
+	require.Len(t, runs, 2)
+	require.True(t, runs[1].Continued)
+	require.Equal(t, 30, runs[1].After)
+	require.Eventually(t, func() bool { return d.Cluster.DisconnectCount() == 1 }, waitTimeout, pollInterval, "the silent engine still works on the request")
+}
+
 // TestMoveBeforeFirstEvent guards against telling the caller that the request did not run after an engine left while
 // processing the prompt and the destination of the move refused to continue.
 func TestMoveBeforeFirstEvent(t *testing.T) {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -24,6 +24,9 @@
 	ctx         context.Context
 	events      int
 	lastEventAt time.Time
+	// gaps and silenceTimer are used by the relay only.
+	gaps         smoothed
+	silenceTimer *time.Timer
 
 	// mu guards writes to events and the fields below, which the relay shares with the evacuation of a leaving target.
 	mu sync.Mutex
@@ -33,6 +36,8 @@
 	response    *upstream.Response
 	// targetSentEvent is true if the current target has sent an event.
 	targetSentEvent bool
+	// firstOfTargetAt is when the current target sent its first event.
+	firstOfTargetAt time.Time
 	// backup is the reservation at the engine that holds a copy of the generation's KV cache; nil for none.
 	backup *placement.Lease
 	// continuation is where the generation continues when the response of the current target ends.
@@ -158,6 +163,7 @@
 	}
 	s.register(next.lease, response)
 	err := s.relay(next.lease, response)
+	s.stopWatchingSilence()
 	s.unregister()
 	hasMoved := s.awaitMove(ctx)
 	complete := err == nil && !hasMoved
@@ -262,10 +268,14 @@
 	s.mu.Lock()
 	isFirstOfTarget := !s.targetSentEvent
 	s.targetSentEvent = true
+	if isFirstOfTarget {
+		s.firstOfTargetAt = now
+	}
 	s.mu.Unlock()
 	lease.Progress(s.events * tokensPerEvent)
 	if isFirstOfTarget {
 		lease.FirstEvent(now)
+		s.gaps = smoothed{}
 		if s.options.Table.IsLeaving(lease.Target) {
 			go s.evacuate(lease.Target, now)
 		}
@@ -274,7 +284,11 @@
 			s.log("stream resumed", "target", lease.Target.ID, "pause_ms", now.Sub(s.lastEventAt).Milliseconds(), "after_event", s.lastEvent())
 		}
 	}
+	if !isFirstOfTarget {
+		s.gaps.observe(now.Sub(s.lastEventAt))
+	}
 	s.lastEventAt = now
+	s.watchSilence(lease)
 }
 
 // writeHeader sends the response's header. This is delayed to the first event, so that until then the response may
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -114,33 +114,32 @@
 // tokens returns the estimated size of the generation's KV cache in tokens.
 func (s *stream) tokens() int { return s.call.Prompt.Tokens + s.eventCount()*tokensPerEvent }
 
-func (s *stream) hasUsableBackup() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.targetSentEvent && s.backup != nil
-}
-
 // evacuate moves the generation to another target: to its backup, which already has the KV cache, else by copying it.
 func (s *stream) evacuate(leaving roster.Target, noticedAt time.Time) {
 	if s.route.Resumable {
 		return // resumed after its last event once the target stops; most complete before that
 	}
+	s.relocate(leaving, func() *continuation {
+		next := s.switchToBackup(leaving, movedOffLeaving)
+		if engine := s.service.Engine; next == nil && engine != nil && engine.SupportsMoves {
+			next = s.move(leaving, noticedAt)
+		}
+		return next
+	})
+}
+
+// relocate takes the generation off its target by the given way, which returns nil if the generation stays. It does
+// nothing if the target no longer serves the stream or another relocation is in progress.
+func (s *stream) relocate(source roster.Target, way func() *continuation) {
 	s.mu.Lock()
-	if s.response == nil || s.moveDone != nil || s.continuation != nil || !s.lease.Target.SameIncarnation(leaving) {
+	if s.response == nil || s.moveDone != nil || s.continuation != nil || !s.lease.Target.SameIncarnation(source) {
 		s.mu.Unlock()
 		return
 	}
 	moveDone := make(chan struct{})
 	s.moveDone = moveDone
-	targetSentEvent := s.targetSentEvent
 	s.mu.Unlock()
-	var next *continuation
-	if targetSentEvent {
-		next = s.switchToBackup(leaving)
-	}
-	if engine := s.service.Engine; next == nil && engine != nil && engine.SupportsMoves {
-		next = s.move(leaving, noticedAt)
-	}
+	next := way()
 	s.mu.Lock()
 	s.continuation = next
 	s.moveDone = nil
@@ -151,10 +150,13 @@
 	close(moveDone)
 }
 
-// switchToBackup continues the generation at its backup, and returns nil if the backup refuses, for example because
-// it had no capacity for the copy. The source keeps running until the backup has responded, so a refusal costs
-// nothing; events that both send are deduplicated by their numbers.
-func (s *stream) switchToBackup(leaving roster.Target) *continuation {
+// switchToBackup continues the generation at its backup, and returns nil if there is none or it refuses, for example
+// because it had no capacity for the copy. The source keeps running until the backup has responded, so a refusal costs
+// nothing; events that both send are deduplicated by their numbers. A switch is logged with the given message.
+func (s *stream) switchToBackup(source roster.Target, message string) *continuation {
+	if !s.awaitBackup() {
+		return nil
+	}
 	next, found := s.claimBackup()
 	if !found {
 		return nil
@@ -170,15 +172,22 @@
 		cancel()
 		next.lease.Done(failure.outcome, time.Now())
 		s.releaseBackup(false)
-		s.recordMoveFailure(leaving, next.lease.Target.ID, failure, "way", "backup")
+		s.restoreBackup(next.lease.Target)
+		s.recordMoveFailure(source, next.lease.Target.ID, failure, "way", "backup")
 		return nil
 	}
 	s.metrics.backupSwitches.Inc(1)
-	s.log("stream moved off a leaving target", "target", leaving.ID, "way", "backup", "destination", next.lease.Target.ID)
+	s.log(message, "target", source.ID, "way", "backup", "destination", next.lease.Target.ID)
 	next.response = response
 	return next
 }
 
+// Messages of the log lines on streams that continue at another target.
+const (
+	movedOffLeaving = "stream moved off a leaving target"
+	movedOffSilent  = "stream moved off a silent target"
+)
+
 const (
 	// minNoticeTime is the time for which an engine is sure to keep running after its notice. The notice time is
 	// specified as about two seconds.
@@ -195,6 +204,8 @@
 	// moveRetryDelay is the wait before the next try if the generation is not running at its source, for example
 	// because it was preempted, or if no other engine has capacity.
 	moveRetryDelay = 150 * time.Millisecond
+	// crossZoneTransferFactor is how much longer a transfer between zones takes than one within a zone.
+	crossZoneTransferFactor = 2
 	// freeTimeout bounds the call that frees an unused copy of a KV cache.
 	freeTimeout = time.Second
 )
@@ -220,7 +231,7 @@
 		result, err := s.copyTo(ctx, leaving, lease, noticedAt)
 		if err == nil && !result.Refused && !result.Unknown {
 			s.metrics.moves.Inc(1)
-			s.log("stream moved off a leaving target", "target", leaving.ID, "way", "move", "destination", lease.Target.ID, "told_ms", time.Since(noticedAt).Milliseconds())
+			s.log(movedOffLeaving, "target", leaving.ID, "way", "move", "destination", lease.Target.ID, "told_ms", time.Since(noticedAt).Milliseconds())
 			return &continuation{lease: lease, from: &result.KVCache}
 		}
 		lease.Done(placement.Canceled, time.Now())
@@ -281,44 +292,6 @@
 	s.log("move failed", append([]any{"target", leaving.ID, "destination", destination, "error", err}, fields...)...)
 }
 
-// reserveBackup reserves an engine to hold a copy of the generation's KV cache and returns its address, or "" if no
-// copy is wanted or none has the memory for it.
-func (s *stream) reserveBackup(lease *placement.Lease) string {
-	s.releaseBackup(false)
-	engine := s.service.Engine
-	if engine == nil || !engine.SupportsBackups || s.route.Resumable {
-		return ""
-	}
-	query := s.query()
-	query.Copy = true
-	query.Zone = lease.Target.Zone
-	query.Excluded = append(slices.Clone(s.excluded), lease.Target.ID)
-	backup, err := s.options.Table.Pick(query, time.Now())
-	if err != nil {
-		return "" // no engine has spare memory; the generation runs without a backup
-	}
-	s.mu.Lock()
-	s.backup = backup
-	s.mu.Unlock()
-	return backup.Target.Address
-}
-
-// releaseBackup releases the backup. The engine frees the copy on its own only if the generation completed at its
-// source; otherwise the copy would occupy memory for seconds, so it is freed explicitly.
-func (s *stream) releaseBackup(completed bool) {
-	s.mu.Lock()
-	backup := s.backup
-	s.backup = nil
-	s.mu.Unlock()
-	if backup == nil {
-		return
-	}
-	backup.Done(placement.Moved, time.Now())
-	if !completed {
-		go s.freeMemory(KVCacheRef{Address: backup.Target.Address, Handle: s.call.ID})
-	}
-}
-
 // freeMemory frees a copy of the KV cache that is not needed. It is best effort: the engine frees it later anyway.
 func (s *stream) freeMemory(cache KVCacheRef) {
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
@@ -327,41 +300,3 @@
 		s.log("KV cache copy not freed", "address", cache.Address, "error", err)
 	}
 }
-
-// continueFromBackup prepares to continue at the backup after the target's response was interrupted.
-func (s *stream) continueFromBackup() bool {
-	s.mu.Lock()
-	targetSentEvent := s.targetSentEvent
-	s.mu.Unlock()
-	if !targetSentEvent {
-		return false
-	}
-	next, found := s.claimBackup()
-	if !found {
-		return false
-	}
-	s.metrics.backupSwitches.Inc(1)
-	s.mu.Lock()
-	s.continuation = next
-	s.mu.Unlock()
-	return true
-}
-
-// claimBackup replaces the backup's reservation by one for running the generation there.
-func (s *stream) claimBackup() (*continuation, bool) {
-	s.mu.Lock()
-	backup := s.backup
-	s.backup = nil
-	s.mu.Unlock()
-	if backup == nil {
-		return nil, false
-	}
-	backup.Done(placement.Moved, time.Now())
-	query := s.query()
-	query.Move = true
-	lease, usable := s.options.Table.PickTarget(backup.Target, query, time.Now())
-	if !usable {
-		return nil, false
-	}
-	return &continuation{lease: lease, from: &KVCacheRef{Address: backup.Target.Address, Handle: s.call.ID}}, true
-}
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -38,7 +38,7 @@
 	prefillObjectiveShare = 0.6
 	// copyMemoryLimit and moveMemoryLimit are the shares of an engine's memory up to which it accepts copies, and
 	// generations that move.
-	copyMemoryLimit = 0.25
+	copyMemoryLimit = 0.6
 	moveMemoryLimit = 0.95
 	// crossZoneTransferWeight scales the weight of engines in other zones, to which transfers take twice as long.
 	crossZoneTransferWeight = 0.1
