placement: keep generations that cannot be resumed in their zone

Cause: half of the long streams crossed zones, where a cut ends them: 8 ms of prefill backlog outweighed the zone. Change: for a generation that no other engine can resume, another zone costs as much as the prefill of its own prompt at the observed rate. Short queries, which can be resumed, cross as before.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -46,6 +46,7 @@
 
 func (x *exchange) query() placement.Query {
 	query := placement.Query{Service: x.service.Name, Zone: x.options.Zone, Priority: x.priority(), FirstEventObjective: x.route.LatencyObjective, Excluded: x.excluded}
+	query.NotResumable = x.route.Streaming && !x.route.Resumable
 	if engine := x.service.Engine; engine != nil && x.call.Prompt.Tokens > 0 {
 		query.MemoryTokens = engine.KVCacheTokens
 		query.PromptTokens = x.call.Prompt.Tokens
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -223,6 +223,9 @@
 	score := failureCost * candidate.health.failureRate()
 	if candidate.Zone != q.Zone {
 		score += t.zoneSurcharge()
+		if q.NotResumable {
+			score += float64(q.prefill()) / s.prefillRate
+		}
 	}
 	if now.Before(candidate.slowStartUntil) {
 		score += slowStartCost
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -63,6 +63,9 @@
 	// Copy reserves memory for a copy of a running generation instead of placing a request. It is refused while memory
 	// is short.
 	Copy bool
+	// NotResumable means that a generation is lost if its engine cannot be reached any more, as during a partition
+	// between zones.
+	NotResumable bool
 	// Move means that another engine sends the generation's memory, so that almost no prefill is needed.
 	Move bool
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -112,6 +112,32 @@
 	require.False(t, usable, "the memory of the old incarnation is looked for at the new one")
 }
 
+// TestGenerationsStayInTheirZone checks that a generation that no other engine could resume crosses zones only to avoid
+// a wait longer than its own prefill, and that others cross sooner.
+func TestGenerationsStayInTheirZone(t *testing.T) {
+	cases := map[string]struct {
+		notResumable bool
+		localBacklog int
+		expectedZone string
+	}{
+		"resumable, short wait":     {false, 1000, zoneB},
+		"not resumable, short wait": {true, 1000, zoneA},
+		"not resumable, long wait":  {true, 9000, zoneB},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := newTestTable("vm-1", 1, engine("e1", zoneA), engine("e2", zoneB))
+			table.SetPeerLoads(Sender{VM: "vm-2", Zone: zoneA}, map[string]Load{"e1": {Requests: 1, PrefillTokens: c.localBacklog, MemoryTokens: c.localBacklog}}, startTime)
+			q := engineQuery(3000)
+			q.FirstEventObjective = 10 * time.Second
+			q.NotResumable = c.notResumable
+			lease, err := table.Pick(q, startTime)
+			require.NoError(t, err)
+			require.Equal(t, c.expectedZone, lease.Target.Zone)
+		})
+	}
+}
+
 // TestConcurrentMovesSpread has thirty VMs choose a move destination at the same moment from the same view, as when
 // an engine leaves. No engine may be assigned more than 4/3 of its memory.
 func TestConcurrentMovesSpread(t *testing.T) {
