forward: send the engine's header for a stream without events

Cause: the header was sent with the first event. Change: the header is sent at the end of such a stream. 'request ended' also tells first_event_ms and longest_gap_ms of a stream, which the trace of late ones lacked. Measured: TestResumedAfterLastEvent fails before and passes after.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -335,6 +335,21 @@
 	})
 }
 
+// TestResumedAfterLastEvent guards against a success without the engine's header: a caller that lost its connection after
+// the last event resumes a stream that has no events left.
+func TestResumedAfterLastEvent(t *testing.T) {
+	d := newDeployment(t)
+	d.target("e1", "drafter")
+	d.configure("key-1")
+	v := d.start("vm-1", nil)
+	request := v.generation("/checks/1", 3, 1)
+	request.Header.Set("Last-Event-Id", "3")
+	response, body := v.do(request)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Empty(t, body)
+	require.Equal(t, "stamp.e1", response.Header.Get("X-Response-Stamp"))
+}
+
 // TestFailedContinuation guards against a second run of a generation: an engine fails, then its backup fails when it is
 // to continue. The third engine was reserved as the next backup but has no copy yet, so nothing may start there.
 func TestFailedContinuation(t *testing.T) {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -24,6 +24,9 @@
 	ctx         context.Context
 	events      int
 	lastEventAt time.Time
+	// firstEventDelay is the time from the request's arrival to its first event, and longestGap the longest time
+	// between two events.
+	firstEventDelay, longestGap time.Duration
 	// gaps and silenceTimer are used by the relay only.
 	gaps         smoothed
 	silenceTimer *time.Timer
@@ -169,11 +172,13 @@
 	complete := err == nil && !hasMoved
 	response.Close(!complete)
 	if complete {
+		s.writeHeader(response) // a stream that is resumed after its last event has no events
 		next.lease.Done(placement.Answered, time.Now())
 		s.releaseBackup(true)
 		s.options.Lengths.Observe(s.lengthKey(), s.events*tokensPerEvent)
 		s.durations.observe(s.route.Name, time.Since(s.arrivedAt))
-		s.log("request ended", "outcome", "answered", "status", response.StatusCode, "target", next.lease.Target.ID, "attempts", s.attempts, "events", s.events)
+		s.log("request ended", "outcome", "answered", "status", response.StatusCode, "target", next.lease.Target.ID, "attempts", s.attempts, "events", s.events,
+			"first_event_ms", s.firstEventDelay.Milliseconds(), "longest_gap_ms", s.longestGap.Milliseconds())
 		return nil
 	}
 	if err == nil {
@@ -261,8 +266,10 @@
 	s.events++
 	s.mu.Unlock()
 	if s.events == 1 {
-		s.metrics.firstEvent.Update(int64(now.Sub(s.arrivedAt)))
+		s.firstEventDelay = now.Sub(s.arrivedAt)
+		s.metrics.firstEvent.Update(int64(s.firstEventDelay))
 	} else {
+		s.longestGap = max(s.longestGap, now.Sub(s.lastEventAt))
 		s.metrics.eventGap.Update(int64(now.Sub(s.lastEventAt)))
 	}
 	s.mu.Lock()
