placement: VMs with waiting requests take turns at free memory

Change: digests say whether requests wait at a VM. A waiting request looks for free memory after a random wait that grows with the number of such VMs, so that each sees what the one before has placed. Copies are refused while all engines together use more than 0.6 of their memory.

--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -27,6 +27,8 @@
 	// VMCount is the number of live entry VMs whose load is included in Loads.
 	VMCount int           `msgpack:"n,omitempty"`
 	Loads   []targetLoads `msgpack:"l,omitempty"`
+	// WaitingVMs is the number of those VMs where requests wait for capacity.
+	WaitingVMs int `msgpack:"w,omitempty"`
 	// OtherZones holds the loads of other zones, as reported by the readers there.
 	OtherZones []zoneLoads `msgpack:"o,omitempty"`
 	// Changes are the recent changes of targets that the sender has read from the platform.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -105,7 +105,9 @@
 	// zoneTotal is set if loads are the totals of the peer's zone.
 	zoneTotal bool
 	vmCount   int
-	loads     map[string]placement.Load
+	// waitingVMs is the number of those VMs where requests wait for capacity.
+	waitingVMs int
+	loads      map[string]placement.Load
 }
 
 // Fleet exchanges digests with the other entry VMs. It is safe for concurrent use.
@@ -296,6 +298,17 @@
 	return size
 }
 
+// waitingPeers returns the number of other live VMs in this zone where requests wait for capacity. The caller holds mu.
+func (f *Fleet) waitingPeers(now time.Time) int {
+	waiting := 0
+	for _, remote := range f.peers {
+		if remote.zone == f.options.Self.Zone && now.Sub(remote.heardAt) <= peerTimeout {
+			waiting += remote.waitingVMs
+		}
+	}
+	return waiting
+}
+
 // send sends a digest to the local recipients. A reader also sends its zone's totals to the readers of other zones.
 func (f *Fleet) send(loads map[string]placement.Load, now time.Time) {
 	f.mu.Lock()
@@ -313,6 +326,9 @@
 		localDigest.Changes = append(localDigest.Changes, change.change)
 	}
 	localDigest.VMCount = 1
+	if f.options.Table.HasWaiting() {
+		localDigest.WaitingVMs = 1
+	}
 	localDigest.Loads = packLoads(loads)
 	crossZoneDigest := localDigest // copied before OtherZones is filled, which is only for local recipients
 	if reader {
@@ -321,6 +337,7 @@
 		}
 		crossZoneDigest.ZoneTotal = true
 		crossZoneDigest.VMCount = f.zoneSize(now)
+		crossZoneDigest.WaitingVMs += f.waitingPeers(now)
 		crossZoneDigest.Loads = packLoads(f.totalZoneLoads(loads))
 	}
 	f.mu.Unlock()
@@ -421,7 +438,7 @@
 func (f *Fleet) handleDigest(received *digest, now time.Time) {
 	loads := unpackLoads(received.Loads)
 	f.mu.Lock()
-	f.peers[received.VM] = &peer{zone: received.Zone, heardAt: now, sequence: received.Sequence, reader: received.Reader, zoneTotal: received.ZoneTotal, loads: loads}
+	f.peers[received.VM] = &peer{zone: received.Zone, heardAt: now, sequence: received.Sequence, reader: received.Reader, zoneTotal: received.ZoneTotal, waitingVMs: received.WaitingVMs, loads: loads}
 	if received.ZoneTotal {
 		f.zones[received.Zone] = &peer{heardAt: now, vmCount: received.VMCount, loads: loads}
 	}
@@ -441,6 +458,7 @@
 		sender.VM = ""
 	}
 	f.options.Table.SetPeerLoads(sender, loads, now)
+	f.options.Table.SetPeerWaiting(sender, received.WaitingVMs)
 	for _, zone := range received.OtherZones {
 		f.options.Table.SetPeerLoads(placement.Sender{Zone: zone.Zone}, unpackLoads(zone.Loads), now)
 	}
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -37,7 +37,8 @@
 	// prefillObjectiveShare is the part of the latency objective that the prefill backlog of an engine may take.
 	prefillObjectiveShare = 0.6
 	// copyMemoryLimit and moveMemoryLimit are the shares of an engine's memory up to which it accepts copies, and
-	// generations that move.
+	// generations that move. Copies are also refused once all engines together use more than copyMemoryLimit: soon new
+	// generations would need the memory.
 	copyMemoryLimit = 0.6
 	moveMemoryLimit = 0.95
 	// crossZoneTransferWeight scales the weight of engines in other zones, to which transfers take twice as long.
@@ -147,6 +148,9 @@
 // with the most free memory would overfill it. Each engine replaces the one drawn before it with the probability
 // weight/total, so that one pass draws in proportion to the weights.
 func (t *Table) drawTransferTarget(s *service, q *Query, now time.Time) (drawn *target, candidates int) {
+	if q.Copy && s.memoryUse(q, now) > copyMemoryLimit {
+		return nil, len(s.targets)
+	}
 	total := 0.0
 	for _, candidate := range s.targets {
 		if q.excludes(candidate.ID) || !candidate.canTakeWork(now) {
@@ -165,6 +169,21 @@
 	return drawn, candidates
 }
 
+// memoryUse returns the share of the memory of all engines that can take work that is in use.
+func (s *service) memoryUse(q *Query, now time.Time) float64 {
+	used, usable := 0, 0
+	for _, member := range s.targets {
+		if member.canTakeWork(now) {
+			used += member.ownLoad.MemoryTokens + member.peerLoad.MemoryTokens
+			usable++
+		}
+	}
+	if usable == 0 {
+		return 1
+	}
+	return float64(used) / float64(usable*q.MemoryTokens)
+}
+
 // transferWeight returns the engine's free memory in tokens, scaled down in other zones; zero if the generation
 // does not fit.
 func (t *target) transferWeight(q *Query) float64 {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -166,6 +166,8 @@
 type peerReport struct {
 	receivedAt time.Time
 	loads      map[string]Load
+	// waitingVMs is the number of VMs of the report where requests wait for capacity.
+	waitingVMs int
 }
 
 // peerLoadTTL is how long a peer's report counts; a stopped VM sends no more reports.
@@ -257,6 +259,16 @@
 	t.wakeWaiters()
 }
 
+// SetPeerWaiting records how many of the VMs that the peer's last report covers have requests that wait for capacity.
+func (t *Table) SetPeerWaiting(peer Sender, waitingVMs int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if report, found := t.peerLoads[peer]; found {
+		report.waitingVMs = waitingVMs
+		t.peerLoads[peer] = report
+	}
+}
+
 // removePeer subtracts the loads that a peer reported. The caller holds the lock, also for addPeerLoads. Reports
 // arrive many times a second, so each one updates the sums instead of adding up all peers again.
 func (t *Table) removePeer(sender Sender) {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -138,6 +138,84 @@
 	}
 }
 
+// TestWaitingVMsTakeTurns plays twenty VMs whose requests wait for memory when one engine gets room for one of them. The
+// VMs learn of it at the same moment and of each other's placements 10 ms later. If all took the room, the engine would
+// preempt generations for seconds.
+func TestWaitingVMsTakeTurns(t *testing.T) {
+	const vms, reportDelay = 20, 10 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		names := make([]Sender, vms)
+		tables := make([]*Table, vms)
+		placed := make(chan int, vms)
+		report := func(from int) {
+			loads := tables[from].OwnLoads()
+			for to, table := range tables {
+				if to != from {
+					table.SetPeerLoads(names[from], loads, time.Now())
+					table.SetPeerWaiting(names[from], 1)
+				}
+			}
+		}
+		full, room := map[string]Load{"e1": {Requests: 5, MemoryTokens: 17000}}, map[string]Load{"e1": {Requests: 4, MemoryTokens: 13500}}
+		others := Sender{VM: "others", Zone: zoneA}
+		for vm := range tables {
+			names[vm] = Sender{VM: fmt.Sprintf("vm-%d", vm), Zone: zoneA}
+			tables[vm] = newTestTable(names[vm].VM, uint64(vm), engine("e1", zoneA))
+			tables[vm].SetPeerLoads(others, full, time.Now())
+		}
+		for vm := range tables {
+			report(vm)
+		}
+		for vm, table := range tables {
+			go func() {
+				if _, err := table.Acquire(t.Context(), engineQuery(2500), 500*time.Millisecond); err == nil {
+					placed <- vm
+				}
+			}()
+		}
+		synctest.Wait()
+		for _, table := range tables {
+			table.SetPeerLoads(others, room, time.Now())
+		}
+		taken := 0
+		timeout := time.After(time.Second)
+		for waiting := true; waiting; {
+			select {
+			case vm := <-placed:
+				taken++
+				time.AfterFunc(reportDelay, func() { report(vm) })
+			case <-timeout:
+				waiting = false
+			}
+		}
+		require.Positive(t, taken)
+		require.LessOrEqual(t, taken, 3)
+	})
+}
+
+// TestCopiesYieldToGenerations checks that no copy takes the memory of an empty engine while the engines together are
+// short of memory for new generations.
+func TestCopiesYieldToGenerations(t *testing.T) {
+	for name, c := range map[string]struct {
+		used    int
+		refused bool
+	}{"memory to spare": {9000, false}, "memory is short": {18000, true}} {
+		t.Run(name, func(t *testing.T) {
+			table := newTestTable("vm-1", 1, engine("e1", zoneA), engine("e2", zoneA), engine("e3", zoneA), engine("e4", zoneA))
+			load := Load{Requests: 3, MemoryTokens: c.used}
+			table.SetPeerLoads(Sender{VM: "vm-2", Zone: zoneA}, map[string]Load{"e1": load, "e2": load, "e3": load}, startTime)
+			q := engineQuery(3000)
+			q.Copy = true
+			_, err := table.Pick(q, startTime)
+			require.Equal(t, c.refused, err != nil)
+			q.Copy = false
+			lease, err := table.Pick(q, startTime)
+			require.NoError(t, err)
+			require.Equal(t, "e4", lease.Target.ID)
+		})
+	}
+}
+
 // TestConcurrentMovesSpread has thirty VMs choose a move destination at the same moment from the same view, as when
 // an engine leaves. No engine may be assigned more than 4/3 of its memory.
 func TestConcurrentMovesSpread(t *testing.T) {
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"godwitcart/internal/apierror"
+	"godwitcart/internal/pause"
 )
 
 const (
@@ -14,6 +15,8 @@
 	defaultGrantInterval = 50 * time.Millisecond
 	// grantIntervalWeight is the weight of one wait in the moving average.
 	grantIntervalWeight = 0.2
+	// turnTime is about the time until the other VMs know of a placement.
+	turnTime = 25 * time.Millisecond
 )
 
 // queue holds the requests of a service that wait for capacity, ordered by priority and then by arrival. It
@@ -49,6 +52,7 @@
 		}
 		select {
 		case <-changed:
+			pause.For(ctx, min(t.turnWait(), maxWait))
 		case <-timer.C:
 			return nil, err
 		case <-ctx.Done():
@@ -76,7 +80,11 @@
 		return nil, nil, apierror.Newf(apierror.KindOverloaded, "come back after the time given",
 			"%d requests wait for room at service %q, about %d ms, before this one of %d tokens", ahead, q.Service, expected.Milliseconds(), q.memory())
 	}
-	return nil, s.queue.insert(q.Priority, now), nil
+	w := s.queue.insert(q.Priority, now)
+	if t.onLoadChange != nil && len(s.queue.waiting) == 1 {
+		t.onLoadChange()
+	}
+	return nil, w, nil
 }
 
 // pickIfFirst picks a target if the waiter is first in the queue; otherwise, or if the pick fails, it returns the
@@ -96,21 +104,50 @@
 	return lease, nil, nil
 }
 
+// HasWaiting reports whether requests of this VM wait for capacity.
+func (t *Table) HasWaiting() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.hasWaiting()
+}
+
+func (t *Table) hasWaiting() bool {
+	for _, s := range t.services {
+		if len(s.queue.waiting) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// turnWait returns a random wait before a waiting request looks for capacity that has become free. All VMs learn of it
+// at the same moment; if each took it at once, one engine would receive the requests of all. The more VMs have waiting
+// requests, the longer the wait, so that each sees what the one before it has placed.
+func (t *Table) turnWait() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	others := 0
+	for _, report := range t.peerLoads {
+		others += report.waitingVMs
+	}
+	return time.Duration(t.random.Float64() * float64(others) * float64(turnTime))
+}
+
 func (t *Table) dequeue(service string, w *waiter) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.services[service].queue.remove(w, time.Now())
+	if t.onLoadChange != nil && !t.hasWaiting() {
+		t.onLoadChange()
+	}
 	t.wakeWaiters()
 }
 
 // wakeWaiters signals the waiters of all services. The caller holds the lock.
 func (t *Table) wakeWaiters() {
-	for _, s := range t.services {
-		if len(s.queue.waiting) > 0 {
-			close(t.capacityChanged)
-			t.capacityChanged = make(chan struct{})
-			return
-		}
+	if t.hasWaiting() {
+		close(t.capacityChanged)
+		t.capacityChanged = make(chan struct{})
 	}
 }
 
