forward, upstream: give up connects early and say 503 where nothing was sent

Cause: while a zone is cut, a request to a target there waited a second for its connect, or until its timeout, and ended with 504, which its caller may not repeat, though nothing had been sent and a target of its own zone was free. At the deadline the answer is 503, not run, unless an attempt may have run.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -181,19 +181,22 @@
 	return x.route.Idempotent || x.route.Streaming && x.route.Resumable
 }
 
-// finalError returns the error that the caller receives after the last attempt.
+// finalError returns the error that the caller receives after the last attempt. It says "not run" only if no attempt
+// can have run, also at the deadline: the caller may then repeat a call that may run only once.
 func (x *exchange) finalError(ctx context.Context, err error) error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return apierror.Wrap(err, apierror.KindDeadlineExceeded, "the time for the request is over", "send it again with more time")
-	}
 	var failure *attemptError
-	if !errors.As(err, &failure) && !x.mayHaveRun {
+	attempted := errors.As(err, &failure)
+	x.mayHaveRun = x.mayHaveRun || attempted && !failure.notRun
+	if !attempted && !x.mayHaveRun {
 		return err
 	}
-	if x.mayHaveRun {
-		return apierror.Wrap(err, apierror.KindOutcomeUnknown, "the request was sent and its answer was not received", "repeat it if running it twice is harmless")
+	if !x.mayHaveRun {
+		return apierror.Wrap(err, apierror.KindNotRun, "no target took the request; it did not run", "come back after the time given").WithRetryAfter(refusedRetryAfter)
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return apierror.Wrap(err, apierror.KindDeadlineExceeded, "the time for the request is over", "send it again with more time")
 	}
-	return apierror.Wrap(err, apierror.KindNotRun, "no target took the request; it did not run", "come back after the time given").WithRetryAfter(refusedRetryAfter)
+	return apierror.Wrap(err, apierror.KindOutcomeUnknown, "the request was sent and its answer was not received", "repeat it if running it twice is harmless")
 }
 
 // serveBuffered serves a call whose response is buffered until it is complete.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -22,8 +22,6 @@
 )
 
 const (
-	// connectTimeout bounds the connect; the round trip to a target takes a few milliseconds at most.
-	connectTimeout = time.Second
 	// unackedTimeout bounds how long sent bytes may stay unacknowledged before the target counts as unreachable.
 	unackedTimeout = 3 * time.Second
 	// keepAliveIdle, keepAliveInterval and keepAliveCount configure TCP keep-alive, which detects dead connections.
@@ -53,16 +51,16 @@
 
 // Client sends requests to targets and pools idle connections. It is safe for concurrent use.
 type Client struct {
-	dialer net.Dialer
-	mu     sync.Mutex
-	idle   map[string][]*conn
+	dialer   net.Dialer
+	connects connectTimer
+	mu       sync.Mutex
+	idle     map[string][]*conn
 }
 
 // NewClient returns a client with an empty pool.
 func NewClient() *Client {
 	return &Client{
 		dialer: net.Dialer{
-			Timeout: connectTimeout,
 			Control: setUnackedTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{
 				Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
@@ -258,13 +256,25 @@
 			return connection, nil
 		}
 	}
-	tcpConn, err := c.dialer.DialContext(ctx, "tcp4", address)
+	tcpConn, err := c.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
 	return &conn{Conn: tcpConn, reader: bufio.NewReaderSize(tcpConn, bufferSize), writer: bufio.NewWriterSize(tcpConn, bufferSize)}, nil
 }
 
+// dial opens a connection within the timeout of the connectTimer.
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+	bounded, cancel := context.WithTimeout(ctx, c.connects.timeout())
+	defer cancel()
+	startedAt := time.Now()
+	tcpConn, err := c.dialer.DialContext(bounded, "tcp4", address)
+	if err == nil {
+		c.connects.observe(time.Since(startedAt))
+	}
+	return tcpConn, err
+}
+
 // takeIdle removes the most recently used connection that is still usable from the pool; nil if there is none.
 func (c *Client) takeIdle(address string) *conn {
 	for {
