--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,7 @@
 	"godwitcart/internal/retrybudget"
 	"godwitcart/internal/roster"
 	"godwitcart/internal/settings"
+	"godwitcart/internal/targetlimit"
 	"godwitcart/internal/trail"
 	"godwitcart/internal/upstream"
 	"godwitcart/platform"
@@ -65,6 +66,7 @@
 	store     *platform.Store
 	client    *upstream.Client
 	trail     *trail.Recorder
+	limits    *targetlimit.Ledger
 	// fleet is nil if the settings name no port for load digests.
 	fleet *fleet.Fleet
 
@@ -82,6 +84,7 @@
 	e.settings.Store(s)
 	e.store = platform.NewStore(s.Platform.Address, platform.ShortWatchWait)
 	e.table = placement.NewTable(placement.Options{Self: placement.Sender{VM: s.VM.Name, Zone: s.VM.Zone}, OnLoadChange: e.sendDigestNow, Seed: nameSeed(s.VM.Name)})
+	e.limits = targetlimit.NewLedger(targetlimit.Options{VM: s.VM.Name, Logger: logger, Changed: e.sendDigestNow})
 	e.budget = retrybudget.New(s.Bounds.RetryRatio*usableBudgetShare, initialRetrySlack(s))
 	e.poller = inforce.NewPoller(inforce.Options{
 		Reader: e.store, Logger: logger, InForceWithin: s.Bounds.ConfigurationDelay(), RevokedWithin: s.Bounds.RevocationDelay(),
@@ -89,7 +92,7 @@
 	})
 	e.forwarder = forward.New(forward.Options{
 		Codec: platform.Codec{}, Mover: platform.NewMover(e.client), Poller: e.poller, Table: e.table, Client: e.client,
-		Budget: e.budget, Lengths: lengths.NewEstimator(0), Logger: logger, Trail: e.trail, Zone: s.VM.Zone, Stopping: e.stopping,
+		Budget: e.budget, Lengths: lengths.NewEstimator(0), Limits: e.limits, Logger: logger, Trail: e.trail, Zone: s.VM.Zone, Stopping: e.stopping,
 		MaxConfigurationAge: s.Bounds.ConfigurationDelay(),
 	})
 	e.follower = roster.NewFollower(roster.Options{
@@ -116,7 +119,9 @@
 
 // TargetsListed implements roster.Listener.
 func (e *Entry) TargetsListed(targets map[string]roster.Target) {
-	e.table.ReplaceTargets(targets, time.Now())
+	now := time.Now()
+	e.limits.Retain(targets, now)
+	e.table.ReplaceTargets(targets, now)
 }
 
 // TargetLeaving implements roster.Listener.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -119,11 +119,15 @@
 	request := x.options.Codec.NewRequest(x.call, attempt)
 	// An idle connection may turn out to be closed by the target; then it is unknown whether the call has run.
 	freshConnection := !x.route.Idempotent && !x.route.Resumable
+	sentAt := time.Now()
 	response, err := x.options.Client.Do(ctx, lease.Target.Address, request, x.call.Body, freshConnection)
 	if err != nil {
 		return nil, x.classifyError(ctx, err)
 	}
 	verdict := x.options.Codec.CheckResponse(x.call, response.Response)
+	if verdict.Limit != nil {
+		x.options.Limits.Observe(lease.Target, *verdict.Limit, sentAt, time.Now())
+	}
 	switch {
 	case verdict.WrongTarget:
 		response.Close(true)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -18,6 +18,7 @@
 	"godwitcart/internal/placement"
 	"godwitcart/internal/policy"
 	"godwitcart/internal/retrybudget"
+	"godwitcart/internal/targetlimit"
 	"godwitcart/internal/trail"
 	"godwitcart/internal/upstream"
 )
@@ -31,6 +32,7 @@
 	Client  *upstream.Client
 	Budget  *retrybudget.Budget
 	Lengths *lengths.Estimator
+	Limits  *targetlimit.Ledger
 	Logger  *log.Logger
 	// Trail keeps the log lines of recent requests for operators' queries.
 	Trail *trail.Recorder
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"godwitcart/internal/roster"
+	"godwitcart/internal/targetlimit"
 )
 
 // Call is one attempt of a caller, as parsed by the Codec.
@@ -75,6 +76,8 @@
 	WrongTarget bool
 	// Mismatched is true if the response belongs to another request or was not made by the target.
 	Mismatched bool
+	// Limit is what the target says about its request limit; nil if the response does not tell.
+	Limit *targetlimit.Statement
 }
 
 // Codec translates between HTTP messages and calls.
--- /dev/null
+++ b/internal/targetlimit/ledger.go
@@ -0,0 +1,200 @@
+// Package targetlimit keeps the request limits that targets name in their answers: the requests a second that a target
+// takes from all entry VMs together.
+//
+// Invariants: the newest statement about an incarnation of a target counts, whoever received it; an answer ends a limit
+// only if its request was sent after the limit was stated; an incarnation that has stated nothing has no limit.
+package targetlimit
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rcrowley/go-metrics"
+
+	"godwitcart/internal/roster"
+)
+
+const (
+	// announceTime is how long a VM repeats what it learned from an answer. Some datagrams are lost.
+	announceTime = 2 * time.Second
+	// endedLimitTTL is how long the end of a limit is remembered, so that an outdated statement does not restore it.
+	endedLimitTTL = 10 * time.Second
+)
+
+// Statement is what one answer of a target says about its limit.
+type Statement struct {
+	// Limited is false if the answer names no limit.
+	Limited bool
+	// PerSecond is the number of requests a second that the target takes from all entry VMs together.
+	PerSecond float64
+}
+
+// Incarnation identifies one run of a target.
+type Incarnation struct {
+	ID        string
+	StartedAt int64
+}
+
+// IncarnationOf returns the identity of the target's run.
+func IncarnationOf(target roster.Target) Incarnation {
+	return Incarnation{ID: target.ID, StartedAt: target.StartedAt}
+}
+
+// Announcement is a statement of a target as one VM tells it to others.
+type Announcement struct {
+	Target Incarnation
+	Statement
+	// Age is the time since the statement.
+	Age time.Duration
+}
+
+// Options configures a Ledger.
+type Options struct {
+	// VM is the name of this entry VM.
+	VM     string
+	Logger *log.Logger
+	// Changed is called when this VM has learned something from an answer that other VMs should know at once. It must
+	// not block.
+	Changed func()
+}
+
+// Ledger holds what one VM knows about the limits of targets. It is safe for concurrent use.
+type Ledger struct {
+	options Options
+	metrics *ledgerMetrics
+	// limitCount is the number of limits in force. Requests to targets without a limit take no lock.
+	limitCount atomic.Int64
+
+	mu     sync.Mutex
+	limits map[Incarnation]*limit
+}
+
+// limit is the newest statement about one incarnation.
+type limit struct {
+	Statement
+	// statedAt is when the statement was made: at the latest for a limit, at the earliest for its end.
+	statedAt time.Time
+	// observedAt is when this VM last received such an answer itself; zero for never.
+	observedAt time.Time
+	// source is the VM that received the answer.
+	source string
+}
+
+// NewLedger returns a Ledger without limits.
+func NewLedger(options Options) *Ledger {
+	return &Ledger{options: options, metrics: newLedgerMetrics(), limits: make(map[Incarnation]*limit)}
+}
+
+// Active reports whether a target has a limit in force.
+func (l *Ledger) Active() bool { return l.limitCount.Load() > 0 }
+
+// Observe records what the answer to a request says; sentAt is when this VM sent the request.
+func (l *Ledger) Observe(target roster.Target, said Statement, sentAt, now time.Time) {
+	if !said.Limited && !l.Active() {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	statedAt := now
+	if !said.Limited {
+		statedAt = sentAt
+	}
+	accepted, changed := l.record(IncarnationOf(target), said, statedAt, l.options.VM, now)
+	if accepted {
+		l.limits[IncarnationOf(target)].observedAt = now
+	}
+	if changed && l.options.Changed != nil {
+		l.options.Changed()
+	}
+}
+
+// Hear records the announcements of another VM.
+func (l *Ledger) Hear(vm string, announcements []Announcement, now time.Time) {
+	if len(announcements) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, heard := range announcements {
+		l.record(heard.Target, heard.Statement, now.Add(-heard.Age), vm, now)
+	}
+}
+
+// record replaces the known statement unless it is newer. The end of a limit that is not known is not recorded. The
+// caller holds mu.
+func (l *Ledger) record(target Incarnation, said Statement, statedAt time.Time, source string, now time.Time) (accepted, changed bool) {
+	known := l.limits[target]
+	if known == nil && !said.Limited || known != nil && statedAt.Before(known.statedAt) {
+		return false, false
+	}
+	if known == nil {
+		known = &limit{}
+		l.limits[target] = known
+	}
+	changed = known.Statement != said
+	if said.Limited != known.Limited {
+		l.countLimit(said.Limited)
+	}
+	known.Statement, known.statedAt, known.source = said, statedAt, source
+	if changed {
+		l.logChange(target, known, now)
+	}
+	return true, changed
+}
+
+func (l *Ledger) countLimit(inForce bool) {
+	delta := int64(-1)
+	if inForce {
+		delta = 1
+	}
+	l.metrics.limits.Update(l.limitCount.Add(delta))
+}
+
+func (l *Ledger) logChange(target Incarnation, known *limit, now time.Time) {
+	message := "target named a request limit"
+	if !known.Limited {
+		message = "target ended its request limit"
+	}
+	l.options.Logger.Info(message, "target", target.ID, "per_second", known.PerSecond, "source", known.source, "age_ms", now.Sub(known.statedAt).Milliseconds())
+}
+
+// Announcements returns the statements that this VM tells the others: those that it received itself lately and, with
+// relay, all limits in force.
+func (l *Ledger) Announcements(relay bool, now time.Time) []Announcement {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var announcements []Announcement
+	for target, known := range l.limits {
+		isRecent := !known.observedAt.IsZero() && now.Sub(known.observedAt) <= announceTime
+		if isRecent || relay && known.Limited {
+			announcements = append(announcements, Announcement{Target: target, Statement: known.Statement, Age: now.Sub(known.statedAt)})
+		}
+	}
+	return announcements
+}
+
+// Retain drops the limits of incarnations that are no longer listed, and ends of limits that are no longer needed.
+func (l *Ledger) Retain(listed map[string]roster.Target, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for target, known := range l.limits {
+		current, found := listed[target.ID]
+		isListed := found && IncarnationOf(current) == target
+		if isListed && (known.Limited || now.Sub(known.statedAt) <= endedLimitTTL) {
+			continue
+		}
+		if known.Limited {
+			l.countLimit(false)
+		}
+		delete(l.limits, target)
+	}
+}
+
+// ledgerMetrics are the metrics of a Ledger.
+type ledgerMetrics struct{ limits metrics.Gauge }
+
+func newLedgerMetrics() *ledgerMetrics {
+	return &ledgerMetrics{limits: metrics.GetOrRegisterGauge("targetlimit.limits", nil)}
+}
