--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -83,8 +83,8 @@
 	e := &Entry{logger: logger, startedAt: time.Now(), shutdownStarted: make(chan struct{}), client: upstream.NewClient(), trail: trail.New()}
 	e.settings.Store(s)
 	e.store = platform.NewStore(s.Platform.Address, platform.ShortWatchWait)
-	e.table = placement.NewTable(placement.Options{Self: placement.Sender{VM: s.VM.Name, Zone: s.VM.Zone}, OnLoadChange: e.sendDigestNow, Seed: nameSeed(s.VM.Name)})
-	e.limits = targetlimit.NewLedger(targetlimit.Options{VM: s.VM.Name, Logger: logger, Changed: e.sendDigestNow})
+	e.limits = targetlimit.NewLedger(targetlimit.Options{VM: s.VM.Name, Logger: logger, Changed: e.sendDigestNow, Transmit: e.transmitPlace, PlaceFree: e.retryWaiting})
+	e.table = placement.NewTable(placement.Options{Self: placement.Sender{VM: s.VM.Name, Zone: s.VM.Zone}, OnLoadChange: e.sendDigestNow, Limits: e.limits, Seed: nameSeed(s.VM.Name)})
 	e.budget = retrybudget.New(s.Bounds.RetryRatio*usableBudgetShare, initialRetrySlack(s))
 	e.poller = inforce.NewPoller(inforce.Options{
 		Reader: e.store, Logger: logger, InForceWithin: s.Bounds.ConfigurationDelay(), RevokedWithin: s.Bounds.RevocationDelay(),
@@ -275,6 +275,7 @@
 func (e *Entry) startFleet(ctx context.Context, group *errgroup.Group) error {
 	s := e.settings.Load()
 	if s.Peers.Port == 0 {
+		e.limits.SetCoordination(targetlimit.Elect(s.VM.Name, nil, 1), time.Now())
 		return nil
 	}
 	ownAddress, err := netip.ParseAddr(s.VM.Address)
@@ -289,7 +290,7 @@
 	self := fleet.Member{Name: s.VM.Name, Zone: s.VM.Zone, Address: address}
 	e.fleet = fleet.New(fleet.Options{
 		Self: self, Table: e.table, Configuration: e.poller, Conn: conn, Logger: e.logger, SizeChanged: e.updateRetrySlack, TargetChanged: e.follower.QueuePeerChange,
-		InForceWithin: s.Bounds.ConfigurationDelay(),
+		InForceWithin: s.Bounds.ConfigurationDelay(), Limits: e.limits,
 	})
 	directory := &fleet.Directory{Store: e.store.WithStaleReads(platform.LongWatchWait), Self: self, Logger: e.logger, Changed: e.fleet.SetMembers}
 	group.Go(func() error { return directory.Run(ctx) })
@@ -318,6 +319,16 @@
 	}
 }
 
+// transmitPlace sends a message about a place at a limited target to another entry VM.
+func (e *Entry) transmitPlace(vm string, message targetlimit.Message) {
+	if e.fleet != nil {
+		e.fleet.SendPlace(vm, message)
+	}
+}
+
+// retryWaiting makes the requests that wait for a place at a limited target try again after the given time.
+func (e *Entry) retryWaiting(after time.Duration) { time.AfterFunc(after, e.table.PlaceFree) }
+
 // updateRetrySlack divides the retry slack among all known entry VMs.
 func (e *Entry) updateRetrySlack(size fleet.Size) {
 	slack := e.settings.Load().Bounds.RetrySlack * usableBudgetShare / float64(size.Known)
--- a/internal/entry/limit_test.go
+++ b/internal/entry/limit_test.go
@@ -116,8 +116,10 @@
 			}
 			callers.Wait()
 			arrivals := limited.Arrivals()
+			t.Logf("%d requests in all, at most %d in a window", len(arrivals), mostInWindow(arrivals, arrivals[0].Add(limitContact)))
 			require.NotEmpty(t, arrivals)
 			allowed := perSecond*limitFactor*limitWindow.Seconds() + limitAllowance
+			require.Greater(t, len(arrivals), int(perSecond), "the target is hardly used")
 			require.LessOrEqual(t, float64(mostInWindow(arrivals, arrivals[0].Add(limitContact))), allowed)
 		})
 	}
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -33,6 +33,12 @@
 	OtherZones []zoneLoads `msgpack:"o,omitempty"`
 	// Changes are the recent changes of targets that the sender has read from the platform.
 	Changes []targetChange `msgpack:"t,omitempty"`
+	// Limits are the request limits of targets that the sender knows of, and LimitCoordinator is the rank of the VM that
+	// it takes as their coordinator.
+	Limits           []limitAnnouncement `msgpack:"m,omitempty"`
+	LimitCoordinator uint32              `msgpack:"k,omitempty"`
+	// Place is a message about one place at a limited target. A digest with such a message carries nothing else.
+	Place *placeMessage `msgpack:"q,omitempty"`
 }
 
 type targetLoads struct {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -85,6 +85,8 @@
 	InForceWithin time.Duration
 	// TargetChanged is called with each change of a target that a peer has announced.
 	TargetChanged func(target roster.Target)
+	// Limits keeps the request limits of targets; nil means that digests carry none.
+	Limits Limits
 }
 
 // Size is the number of entry VMs, including this one.
@@ -108,6 +110,8 @@
 	// waitingVMs is the number of those VMs where requests wait for capacity.
 	waitingVMs int
 	loads      map[string]placement.Load
+	// limitCoordinator is the rank of the VM that the peer takes as coordinator of request limits; zero for none.
+	limitCoordinator uint32
 }
 
 // Fleet exchanges digests with the other entry VMs. It is safe for concurrent use.
@@ -127,6 +131,7 @@
 	readerHeardAt time.Time
 	size          Size
 	wake          chan struct{}
+	places        chan outgoingPlace
 }
 
 type recentChange struct {
@@ -138,7 +143,7 @@
 func New(options Options) *Fleet {
 	return &Fleet{
 		options: options, peers: make(map[string]*peer),
-		zones: make(map[string]*peer), wake: make(chan struct{}, 1),
+		zones: make(map[string]*peer), wake: make(chan struct{}, 1), places: make(chan outgoingPlace, maxQueuedPlaces),
 	}
 }
 
@@ -212,6 +217,10 @@
 	stop := context.AfterFunc(ctx, func() { f.options.Conn.Close() })
 	defer stop()
 	go f.receive(ctx)
+	if f.options.Limits != nil {
+		go f.coordinateLimits(ctx)
+		go f.sendPlaces(ctx)
+	}
 	var lastLoads map[string]placement.Load
 	var sentAt time.Time
 	for {
@@ -330,6 +339,7 @@
 		localDigest.WaitingVMs = 1
 	}
 	localDigest.Loads = packLoads(loads)
+	f.addLimits(&localDigest, reader, now)
 	crossZoneDigest := localDigest // copied before OtherZones is filled, which is only for local recipients
 	if reader {
 		for name, zone := range f.zones {
@@ -370,7 +380,7 @@
 func (f *Fleet) recipients(now time.Time, reader bool) (local, crossZone []Member) {
 	otherZones := make(map[string][]Member)
 	for _, member := range f.members {
-		if member.Zone == f.options.Self.Zone || len(f.members) < maxMeshSize {
+		if member.Zone == f.options.Self.Zone || f.isMesh() {
 			local = append(local, member)
 		} else if reader {
 			otherZones[member.Zone] = append(otherZones[member.Zone], member)
@@ -382,6 +392,9 @@
 	return local, crossZone
 }
 
+// isMesh reports whether all entry VMs exchange digests directly. The caller holds mu.
+func (f *Fleet) isMesh() bool { return len(f.members) < maxMeshSize }
+
 // readersAmong returns the live readers among the VMs of a zone or, while none is known, the readerCandidates VMs with
 // the highest ranks. The caller holds mu.
 func (f *Fleet) readersAmong(members []Member, now time.Time) []Member {
@@ -430,6 +443,10 @@
 			f.options.Logger.Warn("digest ignored", "bytes", n, "error", err)
 			continue
 		}
+		if in.Place != nil {
+			f.handlePlace(in, time.Now())
+			continue
+		}
 		f.handleDigest(in, time.Now())
 	}
 }
@@ -438,7 +455,7 @@
 func (f *Fleet) handleDigest(received *digest, now time.Time) {
 	loads := unpackLoads(received.Loads)
 	f.mu.Lock()
-	f.peers[received.VM] = &peer{zone: received.Zone, heardAt: now, sequence: received.Sequence, reader: received.Reader, zoneTotal: received.ZoneTotal, waitingVMs: received.WaitingVMs, loads: loads}
+	f.peers[received.VM] = &peer{zone: received.Zone, heardAt: now, sequence: received.Sequence, reader: received.Reader, zoneTotal: received.ZoneTotal, waitingVMs: received.WaitingVMs, loads: loads, limitCoordinator: received.LimitCoordinator}
 	if received.ZoneTotal {
 		f.zones[received.Zone] = &peer{heardAt: now, vmCount: received.VMCount, loads: loads}
 	}
@@ -469,6 +486,7 @@
 	for _, change := range received.Changes {
 		f.options.TargetChanged(change.target())
 	}
+	f.hearLimits(received, now)
 }
 
 // storeZone records the loads of another zone, as relayed by a reader. The caller holds mu.
--- /dev/null
+++ b/internal/fleet/limits.go
@@ -0,0 +1,173 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"godwitcart/internal/pause"
+	"godwitcart/internal/targetlimit"
+)
+
+const (
+	// coordinationInterval is the time between two checks of who coordinates the request limits.
+	coordinationInterval = 100 * time.Millisecond
+	// maxQueuedPlaces limits the messages about places that wait to be sent. What does not fit is lost like a datagram.
+	maxQueuedPlaces = 256
+)
+
+// Limits keeps the request limits of targets. Its methods do not block.
+type Limits interface {
+	// Active reports whether a target has a limit in force.
+	Active() bool
+	Announcements(relay bool, now time.Time) []targetlimit.Announcement
+	Hear(vm string, announcements []targetlimit.Announcement, now time.Time)
+	SetCoordination(coordination targetlimit.Coordination, now time.Time)
+	HandleMessage(vm string, message targetlimit.Message, now time.Time)
+}
+
+type limitAnnouncement struct {
+	//lint:ignore U1000 the codec reads its tag
+	_msgpack  struct{} `msgpack:",as_array"`
+	Target    string
+	StartedAt int64
+	Limited   bool
+	PerSecond float64
+	AgeMillis int64
+}
+
+// placeMessage is a targetlimit.Ask or, with IsAnswer, a targetlimit.Answer.
+type placeMessage struct {
+	//lint:ignore U1000 the codec reads its tag
+	_msgpack  struct{} `msgpack:",as_array"`
+	Target    string
+	StartedAt int64
+	Number    uint32
+	IsAnswer  bool
+	// Positive is Ask.Urgent or Answer.Granted, and Millis is Ask.Patience or Answer.Wait.
+	Positive bool
+	Millis   int64
+}
+
+type outgoingPlace struct {
+	vm      string
+	message placeMessage
+}
+
+// coordinateLimits keeps the coordination of Options.Limits up to date until ctx is done.
+func (f *Fleet) coordinateLimits(ctx context.Context) {
+	for pause.For(ctx, coordinationInterval) {
+		if f.options.Limits.Active() {
+			now := time.Now()
+			f.options.Limits.SetCoordination(f.coordination(now), now)
+		}
+	}
+}
+
+func (f *Fleet) coordination(now time.Time) targetlimit.Coordination {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.electCoordinator(now)
+}
+
+// electCoordinator returns the coordination among the live VMs with which this VM exchanges digests directly. The
+// caller holds mu.
+func (f *Fleet) electCoordinator(now time.Time) targetlimit.Coordination {
+	if f.members == nil {
+		return targetlimit.Coordination{}
+	}
+	var peers []targetlimit.Peer
+	for name, remote := range f.peers {
+		if now.Sub(remote.heardAt) <= peerTimeout && (f.isMesh() || remote.zone == f.options.Self.Zone) {
+			peers = append(peers, targetlimit.Peer{Name: name, Coordinator: remote.limitCoordinator})
+		}
+	}
+	return targetlimit.Elect(f.options.Self.Name, peers, max(1+len(f.members), 1+len(peers), f.size.Known))
+}
+
+// addLimits adds the known limits to a digest, and the coordinator that this VM takes. The caller holds mu.
+func (f *Fleet) addLimits(out *digest, reader bool, now time.Time) {
+	if f.options.Limits == nil {
+		return
+	}
+	coordinator := ""
+	if f.options.Limits.Active() {
+		coordinator = f.electCoordinator(now).Coordinator
+	}
+	if coordinator != "" {
+		out.LimitCoordinator = targetlimit.Rank(coordinator)
+	}
+	relay := reader || coordinator == f.options.Self.Name
+	for _, known := range f.options.Limits.Announcements(relay, now) {
+		out.Limits = append(out.Limits, limitAnnouncement{
+			Target: known.Target.ID, StartedAt: known.Target.StartedAt, Limited: known.Limited, PerSecond: known.PerSecond,
+			AgeMillis: known.Age.Milliseconds(),
+		})
+	}
+}
+
+// hearLimits passes on the limits in a peer's digest.
+func (f *Fleet) hearLimits(received *digest, now time.Time) {
+	if f.options.Limits == nil || len(received.Limits) == 0 {
+		return
+	}
+	heard := make([]targetlimit.Announcement, len(received.Limits))
+	for i, limit := range received.Limits {
+		heard[i] = targetlimit.Announcement{
+			Target:    targetlimit.Incarnation{ID: limit.Target, StartedAt: limit.StartedAt},
+			Statement: targetlimit.Statement{Limited: limit.Limited, PerSecond: limit.PerSecond},
+			Age:       time.Duration(limit.AgeMillis) * time.Millisecond,
+		}
+	}
+	f.options.Limits.Hear(received.VM, heard, now)
+}
+
+// SendPlace sends a message about a place to another VM. It does not block; the message may be lost.
+func (f *Fleet) SendPlace(vm string, message targetlimit.Message) {
+	select {
+	case f.places <- outgoingPlace{vm: vm, message: packPlace(message)}:
+	default:
+	}
+}
+
+// sendPlaces sends the queued messages about places until ctx is done.
+func (f *Fleet) sendPlaces(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case out := <-f.places:
+			f.mu.Lock()
+			member, found := f.members[out.vm]
+			f.mu.Unlock()
+			if found {
+				f.sendTo(&digest{VM: f.options.Self.Name, Place: &out.message}, []Member{member})
+			}
+		}
+	}
+}
+
+// handlePlace passes on a message about a place.
+func (f *Fleet) handlePlace(received *digest, now time.Time) {
+	if f.options.Limits != nil {
+		f.options.Limits.HandleMessage(received.VM, received.Place.unpack(), now)
+	}
+}
+
+func packPlace(message targetlimit.Message) placeMessage {
+	if ask := message.Ask; ask != nil {
+		return placeMessage{Target: ask.Target.ID, StartedAt: ask.Target.StartedAt, Number: ask.Number, Positive: ask.Urgent, Millis: ask.Patience.Milliseconds()}
+	}
+	answer := message.Answer
+	// Rounded up, so that a place is not used before it is due.
+	wait := (answer.Wait + time.Millisecond - 1).Milliseconds()
+	return placeMessage{Target: answer.Target.ID, StartedAt: answer.Target.StartedAt, Number: answer.Number, IsAnswer: true, Positive: answer.Granted, Millis: wait}
+}
+
+func (m *placeMessage) unpack() targetlimit.Message {
+	target := targetlimit.Incarnation{ID: m.Target, StartedAt: m.StartedAt}
+	span := time.Duration(m.Millis) * time.Millisecond
+	if m.IsAnswer {
+		return targetlimit.Message{Answer: &targetlimit.Answer{Target: target, Number: m.Number, Granted: m.Positive, Wait: span}}
+	}
+	return targetlimit.Message{Ask: &targetlimit.Ask{Target: target, Number: m.Number, Urgent: m.Positive, Patience: span}}
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -83,11 +83,20 @@
 	}
 	lease, err := x.options.Table.Acquire(ctx, x.query(), min(maxWait, time.Until(x.deadline)))
 	if err != nil {
-		return nil, apierror.FromError(err).WithRetryAfter(x.retryAfter())
+		return nil, x.withRetryAfter(apierror.FromError(err))
 	}
 	return lease, nil
 }
 
+// withRetryAfter adds a Retry-After to the refusal of a request. One that tells when a place is free is only bounded by
+// the time left.
+func (x *exchange) withRetryAfter(refusal *apierror.Error) *apierror.Error {
+	if refusal.RetryAfter == 0 {
+		return refusal.WithRetryAfter(x.retryAfter())
+	}
+	return refusal.WithRetryAfter(min(refusal.RetryAfter, time.Duration(retryAfterShare*float64(time.Until(x.deadline)))))
+}
+
 // The range of the Retry-After of refused generations. Generations last for seconds, so capacity is not freed
 // sooner; the value is random because callers that retry together would be refused together.
 const (
@@ -115,11 +124,12 @@
 	attempt.Priority = x.priority()
 	attempt.Remaining = time.Until(x.deadline)
 	x.log("sent", "target", lease.Target.ID, "zone", lease.Target.Zone, "attempt", x.attempts, "expected_ms", lease.ExpectedFirstEvent.Milliseconds(),
-		"candidates", lease.CandidateCount, "prompt_tokens", x.call.Prompt.Tokens, "from", attempt.From != nil, "backup", attempt.BackupAddress, "after_event", attempt.LastEventID)
+		"candidates", lease.CandidateCount, "prompt_tokens", x.call.Prompt.Tokens, "from", attempt.From != nil, "backup", attempt.BackupAddress, "after_event", attempt.LastEventID, "limit", lease.Limit(time.Now()))
 	request := x.options.Codec.NewRequest(x.call, attempt)
 	// An idle connection may turn out to be closed by the target; then it is unknown whether the call has run.
 	freshConnection := !x.route.Idempotent && !x.route.Resumable
 	sentAt := time.Now()
+	lease.CountSend(sentAt)
 	response, err := x.options.Client.Do(ctx, lease.Target.Address, request, x.call.Body, freshConnection)
 	if err != nil {
 		return nil, x.classifyError(ctx, err)
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -68,7 +68,9 @@
 	sentAt         time.Time
 	prefillBacklog float64
 	firstEventSeen bool
-	done           bool
+	// sendCounted is set once the request has been counted at a target with a request limit.
+	sendCounted bool
+	done        bool
 }
 
 // Pick chooses a target and reserves it. The error is an *apierror.Error.
@@ -82,7 +84,8 @@
 	return t.pick(s, &q, now)
 }
 
-// pick requires the lock. The error is of kind overloaded if targets are available but none has capacity.
+// pick requires the lock. The error is of kind overloaded if targets are available but none has capacity. It is a
+// *limitError if one has capacity but no place within its request limit.
 func (t *Table) pick(s *service, q *Query, now time.Time) (*Lease, error) {
 	var best *target
 	var candidates int
@@ -91,6 +94,11 @@
 	} else {
 		best, candidates = t.lowestScoreTarget(s, q, now)
 	}
+	if best == nil && !q.Copy && !q.Move {
+		if limited := t.limitedTarget(s, q, now); limited != nil {
+			return nil, limited
+		}
+	}
 	if best == nil && candidates > 0 {
 		return nil, apierror.Newf(apierror.KindOverloaded, "come back after the time given",
 			"none of the %d targets of service %q that serve has room for %d tokens", candidates, q.Service, q.memory())
@@ -126,7 +134,22 @@
 
 // lowestScoreTarget returns the target with the lowest score among the candidates with capacity, and the number of
 // candidates. Candidates are the targets that are not excluded and can take work, with free capacity or without.
+//
+// A request that only targets with a request limit can take is urgent there. For other requests a place is asked for in
+// passing, so that such a target remains in use.
 func (t *Table) lowestScoreTarget(s *service, q *Query, now time.Time) (best *target, candidates int) {
+	best, withoutPlace, candidates := t.lowestScore(s, q, false, now)
+	if best == nil && withoutPlace != nil {
+		best, _, candidates = t.lowestScore(s, q, true, now)
+	} else if withoutPlace != nil {
+		t.limits.Ask(withoutPlace.Target, false, 0, now)
+	}
+	return best, candidates
+}
+
+// lowestScore is lowestScoreTarget for requests that are urgent or not. It also returns a target that has capacity but
+// no place within its request limit.
+func (t *Table) lowestScore(s *service, q *Query, urgent bool, now time.Time) (best, withoutPlace *target, candidates int) {
 	lowest := math.Inf(1)
 	for _, candidate := range s.targets {
 		if q.excludes(candidate.ID) || !candidate.canTakeWork(now) {
@@ -136,17 +159,22 @@
 		if !s.hasCapacity(candidate, q) {
 			continue
 		}
+		if !t.limits.MayTake(candidate.Target, urgent, now) {
+			withoutPlace = candidate
+			continue
+		}
 		if score := t.score(s, candidate, q, now) + t.random.Float64()*scoreJitter; score < lowest {
 			best, lowest = candidate, score
 		}
 	}
-	return best, candidates
+	return best, withoutPlace, candidates
 }
 
 // drawTransferTarget picks the engine that receives the memory of a generation, at random and weighted by free
 // memory. When an engine leaves, many VMs choose at the same moment from the same view; always choosing the engine
 // with the most free memory would overfill it. Each engine replaces the one drawn before it with the probability
-// weight/total, so that one pass draws in proportion to the weights.
+// weight/total, so that one pass draws in proportion to the weights. Engines with a request limit are in need and
+// receive no transfers.
 func (t *Table) drawTransferTarget(s *service, q *Query, now time.Time) (drawn *target, candidates int) {
 	if q.Copy && s.memoryUse(q, now) > copyMemoryLimit {
 		return nil, len(s.targets)
@@ -158,7 +186,7 @@
 		}
 		candidates++
 		weight := candidate.transferWeight(q)
-		if weight <= 0 {
+		if weight <= 0 || t.limits.IsLimited(candidate.Target) {
 			continue
 		}
 		total += weight
@@ -202,12 +230,12 @@
 }
 
 // PickTarget reserves the given target, which already holds the memory of the generation. It returns false if the
-// target may take no work.
+// target may take no work, or has a request limit and no place.
 func (t *Table) PickTarget(wanted roster.Target, q Query, now time.Time) (*Lease, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	current := t.targets[wanted.ID]
-	if current == nil || !current.SameIncarnation(wanted) || !current.canTakeWork(now) {
+	if current == nil || !current.SameIncarnation(wanted) || !current.canTakeWork(now) || !q.Copy && !t.limits.MayTake(current.Target, true, now) {
 		return nil, false
 	}
 	return t.reserve(current, &q, now, 1), true
@@ -229,6 +257,10 @@
 	lease.prefillBacklog = float64(chosen.ownLoad.PrefillTokens + chosen.peerLoad.PrefillTokens + q.prefill())
 	lease.ExpectedFirstEvent = time.Duration(lease.prefillBacklog / chosen.service.prefillRate * float64(time.Millisecond))
 	chosen.ownLoad.add(lease.load)
+	if !q.Copy && !q.Move {
+		lease.sendCounted = true
+		t.limits.Take(chosen.Target, now)
+	}
 	if q.MemoryTokens > 0 && t.onLoadChange != nil {
 		t.onLoadChange()
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -123,6 +123,8 @@
 	Self Sender
 	// OnLoadChange is called with the lock held when the load of an engine has changed; it may be nil.
 	OnLoadChange func()
+	// Limits decides on requests to targets with a request limit; nil means that targets have none.
+	Limits Limiter
 	// Seed makes the random choices reproducible.
 	Seed uint64
 }
@@ -135,6 +137,7 @@
 	services     map[string]*service
 	self         Sender
 	onLoadChange func()
+	limits       Limiter
 	peerLoads    map[Sender]peerReport
 	// zoneAggregates counts the entries of peerLoads that are totals of a whole zone.
 	zoneAggregates int
@@ -175,7 +178,12 @@
 
 // NewTable returns a Table without targets.
 func NewTable(options Options) *Table {
+	limits := options.Limits
+	if limits == nil {
+		limits = unlimited{}
+	}
 	return &Table{
+		limits:          limits,
 		random:          rand.New(rand.NewPCG(options.Seed, 0)),
 		targets:         make(map[string]*target),
 		services:        make(map[string]*service),
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/pause"
 )
@@ -17,6 +19,8 @@
 	grantIntervalWeight = 0.2
 	// turnTime is about the time until the other VMs know of a placement.
 	turnTime = 25 * time.Millisecond
+	// maxWaitingForPlace is the number of requests of a service that wait for places at targets with a request limit.
+	maxWaitingForPlace = 4
 )
 
 // queue holds the requests of a service that wait for capacity, ordered by priority and then by arrival. It
@@ -50,9 +54,16 @@
 		if lease != nil {
 			return lease, nil
 		}
+		var limited *limitError
+		isLimited := errors.As(err, &limited)
+		if isLimited && !limited.inTime(maxWait-time.Since(started)) {
+			return nil, err
+		}
 		select {
 		case <-changed:
-			pause.For(ctx, min(t.turnWait(), maxWait))
+			if !isLimited { // places are given out one by one
+				pause.For(ctx, min(t.turnWait(), maxWait))
+			}
 		case <-timer.C:
 			return nil, err
 		case <-ctx.Done():
@@ -76,15 +87,38 @@
 			return lease, nil, err
 		}
 	}
+	if limited := t.limitedTarget(s, q, now); limited != nil {
+		return t.enqueueForPlace(s, q, limited, ahead, maxWait, now)
+	}
 	if expected := s.queue.expectedWait(ahead); expected > maxWait {
 		return nil, nil, apierror.Newf(apierror.KindOverloaded, "come back after the time given",
 			"%d requests wait for room at service %q, about %d ms, before this one of %d tokens", ahead, q.Service, expected.Milliseconds(), q.memory())
 	}
+	return nil, t.enqueue(s, q, now), nil
+}
+
+// enqueue adds a waiter. The caller holds the lock.
+func (t *Table) enqueue(s *service, q *Query, now time.Time) *waiter {
 	w := s.queue.insert(q.Priority, now)
 	if t.onLoadChange != nil && len(s.queue.waiting) == 1 {
 		t.onLoadChange()
 	}
-	return nil, w, nil
+	return w
+}
+
+// enqueueForPlace asks for a place at the limited target and returns a waiter, or the error if no place is expected
+// within maxWait. The wait for a place does not depend on earlier waits for capacity. The caller holds the lock.
+func (t *Table) enqueueForPlace(s *service, q *Query, limited *limitError, ahead int, maxWait time.Duration, now time.Time) (*Lease, *waiter, error) {
+	if ahead >= maxWaitingForPlace || !limited.inTime(maxWait) {
+		return nil, nil, limited
+	}
+	t.limits.Ask(limited.target.Target, true, maxWait, now)
+	if ahead == 0 {
+		if lease, err := t.pick(s, q, now); err == nil {
+			return lease, nil, nil // this VM gives out the places itself
+		}
+	}
+	return nil, t.enqueue(s, q, now), nil
 }
 
 // pickIfFirst picks a target if the waiter is first in the queue; otherwise, or if the pick fails, it returns the
--- a/internal/targetlimit/ledger.go
+++ b/internal/targetlimit/ledger.go
@@ -1,11 +1,16 @@
 // Package targetlimit keeps the request limits that targets name in their answers: the requests a second that a target
 // takes from all entry VMs together.
 //
+// One VM, the coordinator, gives out the places at limited targets, each for one request. The others ask it when they
+// need one, so that no VM keeps a share that would add up with those of many others.
+//
 // Invariants: the newest statement about an incarnation of a target counts, whoever received it; an answer ends a limit
-// only if its request was sent after the limit was stated; an incarnation that has stated nothing has no limit.
+// only if its request was sent after the limit was stated; an incarnation that has stated nothing has no limit; each VM
+// of the directory counts towards the share of one coordinator at most.
 package targetlimit
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,6 +63,10 @@
 	// Changed is called when this VM has learned something from an answer that other VMs should know at once. It must
 	// not block.
 	Changed func()
+	// Transmit sends a message to another VM. It must not block; messages may be lost.
+	Transmit func(vm string, message Message)
+	// PlaceFree is called when requests that wait for a place should try again after the given time. It must not block.
+	PlaceFree func(after time.Duration)
 }
 
 // Ledger holds what one VM knows about the limits of targets. It is safe for concurrent use.
@@ -67,8 +76,11 @@
 	// limitCount is the number of limits in force. Requests to targets without a limit take no lock.
 	limitCount atomic.Int64
 
-	mu     sync.Mutex
-	limits map[Incarnation]*limit
+	mu           sync.Mutex
+	limits       map[Incarnation]*limit
+	coordination Coordination
+	// askNumber is the number of the last Ask.
+	askNumber uint32
 }
 
 // limit is the newest statement about one incarnation.
@@ -80,11 +92,15 @@
 	observedAt time.Time
 	// source is the VM that received the answer.
 	source string
+	// places are those of this VM, and schedule spaces those that it gives out as coordinator.
+	places   places
+	schedule schedule
 }
 
 // NewLedger returns a Ledger without limits.
 func NewLedger(options Options) *Ledger {
-	return &Ledger{options: options, metrics: newLedgerMetrics(), limits: make(map[Incarnation]*limit)}
+	// Numbers begin at random, so that an answer to an earlier run of this VM fits no question.
+	return &Ledger{options: options, metrics: newLedgerMetrics(), limits: make(map[Incarnation]*limit), askNumber: rand.Uint32()}
 }
 
 // Active reports whether a target has a limit in force.
@@ -134,12 +150,19 @@
 		l.limits[target] = known
 	}
 	changed = known.Statement != said
+	startsLimit := said.Limited && !known.Limited
 	if said.Limited != known.Limited {
 		l.countLimit(said.Limited)
 	}
+	if startsLimit {
+		known.places, known.schedule = places{}, schedule{updatedAt: now}
+	} else {
+		known.schedule.advance(l.rate(known), now)
+	}
 	known.Statement, known.statedAt, known.source = said, statedAt, source
 	if changed {
 		l.logChange(target, known, now)
+		l.placeFree(0)
 	}
 	return true, changed
 }
@@ -193,8 +216,17 @@
 }
 
 // ledgerMetrics are the metrics of a Ledger.
-type ledgerMetrics struct{ limits metrics.Gauge }
+type ledgerMetrics struct {
+	limits metrics.Gauge
+	// granted and refused count the answers of the coordinator, sent the requests to limited targets, and overdrawn those
+	// without a place.
+	granted, refused, sent, overdrawn metrics.Counter
+}
 
 func newLedgerMetrics() *ledgerMetrics {
-	return &ledgerMetrics{limits: metrics.GetOrRegisterGauge("targetlimit.limits", nil)}
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("targetlimit."+name, nil) }
+	return &ledgerMetrics{
+		limits:  metrics.GetOrRegisterGauge("targetlimit.limits", nil),
+		granted: counter("places_granted"), refused: counter("places_refused"), sent: counter("sent"), overdrawn: counter("sent_without_place"),
+	}
 }
