--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -33,6 +33,8 @@
 	OtherZones []zoneLoads `msgpack:"o,omitempty"`
 	// Changes are the recent changes of targets that the sender has read from the platform.
 	Changes []targetChange `msgpack:"t,omitempty"`
+	// Versions holds the software versions of the targets in Changes, by target.
+	Versions map[string]string `msgpack:"b,omitempty"`
 	// Limits are the request limits of targets that the sender knows of, and LimitCoordinator is the rank of the VM that
 	// it takes as their coordinator.
 	Limits           []limitAnnouncement `msgpack:"m,omitempty"`
@@ -78,6 +80,27 @@
 	}
 }
 
+// addChange adds a change of a target.
+func (d *digest) addChange(target roster.Target) {
+	d.Changes = append(d.Changes, newTargetChange(target))
+	if target.Version != "" {
+		if d.Versions == nil {
+			d.Versions = make(map[string]string)
+		}
+		d.Versions[target.ID] = target.Version
+	}
+}
+
+// changedTargets returns the targets in Changes.
+func (d *digest) changedTargets() []roster.Target {
+	targets := make([]roster.Target, len(d.Changes))
+	for i, change := range d.Changes {
+		targets[i] = change.target()
+		targets[i].Version = d.Versions[change.ID]
+	}
+	return targets
+}
+
 func (c targetChange) target() roster.Target {
 	return roster.Target{
 		ID: c.ID, StartedAt: c.StartedAt, Service: c.Service, Address: c.Address, Zone: c.Zone, Slots: c.Slots,
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -136,7 +136,7 @@
 
 type recentChange struct {
 	recordedAt time.Time
-	change     targetChange
+	target     roster.Target
 }
 
 // New returns a Fleet without peers.
@@ -195,7 +195,7 @@
 // AnnounceChange sends a change of a target to the other VMs at once, and repeats it for changeRepeatTime.
 func (f *Fleet) AnnounceChange(target roster.Target) {
 	f.mu.Lock()
-	f.changes = append(f.changes, recentChange{recordedAt: time.Now(), change: newTargetChange(target)})
+	f.changes = append(f.changes, recentChange{recordedAt: time.Now(), target: target})
 	if excess := len(f.changes) - maxChanges; excess > 0 {
 		f.changes = slices.Delete(f.changes, 0, excess)
 	}
@@ -332,7 +332,7 @@
 		}
 	}
 	for _, change := range f.changes {
-		localDigest.Changes = append(localDigest.Changes, change.change)
+		localDigest.addChange(change.target)
 	}
 	localDigest.VMCount = 1
 	if f.options.Table.HasWaiting() {
@@ -483,8 +483,8 @@
 		proof = 0
 	}
 	f.options.Configuration.RecordProof(received.Version, proof)
-	for _, change := range received.Changes {
-		f.options.TargetChanged(change.target())
+	for _, target := range received.changedTargets() {
+		f.options.TargetChanged(target)
 	}
 	f.hearLimits(received, now)
 }
