--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -51,10 +51,16 @@
 
 // target starts a target and adds it to the platform's list.
 func (d *deployment) target(id, service string) *platformtest.Target {
+	d.t.Helper()
+	return d.targetOfVersion(id, service, "v1")
+}
+
+// targetOfVersion is target for a version of the target's software.
+func (d *deployment) targetOfVersion(id, service, version string) *platformtest.Target {
 	d.t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(d.t, err)
-	target := d.Add(id, listener.Addr().String(), service, zone)
+	target := d.AddVersion(id, listener.Addr().String(), service, zone, version)
 	server := &http.Server{Handler: target, ErrorLog: log.New(io.Discard).StandardLog()}
 	go server.Serve(listener)
 	d.t.Cleanup(func() { server.Close() })
@@ -76,6 +82,8 @@
 	metricsAddress string
 	client         *http.Client
 	stopped        chan struct{}
+	// kill ends the VM at once.
+	kill context.CancelFunc
 }
 
 // listenerCount counts the loopback addresses that freePort has used in this process.
@@ -120,6 +128,7 @@
 		client: &http.Client{Transport: &http.Transport{}}, stopped: make(chan struct{}),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	v.kill = cancel
 	go func() {
 		defer close(v.stopped)
 		if err := v.entry.Run(ctx); err != nil {
