--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -55,6 +55,15 @@
 	return query
 }
 
+// boundQuery is query for the next attempt of a request, which continues a stream at its software version.
+func (x *exchange) boundQuery() placement.Query {
+	query := x.query()
+	if x.versionFixed {
+		query.FixVersion(x.version)
+	}
+	return query
+}
+
 // expectedOutput returns the expected length of the output in tokens.
 func (x *exchange) expectedOutput() int {
 	expected := int(x.options.Lengths.Curve(x.lengthKey()).Mean())
@@ -81,7 +90,7 @@
 	if x.route.LatencyObjective > 0 {
 		maxWait = time.Duration(queueWaitShare * float64(x.route.LatencyObjective))
 	}
-	lease, err := x.options.Table.Acquire(ctx, x.query(), min(maxWait, time.Until(x.deadline)))
+	lease, err := x.options.Table.Acquire(ctx, x.boundQuery(), min(maxWait, time.Until(x.deadline)))
 	if err != nil {
 		return nil, x.withRetryAfter(apierror.FromError(err))
 	}
@@ -118,6 +127,9 @@
 
 // sendAttempt sends the call to the target of the lease and returns a response that the target made for this call.
 func (x *exchange) sendAttempt(ctx context.Context, lease *placement.Lease, attempt Attempt) (*upstream.Response, *attemptError) {
+	if x.versionFixed && lease.Target.Version != x.version {
+		return nil, &attemptError{notRun: true, outcome: placement.Canceled, cause: errors.Newf("the stream began at software version %q, and target %s has %q", x.version, lease.Target.ID, lease.Target.Version)}
+	}
 	x.attempts++
 	attempt.Target = lease.Target
 	attempt.Account = x.account.Name
@@ -184,7 +196,7 @@
 	if !failure.notRun && (!x.isRepeatable() || x.attempts >= x.route.MaxAttempts) {
 		return false
 	}
-	if !x.options.Table.HasUsableTarget(x.service.Name, x.excluded, time.Now()) {
+	if !x.options.Table.HasUsableTarget(x.boundQuery(), time.Now()) {
 		return false
 	}
 	return x.options.Budget.Spend(x.service.Name)
--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -41,6 +41,13 @@
 	return found && pause.For(s.ctx, time.Until(readyAt))
 }
 
+// transferQuery is query for a target that receives the generation's memory from the source.
+func (s *stream) transferQuery(source roster.Target) placement.Query {
+	query := s.query()
+	query.FixVersion(source.Version)
+	return query
+}
+
 // reserveBackup reserves an engine to hold a copy of the generation's KV cache and returns its address, or "" if no
 // copy is wanted or none has the memory for it. It prefers engines in the zone of this VM: these remain reachable when
 // the zones are cut off from each other, whatever the zone of the source.
@@ -50,7 +57,7 @@
 	if engine == nil || !engine.SupportsBackups || s.route.Resumable {
 		return ""
 	}
-	query := s.query()
+	query := s.transferQuery(lease.Target)
 	query.Copy = true
 	query.Zone = s.options.Zone
 	query.Excluded = append(slices.Clone(s.excluded), lease.Target.ID)
@@ -102,14 +109,14 @@
 // claimBackup replaces the backup's reservation by one for running the generation there.
 func (s *stream) claimBackup() (*continuation, bool) {
 	s.mu.Lock()
-	backup := s.backup
+	backup, source := s.backup, s.lease.Target
 	s.backup = nil
 	s.mu.Unlock()
 	if backup == nil {
 		return nil, false
 	}
 	backup.Done(placement.Moved, time.Now())
-	query := s.query()
+	query := s.transferQuery(source)
 	query.Move = true
 	lease, usable := s.options.Table.PickTarget(backup.Target, query, time.Now())
 	if !usable {
@@ -121,7 +128,7 @@
 // restoreBackup reserves the engine that refused to continue the generation as its backup again, since the source
 // still sends the KV cache there.
 func (s *stream) restoreBackup(target roster.Target) {
-	query := s.query()
+	query := s.transferQuery(target)
 	query.Copy = true
 	backup, usable := s.options.Table.PickTarget(target, query, time.Now())
 	if !usable {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -93,6 +93,10 @@
 
 	attempts int
 	excluded []string
+	// version is the software version at which a stream began, once versionFixed is set: from the first event on that
+	// its caller received, here or at another VM.
+	version      string
+	versionFixed bool
 	// mayHaveRun is set once an attempt may have run the call at its target.
 	mayHaveRun bool
 	// headerSent is set once the response's header has been sent to the caller.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -90,6 +90,10 @@
 // interruptedError returns the final error of a stream. After the header has been sent, all that is left is to close
 // the caller's connection.
 func (s *stream) interruptedError(ctx context.Context, failure *attemptError) error {
+	if s.headerSent && ctx.Err() == nil && s.versionFixed && !s.options.Table.HasUsableTarget(s.boundQuery(), time.Now()) {
+		return apierror.Wrap(failure, apierror.KindGenerationLost,
+			"the generation broke off and no other target has its software version "+strconv.Quote(s.version), "send the request again from its start")
+	}
 	if s.headerSent && ctx.Err() == nil {
 		return apierror.Wrap(failure, apierror.KindGenerationLost, "the generation broke off", "send the request again if it may run twice")
 	}
@@ -227,6 +231,9 @@
 		if !s.isNew(event.ID) {
 			continue
 		}
+		if !s.versionFixed {
+			s.version, s.versionFixed = lease.Target.Version, true
+		}
 		s.recordEvent(lease)
 		s.writeHeader(response)
 		if _, err := s.w.Write(event.Raw); err != nil {
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -217,7 +217,7 @@
 	defer cancel()
 	excluded := []string{leaving.ID}
 	for ctx.Err() == nil && s.isServedBy(leaving) {
-		query := s.query()
+		query := s.transferQuery(leaving)
 		query.Excluded = excluded
 		query.Zone = leaving.Zone
 		query.Move = true
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -103,6 +103,10 @@
 		return nil, apierror.Newf(apierror.KindOverloaded, "come back after the time given",
 			"none of the %d targets of service %q that serve has room for %d tokens", candidates, q.Service, q.memory())
 	}
+	if best == nil && q.VersionFixed {
+		return nil, apierror.Newf(apierror.KindNotRun, "send the request again from its start",
+			"none of the %d targets of service %q has software version %q, at which the stream began", len(s.targets), q.Service, q.Version)
+	}
 	if best == nil {
 		return nil, apierror.Newf(apierror.KindNotRun, "come back after the time given",
 			"none of the %d targets of service %q may take the request", len(s.targets), q.Service)
@@ -152,7 +156,7 @@
 func (t *Table) lowestScore(s *service, q *Query, urgent bool, now time.Time) (best, withoutPlace *target, candidates int) {
 	lowest := math.Inf(1)
 	for _, candidate := range s.targets {
-		if q.excludes(candidate.ID) || !candidate.canTakeWork(now) {
+		if !q.accepts(candidate, now) {
 			continue
 		}
 		candidates++
@@ -181,7 +185,7 @@
 	}
 	total := 0.0
 	for _, candidate := range s.targets {
-		if q.excludes(candidate.ID) || !candidate.canTakeWork(now) {
+		if !q.accepts(candidate, now) {
 			continue
 		}
 		candidates++
@@ -235,7 +239,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	current := t.targets[wanted.ID]
-	if current == nil || !current.SameIncarnation(wanted) || !current.canTakeWork(now) || !q.Copy && !t.limits.MayTake(current.Target, true, now) {
+	if current == nil || !current.SameIncarnation(wanted) || !q.accepts(current, now) || !q.Copy && !t.limits.MayTake(current.Target, true, now) {
 		return nil, false
 	}
 	return t.reserve(current, &q, now, 1), true
@@ -286,6 +290,7 @@
 	}
 	score += float64(load.PrefillTokens+q.prefill()) / s.prefillRate
 	score += runningGenerationCost * float64(load.Requests)
+	score += s.versionCost(candidate, q)
 	used := float64(load.MemoryTokens+q.memory()) / float64(q.MemoryTokens)
 	if used > memoryPressureThreshold {
 		score += memoryPressureCost * (used - memoryPressureThreshold) / (1 - memoryPressureThreshold)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -58,6 +58,10 @@
 	FirstEventObjective time.Duration
 	// Priority orders the requests that wait for capacity; the lowest value is served first.
 	Priority int
+	// Version is the software version that the target must have if VersionFixed is set: the request continues a stream
+	// that began there.
+	Version      string
+	VersionFixed bool
 	// Excluded lists the ids of targets that must not be chosen.
 	Excluded []string
 	// Copy reserves memory for a copy of a running generation instead of placing a request. It is refused while memory
@@ -91,7 +95,13 @@
 	return q.PromptTokens
 }
 
-func (q *Query) excludes(id string) bool { return slices.Contains(q.Excluded, id) }
+// FixVersion limits the query to targets of the software version.
+func (q *Query) FixVersion(version string) { q.Version, q.VersionFixed = version, true }
+
+// accepts reports whether the target may take work of the query, with free capacity or without.
+func (q *Query) accepts(t *target, now time.Time) bool {
+	return t.canTakeWork(now) && !slices.Contains(q.Excluded, t.ID) && (!q.VersionFixed || t.Version == q.Version)
+}
 
 // Outcome is how a request ended at its target.
 type Outcome int
@@ -150,6 +160,8 @@
 	targets []*target
 	// queue holds the requests that wait for capacity.
 	queue queue
+	// versions counts the targets of each software version.
+	versions map[string]*versionCount
 	// prefillRate is a moving average of the observed prefill rate, in tokens per millisecond.
 	prefillRate float64
 }
@@ -236,6 +248,7 @@
 	for _, s := range t.services {
 		// A fixed order makes the random choices reproducible.
 		slices.SortFunc(s.targets, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
+		s.countVersions()
 	}
 	t.recomputePeerLoads()
 }
@@ -246,6 +259,7 @@
 	defer t.mu.Unlock()
 	if current := t.targets[leaving.ID]; current != nil && current.SameIncarnation(leaving) {
 		current.leaving = true
+		current.service.countVersions()
 	}
 }
 
@@ -335,16 +349,12 @@
 	return loads
 }
 
-// HasUsableTarget reports whether a target of the service may take work, apart from the excluded ones.
-func (t *Table) HasUsableTarget(serviceName string, excluded []string, now time.Time) bool {
+// HasUsableTarget reports whether a target may take work of the query, with free capacity or without.
+func (t *Table) HasUsableTarget(q Query, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.services[serviceName]
-	if s == nil {
-		return false
-	}
-	query := Query{Excluded: excluded}
-	return slices.ContainsFunc(s.targets, func(candidate *target) bool { return candidate.canTakeWork(now) && !query.excludes(candidate.ID) })
+	s := t.services[q.Service]
+	return s != nil && slices.ContainsFunc(s.targets, func(candidate *target) bool { return q.accepts(candidate, now) })
 }
 
 func (t *target) canTakeWork(now time.Time) bool {
--- /dev/null
+++ b/internal/placement/versions.go
@@ -0,0 +1,44 @@
+package placement
+
+const (
+	// loneVersionCost is the penalty of an engine that is the only one of its software version: its streams have nowhere
+	// to continue.
+	loneVersionCost = 400.0
+	// departingVersionCost is added in proportion to the share of the version's engines that are leaving: streams may
+	// outlast the last of them.
+	departingVersionCost = 300.0
+)
+
+// versionCount counts the targets of one software version.
+type versionCount struct{ serving, leaving int }
+
+// countVersions counts the targets of each version again after they have changed.
+func (s *service) countVersions() {
+	s.versions = make(map[string]*versionCount)
+	for _, member := range s.targets {
+		count := s.versions[member.Version]
+		if count == nil {
+			count = &versionCount{}
+			s.versions[member.Version] = count
+		}
+		if member.leaving {
+			count.leaving++
+		} else {
+			count.serving++
+		}
+	}
+}
+
+// versionCost returns the penalty of an engine whose software version may not serve any more when a new stream has to
+// continue elsewhere.
+func (s *service) versionCost(candidate *target, q *Query) float64 {
+	count := s.versions[candidate.Version]
+	if len(s.versions) < 2 || q.VersionFixed || count == nil {
+		return 0
+	}
+	cost := departingVersionCost * float64(count.leaving) / float64(count.leaving+count.serving)
+	if count.serving < 2 {
+		cost += loneVersionCost
+	}
+	return cost
+}
--- /dev/null
+++ b/internal/placement/versions_test.go
@@ -0,0 +1,76 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitcart/internal/apierror"
+	"godwitcart/internal/roster"
+)
+
+func versioned(id, version string) roster.Target {
+	target := engine(id, zoneA)
+	target.Version = version
+	return target
+}
+
+// TestFixedVersionLimitsEveryChoice checks that no way of choosing a target leaves the software version of a stream.
+func TestFixedVersionLimitsEveryChoice(t *testing.T) {
+	table := newTestTable("vm-1", 1, versioned("e1", "v1"), versioned("e2", "v2"), versioned("e3", "v2"), versioned("e4", "v2"))
+	query := engineQuery(100)
+	query.FixVersion("v1")
+	for name, change := range map[string]func(*Query){
+		"request": func(*Query) {}, "copy": func(q *Query) { q.Copy = true }, "move": func(q *Query) { q.Move = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			chosen := query
+			change(&chosen)
+			for range 10 {
+				lease, err := table.Pick(chosen, startTime)
+				require.NoError(t, err)
+				require.Equal(t, "e1", lease.Target.ID)
+				lease.Done(Canceled, startTime)
+			}
+			_, usable := table.PickTarget(versioned("e2", "v2"), chosen, startTime)
+			require.False(t, usable)
+		})
+	}
+	require.True(t, table.HasUsableTarget(query, startTime))
+	table.MarkLeaving(versioned("e1", "v1"))
+	require.False(t, table.HasUsableTarget(query, startTime))
+	_, err := table.Pick(query, startTime)
+	require.True(t, apierror.Is(err, apierror.KindNotRun), "a stream whose version is gone is refused at once")
+	_, err = table.Acquire(t.Context(), query, time.Minute)
+	require.True(t, apierror.Is(err, apierror.KindNotRun))
+}
+
+// TestNewStreamsPreferVersionThatStays checks that new streams avoid the only engine of a version, and a version whose
+// engines are leaving.
+func TestNewStreamsPreferVersionThatStays(t *testing.T) {
+	cases := map[string]struct {
+		targets []roster.Target
+		leaving []string
+		want    string
+	}{
+		"first engine of a new version": {[]roster.Target{versioned("e1", "v1"), versioned("e2", "v1"), versioned("e3", "v2")}, nil, "v1"},
+		"version that is replaced": {
+			[]roster.Target{versioned("e1", "v1"), versioned("e2", "v1"), versioned("e3", "v1"), versioned("e4", "v2"), versioned("e5", "v2")}, []string{"e1"}, "v2",
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := newTestTable("vm-1", 1, c.targets...)
+			for _, id := range c.leaving {
+				table.MarkLeaving(versioned(id, "v1"))
+			}
+			for range 10 {
+				lease, err := table.Pick(engineQuery(100), startTime)
+				require.NoError(t, err)
+				require.Equal(t, c.want, lease.Target.Version)
+				lease.Done(Canceled, startTime)
+			}
+		})
+	}
+}
