--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"godwitcart/internal/forward"
 	"godwitcart/internal/inforce"
 	"godwitcart/internal/lengths"
+	"godwitcart/internal/origin"
 	"godwitcart/internal/pause"
 	"godwitcart/internal/placement"
 	"godwitcart/internal/retrybudget"
@@ -67,6 +68,7 @@
 	client    *upstream.Client
 	trail     *trail.Recorder
 	limits    *targetlimit.Ledger
+	origins   *origin.Book
 	// fleet is nil if the settings name no port for load digests.
 	fleet *fleet.Fleet
 
@@ -85,6 +87,7 @@
 	e.store = platform.NewStore(s.Platform.Address, platform.ShortWatchWait)
 	e.limits = targetlimit.NewLedger(targetlimit.Options{VM: s.VM.Name, Logger: logger, Changed: e.sendDigestNow, Transmit: e.transmitPlace, PlaceFree: e.retryWaiting})
 	e.table = placement.NewTable(placement.Options{Self: placement.Sender{VM: s.VM.Name, Zone: s.VM.Zone}, OnLoadChange: e.sendDigestNow, Limits: e.limits, Seed: nameSeed(s.VM.Name)})
+	e.origins = origin.NewBook(origin.Options{VM: s.VM.Name, VMs: e.entryVMs, Transmit: e.transmitOrigin})
 	e.budget = retrybudget.New(s.Bounds.RetryRatio*usableBudgetShare, initialRetrySlack(s))
 	e.poller = inforce.NewPoller(inforce.Options{
 		Reader: e.store, Logger: logger, InForceWithin: s.Bounds.ConfigurationDelay(), RevokedWithin: s.Bounds.RevocationDelay(),
@@ -92,7 +95,7 @@
 	})
 	e.forwarder = forward.New(forward.Options{
 		Codec: platform.Codec{}, Mover: platform.NewMover(e.client), Poller: e.poller, Table: e.table, Client: e.client,
-		Budget: e.budget, Lengths: lengths.NewEstimator(0), Limits: e.limits, Logger: logger, Trail: e.trail, Zone: s.VM.Zone, Stopping: e.stopping,
+		Budget: e.budget, Lengths: lengths.NewEstimator(0), Limits: e.limits, Origins: e.origins, Logger: logger, Trail: e.trail, Zone: s.VM.Zone, Stopping: e.stopping,
 		MaxConfigurationAge: s.Bounds.ConfigurationDelay(),
 	})
 	e.follower = roster.NewFollower(roster.Options{
@@ -176,6 +179,9 @@
 	e.applyLimits()
 	s := e.settings.Load()
 	group, ctx := errgroup.WithContext(ctx)
+	if err := e.startFleet(ctx, group); err != nil {
+		return err
+	}
 	callerServer, err := e.startServer(ctx, group, s.Callers.Listen, http.HandlerFunc(e.serveCaller), e.maxCallerConnections())
 	if err != nil {
 		return err
@@ -186,9 +192,6 @@
 	if _, err := e.startServer(ctx, group, s.Metrics.Listen, e.operatorsHandler(), 0); err != nil {
 		return err
 	}
-	if err := e.startFleet(ctx, group); err != nil {
-		return err
-	}
 	group.Go(func() error { return e.poller.Run(ctx) })
 	group.Go(func() error { return e.follower.Run(ctx) })
 	group.Go(func() error {
@@ -290,7 +293,7 @@
 	self := fleet.Member{Name: s.VM.Name, Zone: s.VM.Zone, Address: address}
 	e.fleet = fleet.New(fleet.Options{
 		Self: self, Table: e.table, Configuration: e.poller, Conn: conn, Logger: e.logger, SizeChanged: e.updateRetrySlack, TargetChanged: e.follower.QueuePeerChange,
-		InForceWithin: s.Bounds.ConfigurationDelay(), Limits: e.limits,
+		InForceWithin: s.Bounds.ConfigurationDelay(), Limits: e.limits, Origins: e.origins,
 	})
 	directory := &fleet.Directory{Store: e.store.WithStaleReads(platform.LongWatchWait), Self: self, Logger: e.logger, Changed: e.fleet.SetMembers}
 	group.Go(func() error { return directory.Run(ctx) })
@@ -326,6 +329,26 @@
 	}
 }
 
+// transmitOrigin sends a message about where a stream began to another entry VM.
+func (e *Entry) transmitOrigin(vm string, message origin.Message) {
+	if e.fleet != nil {
+		e.fleet.SendOrigin(vm, message)
+	}
+}
+
+// entryVMs returns the entry VMs of the directory, or nil before it has been read. Without digests this VM is alone.
+func (e *Entry) entryVMs() []origin.VM {
+	if e.fleet == nil {
+		s := e.settings.Load()
+		return []origin.VM{{Name: s.VM.Name, Zone: s.VM.Zone}}
+	}
+	var vms []origin.VM
+	for _, member := range e.fleet.VMs() {
+		vms = append(vms, origin.VM{Name: member.Name, Zone: member.Zone})
+	}
+	return vms
+}
+
 // retryWaiting makes the requests that wait for a place at a limited target try again after the given time.
 func (e *Entry) retryWaiting(after time.Duration) { time.AfterFunc(after, e.table.PlaceFree) }
 
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -39,8 +39,9 @@
 	// it takes as their coordinator.
 	Limits           []limitAnnouncement `msgpack:"m,omitempty"`
 	LimitCoordinator uint32              `msgpack:"k,omitempty"`
-	// Place is a message about one place at a limited target. A digest with such a message carries nothing else.
-	Place *placeMessage `msgpack:"q,omitempty"`
+	// Place and Origin are messages for one VM. A digest with such a message carries nothing else.
+	Place  *placeMessage  `msgpack:"q,omitempty"`
+	Origin *originMessage `msgpack:"g,omitempty"`
 }
 
 type targetLoads struct {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,6 +23,7 @@
 	"github.com/charmbracelet/log"
 
 	"godwitcart/internal/boottime"
+	"godwitcart/internal/origin"
 	"godwitcart/internal/pause"
 	"godwitcart/internal/placement"
 	"godwitcart/internal/roster"
@@ -87,6 +88,13 @@
 	TargetChanged func(target roster.Target)
 	// Limits keeps the request limits of targets; nil means that digests carry none.
 	Limits Limits
+	// Origins receives the messages about where streams began; nil means that they are ignored.
+	Origins Origins
+}
+
+// Origins handles messages about where streams began.
+type Origins interface {
+	HandleMessage(vm string, message origin.Message)
 }
 
 // Size is the number of entry VMs, including this one.
@@ -131,7 +139,7 @@
 	readerHeardAt time.Time
 	size          Size
 	wake          chan struct{}
-	places        chan outgoingPlace
+	direct        chan directMessage
 }
 
 type recentChange struct {
@@ -143,7 +151,7 @@
 func New(options Options) *Fleet {
 	return &Fleet{
 		options: options, peers: make(map[string]*peer),
-		zones: make(map[string]*peer), wake: make(chan struct{}, 1), places: make(chan outgoingPlace, maxQueuedPlaces),
+		zones: make(map[string]*peer), wake: make(chan struct{}, 1), direct: make(chan directMessage, maxQueuedMessages),
 	}
 }
 
@@ -219,8 +227,8 @@
 	go f.receive(ctx)
 	if f.options.Limits != nil {
 		go f.coordinateLimits(ctx)
-		go f.sendPlaces(ctx)
 	}
+	go f.sendDirectMessages(ctx)
 	var lastLoads map[string]placement.Load
 	var sentAt time.Time
 	for {
@@ -443,11 +451,9 @@
 			f.options.Logger.Warn("digest ignored", "bytes", n, "error", err)
 			continue
 		}
-		if in.Place != nil {
-			f.handlePlace(in, time.Now())
-			continue
+		if now := time.Now(); !f.handleDirect(in, now) {
+			f.handleDigest(in, now)
 		}
-		f.handleDigest(in, time.Now())
 	}
 }
 
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -8,12 +8,8 @@
 	"godwitcart/internal/targetlimit"
 )
 
-const (
-	// coordinationInterval is the time between two checks of who coordinates the request limits.
-	coordinationInterval = 100 * time.Millisecond
-	// maxQueuedPlaces limits the messages about places that wait to be sent. What does not fit is lost like a datagram.
-	maxQueuedPlaces = 256
-)
+// coordinationInterval is the time between two checks of who coordinates the request limits.
+const coordinationInterval = 100 * time.Millisecond
 
 // Limits keeps the request limits of targets. Its methods do not block.
 type Limits interface {
@@ -48,11 +44,6 @@
 	Millis   int64
 }
 
-type outgoingPlace struct {
-	vm      string
-	message placeMessage
-}
-
 // coordinateLimits keeps the coordination of Options.Limits up to date until ctx is done.
 func (f *Fleet) coordinateLimits(ctx context.Context) {
 	for pause.For(ctx, coordinationInterval) {
@@ -123,27 +114,8 @@
 
 // SendPlace sends a message about a place to another VM. It does not block; the message may be lost.
 func (f *Fleet) SendPlace(vm string, message targetlimit.Message) {
-	select {
-	case f.places <- outgoingPlace{vm: vm, message: packPlace(message)}:
-	default:
-	}
-}
-
-// sendPlaces sends the queued messages about places until ctx is done.
-func (f *Fleet) sendPlaces(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case out := <-f.places:
-			f.mu.Lock()
-			member, found := f.members[out.vm]
-			f.mu.Unlock()
-			if found {
-				f.sendTo(&digest{VM: f.options.Self.Name, Place: &out.message}, []Member{member})
-			}
-		}
-	}
+	packed := packPlace(message)
+	f.sendDirect(vm, digest{Place: &packed})
 }
 
 // handlePlace passes on a message about a place.
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -33,6 +33,7 @@
 	Budget  *retrybudget.Budget
 	Lengths *lengths.Estimator
 	Limits  *targetlimit.Ledger
+	Origins Origins
 	Logger  *log.Logger
 	// Trail keeps the log lines of recent requests for operators' queries.
 	Trail *trail.Recorder
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -64,6 +64,11 @@
 	if !ok {
 		return apierror.New(apierror.KindInternal, "the connection cannot carry a stream", "report the request id to the operators")
 	}
+	if x.call.LastEventID != "" {
+		if err := x.takeUp(ctx); err != nil {
+			return err
+		}
+	}
 	s := &stream{exchange: x, flusher: flusher, ctx: ctx, lastEventID: x.call.LastEventID}
 	defer s.release()
 	for {
@@ -232,7 +237,7 @@
 			continue
 		}
 		if !s.versionFixed {
-			s.version, s.versionFixed = lease.Target.Version, true
+			s.fixVersion(lease)
 		}
 		s.recordEvent(lease)
 		s.writeHeader(response)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -162,6 +162,8 @@
 	queue queue
 	// versions counts the targets of each software version.
 	versions map[string]*versionCount
+	// versionsSeen holds the software versions that targets have had since this VM started.
+	versionsSeen map[string]bool
 	// prefillRate is a moving average of the observed prefill rate, in tokens per millisecond.
 	prefillRate float64
 }
@@ -239,7 +241,7 @@
 	for _, member := range t.targets {
 		s := t.services[member.Service]
 		if s == nil {
-			s = &service{prefillRate: defaultPrefillRate}
+			s = &service{prefillRate: defaultPrefillRate, versionsSeen: make(map[string]bool)}
 			t.services[member.Service] = s
 		}
 		member.service = s
--- a/internal/placement/versions.go
+++ b/internal/placement/versions.go
@@ -12,10 +12,25 @@
 // versionCount counts the targets of one software version.
 type versionCount struct{ serving, leaving int }
 
+// SoleVersion returns the software version of the service's targets if this VM has listed no other since its start.
+func (t *Table) SoleVersion(serviceName string) (version string, found bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.services[serviceName]
+	if s == nil || len(s.versionsSeen) != 1 {
+		return "", false
+	}
+	for version := range s.versionsSeen {
+		return version, true
+	}
+	return "", false
+}
+
 // countVersions counts the targets of each version again after they have changed.
 func (s *service) countVersions() {
 	s.versions = make(map[string]*versionCount)
 	for _, member := range s.targets {
+		s.versionsSeen[member.Version] = true
 		count := s.versions[member.Version]
 		if count == nil {
 			count = &versionCount{}
--- a/internal/policy/route.go
+++ b/internal/policy/route.go
@@ -162,3 +162,8 @@
 	}
 	return r.Destinations[len(r.Destinations)-1].Service
 }
+
+// LeadsTo reports whether requests of the route may go to the service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Destinations, func(d Destination) bool { return d.Service == service })
+}
