--- a/internal/stand/soak/callers.go
+++ b/internal/stand/soak/callers.go
@@ -37,6 +37,14 @@
 	// events counts the received events out of expectedEvents; orderError describes the first out of order.
 	events, expectedEvents int
 	orderError             string
+	// firstAttempt is the id of the attempt that brought the first event of a stream that this call takes up; empty for
+	// others. resumedAfter is the last event that its caller had then.
+	firstAttempt string
+	resumedAfter int
+	// versions are the software versions of the events that the caller received, also with earlier attempts.
+	versions []string
+	// sameVersionTargets is the number of undisturbed targets of the stream's version when it was taken up.
+	sameVersionTargets int
 	// mismatched is set when the response carries the ID of another request.
 	mismatched bool
 }
@@ -52,7 +60,9 @@
 	keepVMProbability = 0.7
 	// disconnectProbability is the probability that the caller of a stream disconnects before its end.
 	disconnectProbability = 0.05
-	maxThinkTime          = 60 * time.Millisecond
+	// maxTakeUps is how often a caller takes up the same stream.
+	maxTakeUps   = 2
+	maxThinkTime = 60 * time.Millisecond
 )
 
 // watchReadiness polls the readiness of the VMs and takes those that aren't ready out of rotation, as the platform's
@@ -74,10 +84,12 @@
 	v := h.vms[number%len(h.vms)]
 	for sent := 0; ctx.Err() == nil; sent++ {
 		c := &call{id: fmt.Sprintf("c%d-%d", number, sent), vm: v.Name, apiKey: h.keys.pick(random)}
-		h.send(client, v, c, random)
-		h.mu.Lock()
-		h.calls = append(h.calls, c)
-		h.mu.Unlock()
+		generation := h.send(client, v, c, random)
+		h.recordCall(c)
+		for takeUps := 0; takeUps < maxTakeUps && c.canBeTakenUp() && ctx.Err() == nil; takeUps++ {
+			v = h.chooseReadyVM(random, v)
+			c = h.takeUp(client, v, c, generation)
+		}
 		if c.err != nil || c.status == http.StatusServiceUnavailable || random.Float64() > keepVMProbability {
 			v = h.chooseReadyVM(random, v)
 		}
@@ -118,9 +130,20 @@
 	return path, generation
 }
 
-// send sends one request of a random kind and records the response in c.
-func (h *harness) send(client *http.Client, v *vm, c *call, random *rand.Rand) {
+// send sends one request of a random kind and records the response in c. It returns the generation of a stream.
+func (h *harness) send(client *http.Client, v *vm, c *call, random *rand.Rand) platformtest.Generation {
 	path, generation := c.randomize(random)
+	disconnectAfter := -1
+	if c.streaming && random.Float64() < disconnectProbability {
+		disconnectAfter = random.IntN(c.expectedEvents)
+	}
+	h.transmit(client, v, c, path, generation, disconnectAfter)
+	return generation
+}
+
+// transmit sends the request and records the response in c. The caller disconnects after disconnectAfter events; a
+// negative number means never.
+func (h *harness) transmit(client *http.Client, v *vm, c *call, path string, generation platformtest.Generation, disconnectAfter int) {
 	ctx, cancel := context.WithTimeout(context.Background(), c.deadline+responseGrace)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+v.callerAddress+path, strings.NewReader("flour"))
@@ -132,6 +155,9 @@
 	if c.streaming {
 		platformtest.SetGenerationHeaders(request, generation)
 	}
+	if c.firstAttempt != "" {
+		platformtest.SetTakeUpHeaders(request, c.firstAttempt, c.resumedAfter)
+	}
 	c.sentAt = time.Now()
 	defer func() {
 		c.endedAt = time.Now()
@@ -147,10 +173,6 @@
 	fromTarget, echoedID := platformtest.FromTarget(response)
 	c.fromTarget = fromTarget
 	c.mismatched = fromTarget && echoedID != c.id
-	disconnectAfter := -1
-	if c.streaming && random.Float64() < disconnectProbability {
-		disconnectAfter = random.IntN(c.expectedEvents)
-	}
 	c.readResponse(response, disconnectAfter)
 }
 
@@ -164,13 +186,16 @@
 	}
 	lines := bufio.NewScanner(response.Body)
 	for lines.Scan() {
+		if version, found := strings.CutPrefix(lines.Text(), "data: "+platformtest.VersionPrefix); found {
+			c.recordVersion(version)
+		}
 		eventID, found := strings.CutPrefix(lines.Text(), "id: ")
 		if !found {
 			continue
 		}
 		c.events++
-		if eventID != fmt.Sprint(c.events) && c.orderError == "" {
-			c.orderError = fmt.Sprintf("event %s instead of %d", eventID, c.events)
+		if expected := c.resumedAfter + c.events; eventID != fmt.Sprint(expected) && c.orderError == "" {
+			c.orderError = fmt.Sprintf("event %s instead of %d", eventID, expected)
 		}
 		if c.events == disconnectAfter {
 			c.disconnected = true
--- a/internal/stand/soak/faults.go
+++ b/internal/stand/soak/faults.go
@@ -36,6 +36,8 @@
 	leavingNotice = 2 * time.Second
 	// failEvery is the number of requests at a failing target per failed request.
 	failEvery = 3
+	// rollGap is the time between two targets that are replaced when the software changes.
+	rollGap = 400 * time.Millisecond
 	// slowLinkDelay is the delay added to each read on a slow link.
 	slowLinkDelay = 80 * time.Millisecond
 )
@@ -45,6 +47,7 @@
 	"vm_kill", "vm_stop", "vm_stop", "vm_freeze", "vm_reload", "store_cut", "store_stall", "store_slow", "zone_store_cut",
 	"store_down", "store_forgets", "target_stall", "target_answers_stall", "target_slow", "target_reset", "target_cut",
 	"target_leaves", "target_leaves", "target_leaves", "copies_refused", "target_fails", "target_fails", "revoke", "versions", "rolling_stop",
+	"roll",
 }
 
 // injectFaults injects random faults, which may overlap, and returns when all have ended.
@@ -105,11 +108,24 @@
 			h.keys.republish(h)
 			time.Sleep(minFaultDuration)
 		}
+	case "roll":
+		h.rollSoftware(subjectIndex)
 	default:
 		h.runTargetFault(kind, slot, duration)
 	}
 }
 
+// rollSoftware replaces every other target by one of the next software version, one after the other.
+func (h *harness) rollSoftware(first int) {
+	h.version.Add(1)
+	var replaced sync.WaitGroup
+	for i := first % 2; i < len(h.slots); i += 2 {
+		replaced.Go(func() { h.runTargetFault("target_leaves", h.slots[i], minFaultDuration) })
+		time.Sleep(rollGap)
+	}
+	replaced.Wait()
+}
+
 // recordFault records the start of a fault and returns a function that records its end.
 func (h *harness) recordFault(kind, subject string) func() {
 	h.mu.Lock()
--- a/internal/stand/soak/harness.go
+++ b/internal/stand/soak/harness.go
@@ -59,6 +59,8 @@
 	slots       []*targetSlot
 	keys        keyRing
 	targetCount atomic.Int64
+	// version is the number of the software version of the targets that start.
+	version atomic.Int64
 
 	mu         sync.Mutex
 	calls      []*call
@@ -144,6 +146,7 @@
 func (h *harness) startTarget(slot *targetSlot, service string) {
 	id := fmt.Sprintf("t-%d", h.targetCount.Add(1))
 	target := platformtest.NewTarget(id, slot.link.Address, h.Cluster)
+	target.Version = fmt.Sprintf("v%d", h.version.Load())
 	slot.target.Store(target)
 	h.Register(target, service, slot.zone)
 }
--- a/internal/stand/soak/judge.go
+++ b/internal/stand/soak/judge.go
@@ -93,8 +93,9 @@
 	add("not_run_but_ran", !c.fromTarget && (c.status == http.StatusServiceUnavailable || c.status == http.StatusTooManyRequests) && len(runs) > 0)
 	add("crossed_answer", c.mismatched)
 	add("events_out_of_order", c.orderError != "")
-	add("looks_complete", c.streaming && served && c.complete && !c.disconnected && c.events < c.expectedEvents)
-	add("too_many_events", c.events > c.expectedEvents)
+	add("looks_complete", c.streaming && served && c.complete && !c.disconnected && c.lastEvent() < c.expectedEvents)
+	add("too_many_events", c.lastEvent() > c.expectedEvents)
+	add("mixed_versions", len(c.versions) > 1)
 	add("unanswered", !vmFaulted && c.endedAt.Sub(c.sentAt) > c.deadline+h.options.Slack)
 	add("bad_answer", c.status != 0 && !c.fromTarget && !gatewayStatuses[c.status])
 	add("revoked_key_served", served && c.apiKey.revoked && c.sentAt.Sub(c.apiKey.revokedAt) > revocationBound+h.options.Slack)
@@ -179,10 +180,12 @@
 
 // report summarizes the run.
 func (h *harness) report() *Report {
+	taken, continued := h.checkTakeUps()
 	r := &Report{Seed: h.options.Seed, Requests: len(h.calls), Outcomes: map[string]int{}, Faults: map[string]int{}, Violations: map[string]int{}}
 	for _, c := range h.calls {
 		r.Outcomes[c.outcome()]++
 	}
+	r.TakenUp, r.Continued = taken, continued
 	for _, f := range h.faults {
 		r.Faults[f.kind]++
 	}
--- a/internal/stand/soak/judge_test.go
+++ b/internal/stand/soak/judge_test.go
@@ -48,6 +48,7 @@
 		"short":                 {func(c *call) { c.events = 4 }, []platformtest.Run{run}, nil, "looks_complete"},
 		"short, caller left":    {func(c *call) { c.events, c.disconnected = 4, true }, []platformtest.Run{run}, nil, ""},
 		"long":                  {func(c *call) { c.events = 6 }, []platformtest.Run{run}, nil, "too_many_events"},
+		"two versions":          {func(c *call) { c.versions = []string{"v1", "v2"} }, []platformtest.Run{run}, nil, "mixed_versions"},
 		"late":                  {func(c *call) { c.endedAt = at(30) }, []platformtest.Run{run}, nil, "unanswered"},
 		"late in a freeze":      {func(c *call) { c.endedAt = at(30) }, []platformtest.Run{run}, []fault{{"vm_freeze", "vm-1", at(11), at(20)}}, ""},
 		"unexpected status":     {func(c *call) { c.status, c.fromTarget = http.StatusTeapot, false }, nil, nil, "bad_answer"},
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -37,6 +37,10 @@
 	Requests int            `json:"requests"`
 	Outcomes map[string]int `json:"outcomes"`
 	Faults   map[string]int `json:"faults"`
+	// TakenUp counts the streams that callers took up at undisturbed VMs while two targets of their software version were
+	// undisturbed, and Continued those that went on.
+	TakenUp   int `json:"taken_up"`
+	Continued int `json:"continued"`
 	// Violations counts violated guarantees by name; Examples describes the first of each.
 	Violations map[string]int `json:"violations"`
 	Examples   []Violation    `json:"examples,omitempty"`
