--- a/internal/entry/limit_test.go
+++ b/internal/entry/limit_test.go
@@ -24,15 +24,15 @@
 )
 
 // mostInWindow returns the largest number of arrivals in any limitWindow that begins at from or later.
-func mostInWindow(arrivals []time.Time, from time.Time) int {
+func mostInWindow(arrivals []platformtest.Arrival, from time.Time) int {
 	most := 0
 	for first, opened := range arrivals {
-		if opened.Before(from) {
+		if opened.At.Before(from) {
 			continue
 		}
 		count := 0
 		for _, arrival := range arrivals[first:] {
-			if arrival.Sub(opened) < limitWindow {
+			if arrival.At.Sub(opened.At) < limitWindow {
 				count++
 			}
 		}
@@ -116,11 +116,11 @@
 			}
 			callers.Wait()
 			arrivals := limited.Arrivals()
-			t.Logf("%d requests in all, at most %d in a window", len(arrivals), mostInWindow(arrivals, arrivals[0].Add(limitContact)))
+			t.Logf("%d requests in all, at most %d in a window", len(arrivals), mostInWindow(arrivals, arrivals[0].At.Add(limitContact)))
 			require.NotEmpty(t, arrivals)
 			allowed := perSecond*limitFactor*limitWindow.Seconds() + limitAllowance
 			require.Greater(t, len(arrivals), int(perSecond), "the target is hardly used")
-			require.LessOrEqual(t, float64(mostInWindow(arrivals, arrivals[0].Add(limitContact))), allowed)
+			require.LessOrEqual(t, float64(mostInWindow(arrivals, arrivals[0].At.Add(limitContact))), allowed)
 		})
 	}
 }
--- a/internal/stand/soak/faults.go
+++ b/internal/stand/soak/faults.go
@@ -36,6 +36,8 @@
 	leavingNotice = 2 * time.Second
 	// failEvery is the number of requests at a failing target per failed request.
 	failEvery = 3
+	// limitChoices is the number of request limits that targets name, 0.5 and more by one.
+	limitChoices = 6
 	// rollGap is the time between two targets that are replaced when the software changes.
 	rollGap = 400 * time.Millisecond
 	// slowLinkDelay is the delay added to each read on a slow link.
@@ -47,7 +49,7 @@
 	"vm_kill", "vm_stop", "vm_stop", "vm_freeze", "vm_reload", "store_cut", "store_stall", "store_slow", "zone_store_cut",
 	"store_down", "store_forgets", "target_stall", "target_answers_stall", "target_slow", "target_reset", "target_cut",
 	"target_leaves", "target_leaves", "target_leaves", "copies_refused", "target_fails", "target_fails", "revoke", "versions", "rolling_stop",
-	"roll",
+	"target_limits", "target_limits", "roll",
 }
 
 // injectFaults injects random faults, which may overlap, and returns when all have ended.
@@ -108,6 +110,10 @@
 			h.keys.republish(h)
 			time.Sleep(minFaultDuration)
 		}
+	case "target_limits":
+		target := slot.target.Load()
+		defer h.recordFault(kind, target.ID+"/limit")()
+		h.runLimit(target, float64(subjectIndex%limitChoices)+0.5, duration)
 	case "roll":
 		h.rollSoftware(subjectIndex)
 	default:
--- a/internal/stand/soak/harness.go
+++ b/internal/stand/soak/harness.go
@@ -62,10 +62,13 @@
 	// version is the number of the software version of the targets that start.
 	version atomic.Int64
 
-	mu         sync.Mutex
-	calls      []*call
-	faults     []fault
-	violations []Violation
+	mu     sync.Mutex
+	calls  []*call
+	limits []limitPeriod
+	// checkedWindows counts the windows in which a limit was checked.
+	checkedWindows int
+	faults         []fault
+	violations     []Violation
 }
 
 func newHarness(options Options) (*harness, error) {
--- a/internal/stand/soak/judge.go
+++ b/internal/stand/soak/judge.go
@@ -185,6 +185,7 @@
 	for _, c := range h.calls {
 		r.Outcomes[c.outcome()]++
 	}
+	r.LimitWindows = h.checkedWindows
 	r.TakenUp, r.Continued = taken, continued
 	for _, f := range h.faults {
 		r.Faults[f.kind]++
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -41,6 +41,8 @@
 	// undisturbed, and Continued those that went on.
 	TakenUp   int `json:"taken_up"`
 	Continued int `json:"continued"`
+	// LimitWindows counts the windows in which a target's request limit was checked.
+	LimitWindows int `json:"limit_windows"`
 	// Violations counts violated guarantees by name; Examples describes the first of each.
 	Violations map[string]int `json:"violations"`
 	Examples   []Violation    `json:"examples,omitempty"`
@@ -81,6 +83,7 @@
 	h.checkRecovery(ctx)
 	time.Sleep(settleTime)
 	h.checkCalls()
+	h.checkLimits()
 	if err := h.checkLogs(); err != nil {
 		return nil, err
 	}
