--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -256,16 +256,23 @@
 func (s *stream) copyTo(ctx context.Context, leaving roster.Target, lease *placement.Lease, noticedAt time.Time) (CopyResult, error) {
 	for {
 		startedAt := time.Now()
-		result, err := s.options.Mover.Copy(ctx, leaving.Address, s.call.ID, lease.Target.Address, false)
+		result, err := s.requestCopy(ctx, leaving, lease, false)
 		if err != nil || result.Refused || result.Unknown {
 			return result, err
 		}
 		if time.Since(startedAt) <= s.finalCopyLimit() || time.Since(noticedAt) > minNoticeTime {
-			return s.options.Mover.Copy(ctx, leaving.Address, s.call.ID, lease.Target.Address, true)
+			return s.requestCopy(ctx, leaving, lease, true)
 		}
 	}
 }
 
+// requestCopy asks the source for a copy. The call counts against the source's request limit, but does not wait for it:
+// the generation would be lost.
+func (s *stream) requestCopy(ctx context.Context, source roster.Target, destination *placement.Lease, stop bool) (CopyResult, error) {
+	s.options.Limits.Take(source, time.Now())
+	return s.options.Mover.Copy(ctx, source.Address, s.call.ID, destination.Target.Address, stop)
+}
+
 // finalCopyLimit returns the duration up to which a copy is fast enough for the generation to be stopped.
 func (s *stream) finalCopyLimit() time.Duration {
 	if s.route.MaxGap == 0 {
--- a/internal/targetlimit/ledger.go
+++ b/internal/targetlimit/ledger.go
@@ -26,6 +26,9 @@
 	announceTime = 2 * time.Second
 	// endedLimitTTL is how long the end of a limit is remembered, so that an outdated statement does not restore it.
 	endedLimitTTL = 10 * time.Second
+	// unlistedTTL is how long the limit of a target is kept that is no longer listed: after an outage of the platform it
+	// may be listed again.
+	unlistedTTL = 30 * time.Second
 )
 
 // Statement is what one answer of a target says about its limit.
@@ -92,6 +95,8 @@
 	observedAt time.Time
 	// source is the VM that received the answer.
 	source string
+	// unlistedSince is when the target was no longer listed; zero while it is.
+	unlistedSince time.Time
 	// places are those of this VM, and schedule spaces those that it gives out as coordinator.
 	places   places
 	schedule schedule
@@ -198,14 +203,13 @@
 	return announcements
 }
 
-// Retain drops the limits of incarnations that are no longer listed, and ends of limits that are no longer needed.
+// Retain drops the limits of incarnations that have restarted or are no longer listed, and ends of limits that are no
+// longer needed.
 func (l *Ledger) Retain(listed map[string]roster.Target, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for target, known := range l.limits {
-		current, found := listed[target.ID]
-		isListed := found && IncarnationOf(current) == target
-		if isListed && (known.Limited || now.Sub(known.statedAt) <= endedLimitTTL) {
+		if known.isNeeded(target, listed, now) {
 			continue
 		}
 		if known.Limited {
@@ -215,6 +219,21 @@
 	}
 }
 
+func (k *limit) isNeeded(target Incarnation, listed map[string]roster.Target, now time.Time) bool {
+	current, found := listed[target.ID]
+	switch {
+	case found && IncarnationOf(current) != target:
+		return false
+	case found:
+		k.unlistedSince = time.Time{}
+	case k.unlistedSince.IsZero():
+		k.unlistedSince = now
+	case now.Sub(k.unlistedSince) > unlistedTTL:
+		return false
+	}
+	return k.Limited || now.Sub(k.statedAt) <= endedLimitTTL
+}
+
 // ledgerMetrics are the metrics of a Ledger.
 type ledgerMetrics struct {
 	limits metrics.Gauge
--- a/internal/targetlimit/ledger_test.go
+++ b/internal/targetlimit/ledger_test.go
@@ -68,3 +68,61 @@
 	l.Observe(restarted, targetlimit.Statement{}, at(21), at(22))
 	require.Empty(t, l.Announcements(true, at(22)))
 }
+
+// TestLimitSurvivesOutageOfList guards against a VM that forgets the limit of a target that is listed again after an outage
+// of the platform.
+func TestLimitSurvivesOutageOfList(t *testing.T) {
+	l := newLedger("vm-1")
+	l.Observe(counter, limited(4), at(0), at(10))
+	l.Retain(nil, at(20))
+	l.Retain(map[string]roster.Target{"c1": counter}, at(25_000))
+	l.Retain(nil, at(26_000))
+	l.Retain(nil, at(50_000))
+	require.True(t, l.IsLimited(counter))
+	l.Retain(nil, at(57_000))
+	require.False(t, l.Active())
+}
+
+// TestOverdrawnPlacesAreTakenBack checks that a request that is sent without a place uses up a later one.
+func TestOverdrawnPlacesAreTakenBack(t *testing.T) {
+	var asked []targetlimit.Message
+	l := targetlimit.NewLedger(targetlimit.Options{VM: "vm-1", Logger: log.New(io.Discard), Transmit: func(_ string, message targetlimit.Message) {
+		asked = append(asked, message)
+	}})
+	l.SetCoordination(targetlimit.Coordination{Coordinator: "vm-2", Known: 2}, at(0))
+	l.Observe(counter, limited(4), at(0), at(10))
+	l.Take(counter, at(20))
+	for i, wantUsable := range []bool{false, true} {
+		now := at(100 * (i + 1))
+		l.Ask(counter, true, time.Second, now)
+		require.Len(t, asked, i+1)
+		l.HandleMessage("vm-2", targetlimit.Message{Answer: &targetlimit.Answer{Target: targetlimit.IncarnationOf(counter), Number: asked[i].Ask.Number, Granted: true}}, now)
+		require.Equal(t, wantUsable, l.MayTake(counter, true, now))
+	}
+}
+
+// TestAnswersThatDoNotCount checks that a place is not taken from a VM that is not the coordinator, twice or too late, and
+// expires.
+func TestAnswersThatDoNotCount(t *testing.T) {
+	var asked targetlimit.Message
+	l := targetlimit.NewLedger(targetlimit.Options{VM: "vm-1", Logger: log.New(io.Discard), Transmit: func(_ string, message targetlimit.Message) { asked = message }})
+	l.SetCoordination(targetlimit.Coordination{Coordinator: "vm-2", Known: 2}, at(0))
+	l.Observe(counter, limited(4), at(0), at(10))
+	answer := func(from string, now time.Time) {
+		l.HandleMessage(from, targetlimit.Message{Answer: &targetlimit.Answer{Target: targetlimit.IncarnationOf(counter), Number: asked.Ask.Number, Granted: true}}, now)
+	}
+	l.Ask(counter, true, time.Second, at(100))
+	answer("vm-3", at(110))
+	require.False(t, l.MayTake(counter, true, at(110)), "not the coordinator")
+	answer("vm-2", at(450))
+	require.False(t, l.MayTake(counter, true, at(450)), "too late")
+	l.Ask(counter, true, time.Second, at(500))
+	answer("vm-2", at(510))
+	answer("vm-2", at(511))
+	require.True(t, l.MayTake(counter, true, at(520)))
+	l.Take(counter, at(520))
+	require.False(t, l.MayTake(counter, true, at(520)), "the same answer twice")
+	l.Ask(counter, true, time.Second, at(600))
+	answer("vm-2", at(610))
+	require.False(t, l.MayTake(counter, true, at(1700)), "the place has expired")
+}
--- a/internal/targetlimit/places.go
+++ b/internal/targetlimit/places.go
@@ -25,6 +25,9 @@
 	spareAsksPerPlace = 2
 	minSparePause     = 250 * time.Millisecond
 	maxSparePause     = 10 * time.Second
+	// maxOverdrawn bounds the places that requests without one use up in advance, so that a burst of them does not keep
+	// others from the target for long.
+	maxOverdrawn = 8
 )
 
 // place is the permission to send one request.
@@ -96,7 +99,7 @@
 		return
 	}
 	l.metrics.overdrawn.Inc(1)
-	known.places.overdrawn++
+	known.places.overdrawn = min(known.places.overdrawn+1, maxOverdrawn)
 }
 
 // Ask asks the coordinator for a place at the target, unless a question is open or the last refusal makes it pointless.
