--- a/internal/forward/takeup.go
+++ b/internal/forward/takeup.go
@@ -49,9 +49,10 @@
 	return nil
 }
 
-// takeUpUnnamed accepts a stream whose caller does not name its first attempt if the service has had one version only.
+// takeUpUnnamed accepts a stream whose caller does not name its first attempt if this VM knows one version of the
+// service only.
 func (x *exchange) takeUpUnnamed() error {
-	version, found := x.options.Table.SoleVersion(x.service.Name)
+	version, found := x.options.Table.SoleVersion(x.service.Name, time.Now())
 	if !found {
 		return apierror.New(apierror.KindNotRun, "the service has had several software versions, and the request does not name the attempt that began the stream", takeUpRemedy)
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -162,8 +162,8 @@
 	queue queue
 	// versions counts the targets of each software version.
 	versions map[string]*versionCount
-	// versionsSeen holds the software versions that targets have had since this VM started.
-	versionsSeen map[string]bool
+	// versionsListed holds when a target of each software version was last listed.
+	versionsListed map[string]time.Time
 	// prefillRate is a moving average of the observed prefill rate, in tokens per millisecond.
 	prefillRate float64
 }
@@ -230,18 +230,18 @@
 			delete(t.targets, id)
 		}
 	}
-	t.regroupTargets()
+	t.regroupTargets(now)
 	t.wakeWaiters()
 }
 
-func (t *Table) regroupTargets() {
+func (t *Table) regroupTargets(now time.Time) {
 	for _, s := range t.services {
 		s.targets = s.targets[:0]
 	}
 	for _, member := range t.targets {
 		s := t.services[member.Service]
 		if s == nil {
-			s = &service{prefillRate: defaultPrefillRate, versionsSeen: make(map[string]bool)}
+			s = &service{prefillRate: defaultPrefillRate, versionsListed: make(map[string]time.Time)}
 			t.services[member.Service] = s
 		}
 		member.service = s
@@ -251,6 +251,7 @@
 		// A fixed order makes the random choices reproducible.
 		slices.SortFunc(s.targets, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
 		s.countVersions()
+		s.recordVersions(now)
 	}
 	t.recomputePeerLoads()
 }
--- a/internal/placement/versions.go
+++ b/internal/placement/versions.go
@@ -1,5 +1,7 @@
 package placement
 
+import "time"
+
 const (
 	// loneVersionCost is the penalty of an engine that is the only one of its software version: its streams have nowhere
 	// to continue.
@@ -7,30 +9,44 @@
 	// departingVersionCost is added in proportion to the share of the version's engines that are leaving: streams may
 	// outlast the last of them.
 	departingVersionCost = 300.0
+	// versionMemory is how long a software version is remembered that is no longer listed. No stream lasts longer.
+	versionMemory = 10 * time.Minute
 )
 
 // versionCount counts the targets of one software version.
 type versionCount struct{ serving, leaving int }
 
-// SoleVersion returns the software version of the service's targets if this VM has listed no other since its start.
-func (t *Table) SoleVersion(serviceName string) (version string, found bool) {
+// SoleVersion returns the software version of the service's targets if this VM has listed no other within versionMemory.
+func (t *Table) SoleVersion(serviceName string, now time.Time) (sole string, found bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.services[serviceName]
-	if s == nil || len(s.versionsSeen) != 1 {
+	if s == nil {
 		return "", false
 	}
-	for version := range s.versionsSeen {
-		return version, true
+	for version, listedAt := range s.versionsListed {
+		if now.Sub(listedAt) > versionMemory {
+			continue
+		}
+		if found {
+			return "", false
+		}
+		sole, found = version, true
+	}
+	return sole, found
+}
+
+// recordVersions records that the targets' versions are listed.
+func (s *service) recordVersions(now time.Time) {
+	for _, member := range s.targets {
+		s.versionsListed[member.Version] = now
 	}
-	return "", false
 }
 
 // countVersions counts the targets of each version again after they have changed.
 func (s *service) countVersions() {
 	s.versions = make(map[string]*versionCount)
 	for _, member := range s.targets {
-		s.versionsSeen[member.Version] = true
 		count := s.versions[member.Version]
 		if count == nil {
 			count = &versionCount{}
--- a/internal/placement/versions_test.go
+++ b/internal/placement/versions_test.go
@@ -74,3 +74,19 @@
 		})
 	}
 }
+
+// TestSoleVersion checks when a service counts as one that has had a single version.
+func TestSoleVersion(t *testing.T) {
+	table := newTestTable("vm-1", 1, versioned("e1", "v1"), versioned("e2", "v1"))
+	version, found := table.SoleVersion(testService, startTime)
+	require.True(t, found)
+	require.Equal(t, "v1", version)
+	table.ReplaceTargets(map[string]roster.Target{"e3": versioned("e3", "v2")}, startTime.Add(time.Minute))
+	_, found = table.SoleVersion(testService, startTime.Add(2*time.Minute))
+	require.False(t, found, "a stream may have begun at the version that is gone")
+	version, found = table.SoleVersion(testService, startTime.Add(11*time.Minute))
+	require.True(t, found)
+	require.Equal(t, "v2", version)
+	_, found = table.SoleVersion("other", startTime)
+	require.False(t, found)
+}
