--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -97,9 +97,12 @@
 	return lease, nil
 }
 
-// withRetryAfter adds a Retry-After to the refusal of a request. One that tells when a place is free is only bounded by
-// the time left.
+// withRetryAfter adds a Retry-After to the refusal of a request, unless the stream has to begin anew. One that tells when
+// a place is free is only bounded by the time left.
 func (x *exchange) withRetryAfter(refusal *apierror.Error) *apierror.Error {
+	if x.versionFixed && refusal.Kind == apierror.KindNotRun {
+		return refusal
+	}
 	if refusal.RetryAfter == 0 {
 		return refusal.WithRetryAfter(x.retryAfter())
 	}
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -10,13 +10,14 @@
 
 // Limiter decides which requests may be sent to targets that have named a request limit. Its methods do not block.
 type Limiter interface {
-	// MayTake reports whether a request may be sent to the target now. It is urgent if no other target can take it.
-	MayTake(target roster.Target, urgent bool, now time.Time) bool
+	// MayTake reports whether a request may be sent to the target now.
+	MayTake(target roster.Target, now time.Time) bool
 	// Take counts a request that is sent to the target.
 	Take(target roster.Target, now time.Time)
 	// IsLimited reports whether the target has a limit in force.
 	IsLimited(target roster.Target) bool
-	// Ask asks for a place at the target; a request that is urgent needs it within its patience.
+	// Ask asks for a place at the target. A request is urgent if no other target can take it; it needs the place within
+	// its patience.
 	Ask(target roster.Target, urgent bool, patience time.Duration, now time.Time)
 	// Wait returns the time until a place at the target is expected, and whether asking is pointless until then.
 	Wait(target roster.Target, now time.Time) (wait time.Duration, refused bool)
@@ -27,7 +28,7 @@
 // unlimited is the Limiter of a Table that is given none.
 type unlimited struct{}
 
-func (unlimited) MayTake(roster.Target, bool, time.Time) bool         { return true }
+func (unlimited) MayTake(roster.Target, time.Time) bool               { return true }
 func (unlimited) Take(roster.Target, time.Time)                       {}
 func (unlimited) IsLimited(roster.Target) bool                        { return false }
 func (unlimited) Ask(roster.Target, bool, time.Duration, time.Time)   {}
--- a/internal/placement/limits_test.go
+++ b/internal/placement/limits_test.go
@@ -17,7 +17,7 @@
 type places struct {
 	limited string
 	mu      sync.Mutex
-	// free is the number of places, of which urgent requests alone may use saved.
+	// free is the number of places, and saved those that an urgent request gets when it asks.
 	free, saved int
 	asked       []bool
 	taken       int
@@ -25,10 +25,10 @@
 	refused     bool
 }
 
-func (p *places) MayTake(target roster.Target, urgent bool, _ time.Time) bool {
+func (p *places) MayTake(target roster.Target, _ time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.IsLimited(target) || p.free > 0 || urgent && p.saved > 0
+	return !p.IsLimited(target) || p.free > 0
 }
 
 func (p *places) Take(target roster.Target, _ time.Time) {
@@ -44,6 +44,10 @@
 
 func (p *places) Ask(_ roster.Target, urgent bool, _ time.Duration, _ time.Time) {
 	p.asked = append(p.asked, urgent)
+	if urgent && p.saved > 0 {
+		p.saved--
+		p.free++
+	}
 }
 
 func (p *places) Wait(roster.Target, time.Time) (time.Duration, bool) { return p.wait, p.refused }
@@ -81,10 +85,12 @@
 func TestUrgentRequestsUseSavedPlaces(t *testing.T) {
 	limits := &places{saved: 1}
 	table := limitedTable(limits, "limited", "other")
-	lease, err := table.Pick(placement.Query{Service: "s", Zone: "a"}, time.Now())
+	query := placement.Query{Service: "s", Zone: "a"}
+	lease, err := table.Acquire(t.Context(), query, time.Second)
 	require.NoError(t, err)
 	require.Equal(t, "other", lease.Target.ID)
-	lease, err = table.Pick(placement.Query{Service: "s", Zone: "a", Excluded: []string{"other"}}, time.Now())
+	query.Excluded = []string{"other"}
+	lease, err = table.Acquire(t.Context(), query, time.Second)
 	require.NoError(t, err)
 	require.Equal(t, "limited", lease.Target.ID)
 	lease.CountSend(time.Now())
@@ -95,7 +101,7 @@
 // TestTransfersAvoidLimitedTargets checks that moves and copies do not go to a target in need, and that a backup there is
 // used only with a place.
 func TestTransfersAvoidLimitedTargets(t *testing.T) {
-	limits := &places{free: 8, saved: 8}
+	limits := &places{free: 8}
 	table := limitedTable(limits, "limited")
 	query := placement.Query{Service: "s", Zone: "a", MemoryTokens: 1000, PromptTokens: 10}
 	for _, change := range []func(*placement.Query){func(q *placement.Query) { q.Copy = true }, func(q *placement.Query) { q.Move = true }} {
@@ -112,7 +118,7 @@
 	require.Zero(t, limits.taken, "a continuation counts when it is sent")
 	lease.CountSend(time.Now())
 	require.Equal(t, 1, limits.taken)
-	limits.free, limits.saved = 0, 0
+	limits.free = 0
 	_, usable = table.PickTarget(wanted, backup, time.Now())
 	require.False(t, usable)
 	table.ReserveLeaving(wanted, backup, time.Now()).CountSend(time.Now())
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -139,22 +139,11 @@
 // lowestScoreTarget returns the target with the lowest score among the candidates with capacity, and the number of
 // candidates. Candidates are the targets that are not excluded and can take work, with free capacity or without.
 //
-// A request that only targets with a request limit can take is urgent there. For other requests a place is asked for in
-// passing, so that such a target remains in use.
+// Where a target has capacity but no place within its request limit, a place is asked for in passing if another target
+// takes the request, so that the limited one remains in use.
 func (t *Table) lowestScoreTarget(s *service, q *Query, now time.Time) (best *target, candidates int) {
-	best, withoutPlace, candidates := t.lowestScore(s, q, false, now)
-	if best == nil && withoutPlace != nil {
-		best, _, candidates = t.lowestScore(s, q, true, now)
-	} else if withoutPlace != nil {
-		t.limits.Ask(withoutPlace.Target, false, 0, now)
-	}
-	return best, candidates
-}
-
-// lowestScore is lowestScoreTarget for requests that are urgent or not. It also returns a target that has capacity but
-// no place within its request limit.
-func (t *Table) lowestScore(s *service, q *Query, urgent bool, now time.Time) (best, withoutPlace *target, candidates int) {
 	lowest := math.Inf(1)
+	var withoutPlace *target
 	for _, candidate := range s.targets {
 		if !q.accepts(candidate, now) {
 			continue
@@ -163,7 +152,7 @@
 		if !s.hasCapacity(candidate, q) {
 			continue
 		}
-		if !t.limits.MayTake(candidate.Target, urgent, now) {
+		if !t.limits.MayTake(candidate.Target, now) {
 			withoutPlace = candidate
 			continue
 		}
@@ -171,7 +160,10 @@
 			best, lowest = candidate, score
 		}
 	}
-	return best, withoutPlace, candidates
+	if best != nil && withoutPlace != nil {
+		t.limits.Ask(withoutPlace.Target, false, 0, now)
+	}
+	return best, candidates
 }
 
 // drawTransferTarget picks the engine that receives the memory of a generation, at random and weighted by free
@@ -238,8 +230,9 @@
 func (t *Table) PickTarget(wanted roster.Target, q Query, now time.Time) (*Lease, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	q.Excluded = nil // a target that failed an earlier attempt still holds the memory
 	current := t.targets[wanted.ID]
-	if current == nil || !current.SameIncarnation(wanted) || !q.accepts(current, now) || !q.Copy && !t.limits.MayTake(current.Target, true, now) {
+	if current == nil || !current.SameIncarnation(wanted) || !q.accepts(current, now) || !q.Copy && !t.limits.MayTake(current.Target, now) {
 		return nil, false
 	}
 	return t.reserve(current, &q, now, 1), true
--- a/internal/targetlimit/ledger_test.go
+++ b/internal/targetlimit/ledger_test.go
@@ -97,7 +97,7 @@
 		l.Ask(counter, true, time.Second, now)
 		require.Len(t, asked, i+1)
 		l.HandleMessage("vm-2", targetlimit.Message{Answer: &targetlimit.Answer{Target: targetlimit.IncarnationOf(counter), Number: asked[i].Ask.Number, Granted: true}}, now)
-		require.Equal(t, wantUsable, l.MayTake(counter, true, now))
+		require.Equal(t, wantUsable, l.MayTake(counter, now))
 	}
 }
 
@@ -113,16 +113,16 @@
 	}
 	l.Ask(counter, true, time.Second, at(100))
 	answer("vm-3", at(110))
-	require.False(t, l.MayTake(counter, true, at(110)), "not the coordinator")
+	require.False(t, l.MayTake(counter, at(110)), "not the coordinator")
 	answer("vm-2", at(450))
-	require.False(t, l.MayTake(counter, true, at(450)), "too late")
+	require.False(t, l.MayTake(counter, at(450)), "too late")
 	l.Ask(counter, true, time.Second, at(500))
 	answer("vm-2", at(510))
 	answer("vm-2", at(511))
-	require.True(t, l.MayTake(counter, true, at(520)))
+	require.True(t, l.MayTake(counter, at(520)))
 	l.Take(counter, at(520))
-	require.False(t, l.MayTake(counter, true, at(520)), "the same answer twice")
+	require.False(t, l.MayTake(counter, at(520)), "the same answer twice")
 	l.Ask(counter, true, time.Second, at(600))
 	answer("vm-2", at(610))
-	require.False(t, l.MayTake(counter, true, at(1700)), "the place has expired")
+	require.False(t, l.MayTake(counter, at(1700)), "the place has expired")
 }
--- a/internal/targetlimit/model_test.go
+++ b/internal/targetlimit/model_test.go
@@ -158,7 +158,7 @@
 	m := vm.m
 	switch {
 	case vm.frozen || vm.stopped:
-	case m.unaware || vm.MayTake(counter, true, m.now):
+	case m.unaware || vm.MayTake(counter, m.now):
 		vm.Take(counter, m.now)
 		if m.now.Sub(vm.disturbedAt) > modelContact {
 			m.arrivals = append(m.arrivals, m.now)
@@ -208,7 +208,7 @@
 		}
 		for range m.poisson(perSecond * modelStep.Seconds()) {
 			vm := m.vms[m.random.IntN(len(m.vms))]
-			if vm.Active() && !vm.MayTake(counter, true, m.now) {
+			if vm.Active() && !vm.MayTake(counter, m.now) {
 				vm.Ask(counter, true, modelPatience, m.now)
 			}
 			vm.request(m.now.Add(modelPatience))
--- a/internal/targetlimit/places.go
+++ b/internal/targetlimit/places.go
@@ -20,7 +20,7 @@
 	// unused are found.
 	maxAskPause = time.Second
 	// noCoordinatorPause is the pause before the next question while no coordinator is known.
-	noCoordinatorPause = 500 * time.Millisecond
+	noCoordinatorPause = 200 * time.Millisecond
 	// spareAsksPerPlace is how often all VMs together ask for each place of a target that they do not need.
 	spareAsksPerPlace = 2
 	minSparePause     = 250 * time.Millisecond
@@ -36,6 +36,7 @@
 // openAsk is a question that the coordinator has not answered yet.
 type openAsk struct {
 	number uint32
+	urgent bool
 	sentAt time.Time
 }
 
@@ -50,9 +51,9 @@
 	nextSpareAskAt         time.Time
 }
 
-// MayTake reports whether a request may be sent to the target now: it has no limit, or this VM has a place there. A
-// request is urgent if no other target can take it.
-func (l *Ledger) MayTake(target roster.Target, urgent bool, now time.Time) bool {
+// MayTake reports whether a request may be sent to the target now: it has no limit, or this VM has a place there. The
+// coordinator has those that are saved up beyond what an urgent request of another VM may need.
+func (l *Ledger) MayTake(target roster.Target, now time.Time) bool {
 	if !l.Active() {
 		return true
 	}
@@ -63,7 +64,7 @@
 		return true
 	}
 	known.places.expire(now)
-	return known.places.usable(now) >= 0 || l.isCoordinator() && l.waitForPlace(known, urgent, now) == 0
+	return known.places.usable(now) >= 0 || l.isCoordinator() && l.waitForPlace(known, false, now) == 0
 }
 
 // IsLimited reports whether the target has a limit in force.
@@ -120,7 +121,7 @@
 		return
 	}
 	l.askNumber++
-	known.places.asks = append(known.places.asks, openAsk{number: l.askNumber, sentAt: now})
+	known.places.asks = append(known.places.asks, openAsk{number: l.askNumber, urgent: urgent, sentAt: now})
 	ask := Ask{Target: IncarnationOf(target), Number: l.askNumber, Urgent: urgent, Patience: patience}
 	if l.coordination.Coordinator == l.options.VM {
 		l.receiveAnswer(known, l.answer(known, ask, now), now)
@@ -162,11 +163,14 @@
 	if i < 0 {
 		return
 	}
+	urgent := known.places.asks[i].urgent
 	known.places.asks = slices.Delete(known.places.asks, i, i+1)
 	if !answer.Granted {
 		l.metrics.refused.Inc(1)
-		known.places.refuse(answer.Wait, now)
-		l.placeFree(0) // the waiting requests learn of the refusal
+		if urgent {
+			known.places.refuse(answer.Wait, now)
+			l.placeFree(0) // the waiting requests learn of the refusal
+		}
 		return
 	}
 	l.metrics.granted.Inc(1)
