--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -78,17 +78,23 @@
 }
 
 // queueWaitShare is the share of the latency objective that a request may spend waiting for capacity; the rest is
-// left for processing the prompt. A request without an objective waits for up to defaultQueueWait.
+// left for processing the prompt. A request without an objective waits for up to defaultQueueWait. A stream that
+// continues would be lost by a refusal, and waits for up to continuedQueueWaitShare.
 const (
-	queueWaitShare   = 0.25
-	defaultQueueWait = time.Second
+	queueWaitShare          = 0.25
+	continuedQueueWaitShare = 0.75
+	defaultQueueWait        = time.Second
 )
 
 // place reserves a target for the next attempt, waiting for capacity if necessary.
 func (x *exchange) place(ctx context.Context) (*placement.Lease, error) {
 	maxWait := defaultQueueWait
 	if x.route.LatencyObjective > 0 {
-		maxWait = time.Duration(queueWaitShare * float64(x.route.LatencyObjective))
+		share := queueWaitShare
+		if x.versionFixed {
+			share = continuedQueueWaitShare
+		}
+		maxWait = time.Duration(share * float64(x.route.LatencyObjective))
 	}
 	lease, err := x.options.Table.Acquire(ctx, x.boundQuery(), min(maxWait, time.Until(x.deadline)))
 	if err != nil {
