--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -160,6 +160,8 @@
 	targets []*target
 	// queue holds the requests that wait for capacity.
 	queue queue
+	// versionQueues holds the queues of streams that continue at a software version.
+	versionQueues map[string]*queue
 	// versions counts the targets of each software version.
 	versions map[string]*versionCount
 	// versionsListed holds when a target of each software version was last listed.
@@ -241,7 +243,7 @@
 	for _, member := range t.targets {
 		s := t.services[member.Service]
 		if s == nil {
-			s = &service{prefillRate: defaultPrefillRate, versionsListed: make(map[string]time.Time)}
+			s = &service{prefillRate: defaultPrefillRate, versionsListed: make(map[string]time.Time), versionQueues: make(map[string]*queue)}
 			t.services[member.Service] = s
 		}
 		member.service = s
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -46,7 +46,7 @@
 	if w == nil {
 		return lease, err
 	}
-	defer t.dequeue(q.Service, w)
+	defer t.dequeue(&q, w)
 	timer := time.NewTimer(maxWait)
 	defer timer.Stop()
 	for {
@@ -80,7 +80,7 @@
 	if s == nil {
 		return nil, nil, apierror.Newf(apierror.KindNotRun, "come back after the time given", "no target of service %q is known", q.Service)
 	}
-	ahead := s.queue.countAhead(q.Priority)
+	ahead := s.queueOf(q).countAhead(q.Priority)
 	if ahead == 0 {
 		lease, err := t.pick(s, q, now)
 		if err == nil || !apierror.Is(err, apierror.KindOverloaded) {
@@ -90,7 +90,7 @@
 	if limited := t.limitedTarget(s, q, now); limited != nil {
 		return t.enqueueForPlace(s, q, limited, ahead, maxWait, now)
 	}
-	if expected := s.queue.expectedWait(ahead); expected > maxWait {
+	if expected := s.queueOf(q).expectedWait(ahead); expected > maxWait {
 		return nil, nil, apierror.Newf(apierror.KindOverloaded, "come back after the time given",
 			"%d requests wait for room at service %q, about %d ms, before this one of %d tokens", ahead, q.Service, expected.Milliseconds(), q.memory())
 	}
@@ -99,8 +99,9 @@
 
 // enqueue adds a waiter. The caller holds the lock.
 func (t *Table) enqueue(s *service, q *Query, now time.Time) *waiter {
-	w := s.queue.insert(q.Priority, now)
-	if t.onLoadChange != nil && len(s.queue.waiting) == 1 {
+	queue := s.queueOf(q)
+	w := queue.insert(q.Priority, now)
+	if t.onLoadChange != nil && len(queue.waiting) == 1 {
 		t.onLoadChange()
 	}
 	return w
@@ -128,7 +129,7 @@
 	defer t.mu.Unlock()
 	s := t.services[q.Service]
 	refusal := apierror.Newf(apierror.KindOverloaded, "come back after the time given", "service %q has no room", q.Service)
-	if s.queue.waiting[0] != w {
+	if s.queueOf(q).waiting[0] != w {
 		return nil, t.capacityChanged, refusal
 	}
 	lease, err := t.pick(s, q, now)
@@ -147,7 +148,7 @@
 
 func (t *Table) hasWaiting() bool {
 	for _, s := range t.services {
-		if len(s.queue.waiting) > 0 {
+		if s.hasWaiting() {
 			return true
 		}
 	}
@@ -167,16 +168,41 @@
 	return time.Duration(t.random.Float64() * float64(others) * float64(turnTime))
 }
 
-func (t *Table) dequeue(service string, w *waiter) {
+func (t *Table) dequeue(q *Query, w *waiter) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.services[service].queue.remove(w, time.Now())
+	t.services[q.Service].queueOf(q).remove(w, time.Now())
 	if t.onLoadChange != nil && !t.hasWaiting() {
 		t.onLoadChange()
 	}
 	t.wakeWaiters()
 }
 
+// queueOf returns the queue of the query. Streams that continue at a software version wait apart: while its engines are
+// full, those of other versions may have capacity for new ones.
+func (s *service) queueOf(q *Query) *queue {
+	if !q.VersionFixed {
+		return &s.queue
+	}
+	if s.versionQueues[q.Version] == nil {
+		s.versionQueues[q.Version] = &queue{}
+	}
+	return s.versionQueues[q.Version]
+}
+
+// hasWaiting reports whether requests wait for capacity at the service.
+func (s *service) hasWaiting() bool {
+	if len(s.queue.waiting) > 0 {
+		return true
+	}
+	for _, queue := range s.versionQueues {
+		if len(queue.waiting) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // wakeWaiters signals the waiters of all services. The caller holds the lock.
 func (t *Table) wakeWaiters() {
 	if t.hasWaiting() {
--- a/internal/placement/versions.go
+++ b/internal/placement/versions.go
@@ -36,11 +36,17 @@
 	return sole, found
 }
 
-// recordVersions records that the targets' versions are listed.
+// recordVersions records that the targets' versions are listed, and forgets those that are long gone.
 func (s *service) recordVersions(now time.Time) {
 	for _, member := range s.targets {
 		s.versionsListed[member.Version] = now
 	}
+	for version, listedAt := range s.versionsListed {
+		if queue := s.versionQueues[version]; now.Sub(listedAt) > versionMemory && (queue == nil || len(queue.waiting) == 0) {
+			delete(s.versionsListed, version)
+			delete(s.versionQueues, version)
+		}
+	}
 }
 
 // countVersions counts the targets of each version again after they have changed.
--- a/internal/placement/versions_test.go
+++ b/internal/placement/versions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -108,3 +109,36 @@
 	_, err = table.Pick(query, startTime)
 	require.True(t, apierror.Is(err, apierror.KindOverloaded), "memory that is not there is given out")
 }
+
+// TestStreamWaitingForItsVersionBlocksNobody guards against new streams that wait behind one whose version is full.
+func TestStreamWaitingForItsVersionBlocksNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newTestTable("vm-1", 1, versioned("e1", "v1"), versioned("e2", "v2"))
+		bound := engineQuery(9000)
+		bound.FixVersion("v1")
+		holder, err := table.Acquire(t.Context(), bound, time.Second)
+		require.NoError(t, err)
+		waited := make(chan *Lease)
+		go func() {
+			lease, err := table.Acquire(t.Context(), engineQueryOfVersion(15000, "v1"), time.Minute)
+			require.NoError(t, err)
+			waited <- lease
+		}()
+		synctest.Wait()
+		require.True(t, table.HasWaiting())
+		started := time.Now()
+		lease, err := table.Acquire(t.Context(), engineQuery(9000), time.Second)
+		require.NoError(t, err)
+		require.Equal(t, "v2", lease.Target.Version)
+		require.Equal(t, started, time.Now())
+		holder.Done(Answered, time.Now())
+		require.Equal(t, "e1", (<-waited).Target.ID)
+		require.False(t, table.HasWaiting())
+	})
+}
+
+func engineQueryOfVersion(prompt int, version string) Query {
+	query := engineQuery(prompt)
+	query.FixVersion(version)
+	return query
+}
