--- a/internal/placement/versions.go
+++ b/internal/placement/versions.go
@@ -69,10 +69,10 @@
 // versionCost returns the penalty of an engine whose software version may not serve any more when a new stream has to
 // continue elsewhere.
 func (s *service) versionCost(candidate *target, q *Query) float64 {
-	count := s.versions[candidate.Version]
-	if len(s.versions) < 2 || q.VersionFixed || count == nil {
+	if len(s.versions) < 2 || q.VersionFixed {
 		return 0
 	}
+	count := s.versions[candidate.Version]
 	cost := departingVersionCost * float64(count.leaving) / float64(count.leaving+count.serving)
 	if count.serving < 2 {
 		cost += loneVersionCost
