--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -140,6 +140,8 @@
 	size          Size
 	wake          chan struct{}
 	direct        chan directMessage
+	// coordinatedAt is when the coordination of request limits was last brought up to date.
+	coordinatedAt time.Time
 }
 
 type recentChange struct {
@@ -225,9 +227,6 @@
 	stop := context.AfterFunc(ctx, func() { f.options.Conn.Close() })
 	defer stop()
 	go f.receive(ctx)
-	if f.options.Limits != nil {
-		go f.coordinateLimits(ctx)
-	}
 	go f.sendDirectMessages(ctx)
 	var lastLoads map[string]placement.Load
 	var sentAt time.Time
@@ -238,6 +237,7 @@
 		}
 		now := time.Now()
 		f.expire(now)
+		f.coordinateLimits(now)
 		loads := f.options.Table.OwnLoads()
 		if !urgent && maps.Equal(loads, lastLoads) && now.Sub(sentAt) < idleInterval {
 			continue
@@ -493,6 +493,7 @@
 		f.options.TargetChanged(target)
 	}
 	f.hearLimits(received, now)
+	f.coordinateLimits(now)
 }
 
 // storeZone records the loads of another zone, as relayed by a reader. The caller holds mu.
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -1,14 +1,12 @@
 package fleet
 
 import (
-	"context"
 	"time"
 
-	"godwitcart/internal/pause"
 	"godwitcart/internal/targetlimit"
 )
 
-// coordinationInterval is the time between two checks of who coordinates the request limits.
+// coordinationInterval is the least time between two checks of who coordinates the request limits.
 const coordinationInterval = 100 * time.Millisecond
 
 // Limits keeps the request limits of targets. Its methods do not block.
@@ -44,20 +42,22 @@
 	Millis   int64
 }
 
-// coordinateLimits keeps the coordination of Options.Limits up to date until ctx is done.
-func (f *Fleet) coordinateLimits(ctx context.Context) {
-	for pause.For(ctx, coordinationInterval) {
-		if f.options.Limits.Active() {
-			now := time.Now()
-			f.options.Limits.SetCoordination(f.coordination(now), now)
-		}
+// coordinateLimits brings the coordination of Options.Limits up to date while a limit is in force.
+func (f *Fleet) coordinateLimits(now time.Time) {
+	if f.options.Limits == nil || !f.options.Limits.Active() {
+		return
 	}
-}
-
-func (f *Fleet) coordination(now time.Time) targetlimit.Coordination {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.electCoordinator(now)
+	isDue := now.Sub(f.coordinatedAt) >= coordinationInterval
+	var coordination targetlimit.Coordination
+	if isDue {
+		f.coordinatedAt = now
+		coordination = f.electCoordinator(now)
+	}
+	f.mu.Unlock()
+	if isDue {
+		f.options.Limits.SetCoordination(coordination, now)
+	}
 }
 
 // electCoordinator returns the coordination among the live VMs with which this VM exchanges digests directly. The
