--- a/internal/origin/store.go
+++ b/internal/origin/store.go
@@ -24,11 +24,11 @@
 type shard struct {
 	mu      sync.Mutex
 	records map[string]*list.Element
-	// byAge holds *heldRecord, the oldest first.
+	// byAge holds *storedRecord, the oldest first.
 	byAge *list.List
 }
 
-type heldRecord struct {
+type storedRecord struct {
 	Record
 	expiresAt time.Time
 }
@@ -51,17 +51,17 @@
 	part.mu.Lock()
 	defer part.mu.Unlock()
 	for oldest := part.byAge.Front(); oldest != nil; oldest = part.byAge.Front() {
-		held := oldest.Value.(*heldRecord)
-		if now.Before(held.expiresAt) && part.byAge.Len() < maxRecords/shardCount {
+		stored := oldest.Value.(*storedRecord)
+		if now.Before(stored.expiresAt) && part.byAge.Len() < maxRecords/shardCount {
 			break
 		}
 		part.byAge.Remove(oldest)
-		delete(part.records, held.Attempt)
+		delete(part.records, stored.Attempt)
 	}
 	if _, found := part.records[record.Attempt]; found {
 		return
 	}
-	part.records[record.Attempt] = part.byAge.PushBack(&heldRecord{Record: record, expiresAt: now.Add(min(record.TTL, maxTTL))})
+	part.records[record.Attempt] = part.byAge.PushBack(&storedRecord{Record: record, expiresAt: now.Add(min(record.TTL, maxTTL))})
 }
 
 // get returns the record of the attempt, with the rest of its TTL.
@@ -73,11 +73,11 @@
 	if !found {
 		return Record{}, false
 	}
-	held := element.Value.(*heldRecord)
-	if !now.Before(held.expiresAt) {
+	stored := element.Value.(*storedRecord)
+	if !now.Before(stored.expiresAt) {
 		return Record{}, false
 	}
-	record := held.Record
-	record.TTL = held.expiresAt.Sub(now)
+	record := stored.Record
+	record.TTL = stored.expiresAt.Sub(now)
 	return record, true
 }
