--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -85,7 +85,7 @@
 	e := &Entry{logger: logger, startedAt: time.Now(), shutdownStarted: make(chan struct{}), client: upstream.NewClient(), trail: trail.New()}
 	e.settings.Store(s)
 	e.store = platform.NewStore(s.Platform.Address, platform.ShortWatchWait)
-	e.limits = targetlimit.NewLedger(targetlimit.Options{VM: s.VM.Name, Logger: logger, Changed: e.sendDigestNow, Transmit: e.transmitPlace, PlaceFree: e.retryWaiting})
+	e.limits = targetlimit.NewLedger(targetlimit.Options{VM: s.VM.Name, Logger: logger, Changed: e.sendDigestNow, Transmit: e.transmitPermit, PermitAvailable: e.retryWaiting})
 	e.table = placement.NewTable(placement.Options{Self: placement.Sender{VM: s.VM.Name, Zone: s.VM.Zone}, OnLoadChange: e.sendDigestNow, Limits: e.limits, Seed: nameSeed(s.VM.Name)})
 	e.origins = origin.NewBook(origin.Options{VM: s.VM.Name, VMs: e.entryVMs, Transmit: e.transmitOrigin})
 	e.budget = retrybudget.New(s.Bounds.RetryRatio*usableBudgetShare, initialRetrySlack(s))
@@ -322,10 +322,10 @@
 	}
 }
 
-// transmitPlace sends a message about a place at a limited target to another entry VM.
-func (e *Entry) transmitPlace(vm string, message targetlimit.Message) {
+// transmitPermit sends a message about a permit at a limited target to another entry VM.
+func (e *Entry) transmitPermit(vm string, message targetlimit.Message) {
 	if e.fleet != nil {
-		e.fleet.SendPlace(vm, message)
+		e.fleet.SendPermit(vm, message)
 	}
 }
 
@@ -349,8 +349,8 @@
 	return vms
 }
 
-// retryWaiting makes the requests that wait for a place at a limited target try again after the given time.
-func (e *Entry) retryWaiting(after time.Duration) { time.AfterFunc(after, e.table.PlaceFree) }
+// retryWaiting makes the requests that wait for a permit at a limited target try again after the given time.
+func (e *Entry) retryWaiting(after time.Duration) { time.AfterFunc(after, e.table.PermitAvailable) }
 
 // updateRetrySlack divides the retry slack among all known entry VMs.
 func (e *Entry) updateRetrySlack(size fleet.Size) {
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -39,8 +39,8 @@
 	// it takes as their coordinator.
 	Limits           []limitAnnouncement `msgpack:"m,omitempty"`
 	LimitCoordinator uint32              `msgpack:"k,omitempty"`
-	// Place and Origin are messages for one VM. A digest with such a message carries nothing else.
-	Place  *placeMessage  `msgpack:"q,omitempty"`
+	// Permit and Origin are messages for one VM. A digest with such a message carries nothing else.
+	Permit *permitMessage `msgpack:"q,omitempty"`
 	Origin *originMessage `msgpack:"g,omitempty"`
 }
 
--- a/internal/fleet/direct.go
+++ b/internal/fleet/direct.go
@@ -71,8 +71,8 @@
 // handleDirect passes on a message to this VM alone, and reports whether the digest is one.
 func (f *Fleet) handleDirect(received *digest, now time.Time) bool {
 	switch {
-	case received.Place != nil:
-		f.handlePlace(received, now)
+	case received.Permit != nil:
+		f.handlePermit(received, now)
 	case received.Origin != nil:
 		if f.options.Origins != nil {
 			f.options.Origins.HandleMessage(received.VM, received.Origin.unpack())
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -29,8 +29,8 @@
 	AgeMillis int64
 }
 
-// placeMessage is a targetlimit.Ask or, with IsAnswer, a targetlimit.Answer.
-type placeMessage struct {
+// permitMessage is a targetlimit.Ask or, with IsAnswer, a targetlimit.Answer.
+type permitMessage struct {
 	//lint:ignore U1000 the codec reads its tag
 	_msgpack  struct{} `msgpack:",as_array"`
 	Target    string
@@ -112,30 +112,30 @@
 	f.options.Limits.Hear(received.VM, heard, now)
 }
 
-// SendPlace sends a message about a place to another VM. It does not block; the message may be lost.
-func (f *Fleet) SendPlace(vm string, message targetlimit.Message) {
-	packed := packPlace(message)
-	f.sendDirect(vm, digest{Place: &packed})
+// SendPermit sends a message about a permit to another VM. It does not block; the message may be lost.
+func (f *Fleet) SendPermit(vm string, message targetlimit.Message) {
+	packed := packPermit(message)
+	f.sendDirect(vm, digest{Permit: &packed})
 }
 
-// handlePlace passes on a message about a place.
-func (f *Fleet) handlePlace(received *digest, now time.Time) {
+// handlePermit passes on a message about a permit.
+func (f *Fleet) handlePermit(received *digest, now time.Time) {
 	if f.options.Limits != nil {
-		f.options.Limits.HandleMessage(received.VM, received.Place.unpack(), now)
+		f.options.Limits.HandleMessage(received.VM, received.Permit.unpack(), now)
 	}
 }
 
-func packPlace(message targetlimit.Message) placeMessage {
+func packPermit(message targetlimit.Message) permitMessage {
 	if ask := message.Ask; ask != nil {
-		return placeMessage{Target: ask.Target.ID, StartedAt: ask.Target.StartedAt, Number: ask.Number, Positive: ask.Urgent, Millis: ask.Patience.Milliseconds()}
+		return permitMessage{Target: ask.Target.ID, StartedAt: ask.Target.StartedAt, Number: ask.Number, Positive: ask.Urgent, Millis: ask.Patience.Milliseconds()}
 	}
 	answer := message.Answer
-	// Rounded up, so that a place is not used before it is due.
+	// Rounded up, so that a permit is not used before it is due.
 	wait := (answer.Wait + time.Millisecond - 1).Milliseconds()
-	return placeMessage{Target: answer.Target.ID, StartedAt: answer.Target.StartedAt, Number: answer.Number, IsAnswer: true, Positive: answer.Granted, Millis: wait}
+	return permitMessage{Target: answer.Target.ID, StartedAt: answer.Target.StartedAt, Number: answer.Number, IsAnswer: true, Positive: answer.Granted, Millis: wait}
 }
 
-func (m *placeMessage) unpack() targetlimit.Message {
+func (m *permitMessage) unpack() targetlimit.Message {
 	target := targetlimit.Incarnation{ID: m.Target, StartedAt: m.StartedAt}
 	span := time.Duration(m.Millis) * time.Millisecond
 	if m.IsAnswer {
--- a/internal/fleet/limits_test.go
+++ b/internal/fleet/limits_test.go
@@ -71,20 +71,20 @@
 	})
 }
 
-// TestPlaceMessagesKeepTheirContents checks the encoding of messages about places; a place is never due earlier.
-func TestPlaceMessagesKeepTheirContents(t *testing.T) {
+// TestPermitMessagesKeepTheirContents checks the encoding of messages about permits; a permit is never due earlier.
+func TestPermitMessagesKeepTheirContents(t *testing.T) {
 	target := targetlimit.Incarnation{ID: "c1", StartedAt: 1700000000000}
-	places := []targetlimit.Message{
+	permits := []targetlimit.Message{
 		{Ask: &targetlimit.Ask{Target: target, Number: 7, Urgent: true, Patience: 25 * time.Millisecond}},
 		{Answer: &targetlimit.Answer{Target: target, Number: 7, Granted: true, Wait: 3 * time.Millisecond}},
 		{Answer: &targetlimit.Answer{Target: target, Number: 8}},
 	}
-	for _, message := range places {
-		packed := packPlace(message)
-		parsed := marshalAndParse(t, digest{VM: "vm-1", Place: &packed})
-		require.Equal(t, message, parsed.Place.unpack())
+	for _, message := range permits {
+		packed := packPermit(message)
+		parsed := marshalAndParse(t, digest{VM: "vm-1", Permit: &packed})
+		require.Equal(t, message, parsed.Permit.unpack())
 	}
-	packed := packPlace(targetlimit.Message{Answer: &targetlimit.Answer{Granted: true, Wait: 1500 * time.Microsecond}})
+	packed := packPermit(targetlimit.Message{Answer: &targetlimit.Answer{Granted: true, Wait: 1500 * time.Microsecond}})
 	require.Equal(t, 2*time.Millisecond, packed.unpack().Answer.Wait)
 }
 
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -16,10 +16,10 @@
 	Take(target roster.Target, now time.Time)
 	// IsLimited reports whether the target has a limit in force.
 	IsLimited(target roster.Target) bool
-	// Ask asks for a place at the target. A request is urgent if no other target can take it; it needs the place within
+	// Ask asks for a permit at the target. A request is urgent if no other target can take it; it needs the permit within
 	// its patience.
 	Ask(target roster.Target, urgent bool, patience time.Duration, now time.Time)
-	// Wait returns the time until a place at the target is expected, and whether asking is pointless until then.
+	// Wait returns the time until a permit at the target is expected, and whether asking is pointless until then.
 	Wait(target roster.Target, now time.Time) (wait time.Duration, refused bool)
 	// Describe returns the limit and its source for log lines; empty if the target has none.
 	Describe(target roster.Target, now time.Time) string
@@ -35,13 +35,13 @@
 func (unlimited) Wait(roster.Target, time.Time) (time.Duration, bool) { return 0, false }
 func (unlimited) Describe(target roster.Target, now time.Time) string { return "" }
 
-// minPlaceRetryAfter is the least Retry-After of a request for which no target has a place.
-const minPlaceRetryAfter = 100 * time.Millisecond
+// minPermitRetryAfter is the least Retry-After of a request for which no target has a permit.
+const minPermitRetryAfter = 100 * time.Millisecond
 
-// limitError reports that the targets with capacity have a request limit and no place for the request.
+// limitError reports that the targets with capacity have a request limit and no permit for the request.
 type limitError struct {
 	target *target
-	// wait is the time until a place is expected; refused means that none is free before.
+	// wait is the time until a permit is expected; refused means that none is free before.
 	wait    time.Duration
 	refused bool
 	cause   *apierror.Error
@@ -54,7 +54,7 @@
 func (e *limitError) Unwrap() error { return e.cause }
 
 // limitedTarget returns the error for a request that only targets with a request limit could take, or nil if there is
-// none. It names the target where a place is expected first.
+// none. It names the target where a permit is expected first.
 func (t *Table) limitedTarget(s *service, q *Query, now time.Time) *limitError {
 	var found *limitError
 	for _, candidate := range s.targets {
@@ -68,19 +68,19 @@
 	}
 	if found != nil {
 		found.cause = apierror.Newf(apierror.KindOverloaded, "come back after the time given",
-			"target %s of service %q has no place within its request limit (%s)", found.target.ID, q.Service, t.limits.Describe(found.target.Target, now)).
+			"target %s of service %q has no permit within its request limit (%s)", found.target.ID, q.Service, t.limits.Describe(found.target.Target, now)).
 			WithRetryAfter(found.retryAfter())
 	}
 	return found
 }
 
-// retryAfter returns a random time after the next place: requests that are refused together must not return together.
+// retryAfter returns a random time after the next permit: requests that are refused together must not return together.
 func (e *limitError) retryAfter() time.Duration {
-	wait := max(e.wait, minPlaceRetryAfter)
+	wait := max(e.wait, minPermitRetryAfter)
 	return wait + rand.N(wait)
 }
 
-// inTime reports whether a request that waits for up to maxWait may still get a place.
+// inTime reports whether a request that waits for up to maxWait may still get a permit.
 func (e *limitError) inTime(maxWait time.Duration) bool { return !e.refused || e.wait <= maxWait }
 
 // CountSend counts a request that is sent under the lease, unless that was done when the target was reserved.
@@ -97,8 +97,8 @@
 // Limit describes the request limit of the lease's target; empty if it has none.
 func (l *Lease) Limit(now time.Time) string { return l.table.limits.Describe(l.Target, now) }
 
-// PlaceFree makes the requests that wait for a place at a limited target try again.
-func (t *Table) PlaceFree() {
+// PermitAvailable makes the requests that wait for a permit at a limited target try again.
+func (t *Table) PermitAvailable() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.wakeWaiters()
--- a/internal/placement/limits_test.go
+++ b/internal/placement/limits_test.go
@@ -13,11 +13,11 @@
 	"godwitcart/internal/roster"
 )
 
-// places is a Limiter for one limited target that counts what the table asks of it.
-type places struct {
+// permits is a Limiter for one limited target that counts what the table asks of it.
+type permits struct {
 	limited string
 	mu      sync.Mutex
-	// free is the number of places, and saved those that an urgent request gets when it asks.
+	// free is the number of permits, and saved those that an urgent request gets when it asks.
 	free, saved int
 	asked       []bool
 	taken       int
@@ -25,13 +25,13 @@
 	refused     bool
 }
 
-func (p *places) MayTake(target roster.Target, _ time.Time) bool {
+func (p *permits) MayTake(target roster.Target, _ time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return !p.IsLimited(target) || p.free > 0
 }
 
-func (p *places) Take(target roster.Target, _ time.Time) {
+func (p *permits) Take(target roster.Target, _ time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.IsLimited(target) {
@@ -40,9 +40,9 @@
 	}
 }
 
-func (p *places) IsLimited(target roster.Target) bool { return target.ID == p.limited }
+func (p *permits) IsLimited(target roster.Target) bool { return target.ID == p.limited }
 
-func (p *places) Ask(_ roster.Target, urgent bool, _ time.Duration, _ time.Time) {
+func (p *permits) Ask(_ roster.Target, urgent bool, _ time.Duration, _ time.Time) {
 	p.asked = append(p.asked, urgent)
 	if urgent && p.saved > 0 {
 		p.saved--
@@ -50,12 +50,12 @@
 	}
 }
 
-func (p *places) Wait(roster.Target, time.Time) (time.Duration, bool) { return p.wait, p.refused }
+func (p *permits) Wait(roster.Target, time.Time) (time.Duration, bool) { return p.wait, p.refused }
 
-func (p *places) Describe(roster.Target, time.Time) string { return "" }
+func (p *permits) Describe(roster.Target, time.Time) string { return "" }
 
 // limitedTable returns a table of two targets of the service; the limiter decides on "limited".
-func limitedTable(limits *places, ids ...string) *placement.Table {
+func limitedTable(limits *permits, ids ...string) *placement.Table {
 	limits.limited = "limited"
 	table := placement.NewTable(placement.Options{Limits: limits})
 	targets := make(map[string]roster.Target)
@@ -66,9 +66,9 @@
 	return table
 }
 
-// TestRequestsAvoidTargetWithoutPlace checks that another target takes a request, and that a place is asked for in passing.
-func TestRequestsAvoidTargetWithoutPlace(t *testing.T) {
-	limits := &places{}
+// TestRequestsAvoidTargetWithoutPermit checks that another target takes a request, and that a permit is asked for in passing.
+func TestRequestsAvoidTargetWithoutPermit(t *testing.T) {
+	limits := &permits{}
 	table := limitedTable(limits, "limited", "other")
 	for range 20 {
 		lease, err := table.Pick(placement.Query{Service: "s", Zone: "a"}, time.Now())
@@ -81,9 +81,9 @@
 	require.Zero(t, limits.taken)
 }
 
-// TestUrgentRequestsUseSavedPlaces checks that a request takes a saved place only if no other target can take it.
-func TestUrgentRequestsUseSavedPlaces(t *testing.T) {
-	limits := &places{saved: 1}
+// TestUrgentRequestsUseSavedPermits checks that a request takes a saved permit only if no other target can take it.
+func TestUrgentRequestsUseSavedPermits(t *testing.T) {
+	limits := &permits{saved: 1}
 	table := limitedTable(limits, "limited", "other")
 	query := placement.Query{Service: "s", Zone: "a"}
 	lease, err := table.Acquire(t.Context(), query, time.Second)
@@ -99,9 +99,9 @@
 }
 
 // TestTransfersAvoidLimitedTargets checks that moves and copies do not go to a target in need, and that a backup there is
-// used only with a place.
+// used only with a permit.
 func TestTransfersAvoidLimitedTargets(t *testing.T) {
-	limits := &places{free: 8}
+	limits := &permits{free: 8}
 	table := limitedTable(limits, "limited")
 	query := placement.Query{Service: "s", Zone: "a", MemoryTokens: 1000, PromptTokens: 10}
 	for _, change := range []func(*placement.Query){func(q *placement.Query) { q.Copy = true }, func(q *placement.Query) { q.Move = true }} {
@@ -122,13 +122,13 @@
 	_, usable = table.PickTarget(wanted, backup, time.Now())
 	require.False(t, usable)
 	table.ReserveLeaving(wanted, backup, time.Now()).CountSend(time.Now())
-	require.Equal(t, 2, limits.taken, "what must go to the target counts without a place")
+	require.Equal(t, 2, limits.taken, "what must go to the target counts without a permit")
 }
 
-// TestRequestWithoutPlaceIsRefusedAtOnce checks that a request does not wait if the next place comes too late.
-func TestRequestWithoutPlaceIsRefusedAtOnce(t *testing.T) {
+// TestRequestWithoutPermitIsRefusedAtOnce checks that a request does not wait if the next permit comes too late.
+func TestRequestWithoutPermitIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		table := limitedTable(&places{refused: true, wait: 3 * time.Second}, "limited")
+		table := limitedTable(&permits{refused: true, wait: 3 * time.Second}, "limited")
 		started := time.Now()
 		_, err := table.Acquire(t.Context(), placement.Query{Service: "s", Zone: "a"}, time.Second)
 		require.Equal(t, started, time.Now())
@@ -140,11 +140,11 @@
 	})
 }
 
-// TestRequestWaitsForItsPlace checks that a request is sent when its place is granted in time, and refused at the latest
+// TestRequestWaitsForItsPermit checks that a request is sent when its permit is granted in time, and refused at the latest
 // when its patience ends.
-func TestRequestWaitsForItsPlace(t *testing.T) {
+func TestRequestWaitsForItsPermit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		limits := &places{}
+		limits := &permits{}
 		table := limitedTable(limits, "limited")
 		query := placement.Query{Service: "s", Zone: "a"}
 		started := time.Now()
@@ -152,7 +152,7 @@
 			limits.mu.Lock()
 			limits.free = 1
 			limits.mu.Unlock()
-			table.PlaceFree()
+			table.PermitAvailable()
 		})
 		lease, err := table.Acquire(t.Context(), query, time.Second)
 		require.NoError(t, err)
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -85,7 +85,7 @@
 }
 
 // pick requires the lock. The error is of kind overloaded if targets are available but none has capacity. It is a
-// *limitError if one has capacity but no place within its request limit.
+// *limitError if one has capacity but no permit within its request limit.
 func (t *Table) pick(s *service, q *Query, now time.Time) (*Lease, error) {
 	var best *target
 	var candidates int
@@ -140,11 +140,11 @@
 // lowestScoreTarget returns the target with the lowest score among the candidates with capacity, and the number of
 // candidates. Candidates are the targets that are not excluded and can take work, with free capacity or without.
 //
-// Where a target has capacity but no place within its request limit, a place is asked for in passing if another target
+// Where a target has capacity but no permit within its request limit, a permit is asked for in passing if another target
 // takes the request, so that the limited one remains in use.
 func (t *Table) lowestScoreTarget(s *service, q *Query, now time.Time) (best *target, candidates int) {
 	lowest := math.Inf(1)
-	var withoutPlace *target
+	var withoutPermit *target
 	for _, candidate := range s.targets {
 		if !q.accepts(candidate, now) {
 			continue
@@ -154,15 +154,15 @@
 			continue
 		}
 		if !t.limits.MayTake(candidate.Target, now) {
-			withoutPlace = candidate
+			withoutPermit = candidate
 			continue
 		}
 		if score := t.score(s, candidate, q, now) + t.random.Float64()*scoreJitter; score < lowest {
 			best, lowest = candidate, score
 		}
 	}
-	if best != nil && withoutPlace != nil {
-		t.limits.Ask(withoutPlace.Target, false, 0, now)
+	if best != nil && withoutPermit != nil {
+		t.limits.Ask(withoutPermit.Target, false, 0, now)
 	}
 	return best, candidates
 }
@@ -227,7 +227,7 @@
 }
 
 // PickTarget reserves the given target, which already holds the memory of the generation. It returns false if the
-// target may take no work, or has a request limit and no place.
+// target may take no work, or has a request limit and no permit.
 func (t *Table) PickTarget(wanted roster.Target, q Query, now time.Time) (*Lease, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -19,8 +19,8 @@
 	grantIntervalWeight = 0.2
 	// turnTime is about the time until the other VMs know of a placement.
 	turnTime = 25 * time.Millisecond
-	// maxWaitingForPlace is the number of requests of a service that wait for places at targets with a request limit.
-	maxWaitingForPlace = 4
+	// maxWaitingForPermit is the number of requests of a service that wait for permits at targets with a request limit.
+	maxWaitingForPermit = 4
 )
 
 // queue holds the requests of a service that wait for capacity, ordered by priority and then by arrival. It
@@ -61,7 +61,7 @@
 		}
 		select {
 		case <-changed:
-			if !isLimited { // places are given out one by one
+			if !isLimited { // permits are given out one by one
 				pause.For(ctx, min(t.turnWait(), maxWait))
 			}
 		case <-timer.C:
@@ -88,7 +88,7 @@
 		}
 	}
 	if limited := t.limitedTarget(s, q, now); limited != nil {
-		return t.enqueueForPlace(s, q, limited, ahead, maxWait, now)
+		return t.enqueueForPermit(s, q, limited, ahead, maxWait, now)
 	}
 	if expected := s.queueOf(q).expectedWait(ahead); expected > maxWait {
 		return nil, nil, apierror.Newf(apierror.KindOverloaded, "come back after the time given",
@@ -107,16 +107,16 @@
 	return w
 }
 
-// enqueueForPlace asks for a place at the limited target and returns a waiter, or the error if no place is expected
-// within maxWait. The wait for a place does not depend on earlier waits for capacity. The caller holds the lock.
-func (t *Table) enqueueForPlace(s *service, q *Query, limited *limitError, ahead int, maxWait time.Duration, now time.Time) (*Lease, *waiter, error) {
-	if ahead >= maxWaitingForPlace || !limited.inTime(maxWait) {
+// enqueueForPermit asks for a permit at the limited target and returns a waiter, or the error if no permit is expected
+// within maxWait. The wait for a permit does not depend on earlier waits for capacity. The caller holds the lock.
+func (t *Table) enqueueForPermit(s *service, q *Query, limited *limitError, ahead int, maxWait time.Duration, now time.Time) (*Lease, *waiter, error) {
+	if ahead >= maxWaitingForPermit || !limited.inTime(maxWait) {
 		return nil, nil, limited
 	}
 	t.limits.Ask(limited.target.Target, true, maxWait, now)
 	if ahead == 0 {
 		if lease, err := t.pick(s, q, now); err == nil {
-			return lease, nil, nil // this VM gives out the places itself
+			return lease, nil, nil // this VM gives out the permits itself
 		}
 	}
 	return nil, t.enqueue(s, q, now), nil
--- a/internal/targetlimit/coordinator.go
+++ b/internal/targetlimit/coordinator.go
@@ -3,21 +3,21 @@
 import "time"
 
 const (
-	// limitShare is the part of a limit that is given out. The rest is left for requests that are sent without a place.
+	// limitShare is the part of a limit that is given out. The rest is left for requests that are sent without a permit.
 	limitShare = 0.95
-	// minRate is the lowest rate of places in requests a second: without requests, the end of a limit is not learned.
+	// minRate is the lowest rate of permits in requests a second: without requests, the end of a limit is not learned.
 	minRate = 0.25
-	// burst is the number of places that may be used at once after a time without requests.
+	// burst is the number of permits that may be used at once after a time without requests.
 	burst = 2
 	// maxWait bounds the time that a refusal states.
 	maxWait = 10 * time.Second
 )
 
-// Ask is the question of a VM to the coordinator for one place.
+// Ask is the question of a VM to the coordinator for one permit.
 type Ask struct {
 	Target Incarnation
 	Number uint32
-	// Urgent is set if no other target can take the request. Patience is how long it can wait for its place.
+	// Urgent is set if no other target can take the request. Patience is how long it can wait for its permit.
 	Urgent   bool
 	Patience time.Duration
 }
@@ -27,7 +27,7 @@
 	Target  Incarnation
 	Number  uint32
 	Granted bool
-	// Wait is the time until the place may be used or, for a refusal, until one is expected to be free.
+	// Wait is the time until the permit may be used or, for a refusal, until one is expected to be free.
 	Wait time.Duration
 }
 
@@ -37,22 +37,22 @@
 	Answer *Answer
 }
 
-// schedule spaces the places at one target.
+// schedule spaces the permits at one target.
 type schedule struct {
-	// saved is the number of places saved up, at most burst; it is negative while a place given out is not due yet.
-	saved     float64
+	// balance is the number of permits saved up, at most burst; it is negative while a permit given out is not due yet.
+	balance   float64
 	updatedAt time.Time
-	// refusedUntil is the time of the place after those that refused VMs have been told of.
+	// refusedUntil is the time of the permit after those that refused VMs have been told of.
 	refusedUntil time.Time
 }
 
-// advance adds the places that have become due at the rate, in places a second.
+// advance adds the permits that have become due at the rate, in permits a second.
 func (s *schedule) advance(rate float64, now time.Time) {
-	s.saved = min(s.saved+rate*now.Sub(s.updatedAt).Seconds(), burst)
+	s.balance = min(s.balance+rate*now.Sub(s.updatedAt).Seconds(), burst)
 	s.updatedAt = now
 }
 
-// SetCoordination replaces the coordinator and the share. A VM that becomes the coordinator begins without places.
+// SetCoordination replaces the coordinator and the share. A VM that becomes the coordinator begins without permits.
 func (l *Ledger) SetCoordination(coordination Coordination, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -71,23 +71,23 @@
 	l.options.Logger.Info("coordinator of request limits changed", "coordinator", coordination.Coordinator, "share", coordination.Share, "known", coordination.Known)
 }
 
-// isCoordinator reports whether this VM gives out places. The caller holds mu.
+// isCoordinator reports whether this VM gives out permits. The caller holds mu.
 func (l *Ledger) isCoordinator() bool { return l.coordination.Share > 0 }
 
-// rate returns the places a second at the target that this VM gives out. The caller holds mu.
+// rate returns the permits a second at the target that this VM gives out. The caller holds mu.
 func (l *Ledger) rate(known *limit) float64 {
 	return max(limitShare*known.PerSecond, minRate) * l.coordination.Share
 }
 
-// waitForPlace returns the time until this VM, the coordinator, can give out a place. A request that is not urgent gets
+// waitForPermit returns the time until this VM, the coordinator, can give out a permit. A request that is not urgent gets
 // one only while more are saved up. The caller holds mu.
-func (l *Ledger) waitForPlace(known *limit, urgent bool, now time.Time) time.Duration {
+func (l *Ledger) waitForPermit(known *limit, urgent bool, now time.Time) time.Duration {
 	known.schedule.advance(l.rate(known), now)
 	needed := 1.0
 	if !urgent {
 		needed = burst
 	}
-	return max(time.Duration((needed-known.schedule.saved)/l.rate(known)*float64(time.Second)), 0)
+	return max(time.Duration((needed-known.schedule.balance)/l.rate(known)*float64(time.Second)), 0)
 }
 
 // HandleMessage handles a message of another VM.
@@ -110,16 +110,16 @@
 	l.options.Transmit(vm, Message{Answer: &answer})
 }
 
-// answer gives out a place or refuses it. VMs that are refused are told of different times. The caller holds mu.
+// answer gives out a permit or refuses it. VMs that are refused are told of different times. The caller holds mu.
 func (l *Ledger) answer(known *limit, ask Ask, now time.Time) Answer {
 	answer := Answer{Target: ask.Target, Number: ask.Number}
 	if !l.isCoordinator() {
 		answer.Wait = noCoordinatorPause
 		return answer
 	}
-	wait := l.waitForPlace(known, ask.Urgent, now)
+	wait := l.waitForPermit(known, ask.Urgent, now)
 	if wait <= ask.Patience {
-		known.schedule.saved--
+		known.schedule.balance--
 		answer.Granted, answer.Wait = true, wait
 		return answer
 	}
--- a/internal/targetlimit/election.go
+++ b/internal/targetlimit/election.go
@@ -17,7 +17,7 @@
 	Coordinator uint32
 }
 
-// Coordination is which VM gives out the places at limited targets.
+// Coordination is which VM gives out the permits at limited targets.
 type Coordination struct {
 	// Coordinator is the name of that VM, and empty before the directory has been read.
 	Coordinator string
--- a/internal/targetlimit/ledger.go
+++ b/internal/targetlimit/ledger.go
@@ -1,7 +1,7 @@
 // Package targetlimit keeps the request limits that targets name in their answers: the requests a second that a target
 // takes from all entry VMs together.
 //
-// One VM, the coordinator, gives out the places at limited targets, each for one request. The others ask it when they
+// One VM, the coordinator, gives out the permits at limited targets, each for one request. The others ask it when they
 // need one, so that no VM keeps a share that would add up with those of many others.
 //
 // Invariants: the newest statement about an incarnation of a target counts, whoever received it; an answer ends a limit
@@ -68,8 +68,8 @@
 	Changed func()
 	// Transmit sends a message to another VM. It must not block; messages may be lost.
 	Transmit func(vm string, message Message)
-	// PlaceFree is called when requests that wait for a place should try again after the given time. It must not block.
-	PlaceFree func(after time.Duration)
+	// PermitAvailable is called when requests that wait for a permit should try again after the given time. It must not block.
+	PermitAvailable func(after time.Duration)
 }
 
 // Ledger holds what one VM knows about the limits of targets. It is safe for concurrent use.
@@ -97,8 +97,8 @@
 	source string
 	// unlistedSince is when the target was no longer listed; zero while it is.
 	unlistedSince time.Time
-	// places are those of this VM, and schedule spaces those that it gives out as coordinator.
-	places   places
+	// permits are those of this VM, and schedule spaces those that it gives out as coordinator.
+	permits  permits
 	schedule schedule
 }
 
@@ -112,17 +112,17 @@
 func (l *Ledger) Active() bool { return l.limitCount.Load() > 0 }
 
 // Observe records what the answer to a request says; sentAt is when this VM sent the request.
-func (l *Ledger) Observe(target roster.Target, said Statement, sentAt, now time.Time) {
-	if !said.Limited && !l.Active() {
+func (l *Ledger) Observe(target roster.Target, statement Statement, sentAt, now time.Time) {
+	if !statement.Limited && !l.Active() {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	statedAt := now
-	if !said.Limited {
+	if !statement.Limited {
 		statedAt = sentAt
 	}
-	accepted, changed := l.record(IncarnationOf(target), said, statedAt, l.options.VM, now)
+	accepted, changed := l.record(IncarnationOf(target), statement, statedAt, l.options.VM, now)
 	if accepted {
 		l.limits[IncarnationOf(target)].observedAt = now
 	}
@@ -145,29 +145,29 @@
 
 // record replaces the known statement unless it is newer. The end of a limit that is not known is not recorded. The
 // caller holds mu.
-func (l *Ledger) record(target Incarnation, said Statement, statedAt time.Time, source string, now time.Time) (accepted, changed bool) {
+func (l *Ledger) record(target Incarnation, statement Statement, statedAt time.Time, source string, now time.Time) (accepted, changed bool) {
 	known := l.limits[target]
-	if known == nil && !said.Limited || known != nil && statedAt.Before(known.statedAt) {
+	if known == nil && !statement.Limited || known != nil && statedAt.Before(known.statedAt) {
 		return false, false
 	}
 	if known == nil {
 		known = &limit{}
 		l.limits[target] = known
 	}
-	changed = known.Statement != said
-	startsLimit := said.Limited && !known.Limited
-	if said.Limited != known.Limited {
-		l.countLimit(said.Limited)
+	changed = known.Statement != statement
+	startsLimit := statement.Limited && !known.Limited
+	if statement.Limited != known.Limited {
+		l.countLimit(statement.Limited)
 	}
 	if startsLimit {
-		known.places, known.schedule = places{}, schedule{updatedAt: now}
+		known.permits, known.schedule = permits{}, schedule{updatedAt: now}
 	} else {
 		known.schedule.advance(l.rate(known), now)
 	}
-	known.Statement, known.statedAt, known.source = said, statedAt, source
+	known.Statement, known.statedAt, known.source = statement, statedAt, source
 	if changed {
 		l.logChange(target, known, now)
-		l.placeFree(0)
+		l.permitAvailable(0)
 	}
 	return true, changed
 }
@@ -238,7 +238,7 @@
 type ledgerMetrics struct {
 	limits metrics.Gauge
 	// granted and refused count the answers of the coordinator, sent the requests to limited targets, and overdrawn those
-	// without a place.
+	// without a permit.
 	granted, refused, sent, overdrawn metrics.Counter
 }
 
@@ -246,6 +246,6 @@
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("targetlimit."+name, nil) }
 	return &ledgerMetrics{
 		limits:  metrics.GetOrRegisterGauge("targetlimit.limits", nil),
-		granted: counter("places_granted"), refused: counter("places_refused"), sent: counter("sent"), overdrawn: counter("sent_without_place"),
+		granted: counter("permits_granted"), refused: counter("permits_refused"), sent: counter("sent"), overdrawn: counter("sent_without_permit"),
 	}
 }
--- a/internal/targetlimit/ledger_test.go
+++ b/internal/targetlimit/ledger_test.go
@@ -83,8 +83,8 @@
 	require.False(t, l.Active())
 }
 
-// TestOverdrawnPlacesAreTakenBack checks that a request that is sent without a place uses up a later one.
-func TestOverdrawnPlacesAreTakenBack(t *testing.T) {
+// TestOverdrawnPermitsAreTakenBack checks that a request that is sent without a permit uses up a later one.
+func TestOverdrawnPermitsAreTakenBack(t *testing.T) {
 	var asked []targetlimit.Message
 	l := targetlimit.NewLedger(targetlimit.Options{VM: "vm-1", Logger: log.New(io.Discard), Transmit: func(_ string, message targetlimit.Message) {
 		asked = append(asked, message)
@@ -101,7 +101,7 @@
 	}
 }
 
-// TestAnswersThatDoNotCount checks that a place is not taken from a VM that is not the coordinator, twice or too late, and
+// TestAnswersThatDoNotCount checks that a permit is not taken from a VM that is not the coordinator, twice or too late, and
 // expires.
 func TestAnswersThatDoNotCount(t *testing.T) {
 	var asked targetlimit.Message
@@ -124,5 +124,5 @@
 	require.False(t, l.MayTake(counter, at(520)), "the same answer twice")
 	l.Ask(counter, true, time.Second, at(600))
 	answer("vm-2", at(610))
-	require.False(t, l.MayTake(counter, at(1700)), "the place has expired")
+	require.False(t, l.MayTake(counter, at(1700)), "the permit has expired")
 }
--- a/internal/targetlimit/model_test.go
+++ b/internal/targetlimit/model_test.go
@@ -44,7 +44,7 @@
 	lossy   float64
 	late    float64
 	zoneCut bool
-	// unaware makes all VMs send without a place.
+	// unaware makes all VMs send without a permit.
 	unaware bool
 	// arrivals holds the requests of VMs that are not excused.
 	arrivals []time.Time
@@ -153,7 +153,7 @@
 	}
 }
 
-// request sends a request that only the limited target can take, waiting up to modelPatience for its place.
+// request sends a request that only the limited target can take, waiting up to modelPatience for its permit.
 func (vm *modelVM) request(until time.Time) {
 	m := vm.m
 	switch {
--- a/internal/targetlimit/permits.go
+++ b/internal/targetlimit/permits.go
@@ -10,28 +10,28 @@
 )
 
 const (
-	// placeTTL is how long a place may be used after it has become usable.
-	placeTTL = time.Second
+	// permitTTL is how long a permit may be used after it has become usable.
+	permitTTL = time.Second
 	// askTimeout is the time after which a question counts as lost, and its answer as too old.
 	askTimeout = 300 * time.Millisecond
 	// maxOpenAsks is the number of unanswered questions about one target.
 	maxOpenAsks = 4
-	// maxAskPause bounds the time for which a refusal keeps a VM from asking again, so that places that others leave
+	// maxAskPause bounds the time for which a refusal keeps a VM from asking again, so that permits that others leave
 	// unused are found.
 	maxAskPause = time.Second
 	// noCoordinatorPause is the pause before the next question while no coordinator is known.
 	noCoordinatorPause = 200 * time.Millisecond
-	// spareAsksPerPlace is how often all VMs together ask for each place of a target that they do not need.
-	spareAsksPerPlace = 2
-	minSparePause     = 250 * time.Millisecond
-	maxSparePause     = 10 * time.Second
-	// maxOverdrawn bounds the places that requests without one use up in advance, so that a burst of them does not keep
+	// spareAsksPerPermit is how often all VMs together ask for each permit of a target that they do not need.
+	spareAsksPerPermit = 2
+	minSparePause      = 250 * time.Millisecond
+	maxSparePause      = 10 * time.Second
+	// maxOverdrawn bounds the permits that requests without one use up in advance, so that a burst of them does not keep
 	// others from the target for long.
 	maxOverdrawn = 8
 )
 
-// place is the permission to send one request.
-type place struct{ usableAt, expiresAt time.Time }
+// permit is the permission to send one request.
+type permit struct{ usableAt, expiresAt time.Time }
 
 // openAsk is a question that the coordinator has not answered yet.
 type openAsk struct {
@@ -40,18 +40,18 @@
 	sentAt time.Time
 }
 
-// places is what a VM holds of the places at one target.
-type places struct {
-	held []place
-	asks []openAsk
-	// overdrawn counts requests that were sent without a place. Each takes one of the next places.
+// permits is what a VM holds of the permits at one target.
+type permits struct {
+	unused []permit
+	asks   []openAsk
+	// overdrawn counts requests that were sent without a permit. Each takes one of the next permits.
 	overdrawn int
-	// nextAskAt is when the next question is worthwhile after a refusal, and nextPlaceAt when a place was then expected.
-	nextAskAt, nextPlaceAt time.Time
-	nextSpareAskAt         time.Time
+	// nextAskAt is when the next question is worthwhile after a refusal, and nextPermitAt when a permit was then expected.
+	nextAskAt, nextPermitAt time.Time
+	nextSpareAskAt          time.Time
 }
 
-// MayTake reports whether a request may be sent to the target now: it has no limit, or this VM has a place there. The
+// MayTake reports whether a request may be sent to the target now: it has no limit, or this VM has a permit there. The
 // coordinator has those that are saved up beyond what an urgent request of another VM may need.
 func (l *Ledger) MayTake(target roster.Target, now time.Time) bool {
 	if !l.Active() {
@@ -63,8 +63,8 @@
 	if known == nil || !known.Limited {
 		return true
 	}
-	known.places.expire(now)
-	return known.places.usable(now) >= 0 || l.isCoordinator() && l.waitForPlace(known, false, now) == 0
+	known.permits.expire(now)
+	return known.permits.usable(now) >= 0 || l.isCoordinator() && l.waitForPermit(known, false, now) == 0
 }
 
 // IsLimited reports whether the target has a limit in force.
@@ -78,7 +78,7 @@
 	return known != nil && known.Limited
 }
 
-// Take counts a request that is sent to the target, also if there is no place for it.
+// Take counts a request that is sent to the target, also if there is no permit for it.
 func (l *Ledger) Take(target roster.Target, now time.Time) {
 	if !l.Active() {
 		return
@@ -90,21 +90,21 @@
 		return
 	}
 	l.metrics.sent.Inc(1)
-	if i := known.places.usable(now); i >= 0 {
-		known.places.held = slices.Delete(known.places.held, i, i+1)
+	if i := known.permits.usable(now); i >= 0 {
+		known.permits.unused = slices.Delete(known.permits.unused, i, i+1)
 		return
 	}
 	if l.isCoordinator() {
 		known.schedule.advance(l.rate(known), now)
-		known.schedule.saved--
+		known.schedule.balance--
 		return
 	}
 	l.metrics.overdrawn.Inc(1)
-	known.places.overdrawn = min(known.places.overdrawn+1, maxOverdrawn)
+	known.permits.overdrawn = min(known.permits.overdrawn+1, maxOverdrawn)
 }
 
-// Ask asks the coordinator for a place at the target, unless a question is open or the last refusal makes it pointless.
-// A request that is urgent needs the place within its patience.
+// Ask asks the coordinator for a permit at the target, unless a question is open or the last refusal makes it pointless.
+// A request that is urgent needs the permit within its patience.
 func (l *Ledger) Ask(target roster.Target, urgent bool, patience time.Duration, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -112,16 +112,16 @@
 	if known == nil || !known.Limited {
 		return
 	}
-	known.places.expire(now)
-	if len(known.places.asks) >= maxOpenAsks || now.Before(known.places.nextAskAt) || !urgent && !known.places.startSpareAsk(l.sparePause(known), now) {
+	known.permits.expire(now)
+	if len(known.permits.asks) >= maxOpenAsks || now.Before(known.permits.nextAskAt) || !urgent && !known.permits.startSpareAsk(l.sparePause(known), now) {
 		return
 	}
 	if l.coordination.Coordinator == "" {
-		known.places.refuse(noCoordinatorPause, now)
+		known.permits.refuse(noCoordinatorPause, now)
 		return
 	}
 	l.askNumber++
-	known.places.asks = append(known.places.asks, openAsk{number: l.askNumber, urgent: urgent, sentAt: now})
+	known.permits.asks = append(known.permits.asks, openAsk{number: l.askNumber, urgent: urgent, sentAt: now})
 	ask := Ask{Target: IncarnationOf(target), Number: l.askNumber, Urgent: urgent, Patience: patience}
 	if l.coordination.Coordinator == l.options.VM {
 		l.receiveAnswer(known, l.answer(known, ask, now), now)
@@ -130,7 +130,7 @@
 	l.options.Transmit(l.coordination.Coordinator, Message{Ask: &ask})
 }
 
-// Wait returns the time until a place at the target is expected, and whether asking is pointless until then.
+// Wait returns the time until a permit at the target is expected, and whether asking is pointless until then.
 func (l *Ledger) Wait(target roster.Target, now time.Time) (wait time.Duration, refused bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -138,10 +138,10 @@
 	if known == nil || !known.Limited {
 		return 0, false
 	}
-	return max(known.places.nextPlaceAt.Sub(now), 0), now.Before(known.places.nextAskAt)
+	return max(known.permits.nextPermitAt.Sub(now), 0), now.Before(known.permits.nextAskAt)
 }
 
-// Describe returns the limit of the target, who gives out its places, and the source and age of the statement; empty
+// Describe returns the limit of the target, who gives out its permits, and the source and age of the statement; empty
 // for none.
 func (l *Ledger) Describe(target roster.Target, now time.Time) string {
 	if !l.Active() {
@@ -158,66 +158,66 @@
 
 // receiveAnswer records the answer to an open question. The caller holds mu.
 func (l *Ledger) receiveAnswer(known *limit, answer Answer, now time.Time) {
-	known.places.expire(now)
-	i := slices.IndexFunc(known.places.asks, func(open openAsk) bool { return open.number == answer.Number })
+	known.permits.expire(now)
+	i := slices.IndexFunc(known.permits.asks, func(open openAsk) bool { return open.number == answer.Number })
 	if i < 0 {
 		return
 	}
-	urgent := known.places.asks[i].urgent
-	known.places.asks = slices.Delete(known.places.asks, i, i+1)
+	urgent := known.permits.asks[i].urgent
+	known.permits.asks = slices.Delete(known.permits.asks, i, i+1)
 	if !answer.Granted {
 		l.metrics.refused.Inc(1)
 		if urgent {
-			known.places.refuse(answer.Wait, now)
-			l.placeFree(0) // the waiting requests learn of the refusal
+			known.permits.refuse(answer.Wait, now)
+			l.permitAvailable(0) // the waiting requests learn of the refusal
 		}
 		return
 	}
 	l.metrics.granted.Inc(1)
-	if known.places.overdrawn > 0 {
-		known.places.overdrawn--
+	if known.permits.overdrawn > 0 {
+		known.permits.overdrawn--
 		return
 	}
 	usableAt := now.Add(answer.Wait)
-	known.places.held = append(known.places.held, place{usableAt: usableAt, expiresAt: usableAt.Add(placeTTL)})
-	l.placeFree(answer.Wait)
+	known.permits.unused = append(known.permits.unused, permit{usableAt: usableAt, expiresAt: usableAt.Add(permitTTL)})
+	l.permitAvailable(answer.Wait)
 }
 
-func (l *Ledger) placeFree(after time.Duration) {
-	if l.options.PlaceFree != nil {
-		l.options.PlaceFree(after)
+func (l *Ledger) permitAvailable(after time.Duration) {
+	if l.options.PermitAvailable != nil {
+		l.options.PermitAvailable(after)
 	}
 }
 
-// sparePause returns the pause between two questions for a place that is not needed. It grows with the number of VMs
+// sparePause returns the pause between two questions for a permit that is not needed. It grows with the number of VMs
 // that ask. The caller holds mu.
 func (l *Ledger) sparePause(known *limit) time.Duration {
-	rate := spareAsksPerPlace * max(known.PerSecond, minRate)
+	rate := spareAsksPerPermit * max(known.PerSecond, minRate)
 	pause := time.Duration(float64(l.coordination.Known) / rate * float64(time.Second))
 	return min(max(pause, minSparePause), maxSparePause)
 }
 
-// startSpareAsk reports whether a question for a place that is not needed is due.
-func (p *places) startSpareAsk(pause time.Duration, now time.Time) bool {
-	if len(p.held) > 0 || len(p.asks) > 0 || now.Before(p.nextSpareAskAt) {
+// startSpareAsk reports whether a question for a permit that is not needed is due.
+func (p *permits) startSpareAsk(pause time.Duration, now time.Time) bool {
+	if len(p.unused) > 0 || len(p.asks) > 0 || now.Before(p.nextSpareAskAt) {
 		return false
 	}
 	p.nextSpareAskAt = now.Add(pause/2 + rand.N(pause))
 	return true
 }
 
-func (p *places) refuse(wait time.Duration, now time.Time) {
-	p.nextPlaceAt = now.Add(wait)
+func (p *permits) refuse(wait time.Duration, now time.Time) {
+	p.nextPermitAt = now.Add(wait)
 	p.nextAskAt = now.Add(min(wait/2, maxAskPause))
 }
 
-// usable returns the index of a place that may be used now, or -1.
-func (p *places) usable(now time.Time) int {
-	return slices.IndexFunc(p.held, func(held place) bool { return !now.Before(held.usableAt) && now.Before(held.expiresAt) })
+// usable returns the index of a permit that may be used now, or -1.
+func (p *permits) usable(now time.Time) int {
+	return slices.IndexFunc(p.unused, func(p permit) bool { return !now.Before(p.usableAt) && now.Before(p.expiresAt) })
 }
 
-// expire drops the places that were not used and the questions that were not answered in time.
-func (p *places) expire(now time.Time) {
-	p.held = slices.DeleteFunc(p.held, func(held place) bool { return !now.Before(held.expiresAt) })
+// expire drops the permits that were not used and the questions that were not answered in time.
+func (p *permits) expire(now time.Time) {
+	p.unused = slices.DeleteFunc(p.unused, func(unused permit) bool { return !now.Before(unused.expiresAt) })
 	p.asks = slices.DeleteFunc(p.asks, func(open openAsk) bool { return now.Sub(open.sentAt) >= askTimeout })
 }
