--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -68,7 +68,7 @@
 	client    *upstream.Client
 	trail     *trail.Recorder
 	limits    *targetlimit.Ledger
-	origins   *origin.Book
+	origins   *origin.Registry
 	// fleet is nil if the settings name no port for load digests.
 	fleet *fleet.Fleet
 
@@ -87,7 +87,7 @@
 	e.store = platform.NewStore(s.Platform.Address, platform.ShortWatchWait)
 	e.limits = targetlimit.NewLedger(targetlimit.Options{VM: s.VM.Name, Logger: logger, Changed: e.sendDigestNow, Transmit: e.transmitPermit, PermitAvailable: e.retryWaiting})
 	e.table = placement.NewTable(placement.Options{Self: placement.Sender{VM: s.VM.Name, Zone: s.VM.Zone}, OnLoadChange: e.sendDigestNow, Limits: e.limits, Seed: nameSeed(s.VM.Name)})
-	e.origins = origin.NewBook(origin.Options{VM: s.VM.Name, VMs: e.entryVMs, Transmit: e.transmitOrigin})
+	e.origins = origin.NewRegistry(origin.Options{VM: s.VM.Name, VMs: e.entryVMs, Transmit: e.transmitOrigin})
 	e.budget = retrybudget.New(s.Bounds.RetryRatio*usableBudgetShare, initialRetrySlack(s))
 	e.poller = inforce.NewPoller(inforce.Options{
 		Reader: e.store, Logger: logger, InForceWithin: s.Bounds.ConfigurationDelay(), RevokedWithin: s.Bounds.RevocationDelay(),
--- a/internal/entry/limit_test.go
+++ b/internal/entry/limit_test.go
@@ -83,7 +83,7 @@
 		"the only target":   {"counter", nil, func(v *vm) *http.Request { return v.request(http.MethodPost, "/lookup/1", "x") }},
 		"retries":           {"counter", func(other *platformtest.Target) { other.FailEvery(1) }, func(v *vm) *http.Request { return v.request(http.MethodGet, "/peek/1", "") }},
 		"continued streams": {"drafter", func(other *platformtest.Target) { other.SetOverride(breakOff) }, func(v *vm) *http.Request { return v.generation("/checks/1", 3, 1) }},
-		"streams taken up by their callers": {"drafter", nil, func(v *vm) *http.Request {
+		"streams resumed by their callers": {"drafter", nil, func(v *vm) *http.Request {
 			request := v.generation("/checks/1", 3, 1)
 			request.Header.Set("Last-Event-Id", "1")
 			return request
--- a/internal/entry/version_test.go
+++ b/internal/entry/version_test.go
@@ -37,8 +37,8 @@
 	return last
 }
 
-// takenUp returns the request by which a caller takes up the stream after its last event.
-func (v *vm) takenUp(first *http.Request, events, gapMillis, last int) *http.Request {
+// resumption returns the request by which a caller resumes the stream after its last event.
+func (v *vm) resumption(first *http.Request, events, gapMillis, last int) *http.Request {
 	v.t.Helper()
 	request := v.generation(first.URL.Path, events, gapMillis)
 	request.Header.Set("Last-Event-Id", fmt.Sprint(last))
@@ -109,7 +109,7 @@
 			d.requireOneVersion(request)
 		}
 	})
-	t.Run("taken up at the same VM", func(t *testing.T) {
+	t.Run("resumed at the same VM", func(t *testing.T) {
 		t.Parallel()
 		d := versionedDeployment(t, 2)
 		v := d.start("vm-1", nil)
@@ -119,7 +119,7 @@
 			require.NoError(t, err)
 			last := readSome(response, 5)
 			response.Body.Close()
-			second := v.takenUp(first, events, 1, last)
+			second := v.resumption(first, events, 1, last)
 			response, err = v.client.Do(second)
 			require.NoError(t, err)
 			require.Equal(t, http.StatusOK, response.StatusCode)
@@ -128,7 +128,7 @@
 			d.requireOneVersion(first, second)
 		}
 	})
-	t.Run("taken up after the VM was killed", func(t *testing.T) {
+	t.Run("resumed after the VM was killed", func(t *testing.T) {
 		t.Parallel()
 		d := versionedDeployment(t, 2)
 		vms := d.startFleet(4)
@@ -147,7 +147,7 @@
 		<-vms[0].stopped
 		for i := range streams {
 			v := vms[1+i%3]
-			second := v.takenUp(attempts[i][0], 100, 1, lasts[i])
+			second := v.resumption(attempts[i][0], 100, 1, lasts[i])
 			response, err := v.client.Do(second)
 			require.NoError(t, err)
 			require.Equal(t, http.StatusOK, response.StatusCode)
@@ -171,7 +171,7 @@
 			begun := d.Cluster.Runs(first.Header.Get("X-Attempt-Id"))[0]
 			d.Unregister(begun.Target)
 			require.Eventually(t, func() bool {
-				second := v.takenUp(first, events, 1, last)
+				second := v.resumption(first, events, 1, last)
 				response, body := v.do(second)
 				return response.StatusCode == http.StatusServiceUnavailable && strings.Contains(body, begun.Version) &&
 					len(d.Cluster.Runs(second.Header.Get("X-Attempt-Id"))) == 0
@@ -185,7 +185,7 @@
 		v := d.start("vm-1", nil)
 		unknown := v.generation("/checks/9", 1, 1)
 		for _, resumes := range []string{unknown.Header.Get("X-Attempt-Id"), ""} {
-			request := v.takenUp(unknown, events, 1, 4)
+			request := v.resumption(unknown, events, 1, 4)
 			request.Header.Set("Resumes", resumes)
 			response, _ := v.do(request)
 			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
--- a/internal/forward/takeup.go
+++ b/internal/forward/resume.go
@@ -20,41 +20,41 @@
 	Lookup(ctx context.Context, attempt string) (origin.Record, error)
 }
 
-// takeUpRemedy is the remedy where a stream cannot be taken up.
-const takeUpRemedy = "send the request again from its start"
+// resumeRemedy is the remedy where a stream cannot be resumed.
+const resumeRemedy = "send the request again from its start"
 
-// takeUp fixes the service and the software version of a stream of which the caller has received events before. The
+// resumeAtOrigin fixes the service and the software version of a stream of which the caller has received events before. The
 // error is an *apierror.Error of kind not_run if they are not known.
-func (x *exchange) takeUp(ctx context.Context) error {
+func (x *exchange) resumeAtOrigin(ctx context.Context) error {
 	if x.call.Resumes == "" {
-		return x.takeUpUnnamed()
+		return x.resumeUnnamed()
 	}
 	startedAt := time.Now()
 	record, err := x.options.Origins.Lookup(ctx, x.call.Resumes)
 	if errors.Is(err, origin.ErrNoAnswer) {
-		return apierror.Wrap(err, apierror.KindNotRun, "the stream cannot be taken up now", "come back after the time given").WithRetryAfter(refusedRetryAfter)
+		return apierror.Wrap(err, apierror.KindNotRun, "the stream cannot be resumed now", "come back after the time given").WithRetryAfter(refusedRetryAfter)
 	}
 	if err == nil && (record.Account != x.account.Name || !x.route.LeadsTo(record.Service)) {
 		err = origin.ErrUnknown
 	}
 	if err != nil {
-		return apierror.Wrap(err, apierror.KindNotRun, "the stream cannot be taken up", takeUpRemedy)
+		return apierror.Wrap(err, apierror.KindNotRun, "the stream cannot be resumed", resumeRemedy)
 	}
 	x.service = policy.RoutedService{Name: record.Service}
 	if service, found := x.options.Poller.Current().Services[record.Service]; found {
 		x.service = service
 	}
 	x.version, x.versionFixed = record.Version, true
-	x.log("stream taken up", "resumes", x.call.Resumes, "service", record.Service, "version", record.Version, "lookup_ms", time.Since(startedAt).Milliseconds())
+	x.log("stream resumed by its caller", "resumes", x.call.Resumes, "service", record.Service, "version", record.Version, "lookup_ms", time.Since(startedAt).Milliseconds())
 	return nil
 }
 
-// takeUpUnnamed accepts a stream whose caller does not name its first attempt if this VM knows one version of the
+// resumeUnnamed accepts a stream whose caller does not name its first attempt if this VM knows one version of the
 // service only.
-func (x *exchange) takeUpUnnamed() error {
+func (x *exchange) resumeUnnamed() error {
 	version, found := x.options.Table.SoleVersion(x.service.Name, time.Now())
 	if !found {
-		return apierror.New(apierror.KindNotRun, "the service has had several software versions, and the request does not name the attempt that began the stream", takeUpRemedy)
+		return apierror.New(apierror.KindNotRun, "the service has had several software versions, and the request does not name the attempt that began the stream", resumeRemedy)
 	}
 	x.version, x.versionFixed = version, true
 	return nil
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -65,7 +65,7 @@
 		return apierror.New(apierror.KindInternal, "the connection cannot carry a stream", "report the request id to the operators")
 	}
 	if x.call.LastEventID != "" {
-		if err := x.takeUp(ctx); err != nil {
+		if err := x.resumeAtOrigin(ctx); err != nil {
 			return err
 		}
 	}
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -31,7 +31,7 @@
 	Prompt  Prompt
 	// LastEventID is the last event of the stream that the caller has received; empty at its start.
 	LastEventID string
-	// Resumes is the id of the attempt that brought the first event of the stream that this one takes up; empty if the
+	// Resumes is the id of the attempt that brought the first event of the stream that this one resumes; empty if the
 	// caller names none.
 	Resumes string
 	// Header holds the fields to forward, without hop-by-hop fields and those that the system sets itself.
--- a/internal/origin/model_test.go
+++ b/internal/origin/model_test.go
@@ -14,15 +14,15 @@
 	"godwitcart/internal/origin"
 )
 
-// network connects the books of many VMs; it loses, delays and cuts.
+// network connects the registries of many VMs; it loses, delays and cuts.
 type network struct {
-	mu      sync.Mutex
-	random  *rand.Rand
-	vms     []origin.VM
-	books   map[string]*origin.Book
-	lossy   float64
-	late    float64
-	zoneCut bool
+	mu         sync.Mutex
+	random     *rand.Rand
+	vms        []origin.VM
+	registries map[string]*origin.Registry
+	lossy      float64
+	late       float64
+	zoneCut    bool
 	// unknownTo holds the VMs that do not know the last ones of vms.
 	unknownTo map[string]int
 	restarted map[string]time.Time
@@ -30,7 +30,7 @@
 
 func newNetwork(count int, seed uint64) *network {
 	n := &network{
-		random: rand.New(rand.NewPCG(seed, 0)), books: make(map[string]*origin.Book), unknownTo: make(map[string]int),
+		random: rand.New(rand.NewPCG(seed, 0)), registries: make(map[string]*origin.Registry), unknownTo: make(map[string]int),
 		restarted: make(map[string]time.Time),
 	}
 	for i := range count {
@@ -42,22 +42,22 @@
 	return n
 }
 
-// start replaces the VM's book by an empty one.
+// start replaces the VM's registry by an empty one.
 func (n *network) start(vm origin.VM) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.restarted[vm.Name] = time.Now()
-	n.books[vm.Name] = origin.NewBook(origin.Options{
+	n.registries[vm.Name] = origin.NewRegistry(origin.Options{
 		VM:       vm.Name,
 		VMs:      func() []origin.VM { return n.vms[:len(n.vms)-n.unknownTo[vm.Name]] },
 		Transmit: func(to string, message origin.Message) { n.send(vm, to, message) },
 	})
 }
 
-func (n *network) book(name string) *origin.Book {
+func (n *network) registry(name string) *origin.Registry {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.books[name]
+	return n.registries[name]
 }
 
 func (n *network) send(from origin.VM, to string, message origin.Message) {
@@ -71,7 +71,7 @@
 	if n.random.Float64() < n.late {
 		delay = time.Duration(n.random.Int64N(int64(time.Second)))
 	}
-	time.AfterFunc(delay, func() { n.book(to).HandleMessage(from.Name, message) })
+	time.AfterFunc(delay, func() { n.registry(to).HandleMessage(from.Name, message) })
 }
 
 // draw returns a random number below limit.
@@ -81,9 +81,9 @@
 	return n.random.IntN(limit)
 }
 
-// TestTakenUpStreamGetsAnotherVersion guards against a record that names another version than the one at which a stream
+// TestResumedStreamGetsAnotherVersion guards against a record that names another version than the one at which a stream
 // began, and against records that are lost with single VMs, whatever dies, returns empty, is cut off or is not known.
-func TestTakenUpStreamGetsAnotherVersion(t *testing.T) {
+func TestResumedStreamGetsAnotherVersion(t *testing.T) {
 	const (
 		streams = 400
 		// contact is the time after a disturbance after which a VM is expected to know what it needs.
@@ -93,7 +93,7 @@
 		change func(n *network)
 		// kill is the pause between two VMs that are killed; zero for none.
 		kill time.Duration
-		// found is the least share of streams that are taken up.
+		// found is the least share of streams that are resumed.
 		found float64
 	}{
 		"calm":               {func(*network) {}, 0, 1},
@@ -141,13 +141,13 @@
 							version := fmt.Sprintf("v%d", n.draw(3))
 							time.Sleep(time.Duration(i) * 20 * time.Millisecond)
 							server := n.vms[n.draw(count)]
-							n.book(server.Name).Publish(t.Context(), origin.Record{Attempt: attempt, Service: "s", Version: version, TTL: time.Minute})
+							n.registry(server.Name).Publish(t.Context(), origin.Record{Attempt: attempt, Service: "s", Version: version, TTL: time.Minute})
 							time.Sleep(time.Duration(n.draw(10)) * time.Second)
 							taker := n.vms[n.draw(count)]
 							n.mu.Lock()
 							inTouch := time.Since(n.restarted[taker.Name]) > contact && (!n.zoneCut || taker.Zone == server.Zone)
 							n.mu.Unlock()
-							record, err := n.book(taker.Name).Lookup(t.Context(), attempt)
+							record, err := n.registry(taker.Name).Lookup(t.Context(), attempt)
 							if err == nil {
 								require.Equal(t, version, record.Version)
 							}
--- a/internal/origin/record.go
+++ b/internal/origin/record.go
@@ -1,5 +1,5 @@
 // Package origin remembers, on several entry VMs, at which service and software version each resumable stream began, so
-// that a caller can take it up at any VM.
+// that a caller can resume it at any VM.
 //
 // Invariants: a record never changes once it is made, so that any copy of it is right; a record that is lost costs a
 // stream and never continues one at another version; the VMs that hold a record follow from the directory alone.
--- a/internal/origin/book.go
+++ b/internal/origin/registry.go
@@ -13,12 +13,12 @@
 const (
 	// publishTimeout bounds how long the first event of a stream waits for a holder's confirmation.
 	publishTimeout = 40 * time.Millisecond
-	// lookupTimeout bounds how long a stream that is taken up waits for its record.
+	// lookupTimeout bounds how long a stream that is resumed waits for its record.
 	lookupTimeout = 150 * time.Millisecond
 	// resendInterval is the time after which a message without an answer is sent again.
 	resendInterval = 25 * time.Millisecond
-	// readmitTTL is added to the TTL of a record, for the time that messages take.
-	readmitTTL = 2 * time.Second
+	// ttlMargin is added to the TTL of a record, for the time that messages take.
+	ttlMargin = 2 * time.Second
 )
 
 // Kind is the kind of a Message.
@@ -49,7 +49,7 @@
 	ErrNoAnswer = errors.New("the entry VMs that know where the stream began did not answer")
 )
 
-// Options configures a Book.
+// Options configures a Registry.
 type Options struct {
 	// VM is the name of this entry VM.
 	VM string
@@ -59,11 +59,11 @@
 	Transmit func(vm string, message Message)
 }
 
-// Book holds the records of this VM and finds those of others. It is safe for concurrent use.
-type Book struct {
+// Registry holds the records of this VM and finds those of others. It is safe for concurrent use.
+type Registry struct {
 	options Options
 	records *store
-	metrics *bookMetrics
+	metrics *registryMetrics
 
 	mu sync.Mutex
 	// waiting holds the calls that wait for messages about an attempt.
@@ -78,39 +78,39 @@
 	message Message
 }
 
-// NewBook returns a Book without records.
-func NewBook(options Options) *Book {
-	return &Book{options: options, records: newStore(), metrics: newBookMetrics(), waiting: make(map[string][]*waiter)}
+// NewRegistry returns a Registry without records.
+func NewRegistry(options Options) *Registry {
+	return &Registry{options: options, records: newStore(), metrics: newRegistryMetrics(), waiting: make(map[string][]*waiter)}
 }
 
 // Publish stores a record here and at its holders. It returns when one holder has confirmed, after publishTimeout or
 // when ctx ends, and reports whether one has.
-func (b *Book) Publish(ctx context.Context, record Record) bool {
-	record.TTL += readmitTTL
-	b.records.put(record, time.Now())
+func (r *Registry) Publish(ctx context.Context, record Record) bool {
+	record.TTL += ttlMargin
+	r.records.put(record, time.Now())
 	confirmed := false
-	b.exchange(ctx, Message{Kind: Put, Record: record}, publishTimeout, func(answer Message) bool {
+	r.exchange(ctx, Message{Kind: Put, Record: record}, publishTimeout, func(answer Message) bool {
 		confirmed = answer.Kind == Stored
 		return confirmed
 	})
 	if confirmed {
-		b.metrics.confirmed.Inc(1)
+		r.metrics.confirmed.Inc(1)
 	} else {
-		b.metrics.unconfirmed.Inc(1)
+		r.metrics.unconfirmed.Inc(1)
 	}
 	return confirmed
 }
 
 // Lookup returns the record of an attempt, from here or from its holders. The error is ErrUnknown, ErrNoAnswer or that
 // of ctx.
-func (b *Book) Lookup(ctx context.Context, attempt string) (Record, error) {
-	if record, found := b.records.get(attempt, time.Now()); found {
-		b.metrics.found.Inc(1)
+func (r *Registry) Lookup(ctx context.Context, attempt string) (Record, error) {
+	if record, found := r.records.get(attempt, time.Now()); found {
+		r.metrics.found.Inc(1)
 		return record, nil
 	}
 	var record Record
 	found := false
-	allAnswered := b.exchange(ctx, Message{Kind: Get, Record: Record{Attempt: attempt}}, lookupTimeout, func(answer Message) bool {
+	allAnswered := r.exchange(ctx, Message{Kind: Get, Record: Record{Attempt: attempt}}, lookupTimeout, func(answer Message) bool {
 		if answer.Kind == Found {
 			record, found = answer.Record, true
 		}
@@ -118,48 +118,48 @@
 	})
 	switch {
 	case found:
-		b.metrics.found.Inc(1)
-		b.restore(record)
+		r.metrics.found.Inc(1)
+		r.restore(record)
 		return record, nil
 	case ctx.Err() != nil:
 		return Record{}, ctx.Err()
 	case allAnswered:
-		b.metrics.unknown.Inc(1)
+		r.metrics.unknown.Inc(1)
 		return Record{}, ErrUnknown
 	default:
-		b.metrics.unanswered.Inc(1)
+		r.metrics.unanswered.Inc(1)
 		return Record{}, ErrNoAnswer
 	}
 }
 
 // restore stores a record that was found, also at holders that may have lost it.
-func (b *Book) restore(record Record) {
-	b.records.put(record, time.Now())
-	for _, holder := range b.otherHolders(record.Attempt) {
-		b.options.Transmit(holder, Message{Kind: Put, Record: record})
+func (r *Registry) restore(record Record) {
+	r.records.put(record, time.Now())
+	for _, holder := range r.otherHolders(record.Attempt) {
+		r.options.Transmit(holder, Message{Kind: Put, Record: record})
 	}
 }
 
-func (b *Book) otherHolders(attempt string) []string {
-	return slices.DeleteFunc(Holders(attempt, b.options.VMs()), func(name string) bool { return name == b.options.VM })
+func (r *Registry) otherHolders(attempt string) []string {
+	return slices.DeleteFunc(Holders(attempt, r.options.VMs()), func(name string) bool { return name == r.options.VM })
 }
 
 // exchange sends a message to the other holders, again until they answer, and passes their answers to onAnswer until it
 // returns true. It reports whether all of them answered; without a directory nobody is asked.
-func (b *Book) exchange(ctx context.Context, message Message, timeout time.Duration, onAnswer func(Message) bool) (allAnswered bool) {
-	open := b.otherHolders(message.Record.Attempt)
+func (r *Registry) exchange(ctx context.Context, message Message, timeout time.Duration, onAnswer func(Message) bool) (allAnswered bool) {
+	open := r.otherHolders(message.Record.Attempt)
 	if len(open) == 0 {
-		return b.options.VMs() != nil
+		return r.options.VMs() != nil
 	}
-	w := b.wait(message.Record.Attempt, len(open))
-	defer b.stopWaiting(message.Record.Attempt, w)
+	w := r.wait(message.Record.Attempt, len(open))
+	defer r.stopWaiting(message.Record.Attempt, w)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	resend := time.NewTicker(resendInterval)
 	defer resend.Stop()
 	for {
 		for _, holder := range open {
-			b.options.Transmit(holder, message)
+			r.options.Transmit(holder, message)
 		}
 		for resendDue := false; !resendDue; {
 			select {
@@ -194,46 +194,46 @@
 // answersKept is the number of messages of one holder that a waiting call has room for.
 const answersKept = 4
 
-func (b *Book) wait(attempt string, holders int) *waiter {
+func (r *Registry) wait(attempt string, holders int) *waiter {
 	w := &waiter{messages: make(chan received, answersKept*holders)}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.waiting[attempt] = append(b.waiting[attempt], w)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.waiting[attempt] = append(r.waiting[attempt], w)
 	return w
 }
 
-func (b *Book) stopWaiting(attempt string, w *waiter) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.waiting[attempt] = slices.DeleteFunc(b.waiting[attempt], func(other *waiter) bool { return other == w })
-	if len(b.waiting[attempt]) == 0 {
-		delete(b.waiting, attempt)
+func (r *Registry) stopWaiting(attempt string, w *waiter) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.waiting[attempt] = slices.DeleteFunc(r.waiting[attempt], func(other *waiter) bool { return other == w })
+	if len(r.waiting[attempt]) == 0 {
+		delete(r.waiting, attempt)
 	}
 }
 
 // HandleMessage handles a message of another VM. It does not block.
-func (b *Book) HandleMessage(vm string, message Message) {
+func (r *Registry) HandleMessage(vm string, message Message) {
 	attempt := message.Record.Attempt
 	switch message.Kind {
 	case Put:
-		b.records.put(message.Record, time.Now())
-		b.options.Transmit(vm, Message{Kind: Stored, Record: Record{Attempt: attempt}})
+		r.records.put(message.Record, time.Now())
+		r.options.Transmit(vm, Message{Kind: Stored, Record: Record{Attempt: attempt}})
 	case Get:
 		answer := Message{Kind: Unknown, Record: Record{Attempt: attempt}}
-		if record, found := b.records.get(attempt, time.Now()); found {
+		if record, found := r.records.get(attempt, time.Now()); found {
 			answer = Message{Kind: Found, Record: record}
 		}
-		b.options.Transmit(vm, answer)
+		r.options.Transmit(vm, answer)
 	default:
-		b.deliver(received{vm: vm, message: message})
+		r.deliver(received{vm: vm, message: message})
 	}
 }
 
 // deliver passes an answer to the calls that wait for it. One that does not fit is dropped: the holder is asked again.
-func (b *Book) deliver(answer received) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, w := range b.waiting[answer.message.Record.Attempt] {
+func (r *Registry) deliver(answer received) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, w := range r.waiting[answer.message.Record.Attempt] {
 		select {
 		case w.messages <- answer:
 		default:
@@ -241,12 +241,12 @@
 	}
 }
 
-// bookMetrics count how records were published and found.
-type bookMetrics struct{ confirmed, unconfirmed, found, unknown, unanswered metrics.Counter }
+// registryMetrics count how records were published and found.
+type registryMetrics struct{ confirmed, unconfirmed, found, unknown, unanswered metrics.Counter }
 
-func newBookMetrics() *bookMetrics {
+func newRegistryMetrics() *registryMetrics {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("origin."+name, nil) }
-	return &bookMetrics{
+	return &registryMetrics{
 		confirmed: counter("published"), unconfirmed: counter("published_unconfirmed"),
 		found: counter("found"), unknown: counter("unknown"), unanswered: counter("unanswered"),
 	}
--- a/internal/origin/book_test.go
+++ b/internal/origin/registry_test.go
@@ -45,16 +45,16 @@
 func TestRecordIsKeptUntilItExpires(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork(1, 1)
-		book := n.book("vm-0")
-		require.False(t, book.Publish(t.Context(), origin.Record{Attempt: "a", Version: "v1", TTL: time.Minute}), "nobody can confirm")
-		book.Publish(t.Context(), origin.Record{Attempt: "a", Version: "v2", TTL: time.Minute})
-		record, err := book.Lookup(t.Context(), "a")
+		registry := n.registry("vm-0")
+		require.False(t, registry.Publish(t.Context(), origin.Record{Attempt: "a", Version: "v1", TTL: time.Minute}), "nobody can confirm")
+		registry.Publish(t.Context(), origin.Record{Attempt: "a", Version: "v2", TTL: time.Minute})
+		record, err := registry.Lookup(t.Context(), "a")
 		require.NoError(t, err)
 		require.Equal(t, "v1", record.Version)
-		_, err = book.Lookup(t.Context(), "b")
+		_, err = registry.Lookup(t.Context(), "b")
 		require.ErrorIs(t, err, origin.ErrUnknown)
 		time.Sleep(2 * time.Minute)
-		_, err = book.Lookup(t.Context(), "a")
+		_, err = registry.Lookup(t.Context(), "a")
 		require.ErrorIs(t, err, origin.ErrUnknown)
 	})
 }
@@ -64,15 +64,15 @@
 func TestUnansweredLookupIsNotUnknown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork(9, 1)
-		_, err := n.book("vm-0").Lookup(t.Context(), "nobody")
+		_, err := n.registry("vm-0").Lookup(t.Context(), "nobody")
 		require.ErrorIs(t, err, origin.ErrUnknown)
 		n.lossy = 1
 		started := time.Now()
-		_, err = n.book("vm-0").Lookup(t.Context(), "nobody")
+		_, err = n.registry("vm-0").Lookup(t.Context(), "nobody")
 		require.ErrorIs(t, err, origin.ErrNoAnswer)
 		require.Equal(t, 150*time.Millisecond, time.Since(started))
 		started = time.Now()
-		require.False(t, n.book("vm-0").Publish(t.Context(), origin.Record{Attempt: "a", TTL: time.Minute}))
+		require.False(t, n.registry("vm-0").Publish(t.Context(), origin.Record{Attempt: "a", TTL: time.Minute}))
 		require.Equal(t, 40*time.Millisecond, time.Since(started))
 	})
 }
--- a/internal/stand/soak/callers.go
+++ b/internal/stand/soak/callers.go
@@ -37,13 +37,13 @@
 	// events counts the received events out of expectedEvents; orderError describes the first out of order.
 	events, expectedEvents int
 	orderError             string
-	// firstAttempt is the id of the attempt that brought the first event of a stream that this call takes up; empty for
+	// firstAttempt is the id of the attempt that brought the first event of a stream that this call resumes; empty for
 	// others. resumedAfter is the last event that its caller had then.
 	firstAttempt string
 	resumedAfter int
 	// versions are the software versions of the events that the caller received, also with earlier attempts.
 	versions []string
-	// sameVersionTargets is the number of undisturbed targets of the stream's version when it was taken up.
+	// sameVersionTargets is the number of undisturbed targets of the stream's version when it was resumed.
 	sameVersionTargets int
 	// mismatched is set when the response carries the ID of another request.
 	mismatched bool
@@ -60,8 +60,8 @@
 	keepVMProbability = 0.7
 	// disconnectProbability is the probability that the caller of a stream disconnects before its end.
 	disconnectProbability = 0.05
-	// maxTakeUps is how often a caller takes up the same stream.
-	maxTakeUps   = 2
+	// maxResumes is how often a caller resumes the same stream.
+	maxResumes   = 2
 	maxThinkTime = 60 * time.Millisecond
 )
 
@@ -86,9 +86,9 @@
 		c := &call{id: fmt.Sprintf("c%d-%d", number, sent), vm: v.Name, apiKey: h.keys.pick(random)}
 		generation := h.send(client, v, c, random)
 		h.recordCall(c)
-		for takeUps := 0; takeUps < maxTakeUps && c.canBeTakenUp() && ctx.Err() == nil; takeUps++ {
+		for resumes := 0; resumes < maxResumes && c.canBeResumed() && ctx.Err() == nil; resumes++ {
 			v = h.chooseReadyVM(random, v)
-			c = h.takeUp(client, v, c, generation)
+			c = h.resume(client, v, c, generation)
 		}
 		if c.err != nil || c.status == http.StatusServiceUnavailable || random.Float64() > keepVMProbability {
 			v = h.chooseReadyVM(random, v)
@@ -156,7 +156,7 @@
 		platformtest.SetGenerationHeaders(request, generation)
 	}
 	if c.firstAttempt != "" {
-		platformtest.SetTakeUpHeaders(request, c.firstAttempt, c.resumedAfter)
+		platformtest.SetResumeHeaders(request, c.firstAttempt, c.resumedAfter)
 	}
 	c.sentAt = time.Now()
 	defer func() {
--- a/internal/stand/soak/judge.go
+++ b/internal/stand/soak/judge.go
@@ -180,13 +180,13 @@
 
 // report summarizes the run.
 func (h *harness) report() *Report {
-	taken, continued := h.checkTakeUps()
+	resumed, continued := h.checkResumes()
 	r := &Report{Seed: h.options.Seed, Requests: len(h.calls), Outcomes: map[string]int{}, Faults: map[string]int{}, Violations: map[string]int{}}
 	for _, c := range h.calls {
 		r.Outcomes[c.outcome()]++
 	}
 	r.LimitWindows = h.checkedWindows
-	r.TakenUp, r.Continued = taken, continued
+	r.Resumed, r.Continued = resumed, continued
 	for _, f := range h.faults {
 		r.Faults[f.kind]++
 	}
--- a/internal/stand/soak/takeups.go
+++ b/internal/stand/soak/resumes.go
@@ -11,10 +11,10 @@
 const (
 	// contactTime is the time after a disturbance of a VM after which bounds hold for it again.
 	contactTime = 3 * time.Second
-	// minTakeUps is the number of streams taken up from which their share is checked, and minTakeUpShare the least share
+	// minResumes is the number of streams resumed from which their share is checked, and minResumeShare the least share
 	// of them that continues, in shares of the new streams that begin.
-	minTakeUps     = 12
-	minTakeUpShare = 0.5
+	minResumes     = 12
+	minResumeShare = 0.5
 )
 
 func (h *harness) recordCall(c *call) {
@@ -23,8 +23,8 @@
 	h.calls = append(h.calls, c)
 }
 
-// canBeTakenUp reports whether the caller has a part of a stream that may be resumed.
-func (c *call) canBeTakenUp() bool {
+// canBeResumed reports whether the caller has a part of a stream that may be resumed.
+func (c *call) canBeResumed() bool {
 	return c.kind == "check" && c.lastEvent() > 0 && c.lastEvent() < c.expectedEvents && (c.disconnected || !c.complete)
 }
 
@@ -37,8 +37,8 @@
 	}
 }
 
-// takeUp takes up the stream of an earlier call at the VM and records the call.
-func (h *harness) takeUp(client *http.Client, v *vm, earlier *call, generation platformtest.Generation) *call {
+// resume resumes the stream of an earlier call at the VM and records the call.
+func (h *harness) resume(client *http.Client, v *vm, earlier *call, generation platformtest.Generation) *call {
 	c := &call{
 		id: earlier.id + "-r", kind: earlier.kind, vm: v.Name, apiKey: earlier.apiKey, streaming: true, deadline: earlier.deadline,
 		expectedEvents: earlier.expectedEvents, firstAttempt: earlier.firstAttempt, resumedAfter: earlier.lastEvent(),
@@ -76,9 +76,9 @@
 	})
 }
 
-// checkTakeUps requires that streams which callers take up at undisturbed VMs continue, where two targets of their version
+// checkResumes requires that streams which callers resume at undisturbed VMs continue, where two targets of their version
 // are undisturbed, at least half as often as new ones begin.
-func (h *harness) checkTakeUps() (taken, continued int) {
+func (h *harness) checkResumes() (resumed, continued int) {
 	begun, offered := 0, 0
 	for _, c := range h.calls {
 		if c.kind != "check" || h.disturbed(c.vm, c.sentAt, c.endedAt) {
@@ -90,14 +90,14 @@
 			offered++
 			begun += count(served)
 		case c.sameVersionTargets >= 2:
-			taken++
+			resumed++
 			continued += count(served)
 		}
 	}
-	if taken >= minTakeUps && offered > 0 && float64(continued)/float64(taken) < minTakeUpShare*float64(begun)/float64(offered) {
-		h.addViolation(Violation{Guarantee: "taken_up_streams_lost", Kind: "check"})
+	if resumed >= minResumes && offered > 0 && float64(continued)/float64(resumed) < minResumeShare*float64(begun)/float64(offered) {
+		h.addViolation(Violation{Guarantee: "resumed_streams_lost", Kind: "check"})
 	}
-	return taken, continued
+	return resumed, continued
 }
 
 func count(condition bool) int {
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -37,9 +37,9 @@
 	Requests int            `json:"requests"`
 	Outcomes map[string]int `json:"outcomes"`
 	Faults   map[string]int `json:"faults"`
-	// TakenUp counts the streams that callers took up at undisturbed VMs while two targets of their software version were
+	// Resumed counts the streams that callers resumed at undisturbed VMs while two targets of their software version were
 	// undisturbed, and Continued those that went on.
-	TakenUp   int `json:"taken_up"`
+	Resumed   int `json:"resumed"`
 	Continued int `json:"continued"`
 	// LimitWindows counts the windows in which a target's request limit was checked.
 	LimitWindows int `json:"limit_windows"`
