--- a/internal/origin/registry.go
+++ b/internal/origin/registry.go
@@ -157,27 +157,25 @@
 	defer cancel()
 	resend := time.NewTicker(resendInterval)
 	defer resend.Stop()
-	for {
-		for _, holder := range open {
-			r.options.Transmit(holder, message)
+	for sendDue := true; ; {
+		if sendDue {
+			for _, holder := range open {
+				r.options.Transmit(holder, message)
+			}
 		}
-		for resendDue := false; !resendDue; {
-			select {
-			case <-ctx.Done():
-				return false
-			case <-resend.C:
-				resendDue = true
-			case answer := <-w.messages:
-				if !slices.Contains(open, answer.vm) || !isAnswer(message.Kind, answer.message.Kind) {
-					continue
-				}
-				open = slices.DeleteFunc(open, func(name string) bool { return name == answer.vm })
-				if onAnswer(answer.message) {
-					return len(open) == 0
-				}
-				if len(open) == 0 {
-					return true
-				}
+		sendDue = false
+		select {
+		case <-ctx.Done():
+			return false
+		case <-resend.C:
+			sendDue = true
+		case answer := <-w.messages:
+			if !slices.Contains(open, answer.vm) || !isAnswer(message.Kind, answer.message.Kind) {
+				continue
+			}
+			open = slices.DeleteFunc(open, func(name string) bool { return name == answer.vm })
+			if onAnswer(answer.message) || len(open) == 0 {
+				return len(open) == 0
 			}
 		}
 	}
