--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -3,7 +3,8 @@
 // Invariants: a request that may run only once is sent again only if the target has stated that it did not run; the
 // caller is told "not run" only if no target can have run the request; a response reaches its caller complete and
 // from a single run, or ends so that it cannot look complete; a stream's events arrive in order and exactly once,
-// including those sent after its generation has moved to another target.
+// including those sent after its generation has moved to another target; all events of a stream come from targets of one
+// software version, also where its caller resumes it at another VM.
 package forward
 
 import (
