--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -2,7 +2,9 @@
 //
 // A Table holds the targets on the platform's list, the loads that this VM and its peers have sent to them, and the
 // recent outcomes at each target. Pick filters the targets of a service, scores the remaining ones and reserves the
-// best, so that the next decision counts load that no report shows yet. Callers pass in the current time.
+// best, so that the next decision counts load that no report shows yet. Callers pass in the current time. A Limiter
+// decides whether a target that has named a request limit may get a request; it is asked and told here alone, but for
+// requests that were reserved before and are counted when they are sent.
 package placement
 
 import (
