--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -29,7 +29,7 @@
 	// Address is host:port.
 	Address string
 	Zone    string
-	// Version is the version of the target's software. Versions have no order; empty is a version too.
+	// Version is the version of the target's software, which an incarnation keeps. Versions have no order.
 	Version string
 	// Slots is the number of requests that the target processes concurrently.
 	Slots int
@@ -382,8 +382,8 @@
 	if sameIncarnation && previous.Leaving {
 		target.Leaving = true
 	}
-	if sameIncarnation && target.Version == "" {
-		target.Version = previous.Version // the digest of a VM that does not know versions
+	if sameIncarnation && previous.Version != "" {
+		target.Version = previous.Version
 	}
 	f.targets[target.ID] = target
 	if changed := !sameIncarnation || target.Leaving && !previous.Leaving; changed && source == sourceList && f.listed.Load() && f.options.TargetChanged != nil {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -191,6 +191,23 @@
 	})
 }
 
+// TestIncarnationKeepsItsVersion guards against a digest that names the version of the next incarnation, or none, for a
+// target that streams are about to leave.
+func TestIncarnationKeepsItsVersion(t *testing.T) {
+	run(t, func() bool { return false }, func(f *fixture) {
+		f.put("e1", roster.Target{StartedAt: 2, Version: "v1"})
+		f.settle(100 * time.Millisecond)
+		for _, version := range []string{"v2", ""} {
+			f.follower.QueuePeerChange(roster.Target{ID: "e1", StartedAt: 2, Version: version, Leaving: true})
+			f.settle(10 * time.Millisecond)
+			require.Equal(t, "v1", f.listener.targets["e1"].Version)
+		}
+		f.follower.QueuePeerChange(roster.Target{ID: "e1", StartedAt: 3, Version: "v2"})
+		f.settle(10 * time.Millisecond)
+		require.Equal(t, "v2", f.listener.targets["e1"].Version)
+	})
+}
+
 // TestPeerChangesDuringPlatformOutage checks that changes of peers are applied while a watch is blocked, and while
 // only this VM cannot reach the platform.
 func TestPeerChangesDuringPlatformOutage(t *testing.T) {
