--- a/internal/entry/version_test.go
+++ b/internal/entry/version_test.go
@@ -66,18 +66,21 @@
 		streams = 8
 		events  = 60
 	)
-	t.Run("engine breaks off", func(t *testing.T) {
-		t.Parallel()
+	continueStreams := func(t *testing.T, path string, gapMillis int, fault, afterEvent string) {
 		d := versionedDeployment(t, 2)
 		v := d.start("vm-1", nil)
 		for range streams {
-			request := v.generation("/checks/1", events, 1)
-			request.Header.Set(platformtest.HeaderBreakAfter, "3")
+			request := v.generation(path, events, gapMillis)
+			request.Header.Set(fault, afterEvent)
 			response, err := v.client.Do(request)
 			require.NoError(t, err)
 			readEvents(t, response, events, nil)
 			d.requireOneVersion(request)
 		}
+	}
+	t.Run("engine breaks off", func(t *testing.T) {
+		t.Parallel()
+		continueStreams(t, "/checks/1", 1, platformtest.HeaderBreakAfter, "3")
 	})
 	t.Run("engine leaves", func(t *testing.T) {
 		t.Parallel()
@@ -98,16 +101,7 @@
 	})
 	t.Run("engine falls silent", func(t *testing.T) {
 		t.Parallel()
-		d := versionedDeployment(t, 2)
-		v := d.start("vm-1", nil)
-		for range streams {
-			request := v.generation("/letters/1", events, 5)
-			request.Header.Set(platformtest.HeaderSilentAfter, "20")
-			response, err := v.client.Do(request)
-			require.NoError(t, err)
-			readEvents(t, response, events, nil)
-			d.requireOneVersion(request)
-		}
+		continueStreams(t, "/letters/1", 5, platformtest.HeaderSilentAfter, "20")
 	})
 	t.Run("resumed at the same VM", func(t *testing.T) {
 		t.Parallel()
