--- a/internal/targetlimit/permits.go
+++ b/internal/targetlimit/permits.go
@@ -46,7 +46,7 @@
 	asks   []openAsk
 	// overdrawn counts requests that were sent without a permit. Each takes one of the next permits.
 	overdrawn int
-	// nextAskAt is when the next question is worthwhile after a refusal, and nextPermitAt when a permit was then expected.
+	// nextAskAt is when the next question is useful after a refusal, and nextPermitAt when a permit was then expected.
 	nextAskAt, nextPermitAt time.Time
 	nextSpareAskAt          time.Time
 }
