--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -58,7 +58,7 @@
 func (t *Table) limitedTarget(s *service, q *Query, now time.Time) *limitError {
 	var found *limitError
 	for _, candidate := range s.targets {
-		if !q.accepts(candidate, now) || !s.hasCapacity(candidate, q) || !t.limits.IsLimited(candidate.Target) {
+		if !t.limits.IsLimited(candidate.Target) || !q.accepts(candidate, now) || !s.hasCapacity(candidate, q) {
 			continue
 		}
 		wait, refused := t.limits.Wait(candidate.Target, now)
