--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -79,7 +79,7 @@
 
 // queueWaitShare is the share of the latency objective that a request may spend waiting for capacity; the rest is
 // left for processing the prompt. A request without an objective waits for up to defaultQueueWait. A stream that
-// continues would be lost by a refusal, and waits for up to continuedQueueWaitShare.
+// continues at one of several software versions has few targets, and waits for up to continuedQueueWaitShare.
 const (
 	queueWaitShare          = 0.25
 	continuedQueueWaitShare = 0.75
@@ -91,7 +91,7 @@
 	maxWait := defaultQueueWait
 	if x.route.LatencyObjective > 0 {
 		share := queueWaitShare
-		if x.versionFixed {
+		if _, single := x.options.Table.SoleVersion(x.service.Name, time.Now()); x.versionFixed && !single {
 			share = continuedQueueWaitShare
 		}
 		maxWait = time.Duration(share * float64(x.route.LatencyObjective))
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -117,14 +117,15 @@
 // hasCapacity reports whether the target has memory and a slot for a new generation and can prefill its prompt
 // within the latency objective. Memory that is not used at all always suffices, and an engine without a backlog always
 // meets the objective, since waiting would not improve either. Plain services queue requests themselves, so they
-// always have capacity. A stream that continues has no other targets than those of its version: it may use all memory,
-// and its prefill is not held against the objective.
+// always have capacity. Where a service has several software versions, a stream that continues has no other targets than
+// those of its version: it may use all memory, and its prefill is not held against the objective.
 func (s *service) hasCapacity(t *target, q *Query) bool {
 	if q.MemoryTokens == 0 {
 		return true
 	}
 	limit := ordinaryMemoryLimit
-	if q.Priority <= 0 || q.VersionFixed {
+	isConfined := q.VersionFixed && len(s.versions) > 1
+	if q.Priority <= 0 || isConfined {
 		limit = urgentMemoryLimit
 	}
 	used := t.ownLoad.MemoryTokens + t.peerLoad.MemoryTokens
@@ -134,7 +135,7 @@
 	}
 	backlog := t.ownLoad.PrefillTokens + t.peerLoad.PrefillTokens
 	expected := float64(backlog+q.prefill()) / s.prefillRate * float64(time.Millisecond)
-	return q.FirstEventObjective == 0 || q.VersionFixed || backlog == 0 || expected <= prefillObjectiveShare*float64(q.FirstEventObjective)
+	return q.FirstEventObjective == 0 || isConfined || backlog == 0 || expected <= prefillObjectiveShare*float64(q.FirstEventObjective)
 }
 
 // lowestScoreTarget returns the target with the lowest score among the candidates with capacity, and the number of
