--- a/internal/targetlimit/coordinator.go
+++ b/internal/targetlimit/coordinator.go
@@ -104,7 +104,7 @@
 		return
 	}
 	answer := Answer{Target: message.Ask.Target, Number: message.Ask.Number, Wait: noCoordinatorPause}
-	if known := l.limits[message.Ask.Target]; known != nil && known.Limited {
+	if known := l.inForce(message.Ask.Target); known != nil {
 		answer = l.answer(known, *message.Ask, now)
 	}
 	l.options.Transmit(vm, Message{Answer: &answer})
--- a/internal/targetlimit/permits.go
+++ b/internal/targetlimit/permits.go
@@ -51,6 +51,14 @@
 	nextSpareAskAt          time.Time
 }
 
+// inForce returns the limit of the incarnation, or nil if none is in force. The caller holds mu.
+func (l *Ledger) inForce(target Incarnation) *limit {
+	if known := l.limits[target]; known != nil && known.Limited {
+		return known
+	}
+	return nil
+}
+
 // MayTake reports whether a request may be sent to the target now: it has no limit, or this VM has a permit there. The
 // coordinator has those that are saved up beyond what an urgent request of another VM may need.
 func (l *Ledger) MayTake(target roster.Target, now time.Time) bool {
@@ -59,8 +67,8 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := l.limits[IncarnationOf(target)]
-	if known == nil || !known.Limited {
+	known := l.inForce(IncarnationOf(target))
+	if known == nil {
 		return true
 	}
 	known.permits.expire(now)
@@ -74,8 +82,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := l.limits[IncarnationOf(target)]
-	return known != nil && known.Limited
+	return l.inForce(IncarnationOf(target)) != nil
 }
 
 // Take counts a request that is sent to the target, also if there is no permit for it.
@@ -85,8 +92,8 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := l.limits[IncarnationOf(target)]
-	if known == nil || !known.Limited {
+	known := l.inForce(IncarnationOf(target))
+	if known == nil {
 		return
 	}
 	l.metrics.sent.Inc(1)
@@ -108,8 +115,8 @@
 func (l *Ledger) Ask(target roster.Target, urgent bool, patience time.Duration, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := l.limits[IncarnationOf(target)]
-	if known == nil || !known.Limited {
+	known := l.inForce(IncarnationOf(target))
+	if known == nil {
 		return
 	}
 	known.permits.expire(now)
@@ -134,8 +141,8 @@
 func (l *Ledger) Wait(target roster.Target, now time.Time) (wait time.Duration, refused bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := l.limits[IncarnationOf(target)]
-	if known == nil || !known.Limited {
+	known := l.inForce(IncarnationOf(target))
+	if known == nil {
 		return 0, false
 	}
 	return max(known.permits.nextPermitAt.Sub(now), 0), now.Before(known.permits.nextAskAt)
@@ -149,8 +156,8 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := l.limits[IncarnationOf(target)]
-	if known == nil || !known.Limited {
+	known := l.inForce(IncarnationOf(target))
+	if known == nil {
 		return ""
 	}
 	return fmt.Sprintf("%g/s by %s, stated to %s %d ms ago", known.PerSecond, l.coordination.Coordinator, known.source, now.Sub(known.statedAt).Milliseconds())
@@ -213,7 +220,7 @@
 
 // usable returns the index of a permit that may be used now, or -1.
 func (p *permits) usable(now time.Time) int {
-	return slices.IndexFunc(p.unused, func(p permit) bool { return !now.Before(p.usableAt) && now.Before(p.expiresAt) })
+	return slices.IndexFunc(p.unused, func(unused permit) bool { return !now.Before(unused.usableAt) && now.Before(unused.expiresAt) })
 }
 
 // expire drops the permits that were not used and the questions that were not answered in time.
