--- a/internal/stand/soak/judge.go
+++ b/internal/stand/soak/judge.go
@@ -43,8 +43,13 @@
 // hasFault reports whether a fault of one of the kinds, or of any kind if none is given, affected the subject between
 // from and to or within faultEffectWindow before from.
 func (h *harness) hasFault(subject string, from, to time.Time, kinds ...string) bool {
+	return h.hasFaultWithin(faultEffectWindow, subject, from, to, kinds...)
+}
+
+// hasFaultWithin is hasFault with another window before from.
+func (h *harness) hasFaultWithin(window time.Duration, subject string, from, to time.Time, kinds ...string) bool {
 	for _, f := range h.faults {
-		if f.subject != subject || f.from.After(to) || !f.to.IsZero() && f.to.Add(faultEffectWindow).Before(from) {
+		if f.subject != subject || f.from.After(to) || !f.to.IsZero() && f.to.Add(window).Before(from) {
 			continue
 		}
 		if len(kinds) == 0 {
--- a/internal/stand/soak/resumes.go
+++ b/internal/stand/soak/resumes.go
@@ -71,9 +71,7 @@
 
 // disturbed reports whether a fault affected the VM or target between from and to, or within contactTime before.
 func (h *harness) disturbed(name string, from, to time.Time) bool {
-	return slices.ContainsFunc(h.faults, func(f fault) bool {
-		return f.subject == name && !f.from.After(to) && (f.to.IsZero() || !f.to.Add(contactTime).Before(from))
-	})
+	return h.hasFaultWithin(contactTime, name, from, to)
 }
 
 // checkResumes requires that streams which callers resume at undisturbed VMs continue, where two targets of their version
