forward: what a target says of itself binds this VM

Nothing read Server-Leaving, nor Retry-After of a target's 503.

The codec reports both statements of answers that are surely the target's own (the attempt's id); recordStatements hears them before the next choice. An incarnation that has said that it leaves gets no new work, also when the list calls it ready or lists it again; its streams are moved, and the other VMs hear of it. A target that asks for a pause is sent nothing until its end (at most a minute; negative values, dates and no numbers are ignored), on any way, also if it leaves the list meanwhile. VMs return spread over a quarter of the pause, one request a second until one is answered. Where all targets pause, a request waits if the first ends in time, else it is refused at once with that time.

A pause is not told to other VMs: it binds the VM that was turned away.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -95,7 +95,7 @@
 	})
 	e.forwarder = forward.New(forward.Options{
 		Codec: platform.Codec{}, Mover: platform.NewMover(e.client), Poller: e.poller, Table: e.table, Client: e.client,
-		Budget: e.budget, Lengths: lengths.NewEstimator(0), Limits: e.limits, Origins: e.origins, Logger: logger, Trail: e.trail, Zone: s.VM.Zone, Stopping: e.stopping,
+		Budget: e.budget, Lengths: lengths.NewEstimator(0), Limits: e.limits, Origins: e.origins, Logger: logger, Trail: e.trail, Zone: s.VM.Zone, Stopping: e.stopping, TargetLeaving: e.recordLeaving,
 		MaxConfigurationAge: s.Bounds.ConfigurationDelay(),
 	})
 	e.follower = roster.NewFollower(roster.Options{
@@ -134,6 +134,14 @@
 	e.forwarder.Evacuate(target)
 }
 
+// recordLeaving records that a target has said in an answer that it is leaving, and tells the other VMs. Its running
+// streams are moved like those of a target that the list reports as leaving.
+func (e *Entry) recordLeaving(target roster.Target) {
+	target.Leaving = true
+	e.follower.RecordLeaving(target)
+	e.shareTarget(target)
+}
+
 // Shutdown starts a graceful shutdown; Run returns when it is complete. It must be called at most once.
 func (e *Entry) Shutdown() {
 	e.shutdownAt.Store(int64(time.Since(e.startedAt)))
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -156,9 +156,7 @@
 		return nil, x.classifyError(ctx, err)
 	}
 	verdict := x.options.Codec.CheckResponse(x.call, response.Response)
-	if verdict.Limit != nil {
-		x.options.Limits.Observe(lease.Target, *verdict.Limit, sentAt, time.Now())
-	}
+	x.recordStatements(lease.Target, verdict, sentAt)
 	switch {
 	case verdict.WrongTarget:
 		response.Close(true)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -18,6 +18,7 @@
 	"godwitcart/internal/placement"
 	"godwitcart/internal/policy"
 	"godwitcart/internal/retrybudget"
+	"godwitcart/internal/roster"
 	"godwitcart/internal/targetlimit"
 	"godwitcart/internal/trail"
 	"godwitcart/internal/upstream"
@@ -38,6 +39,8 @@
 	// Trail keeps the log lines of recent requests for operators' queries.
 	Trail *trail.Recorder
 	Zone  string
+	// TargetLeaving is called when a target has said in an answer that it is leaving. It must not block.
+	TargetLeaving func(roster.Target)
 	// Stopping reports whether the VM is shutting down gracefully, and the timing of the shutdown.
 	Stopping func() (stop Stop, stopping bool)
 	// MaxConfigurationAge is the maximum age of the configuration's last confirmation at which an unknown route or key
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -82,6 +82,10 @@
 	Mismatched bool
 	// Limit is what the target says about its request limit; nil if the response does not tell.
 	Limit *targetlimit.Statement
+	// Leaving is true if the target says that it is leaving.
+	Leaving bool
+	// RetryAfter is how long the target asks this VM to send it nothing; zero if it does not ask.
+	RetryAfter time.Duration
 }
 
 // Codec translates between HTTP messages and calls.
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -102,6 +102,11 @@
 			return nil, limited
 		}
 	}
+	if best == nil && candidates == 0 {
+		if paused := t.pausedTargets(s, q, now); paused != nil {
+			return nil, paused
+		}
+	}
 	if best == nil && candidates > 0 {
 		return nil, apierror.Newf(apierror.KindOverloaded, "come back after the time given",
 			"none of the %d targets of service %q that serve has room for %d tokens", candidates, q.Service, q.memory())
@@ -279,6 +284,7 @@
 	lease.prefillBacklog = float64(chosen.ownLoad.PrefillTokens + chosen.peerLoad.PrefillTokens + q.prefill())
 	lease.ExpectedFirstEvent = time.Duration(lease.prefillBacklog / chosen.service.prefillRate * float64(time.Millisecond))
 	chosen.ownLoad.add(lease.load)
+	chosen.pause.requestSent(now)
 	if !q.Copy && !q.Move {
 		lease.sendCounted = true
 		t.limits.Take(chosen.Target, now)
@@ -324,6 +330,7 @@
 		return
 	}
 	l.firstEventSeen = true
+	l.target.pause.unanswered = false
 	l.target.ownLoad.PrefillTokens -= l.load.PrefillTokens
 	l.load.PrefillTokens = 0
 	if l.table.onLoadChange != nil && l.promptTokens > 0 {
@@ -363,5 +370,8 @@
 	l.done = true
 	l.target.ownLoad.subtract(l.load)
 	l.target.health.record(outcome, now)
+	if outcome == Answered {
+		l.target.pause.unanswered = false
+	}
 	l.table.wakeWaiters()
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -107,7 +107,12 @@
 
 // accepts reports whether the target may take work of the query, with free capacity or without.
 func (q *Query) accepts(t *target, now time.Time) bool {
-	return t.canTakeWork(now) && !slices.Contains(q.Excluded, t.ID) && (!q.VersionFixed || t.Version == q.Version)
+	return t.pause.allows(now) && q.acceptsAfterPause(t, now)
+}
+
+// acceptsAfterPause is accepts for a target that may want no requests for a time.
+func (q *Query) acceptsAfterPause(t *target, now time.Time) bool {
+	return !t.leaving && t.health.available(now) && !slices.Contains(q.Excluded, t.ID) && (!q.VersionFixed || t.Version == q.Version)
 }
 
 // Outcome is how a request ended at its target.
@@ -160,6 +165,8 @@
 	peerLoadsCheckedAt time.Time
 	// zoneAggregates counts the entries of peerLoads that are totals of a whole zone.
 	zoneAggregates int
+	// departedPauses holds the targets that left the list during a pause, by id.
+	departedPauses map[string]*target
 	// capacityChanged is closed and replaced when capacity may have become free.
 	capacityChanged chan struct{}
 }
@@ -187,6 +194,7 @@
 	ownLoad  Load
 	peerLoad Load
 	health   health
+	pause    requestedPause
 	// slowStartUntil is when the target has warmed up after its start.
 	slowStartUntil time.Time
 }
@@ -219,6 +227,7 @@
 		self:            options.Self,
 		onLoadChange:    options.OnLoadChange,
 		peerLoads:       make(map[Sender]peerReport),
+		departedPauses:  make(map[string]*target),
 		capacityChanged: make(chan struct{}),
 	}
 }
@@ -230,7 +239,7 @@
 	for id, entry := range listed {
 		current := t.targets[id]
 		if current == nil || !current.SameIncarnation(entry) {
-			current = &target{}
+			current = &target{pause: t.recallPause(entry, now)}
 			t.targets[id] = current
 			if entry.WarmupRemaining > 0 {
 				current.slowStartUntil = now.Add(entry.WarmupRemaining)
@@ -242,6 +251,7 @@
 	for id, current := range t.targets {
 		if _, found := listed[id]; !found {
 			current.leaving = true
+			t.rememberPause(current, now)
 			delete(t.targets, id)
 		}
 	}
@@ -424,5 +434,5 @@
 }
 
 func (t *target) canTakeWork(now time.Time) bool {
-	return !t.leaving && t.health.available(now)
+	return !t.leaving && t.health.available(now) && t.pause.allows(now)
 }
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -59,7 +59,16 @@
 		if isLimited && !limited.inTime(maxWait-time.Since(started)) {
 			return nil, err
 		}
+		var pauseEnds <-chan time.Time
+		var paused *pauseError
+		if errors.As(err, &paused) {
+			if time.Until(paused.end) > maxWait-time.Since(started) {
+				return nil, err
+			}
+			pauseEnds = time.After(time.Until(paused.end))
+		}
 		select {
+		case <-pauseEnds:
 		case <-changed:
 			if !isLimited { // permits are given out one by one
 				pause.For(ctx, min(t.turnWait(), maxWait))
@@ -90,6 +99,9 @@
 	if limited := t.limitedTarget(s, q, now); limited != nil {
 		return t.enqueueForPermit(s, q, limited, ahead, maxWait, now)
 	}
+	if paused := t.pausedTargets(s, q, now); paused != nil && !t.hasCandidate(s, q, now) && paused.end.Sub(now) > maxWait {
+		return nil, nil, paused
+	}
 	if expected := s.queueOf(q).expectedWait(ahead); expected > maxWait {
 		return nil, nil, apierror.Newf(apierror.KindOverloaded, "come back after the time given",
 			"%d requests wait for room at service %q, about %d ms, before this one of %d tokens", ahead, q.Service, expected.Milliseconds(), q.memory())
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -112,11 +112,14 @@
 	peerChanges           chan Target
 	// removed holds recently removed targets, so that an outdated change of a peer does not add them again.
 	removed map[string]Target
+	// saidLeaving holds the incarnations that have said themselves that they are leaving, by id.
+	saidLeaving   map[string]Target
+	saidLeavingMu sync.Mutex
 }
 
 // NewFollower returns a Follower without targets.
 func NewFollower(options Options) *Follower {
-	return &Follower{options: options, targets: make(map[string]Target), pendingRemovals: make(map[string]time.Time), peerChanges: make(chan Target, maxPeerChanges), removed: make(map[string]Target)}
+	return &Follower{options: options, targets: make(map[string]Target), pendingRemovals: make(map[string]time.Time), peerChanges: make(chan Target, maxPeerChanges), removed: make(map[string]Target), saidLeaving: make(map[string]Target)}
 }
 
 // The sources of a change.
@@ -378,6 +381,7 @@
 func (f *Follower) put(target Target, source string) {
 	delete(f.pendingRemovals, target.ID)
 	previous, known := f.targets[target.ID]
+	target.Leaving = target.Leaving || f.hasSaidLeaving(target)
 	sameIncarnation := known && previous.SameIncarnation(target)
 	if sameIncarnation && previous.Leaving {
 		target.Leaving = true
