forward: leave the source when the backup's answer takes long

Two engines worked on one generation for 493 ms; 400 are allowed.

The connection to the source is closed 250 ms after the call was sent to the backup, answered or not. A backup that refuses answers at once, and the stream stays at its source as before.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -240,6 +240,40 @@
 	require.Eventually(t, func() bool { return d.Cluster.DisconnectCount() == 1 }, waitTimeout, pollInterval, "the silent engine still works on the request")
 }
 
+// TestBackupThatAnswersLateRunsBesideItsSource guards against two engines that work on one generation: the backup begins to
+// run at once, its answer takes long, and the silent source was kept until then.
+func TestBackupThatAnswersLateRunsBesideItsSource(t *testing.T) {
+	const (
+		answerDelay  = 1200 * time.Millisecond
+		overlapBound = 400 * time.Millisecond // the users' rule on one request at two replicas
+	)
+	d := newDeployment(t)
+	continued := make(chan time.Time, 1)
+	for _, id := range []string{"e1", "e2"} {
+		target := d.target(id, "drafter")
+		target.SetOverride(func(_ http.ResponseWriter, r *http.Request) bool {
+			if r.Header.Get("Kv-From") != "" {
+				continued <- time.Now()
+				time.Sleep(answerDelay)
+			}
+			return false
+		})
+	}
+	d.configure("key-1")
+	v := d.start("vm-1", nil)
+	request := v.generation("/letters/1", 60, 10)
+	request.Header.Set(platformtest.HeaderSilentAfter, "30")
+	response, err := v.client.Do(request)
+	require.NoError(t, err)
+	go func() {
+		_, _ = io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+	}()
+	began := <-continued
+	require.Eventually(t, func() bool { return d.Cluster.DisconnectCount() == 1 }, waitTimeout, pollInterval)
+	require.Less(t, time.Since(began), overlapBound, "the source still works on the request")
+}
+
 // TestMoveBeforeFirstEvent guards against telling the caller that the request did not run after an engine left while
 // processing the prompt and the destination of the move refused to continue.
 func TestMoveBeforeFirstEvent(t *testing.T) {
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -163,6 +163,8 @@
 	}
 	ctx, cancel := context.WithDeadline(s.ctx, s.deadline)
 	next.cancel = cancel
+	overlapEnds := time.AfterFunc(maxOverlap, func() { s.leaveSource(source) })
+	defer overlapEnds.Stop()
 	response, failure := s.sendAttempt(ctx, next.lease, Attempt{LastEventID: s.lastEvent(), From: next.from, BackupAddress: s.reserveBackup(next.lease)})
 	if failure == nil && response.StatusCode/100 != 2 {
 		response.Close(true)
@@ -182,6 +184,16 @@
 	return next
 }
 
+// leaveSource closes the connection to the source if it still serves the stream. The backup has not answered in time and
+// may be running the generation already.
+func (s *stream) leaveSource(source roster.Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.response != nil && s.lease.Target.SameIncarnation(source) {
+		s.response.CloseConnection()
+	}
+}
+
 // Messages of the log lines on streams that continue at another target.
 const (
 	movedOffLeaving = "stream moved off a leaving target"
@@ -192,6 +204,9 @@
 	// minNoticeTime is the time for which an engine is sure to keep running after its notice. The notice time is
 	// specified as about two seconds.
 	minNoticeTime = 1300 * time.Millisecond
+	// maxOverlap is how long the source is kept after the call was sent to the backup. A backup that refuses does so at
+	// once; one that runs the generation may answer late, and two engines must not work on it for long.
+	maxOverlap = 250 * time.Millisecond
 	// moveTimeout bounds a move. Engines in a planned replacement keep running for longer than minNoticeTime.
 	moveTimeout = 6 * time.Second
 	// moveOverhead is added to the transfer time of one move before the next starts, for the network round trip.
