roster: go on from the last revision after a failure

A VM that became the reader went on with a watch of up to 2 s whose answers may be old.

After a failure the follower watches from its last revision; it lists only if the history is gone or a removal is due. A relaxed watch ends when the VM becomes the reader. VMs that are not leaders wait 1 to 2 s (0.5 to 1 s before) after a failed call: they hear from the leader when the platform is back.

--- a/internal/pause/retry.go
+++ b/internal/pause/retry.go
@@ -9,7 +9,7 @@
 	// zoneLeaderRetry and otherVMRetry are the minimum waits after a failed call to the platform. A random time of up
 	// to the same length is added, so that VMs that fail at the same time do not retry at the same time.
 	zoneLeaderRetry = 100 * time.Millisecond
-	otherVMRetry    = 500 * time.Millisecond
+	otherVMRetry    = time.Second
 )
 
 // RetryWait returns a random wait after a failed call to the platform. The leader of a zone retries sooner; the other
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -145,14 +145,25 @@
 // HasSynced reports whether the list has been read at least once.
 func (f *Follower) HasSynced() bool { return f.listed.Load() }
 
-// Run follows the list until ctx is done.
+// Run follows the list until ctx is done. After a failure it goes on from the last revision: the list is read again only
+// if the platform has dropped its history since, or if a removal is due.
 func (f *Follower) Run(ctx context.Context) error {
+	isListed := false
+	var revision uint64
 	for ctx.Err() == nil {
-		revision, err := f.list(ctx)
-		for err == nil && ctx.Err() == nil {
-			revision, err = f.watch(ctx, revision)
+		var next uint64
+		var err error
+		if isListed {
+			next, err = f.watch(ctx, revision)
+		} else {
+			next, err = f.list(ctx)
 		}
-		if err != nil && !errors.Is(err, errRelist) {
+		switch {
+		case err == nil:
+			revision, isListed = next, true
+		case errors.Is(err, errRelist):
+			isListed = false
+		default:
 			f.recordFailure(ctx, err)
 			wait := pause.RetryWait(f.options.IsZoneLeader == nil || f.options.IsZoneLeader())
 			f.applyPeerChangesDuring(ctx, func() { pause.For(ctx, wait) })
@@ -223,10 +234,19 @@
 	defer cancel()
 	var batch object.Batch
 	var err error
-	f.applyPeerChangesDuring(ctx, func() { batch, err = f.watchStore().Watch(bounded, f.options.Prefix, after) })
+	callCtx, endCall := context.WithCancel(bounded)
+	defer endCall()
+	store, relaxed := f.watchStore()
+	if relaxed {
+		go f.endWhenReader(callCtx, endCall)
+	}
+	f.applyPeerChangesDuring(ctx, func() { batch, err = store.Watch(callCtx, f.options.Prefix, after) })
 	if err != nil && bounded.Err() != nil && ctx.Err() == nil {
 		return 0, errRelist // a pending removal is due; the platform has not failed
 	}
+	if err != nil && callCtx.Err() != nil && ctx.Err() == nil {
+		return after, nil // this VM has become the reader
+	}
 	if err != nil {
 		return 0, err
 	}
@@ -267,12 +287,21 @@
 	}
 }
 
-// watchStore returns the store for the next watch.
-func (f *Follower) watchStore() object.Store {
+// watchStore returns the store for the next watch, and whether its answers may be old.
+func (f *Follower) watchStore() (store object.Store, relaxed bool) {
 	if f.options.Relaxed == nil || f.isReader() {
-		return f.options.Store
+		return f.options.Store, false
+	}
+	return f.options.Relaxed, true
+}
+
+// endWhenReader ends a relaxed watch once this VM has become the reader, on which the others then rely.
+func (f *Follower) endWhenReader(ctx context.Context, endCall context.CancelFunc) {
+	for pause.For(ctx, readerCheckInterval) {
+		if f.isReader() {
+			endCall()
+		}
 	}
-	return f.options.Relaxed
 }
 
 func (f *Follower) isReader() bool { return f.options.IsReader == nil || f.options.IsReader() }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -156,6 +157,50 @@
 	})
 }
 
+// TestOutageMakesVMsListAgain guards against a list of several pages for each failed call of each VM during an outage, and
+// after it: what has changed meanwhile comes with the next watch.
+func TestOutageMakesVMsListAgain(t *testing.T) {
+	run(t, nil, func(f *fixture) {
+		f.settle(time.Second)
+		listed := f.store.Count(objecttest.OpList)
+		f.store.SetOutage(true)
+		f.settle(8 * time.Second)
+		f.store.SetOutage(false)
+		f.put("e1", roster.Target{StartedAt: 1, Leaving: true})
+		f.settle(2 * time.Second)
+		require.Equal(t, []string{"e2"}, f.listener.usable())
+		require.Equal(t, listed, f.store.Count(objecttest.OpList))
+	})
+}
+
+// TestVMThatBecomesReaderEndsItsRelaxedWatch guards against a reader whose list is seconds old, since the watch that it
+// began before may return old answers.
+func TestVMThatBecomesReaderEndsItsRelaxedWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var isReader atomic.Bool
+		current, stale := objecttest.NewStore(), objecttest.NewStore()
+		value, err := json.Marshal(roster.Target{StartedAt: 1})
+		require.NoError(t, err)
+		written, err := current.Put(context.Background(), prefix+"e1", value, 0)
+		require.NoError(t, err)
+		recorded := &listener{}
+		follower := roster.NewFollower(roster.Options{
+			Store: current, Relaxed: stale, Prefix: prefix, Decode: decode, Listener: recorded, Logger: log.New(io.Discard), IsReader: isReader.Load,
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = follower.Run(ctx) }()
+		time.Sleep(500 * time.Millisecond)
+		isReader.Store(true)
+		require.NoError(t, current.Delete(context.Background(), prefix+"e1", written.Version))
+		time.Sleep(500 * time.Millisecond)
+		synctest.Wait()
+		require.Empty(t, recorded.usable())
+		cancel()
+		<-done
+	})
+}
+
 // TestRemovalsAreDeferredAfterOutage checks that targets stay usable during an outage of the platform, that those
 // whose entries expired meanwhile stay for as long as live targets need to register again, and that those still
 // missing after that are removed.
