forward: move generations off a leaving engine one after the other

Streams with a backup that refuses began to copy at once, out of turn, and a VM began its next move after an estimated time, done or not. All first copies shared the link, every second copy waited behind them, and the engine ended before any was complete: of eight streams of one engine none got away.

Streams whose backup refuses join the VM's row of moves. A VM begins its next move when the one before is complete or cannot copy, after 0.6 s at most. It waits for the generations of other VMs that go first only as long as there are any: a VM tells at once that a generation has moved.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -240,6 +241,57 @@
 	require.Eventually(t, func() bool { return d.Cluster.DisconnectCount() == 1 }, waitTimeout, pollInterval, "the silent engine still works on the request")
 }
 
+// TestRefusedBackupsCopyAtOnce guards against a leaving engine from which no generation gets away: the backups refuse, all
+// generations are then copied at once, and none is complete when the engine ends.
+func TestRefusedBackupsCopyAtOnce(t *testing.T) {
+	const (
+		streams  = 21 // seven at each of three engines
+		copyTime = 235 * time.Millisecond
+		notice   = 1700 * time.Millisecond
+	)
+	d := newDeployment(t)
+	source := d.target("e1", "drafter")
+	for _, id := range []string{"e2", "e3"} {
+		d.target(id, "drafter").SetOverride(func(w http.ResponseWriter, r *http.Request) bool {
+			id := r.Header.Get("X-Attempt-Id")
+			isBackup := strings.HasSuffix(r.Header.Get("Kv-From"), "/"+id)
+			if isBackup {
+				w.Header().Set("X-Attempt-Id", id)
+				respondNotRun(w)
+			}
+			return isBackup
+		})
+	}
+	source.SetCopyTime(copyTime)
+	d.configure("key-1")
+	v := d.start("vm-1", nil)
+	var callers sync.WaitGroup
+	var complete atomic.Int64
+	for range streams {
+		request := v.generation("/letters/1", 300, 10)
+		callers.Go(func() {
+			response, err := v.client.Do(request)
+			if err != nil {
+				return
+			}
+			defer response.Body.Close()
+			body, err := io.ReadAll(response.Body)
+			if err == nil && strings.Contains(string(body), "id: 300\n") {
+				complete.Add(1)
+			}
+		})
+	}
+	time.Sleep(time.Second) // the streams run, and have backups
+	onSource := source.ActiveCount()
+	require.Greater(t, onSource, streams/4)
+	require.True(t, d.MarkLeaving("e1"))
+	time.Sleep(notice)
+	source.Kill()
+	callers.Wait()
+	t.Logf("%d of %d streams began at the leaving engine; %d streams complete", onSource, streams, complete.Load())
+	require.GreaterOrEqual(t, int(complete.Load()), streams-onSource/4, "the last ones may be too late")
+}
+
 // TestBackupThatAnswersLateRunsBesideItsSource guards against two engines that work on one generation: the backup begins to
 // run at once, its answer takes long, and the silent source was kept until then.
 func TestBackupThatAnswersLateRunsBesideItsSource(t *testing.T) {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -296,7 +296,7 @@
 		lease.FirstEvent(now)
 		s.gaps = smoothed{}
 		if s.options.Table.IsLeaving(lease.Target) {
-			go s.evacuate(lease.Target, now)
+			go s.evacuate(lease.Target, now, func() {})
 		}
 		if s.events > 1 {
 			s.metrics.resumeGap.Update(int64(now.Sub(s.lastEventAt)))
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -60,36 +60,66 @@
 	}
 }
 
-// evacuateStreams switches streams with a backup to it at once. It moves the others one at a time, after a wait for
-// the moves that precede those of this VM. Streams with the most output come first, since losing them costs the
-// most.
+// evacuateStreams switches streams with a backup to it at once. It moves the others, and those whose backup refuses, one at
+// a time after the moves that precede those of this VM. Streams with the most output come first, since losing them costs
+// the most.
 func (f *Forwarder) evacuateStreams(streams []*stream, leaving roster.Target, noticedAt time.Time) {
 	slices.SortFunc(streams, func(a, b *stream) int { return b.eventCount() - a.eventCount() })
-	var toMove []*stream
+	toMove := make(chan *stream, len(streams))
+	var switching sync.WaitGroup
 	for _, s := range streams {
-		if s.hasUsableBackup() {
-			go s.evacuate(leaving, noticedAt)
-		} else if !s.route.Resumable {
-			toMove = append(toMove, s)
+		switch {
+		case s.route.Resumable: // resumed after its last event once the target stops; most complete before that
+		case s.hasUsableBackup():
+			switching.Go(func() {
+				s.relocate(leaving, func() *continuation { return s.switchToBackup(leaving, movedOffLeaving) })
+				if s.isServedBy(leaving) {
+					toMove <- s
+				}
+			})
+		default:
+			toMove <- s
 		}
 	}
-	if len(toMove) == 0 {
-		return
-	}
-	tokensAhead := f.options.Table.TokensAhead(leaving.ID)
-	wait := transferTime(toMove[0].service.Engine, tokensAhead)
-	toMove[0].log("move waits for those of other VMs", "target", leaving.ID, "streams", len(toMove), "tokens_ahead", tokensAhead, "wait_ms", wait.Milliseconds())
-	pause.For(toMove[0].ctx, min(wait, minNoticeTime))
-	for _, s := range toMove {
-		done := make(chan struct{})
+	go func() {
+		switching.Wait()
+		close(toMove)
+	}()
+	f.moveInTurn(toMove, leaving, noticedAt)
+}
+
+// moveInTurn moves the streams off the target one after the other, once it is this VM's turn. Copies share the target's
+// link: if all were made at once, none might be complete when the target ends.
+func (f *Forwarder) moveInTurn(toMove <-chan *stream, leaving roster.Target, noticedAt time.Time) {
+	isFirst := true
+	for s := range toMove {
+		if isFirst {
+			f.awaitTurn(s, leaving, noticedAt)
+			isFirst = false
+		}
+		// A stream that finds no destination must not delay the others.
+		next := make(chan struct{})
+		var letNextMove sync.Once
 		go func() {
-			defer close(done)
-			s.evacuate(leaving, noticedAt)
+			defer letNextMove.Do(func() { close(next) })
+			s.evacuate(leaving, noticedAt, func() { letNextMove.Do(func() { close(next) }) })
 		}()
-		// A stream that finds no destination must not delay the others.
 		select {
-		case <-done:
-		case <-time.After(transferTime(s.service.Engine, s.tokens()) + moveOverhead):
+		case <-next:
+		case <-time.After(maxMoveTurn):
+		}
+	}
+}
+
+// awaitTurn waits until no generation of another VM is to move before those of this VM, at most for as long as moving
+// those takes.
+func (f *Forwarder) awaitTurn(s *stream, leaving roster.Target, noticedAt time.Time) {
+	tokensAhead := f.options.Table.TokensAhead(leaving.ID)
+	wait := min(transferTime(s.service.Engine, tokensAhead), minNoticeTime)
+	s.log("move waits for those of other VMs", "target", leaving.ID, "tokens_ahead", tokensAhead, "wait_ms", wait.Milliseconds())
+	for time.Since(noticedAt) < wait && f.options.Table.TokensAhead(leaving.ID) > 0 {
+		if !pause.For(s.ctx, turnCheckInterval) {
+			return
 		}
 	}
 }
@@ -111,18 +141,16 @@
 	return s.events
 }
 
-// tokens returns the estimated size of the generation's KV cache in tokens.
-func (s *stream) tokens() int { return s.call.Prompt.Tokens + s.eventCount()*tokensPerEvent }
-
-// evacuate moves the generation to another target: to its backup, which already has the KV cache, else by copying it.
-func (s *stream) evacuate(leaving roster.Target, noticedAt time.Time) {
+// evacuate moves the generation to another target: to its backup, which already has the KV cache, else by copying it. It
+// calls blocked while it cannot copy.
+func (s *stream) evacuate(leaving roster.Target, noticedAt time.Time, blocked func()) {
 	if s.route.Resumable {
 		return // resumed after its last event once the target stops; most complete before that
 	}
 	s.relocate(leaving, func() *continuation {
 		next := s.switchToBackup(leaving, movedOffLeaving)
 		if engine := s.service.Engine; next == nil && engine != nil && engine.SupportsMoves {
-			next = s.move(leaving, noticedAt)
+			next = s.move(leaving, noticedAt, blocked)
 		}
 		return next
 	})
@@ -209,8 +237,10 @@
 	maxOverlap = 250 * time.Millisecond
 	// moveTimeout bounds a move. Engines in a planned replacement keep running for longer than minNoticeTime.
 	moveTimeout = 6 * time.Second
-	// moveOverhead is added to the transfer time of one move before the next starts, for the network round trip.
-	moveOverhead = 100 * time.Millisecond
+	// maxMoveTurn is how long one move may hold up the next ones of this VM. A copy takes a third of it on a free link.
+	maxMoveTurn = 600 * time.Millisecond
+	// turnCheckInterval is the time between two checks whether the moves of other VMs are complete.
+	turnCheckInterval = 20 * time.Millisecond
 	// A generation is stopped for its final copy once a copy has taken no longer than finalCopyShare of the route's
 	// maximum gap between events; the start at the destination takes another share of the gap. Routes without a
 	// maximum gap use defaultFinalCopy instead.
@@ -226,8 +256,9 @@
 )
 
 // move copies the generation's KV cache to another engine while it runs, until little is left; then it stops the
-// generation, copies the rest and returns the continuation. It returns nil if the generation stays at its source.
-func (s *stream) move(leaving roster.Target, noticedAt time.Time) *continuation {
+// generation, copies the rest and returns the continuation. It returns nil if the generation stays at its source. It calls
+// blocked when no target has room, or when the source does not run the generation.
+func (s *stream) move(leaving roster.Target, noticedAt time.Time, blocked func()) *continuation {
 	ctx, cancel := context.WithTimeout(s.ctx, moveTimeout)
 	defer cancel()
 	excluded := []string{leaving.ID}
@@ -239,6 +270,7 @@
 		lease, err := s.options.Table.Pick(query, time.Now())
 		if err != nil {
 			s.recordMoveFailure(leaving, "", err)
+			blocked()
 			excluded = excluded[:1] // the destinations that refused may be tried again
 			pause.For(ctx, moveRetryDelay)
 			continue
@@ -255,6 +287,7 @@
 		case err != nil:
 			return nil
 		case result.Unknown:
+			blocked()
 			pause.For(ctx, moveRetryDelay)
 		case result.KVCache.Handle != "": // stopped for the final copy, which was refused
 			return s.resumeAtSource(leaving, result.KVCache)
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -369,6 +369,9 @@
 	}
 	l.done = true
 	l.target.ownLoad.subtract(l.load)
+	if outcome == Moved && l.table.onLoadChange != nil {
+		l.table.onLoadChange() // other VMs wait for their turn to move generations off the target
+	}
 	l.target.health.record(outcome, now)
 	if outcome == Answered {
 		l.target.pause.unanswered = false
