forward: keep the number of streams in the line on a move's wait

The line 'move waits for those of other VMs' had lost its key 'streams' with the row of moves; keys of log lines stay. It now gives the streams that are ready to move when the wait begins.

--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -94,7 +94,7 @@
 	isFirst := true
 	for s := range toMove {
 		if isFirst {
-			f.awaitTurn(s, leaving, noticedAt)
+			f.awaitTurn(s, 1+len(toMove), leaving, noticedAt)
 			isFirst = false
 		}
 		// A stream that finds no destination must not delay the others.
@@ -111,12 +111,12 @@
 	}
 }
 
-// awaitTurn waits until no generation of another VM is to move before those of this VM, at most for as long as moving
-// those takes.
-func (f *Forwarder) awaitTurn(s *stream, leaving roster.Target, noticedAt time.Time) {
+// awaitTurn waits until no generation of another VM is to move before the given number of this VM, the first of which is s.
+// It waits at most for as long as moving those takes.
+func (f *Forwarder) awaitTurn(s *stream, streams int, leaving roster.Target, noticedAt time.Time) {
 	tokensAhead := f.options.Table.TokensAhead(leaving.ID)
 	wait := min(transferTime(s.service.Engine, tokensAhead), minNoticeTime)
-	s.log("move waits for those of other VMs", "target", leaving.ID, "tokens_ahead", tokensAhead, "wait_ms", wait.Milliseconds())
+	s.log("move waits for those of other VMs", "target", leaving.ID, "streams", streams, "tokens_ahead", tokensAhead, "wait_ms", wait.Milliseconds())
 	for time.Since(noticedAt) < wait && f.options.Table.TokensAhead(leaving.ID) > 0 {
 		if !pause.For(s.ctx, turnCheckInterval) {
 			return
