soak: targets that say they leave, and targets that ask for a pause

Two faults: a target says in its answers that it is leaving while the list calls it ready, and ends four seconds later; a target turns all requests away and asks for 1.5 s. The judge compares what reached each target, by VM, with what it had said: no request sent later than 2 s after the answer, at most two between 0.5 s and the end of the pause.

--- a/internal/stand/soak/faults.go
+++ b/internal/stand/soak/faults.go
@@ -49,7 +49,7 @@
 	"vm_kill", "vm_stop", "vm_stop", "vm_freeze", "vm_reload", "store_cut", "store_stall", "store_slow", "zone_store_cut",
 	"store_down", "store_forgets", "target_stall", "target_answers_stall", "target_slow", "target_reset", "target_cut",
 	"target_leaves", "target_leaves", "target_leaves", "copies_refused", "target_fails", "target_fails", "revoke", "versions", "rolling_stop",
-	"target_limits", "target_limits", "roll",
+	"target_limits", "target_limits", "roll", "target_says_leaving", "target_says_leaving", "target_turns_away", "target_turns_away",
 }
 
 // injectFaults injects random faults, which may overlap, and returns when all have ended.
@@ -232,6 +232,10 @@
 		target.FailEvery(0)
 	case "target_leaves":
 		h.replaceTarget(slot, target, duration)
+	case "target_says_leaving":
+		h.runSaysLeaving(slot, target, duration)
+	case "target_turns_away":
+		h.runTurnsAway(target, duration)
 	default:
 		h.runLinkFault(slot.link, kind, duration)
 	}
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -84,6 +84,7 @@
 	time.Sleep(settleTime)
 	h.checkCalls()
 	h.checkLimits()
+	h.checkStatements()
 	if err := h.checkLogs(); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/stand/soak/statements.go
@@ -0,0 +1,119 @@
+package soak
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"godwitcart/platform/platformtest"
+)
+
+// The bounds on targets that make statements in their answers. A request that a caller sent later than drainBound after
+// its VM had passed on an answer which says that the target is leaving must not reach it from that VM. From turnedAwaySlack
+// after a refusal that asks for a pause until its end, at most maxDuringPause requests of that VM reach the target.
+const (
+	drainBound      = 2 * time.Second
+	turnedAwaySlack = 500 * time.Millisecond
+	maxDuringPause  = 2
+	// requestedPause is the pause that targets ask for.
+	requestedPause = 1500 * time.Millisecond
+)
+
+// linkFaultKinds are the faults that can keep a target's answers from its callers.
+var linkFaultKinds = []string{"target_stall", "target_answers_stall", "target_slow", "target_reset", "target_cut"}
+
+// runSaysLeaving makes a target say in its answers that it is leaving, while the platform's list calls it ready, and then
+// replaces it without another notice.
+func (h *harness) runSaysLeaving(slot *targetSlot, target *platformtest.Target, duration time.Duration) {
+	service := h.Service(target.ID)
+	target.SetLeaving(true)
+	time.Sleep(drainBound + leavingNotice)
+	slot.link.Cut()
+	h.Unregister(target.ID)
+	time.Sleep(min(duration, time.Second))
+	h.startTarget(slot, service)
+	h.checkRestored(slot.link.Restore())
+}
+
+// runTurnsAway makes a target turn all requests away for the time and ask for a pause.
+func (h *harness) runTurnsAway(target *platformtest.Target, duration time.Duration) {
+	target.SetRetryAfter(strconv.FormatFloat(requestedPause.Seconds(), 'f', 1, 64))
+	time.Sleep(duration)
+	target.SetRetryAfter("")
+}
+
+// checkStatements checks what reached the targets of the run after statements of theirs. VMs that were killed, stopped or
+// frozen since, and links that were harmed, excuse it.
+func (h *harness) checkStatements() {
+	calls := make(map[string]*call, len(h.calls))
+	for _, c := range h.calls {
+		calls[c.id] = c
+	}
+	for _, target := range h.Targets() {
+		h.checkLeavingStatements(target, calls)
+		h.checkPauses(target, calls)
+	}
+}
+
+// checkLeavingStatements compares each arrival with the first answer by which its VM learned that the target is leaving.
+func (h *harness) checkLeavingStatements(target *platformtest.Target, calls map[string]*call) {
+	heardAt := make(map[string]time.Time)
+	arrivals := target.Arrivals()
+	for _, arrival := range arrivals {
+		c := calls[arrival.ID]
+		if c == nil || !arrival.SaidLeaving || !c.fromTarget || !c.complete || h.runsElsewhere(c, target) {
+			continue
+		}
+		if earlier, found := heardAt[c.vm]; !found || c.endedAt.Before(earlier) {
+			heardAt[c.vm] = c.endedAt
+		}
+	}
+	for _, arrival := range arrivals {
+		c := calls[arrival.ID]
+		if c == nil {
+			continue
+		}
+		at, heard := heardAt[c.vm]
+		if !heard || c.sentAt.Before(at.Add(drainBound+h.options.Slack)) || h.disturbed(c.vm, at, arrival.At) {
+			continue
+		}
+		h.addViolation(Violation{Guarantee: "leaving_target_used", Request: c.id, Kind: c.kind, VM: c.vm, At: arrival.At,
+			Detail: fmt.Sprintf("%s had said that it leaves %d ms before the request", target.ID, c.sentAt.Sub(at).Milliseconds())})
+	}
+}
+
+// runsElsewhere reports whether another target ran the call too: then it is not known whose answer the VM passed on.
+func (h *harness) runsElsewhere(c *call, target *platformtest.Target) bool {
+	for _, run := range h.Cluster.Runs(c.id) {
+		if run.Target != target.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// checkPauses counts the arrivals of each VM during the pauses that the target asked it for.
+func (h *harness) checkPauses(target *platformtest.Target, calls map[string]*call) {
+	arrivals := target.Arrivals()
+	for i, refused := range arrivals {
+		c := calls[refused.ID]
+		if c == nil || !refused.TurnedAway {
+			continue
+		}
+		from, to := refused.At.Add(turnedAwaySlack+h.options.Slack), refused.At.Add(requestedPause)
+		if h.disturbed(c.vm, refused.At, to) || h.hasFaultWithin(contactTime, target.ID, refused.At, to, linkFaultKinds...) {
+			continue
+		}
+		arrived := 0
+		for _, later := range arrivals[i+1:] {
+			other := calls[later.ID]
+			if other != nil && other.vm == c.vm && later.At.After(from) && later.At.Before(to) {
+				arrived++
+			}
+		}
+		if arrived > maxDuringPause {
+			h.addViolation(Violation{Guarantee: "pause_ignored", VM: c.vm, At: refused.At,
+				Detail: fmt.Sprintf("%s got %d requests in the pause that it had asked for", target.ID, arrived)})
+		}
+	}
+}
