forward: comments of a stalled engine are no events

An engine that is stuck may go on sending comments, which keep a connection open. Each counted as an event: it restarted the wait for the next one, so the stream never continued at its backup, and it counted in gaps, lengths and memory.

A block of comment lines alone is passed on, after the header, and counts for nothing. Before the first event it is held, since the header fixes the target.

A stream whose engine sends comments alone after event 30: on its caller gets no further event until its deadline of 8 s; now it continues at the backup like one whose engine sends nothing.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -223,6 +223,12 @@
 // without a close: the stream continues at its backup as soon as it is silent for longer than its gaps explain, and the
 // caller receives every event once.
 func TestSilentEngine(t *testing.T) {
+	t.Run("nothing", func(t *testing.T) { testSilentEngine(t, "") })
+	// An engine that is stuck may go on sending comments, which keep connections open.
+	t.Run("comments", func(t *testing.T) { testSilentEngine(t, "1") })
+}
+
+func testSilentEngine(t *testing.T, comments string) {
 	d := newDeployment(t)
 	for _, id := range []string{"e1", "e2"} {
 		d.target(id, "drafter")
@@ -231,6 +237,7 @@
 	v := d.start("vm-1", nil)
 	request := v.generation("/letters/1", 60, 10)
 	request.Header.Set(platformtest.HeaderSilentAfter, "30")
+	request.Header.Set(platformtest.HeaderComments, comments)
 	response, err := v.client.Do(request)
 	require.NoError(t, err)
 	readEvents(t, response, 60, nil)
--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -11,6 +11,8 @@
 type Event struct {
 	// ID is the value of the event's id field; empty if there is none.
 	ID string
+	// IsComment is set if the block has only comment lines: it shows that the connection is open, and is no event.
+	IsComment bool
 	// Raw holds the event's bytes. It is valid until the next call of Next.
 	Raw []byte
 }
@@ -61,6 +63,7 @@
 			}
 			event.Raw = r.raw
 			event.ID = eventID(r.raw)
+			event.IsComment = isComment(r.raw)
 			return event, nil
 		}
 	}
@@ -73,6 +76,16 @@
 	return start == 0 || r.raw[start-1] == '\n'
 }
 
+// isComment reports whether all lines are comments or empty.
+func isComment(raw []byte) bool {
+	for line := range bytes.Lines(raw) {
+		if line[0] != ':' && len(bytes.TrimRight(line, "\r\n")) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 var idField = []byte("id:")
 
 // eventID returns the value of the event's first id field.
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -41,6 +41,16 @@
 	}
 }
 
+// TestComments checks which blocks are comments alone.
+func TestComments(t *testing.T) {
+	events, err := readAll(strings.NewReader(": ping\n\n:\r\n: more\r\n\r\n: note\nid: 1\ndata: a\n\ndata: b\n\n"))
+	require.Equal(t, io.EOF, err)
+	require.Len(t, events, 4)
+	for i, isComment := range []bool{true, true, false, false} {
+		require.Equal(t, isComment, events[i].IsComment, "block %d", i)
+	}
+}
+
 // TestTruncatedEvent checks that an incomplete event is not returned.
 func TestTruncatedEvent(t *testing.T) {
 	for _, truncated := range []string{"id: 2", "id: 2\n", "id: 2\ndata: b\n"} {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -225,6 +225,7 @@
 // relay forwards events as they arrive, until the target's stream ends.
 func (s *stream) relay(lease *placement.Lease, response *upstream.Response) error {
 	events := eventstream.NewReader(response)
+	var comments []byte // held until the header is sent, which fixes the target
 	for {
 		event, err := events.Next()
 		if err == io.EOF {
@@ -233,6 +234,14 @@
 		if err != nil {
 			return err
 		}
+		if event.IsComment {
+			// A comment is no progress: an engine that sends nothing else is silent.
+			comments = append(comments, event.Raw...)
+			if err := s.passOn(&comments); err != nil {
+				return err
+			}
+			continue
+		}
 		if !s.isNew(event.ID) {
 			continue
 		}
@@ -241,10 +250,10 @@
 		}
 		s.recordEvent(lease)
 		s.writeHeader(response)
-		if _, err := s.w.Write(event.Raw); err != nil {
-			return errors.Wrap(err, "write on the caller's connection")
+		comments = append(comments, event.Raw...)
+		if err := s.passOn(&comments); err != nil {
+			return err
 		}
-		s.flusher.Flush()
 		if event.ID != "" {
 			s.mu.Lock()
 			s.lastEventID = event.ID
@@ -253,6 +262,23 @@
 	}
 }
 
+// passOn sends the bytes to the caller and clears them. It keeps them while the header has not been sent.
+func (s *stream) passOn(held *[]byte) error {
+	if !s.headerSent {
+		*held = (*held)[max(0, len(*held)-maxHeldComments):]
+		return nil
+	}
+	if _, err := s.w.Write(*held); err != nil {
+		return errors.Wrap(err, "write on the caller's connection")
+	}
+	s.flusher.Flush()
+	*held = (*held)[:0]
+	return nil
+}
+
+// maxHeldComments bounds the bytes of comments that are held before the first event.
+const maxHeldComments = 64 << 10
+
 // lastEvent returns the id of the last event sent to the caller.
 func (s *stream) lastEvent() string {
 	s.mu.Lock()
