--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -291,81 +291,6 @@
 	}
 }
 
-// SetPeerLoads replaces the loads that the peer reported, and drops the reports of other peers that have expired.
-func (t *Table) SetPeerLoads(peer Sender, loads map[string]Load, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.removePeer(peer)
-	t.expirePeerLoads(now)
-	t.peerLoads[peer] = peerReport{receivedAt: now, loads: loads}
-	if peer.VM == "" {
-		t.zoneAggregates++
-	}
-	t.addPeerLoads(loads)
-	t.wakeWaiters()
-}
-
-// expirePeerLoads drops the reports that have expired. It looks for them at intervals, since reports arrive many times a
-// second. The caller holds the lock.
-func (t *Table) expirePeerLoads(now time.Time) {
-	if now.Sub(t.peerLoadsCheckedAt) < peerLoadCheckInterval {
-		return
-	}
-	t.peerLoadsCheckedAt = now
-	for sender, report := range t.peerLoads {
-		if now.Sub(report.receivedAt) > peerLoadTTL {
-			t.removePeer(sender)
-		}
-	}
-}
-
-// SetPeerWaiting records how many of the VMs that the peer's last report covers have requests that wait for capacity.
-func (t *Table) SetPeerWaiting(peer Sender, waitingVMs int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if report, found := t.peerLoads[peer]; found {
-		report.waitingVMs = waitingVMs
-		t.peerLoads[peer] = report
-	}
-}
-
-// removePeer subtracts the loads that a peer reported. The caller holds the lock, also for addPeerLoads. Reports
-// arrive many times a second, so each one updates the sums instead of adding up all peers again.
-func (t *Table) removePeer(sender Sender) {
-	report, found := t.peerLoads[sender]
-	if !found {
-		return
-	}
-	delete(t.peerLoads, sender)
-	if sender.VM == "" {
-		t.zoneAggregates--
-	}
-	for id, load := range report.loads {
-		if current := t.targets[id]; current != nil {
-			current.peerLoad.subtract(load)
-		}
-	}
-}
-
-// addPeerLoads adds the loads that a peer reported.
-func (t *Table) addPeerLoads(loads map[string]Load) {
-	for id, load := range loads {
-		if current := t.targets[id]; current != nil {
-			current.peerLoad.add(load)
-		}
-	}
-}
-
-// recomputePeerLoads adds up the loads of all peers again after the targets have changed.
-func (t *Table) recomputePeerLoads() {
-	for _, current := range t.targets {
-		current.peerLoad = Load{}
-	}
-	for _, report := range t.peerLoads {
-		t.addPeerLoads(report.loads)
-	}
-}
-
 // zoneSurcharge returns the score penalty of a target in another zone.
 func (t *Table) zoneSurcharge() float64 {
 	if t.zoneAggregates > 0 {
@@ -374,52 +299,6 @@
 	return crossZoneCost
 }
 
-// OwnLoads returns the loads that this VM has placed, for its peers.
-func (t *Table) OwnLoads() map[string]Load {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	loads := make(map[string]Load)
-	for id, current := range t.targets {
-		if current.ownLoad != (Load{}) {
-			loads[id] = current.ownLoad
-		}
-	}
-	return loads
-}
-
-// SplitByZone divides loads of this VM into those on targets of its own zone and, keyed by zone, those on others.
-func (t *Table) SplitByZone(loads map[string]Load) (own map[string]Load, others map[string]map[string]Load) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	own, others = make(map[string]Load), make(map[string]map[string]Load)
-	for id, load := range loads {
-		current := t.targets[id]
-		switch {
-		case current == nil:
-		case current.Zone == t.self.Zone:
-			own[id] = load
-		case others[current.Zone] == nil:
-			others[current.Zone] = map[string]Load{id: load}
-		default:
-			others[current.Zone][id] = load
-		}
-	}
-	return own, others
-}
-
-// ZoneLoads returns the loads that this VM and its peers have placed on the targets of the zone.
-func (t *Table) ZoneLoads(zone string) map[string]Load {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	loads := make(map[string]Load)
-	for id, current := range t.targets {
-		if load := current.ownLoad.Plus(current.peerLoad); current.Zone == zone && load != (Load{}) {
-			loads[id] = load
-		}
-	}
-	return loads
-}
-
 // HasUsableTarget reports whether a target may take work of the query, with free capacity or without.
 func (t *Table) HasUsableTarget(q Query, now time.Time) bool {
 	t.mu.Lock()
