inforce: do not give up a first read that is under way

A VM without a configuration gives the read 2.5 s, one with a configuration its interval as before; a VM that has read nothing yet waits 0.5 to 1 s after a failure.

--- a/internal/inforce/inforce.go
+++ b/internal/inforce/inforce.go
@@ -52,6 +52,8 @@
 	checksPerInterval = 4
 	// minReadDelay is the minimum delay between two reads, so that a burst of versions causes few reads.
 	minReadDelay = 150 * time.Millisecond
+	// firstReadTimeout is the timeout of a read while this VM has no configuration.
+	firstReadTimeout = 2500 * time.Millisecond
 	// readAtProofShare is the age of the proof at which a VM that relies on peers reads itself, as a share of
 	// RevokedWithin.
 	readAtProofShare = 0.75
@@ -163,7 +165,7 @@
 		readStarted := time.Now()
 		if err := p.read(ctx); err != nil {
 			p.recordFailure(ctx, err)
-			pause.For(ctx, pause.RetryWait(p.options.IsZoneLeader == nil || p.options.IsZoneLeader()))
+			pause.For(ctx, p.retryWait())
 			continue
 		}
 		p.waitUntilDue(ctx, readStarted)
@@ -199,6 +201,24 @@
 	return !known || age > time.Duration(float64(p.options.RevokedWithin)*readAtProofShare)
 }
 
+// retryWait returns the wait after a failed read.
+func (p *Poller) retryWait() time.Duration {
+	isLeader := p.options.IsZoneLeader == nil || p.options.IsZoneLeader()
+	if !isLeader && p.current.Load() == nil {
+		return pause.StartRetryWait()
+	}
+	return pause.RetryWait(isLeader)
+}
+
+// readTimeout returns the timeout of the next read. The first one of many VMs that start together may take long, and would
+// take no less if it were begun anew.
+func (p *Poller) readTimeout() time.Duration {
+	if p.current.Load() == nil {
+		return firstReadTimeout
+	}
+	return p.interval
+}
+
 func (p *Poller) recordFailure(ctx context.Context, err error) {
 	if ctx.Err() != nil || p.platformLost.Swap(true) {
 		return
@@ -208,7 +228,7 @@
 }
 
 func (p *Poller) read(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, p.interval)
+	ctx, cancel := context.WithTimeout(ctx, p.readTimeout())
 	defer cancel()
 	sentAt := p.options.Now()
 	configuration, err := p.options.Reader.ReadConfiguration(ctx)
--- a/internal/inforce/inforce_test.go
+++ b/internal/inforce/inforce_test.go
@@ -14,6 +14,7 @@
 
 	"godwitcart/internal/boottime"
 	"godwitcart/internal/inforce"
+	"godwitcart/internal/pause"
 	"godwitcart/internal/policy"
 )
 
@@ -22,11 +23,16 @@
 	version atomic.Uint64
 	down    atomic.Bool
 	reads   atomic.Int64
+	// delay is how long a read takes.
+	delay time.Duration
 }
 
 // ReadConfiguration implements inforce.Reader.
-func (p *platform) ReadConfiguration(context.Context) (*policy.RouteTable, error) {
+func (p *platform) ReadConfiguration(ctx context.Context) (*policy.RouteTable, error) {
 	p.reads.Add(1)
+	if p.delay > 0 && !pause.For(ctx, p.delay) {
+		return nil, ctx.Err()
+	}
 	if p.down.Load() {
 		return nil, errors.New("the platform is unavailable")
 	}
@@ -109,6 +115,22 @@
 	})
 }
 
+// TestFirstReadIsBegunAnew guards against VMs that start together and read a large configuration all at once: a read that
+// is given up before it is complete has to be made again, and none of them serves.
+func TestFirstReadIsBegunAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &platform{delay: 2 * time.Second}
+		source.version.Store(4)
+		poller := inforce.NewPoller(inforce.Options{
+			Reader: source, Logger: log.New(io.Discard), InForceWithin: inForceWithin, RevokedWithin: revokedWithin, IsZoneLeader: func() bool { return false },
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 2500*time.Millisecond)
+		defer cancel()
+		_ = poller.Run(ctx)
+		require.NotNil(t, poller.Current())
+	})
+}
+
 // TestPeerProofsReplaceReads checks that a VM that receives fresh proofs does not read the platform, that it reads a
 // newer version at once, and that it ignores proofs for a version other than its own.
 func TestPeerProofsReplaceReads(t *testing.T) {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -166,6 +166,9 @@
 		default:
 			f.recordFailure(ctx, err)
 			wait := pause.RetryWait(f.options.IsZoneLeader == nil || f.options.IsZoneLeader())
+			if !f.HasSynced() {
+				wait = min(wait, pause.StartRetryWait())
+			}
 			f.applyPeerChangesDuring(ctx, func() { pause.For(ctx, wait) })
 		}
 	}
