entry: answer requests that are being read when a stop ends

A stop ends when no request is active and the balancer has had time to notice.

At that point idle connections are closed and responses end their connections; the VM goes on until the others are closed, for a second at most where nothing is active, within the grace period.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -51,6 +51,8 @@
 	minDrainTime = 2500 * time.Millisecond
 	// graceMargin is left before the platform's SIGKILL for responses that are being sent.
 	graceMargin = 400 * time.Millisecond
+	// maxReadingTime is how long a shutdown waits for requests that are being read.
+	maxReadingTime = time.Second
 	// drainPollInterval is the interval at which a shutdown checks for requests in progress.
 	drainPollInterval = 100 * time.Millisecond
 )
@@ -73,7 +75,9 @@
 	fleet *fleet.Fleet
 
 	activeRequests atomic.Int64
-	draining       atomic.Bool
+	// callerConnections is the number of open connections of callers.
+	callerConnections atomic.Int64
+	draining          atomic.Bool
 	// shutdownAt is the time of the shutdown in nanoseconds since startedAt.
 	shutdownAt      atomic.Int64
 	startedAt       time.Time
@@ -190,14 +194,14 @@
 	if err := e.startFleet(ctx, group); err != nil {
 		return err
 	}
-	callerServer, err := e.startServer(ctx, group, s.Callers.Listen, http.HandlerFunc(e.serveCaller), e.maxCallerConnections())
+	callerServer, err := e.startServer(ctx, group, s.Callers.Listen, http.HandlerFunc(e.serveCaller), e.maxCallerConnections(), e.countConnection)
 	if err != nil {
 		return err
 	}
-	if _, err := e.startServer(ctx, group, s.Readiness.Listen, http.HandlerFunc(e.serveReady), 0); err != nil {
+	if _, err := e.startServer(ctx, group, s.Readiness.Listen, http.HandlerFunc(e.serveReady), 0, nil); err != nil {
 		return err
 	}
-	if _, err := e.startServer(ctx, group, s.Metrics.Listen, e.operatorsHandler(), 0); err != nil {
+	if _, err := e.startServer(ctx, group, s.Metrics.Listen, e.operatorsHandler(), 0, nil); err != nil {
 		return err
 	}
 	group.Go(func() error { return e.poller.Run(ctx) })
@@ -225,8 +229,8 @@
 }
 
 // startServer opens the listener and starts a server that is closed when ctx ends. It accepts up to maxConnections
-// concurrent connections; zero means no limit.
-func (e *Entry) startServer(ctx context.Context, group *errgroup.Group, address string, handler http.Handler, maxConnections int) (*http.Server, error) {
+// concurrent connections; zero means no limit. connState is called when the state of a connection changes; it may be nil.
+func (e *Entry) startServer(ctx context.Context, group *errgroup.Group, address string, handler http.Handler, maxConnections int, connState func(net.Conn, http.ConnState)) (*http.Server, error) {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
@@ -235,7 +239,7 @@
 		listener = netutil.LimitListener(listener, maxConnections)
 	}
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: connState,
 		ErrorLog: e.logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 	group.Go(func() error {
@@ -248,6 +252,16 @@
 	return server, nil
 }
 
+// countConnection keeps callerConnections.
+func (e *Entry) countConnection(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		e.callerConnections.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		e.callerConnections.Add(-1)
+	}
+}
+
 func (e *Entry) serveCaller(w http.ResponseWriter, r *http.Request) {
 	e.activeRequests.Add(1)
 	defer e.activeRequests.Add(-1)
@@ -379,9 +393,25 @@
 			return
 		}
 	}
+	e.finishReading(ctx, callerServer, drainStartedAt)
 	remaining := e.activeRequests.Load()
 	if remaining > 0 {
 		e.logger.Warn("grace period expired: aborting the requests in progress", "cut_off", remaining)
 	}
 	callerServer.Close()
 }
+
+// finishReading closes idle connections and waits until the requests that are just being read on the others are answered,
+// within the grace period. They do not count as active yet, and http.Server.Shutdown would drop them unanswered.
+func (e *Entry) finishReading(ctx context.Context, callerServer *http.Server, drainStartedAt time.Time) {
+	callerServer.SetKeepAlivesEnabled(false)
+	startedAt := time.Now()
+	for e.callerConnections.Load() > 0 && time.Since(drainStartedAt) < e.gracePeriod() {
+		if e.activeRequests.Load() == 0 && time.Since(startedAt) > maxReadingTime {
+			return
+		}
+		if !pause.For(ctx, drainPollInterval) {
+			return
+		}
+	}
+}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -1,11 +1,14 @@
 package entry_test
 
 import (
+	"bufio"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -653,6 +656,29 @@
 	}
 }
 
+// TestRequestReadAtTheEndOfAStopIsCutOff guards against a request that is cut off without an answer because the VM, idle for a
+// moment, closes its connections while the request is being read.
+func TestRequestReadAtTheEndOfAStopIsCutOff(t *testing.T) {
+	d := newDeployment(t)
+	d.target("c1", "counter")
+	d.configure("key-1")
+	v := d.start("vm-1", func(s *settings.Deployment) { s.Bounds.GraceSeconds = 8 })
+	conn, err := net.Dial("tcp4", v.callerAddress)
+	require.NoError(t, err)
+	defer conn.Close()
+	v.entry.Shutdown()
+	time.Sleep(2200 * time.Millisecond) // the VM closes its listener 2.5 s after the start of the stop
+	_, err = fmt.Fprintf(conn, "POST /lookup/1 HTTP/1.1\r\nHost: %s\r\nX-Api-Key: key-1\r\nX-Attempt-Id: late-1\r\n", host)
+	require.NoError(t, err)
+	time.Sleep(800 * time.Millisecond)
+	_, err = fmt.Fprint(conn, "X-Deadline-Ms: 2000\r\nContent-Length: 1\r\n\r\nx")
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err, "the connection ended without an answer")
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	<-v.stopped
+}
+
 // TestRequestsDuringShutdown checks that a VM that shuts down refuses requests that it might have to abort, without
 // running them, and completes those in progress.
 func TestRequestsDuringShutdown(t *testing.T) {
