--- a/internal/entry/limit_test.go
+++ b/internal/entry/limit_test.go
@@ -63,16 +63,6 @@
 		loadTime  = 8 * time.Second
 		interval  = 80 * time.Millisecond
 	)
-	breakOff := func(w http.ResponseWriter, r *http.Request) bool {
-		if r.Header.Get(platformtest.HeaderEvents) == "" {
-			return false
-		}
-		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
-		w.Header().Set("X-Response-Stamp", "stamp.other")
-		fmt.Fprintf(w, "id: 1\ndata: part 1\n\n")
-		w.(http.Flusher).Flush()
-		panic(http.ErrAbortHandler)
-	}
 	cases := map[string]struct {
 		service string
 		// prepare sets up the other target; nil if there is none.
@@ -82,7 +72,7 @@
 		"new requests":      {"counter", func(*platformtest.Target) {}, func(v *vm) *http.Request { return v.request(http.MethodPost, "/lookup/1", "x") }},
 		"the only target":   {"counter", nil, func(v *vm) *http.Request { return v.request(http.MethodPost, "/lookup/1", "x") }},
 		"retries":           {"counter", func(other *platformtest.Target) { other.FailEvery(1) }, func(v *vm) *http.Request { return v.request(http.MethodGet, "/peek/1", "") }},
-		"continued streams": {"drafter", func(other *platformtest.Target) { other.SetOverride(breakOff) }, func(v *vm) *http.Request { return v.generation("/checks/1", 3, 1) }},
+		"continued streams": {"drafter", func(other *platformtest.Target) { other.SetOverride(breakOffStream) }, func(v *vm) *http.Request { return v.generation("/checks/1", 3, 1) }},
 		"streams resumed by their callers": {"drafter", nil, func(v *vm) *http.Request {
 			request := v.generation("/checks/1", 3, 1)
 			request.Header.Set("Last-Event-Id", "1")
