--- a/internal/entry/statement_test.go
+++ b/internal/entry/statement_test.go
@@ -57,7 +57,7 @@
 	}
 }
 
-// TestTargetThatSaysItLeavesGetsNewWork guards against a VM that goes on using a target whose own answers say that it is
+// TestTargetThatSaysItLeavesGetsNewWork guards against a VM that still uses a target whose own answers say that it is
 // leaving, because the platform's list still calls it ready, or lists it again.
 func TestTargetThatSaysItLeavesGetsNewWork(t *testing.T) {
 	for name, way := range statementWays {
@@ -87,8 +87,8 @@
 	}
 }
 
-// TestPausedTargetGetsRequestsBeforeTheEnd guards against a VM that goes on sending to a target which has turned it away
-// and named a time to come back, and against one that never comes back.
+// TestPausedTargetGetsRequestsBeforeTheEnd guards against a VM that still sends to a target which has turned it away
+// and asked for a pause, and against one that never returns.
 func TestPausedTargetGetsRequestsBeforeTheEnd(t *testing.T) {
 	const pause = 1500 * time.Millisecond
 	for name, way := range statementWays {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -145,7 +145,7 @@
 // HasSynced reports whether the list has been read at least once.
 func (f *Follower) HasSynced() bool { return f.listed.Load() }
 
-// Run follows the list until ctx is done. After a failure it goes on from the last revision: the list is read again only
+// Run follows the list until ctx is done. After a failure it continues from the last revision: the list is read again only
 // if the platform has dropped its history since, or if a removal is due.
 func (f *Follower) Run(ctx context.Context) error {
 	isListed := false
