--- a/internal/fleet/large_test.go
+++ b/internal/fleet/large_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -37,6 +38,23 @@
 	maxDelay = 4 * time.Millisecond
 )
 
+func (n *simulatedNetwork) resetSentBytes() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.sentBytes)
+}
+
+// mostSentBytes returns the largest number of bytes that one address has sent.
+func (n *simulatedNetwork) mostSentBytes() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	most := 0
+	for _, bytes := range n.sentBytes {
+		most = max(most, bytes)
+	}
+	return most
+}
+
 // simulatedConn is the socket of one VM on a simulatedNetwork.
 type simulatedConn struct {
 	net.PacketConn
@@ -224,6 +242,13 @@
 	}
 }
 
+// seniors is countSeniors for tests.
+func (f *Fleet) seniors() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.countSeniors(time.Now())
+}
+
 func (l *largeFleet) isSilent(f *Fleet) bool {
 	l.network.mu.Lock()
 	defer l.network.mu.Unlock()
@@ -238,7 +263,7 @@
 	time.Sleep(duration)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.readers
+	return maps.Clone(l.readers)
 }
 
 // announceWave announces what readers see when a sixth of the engines leaves and others come.
@@ -266,7 +291,7 @@
 		t.Run(fmt.Sprint(size.vms), func(t *testing.T) {
 			runLargeFleet(t, size.vms, size.zones, func(l *largeFleet) {
 				query := placement.Query{Service: "drafter", MemoryTokens: 33000, PromptTokens: 3000, OutputTokens: 400, FirstEventObjective: 1800 * time.Millisecond}
-				clear(l.network.sentBytes)
+				l.network.resetSentBytes()
 				l.announceWave()
 				placing := time.Now()
 				done := make(chan map[string]bool)
@@ -284,10 +309,7 @@
 					time.Sleep(placementInterval)
 				}
 				require.LessOrEqual(t, len(<-done), 2*size.zones, "VMs that read the platform: a reader and its deputy in each zone")
-				most := 0
-				for _, bytes := range l.network.sentBytes {
-					most = max(most, bytes)
-				}
+				most := l.network.mostSentBytes()
 				perSecond := most / int(loadTime.Seconds())
 				t.Logf("at most %d bytes a second sent by one VM", perSecond)
 				require.LessOrEqual(t, perSecond, maxBytesPerSecond)
@@ -382,7 +404,7 @@
 			runLargeFleet(t, size.vms, size.zones, func(l *largeFleet) {
 				turnedAway := 0
 				for i, f := range l.fleets {
-					if f.options.Self.Zone == zoneName(0) && f.countSeniors(time.Now()) < 3 {
+					if f.options.Self.Zone == zoneName(0) && f.seniors() < 3 {
 						l.states[i].mu.Lock()
 						l.states[i].dark = true
 						l.states[i].mu.Unlock()
