placement: copies do not take the place of the request that ends a pause

After its pause a target gets one request a second until it answers one. Reservations for copies counted as that request and bring no answer, so other VMs' streams with backups kept the target unused.

A copy is not reserved at a target that has not answered since its pause, and does not count as the request.

TestCopiesKeepRequestsFromPausedTarget fails before and passes now.

--- a/internal/placement/pause_test.go
+++ b/internal/placement/pause_test.go
@@ -65,3 +65,21 @@
 	_, err = table.Pick(engineQuery(100), startTime.Add(4*time.Second))
 	require.NoError(t, err)
 }
+
+// TestCopiesKeepRequestsFromPausedTarget guards against a target that stays unused after its pause: reservations for copies,
+// which bring no answer, took the place of the one request a second that would end it.
+func TestCopiesKeepRequestsFromPausedTarget(t *testing.T) {
+	busy := engine("e1", zoneA)
+	table := newTestTable("vm-1", 1, busy)
+	table.Pause(busy, time.Second, startTime)
+	ended := startTime.Add(1500 * time.Millisecond)
+	backup := engineQuery(100)
+	backup.Copy = true
+	_, err := table.Pick(backup, ended)
+	require.Error(t, err)
+	lease, err := table.Pick(engineQuery(100), ended)
+	require.NoError(t, err)
+	lease.FirstEvent(ended)
+	_, err = table.Pick(backup, ended)
+	require.NoError(t, err)
+}
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -284,7 +284,9 @@
 	lease.prefillBacklog = float64(chosen.ownLoad.PrefillTokens + chosen.peerLoad.PrefillTokens + q.prefill())
 	lease.ExpectedFirstEvent = time.Duration(lease.prefillBacklog / chosen.service.prefillRate * float64(time.Millisecond))
 	chosen.ownLoad.add(lease.load)
-	chosen.pause.requestSent(now)
+	if !q.Copy {
+		chosen.pause.requestSent(now)
+	}
 	if !q.Copy && !q.Move {
 		lease.sendCounted = true
 		t.limits.Take(chosen.Target, now)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -107,7 +107,8 @@
 
 // accepts reports whether the target may take work of the query, with free capacity or without.
 func (q *Query) accepts(t *target, now time.Time) bool {
-	return t.pause.allows(now) && q.acceptsAfterPause(t, now)
+	// A copy brings no answer, so it must not take the place of the request that ends the pause.
+	return t.pause.allows(now) && !(q.Copy && t.pause.unanswered) && q.acceptsAfterPause(t, now)
 }
 
 // acceptsAfterPause is accepts for a target that may want no requests for a time.
