fleet: each reader announces what it reads itself

Readers sent recent changes to the readers of other zones too. One that heard a change there before its own watch returned had no news to announce, and its zone learned of it only by a relaxed watch, up to 8 s later.

Totals for other zones carry no changes: the reader of each zone reads the list itself and announces it there.

Test: the 49 other VMs of the zone hear the change, and nobody else; before, VMs of other zones did.

--- a/internal/fleet/large_test.go
+++ b/internal/fleet/large_test.go
@@ -156,6 +156,8 @@
 	// readers counts the VMs that have read since the last call of resetReaders.
 	mu      sync.Mutex
 	readers map[string]bool
+	// changesHeard counts the changes that each VM has heard.
+	changesHeard map[string]int
 }
 
 const (
@@ -176,7 +178,7 @@
 			random: rand.New(rand.NewPCG(7, 0)), inbox: make(map[netip.AddrPort]chan []byte),
 			silent: make(map[netip.AddrPort]bool), sentBytes: make(map[netip.AddrPort]int),
 		}
-		l := &largeFleet{network: network, readers: make(map[string]bool)}
+		l := &largeFleet{network: network, readers: make(map[string]bool), changesHeard: make(map[string]int)}
 		targets := make(map[string]roster.Target)
 		for i := range zones * enginesPerZone {
 			id := fmt.Sprintf("i-%010d", i)
@@ -204,7 +206,7 @@
 			f := New(Options{
 				Self: self, Table: table, Configuration: configuration, Logger: log.New(io.Discard), InForceWithin: testBound,
 				Conn:        &simulatedConn{network: network, address: self.Address, ctx: socketCtx, close: closeSocket},
-				SizeChanged: func(Size) {}, TargetChanged: func(roster.Target) {}, BecameReader: configuration.wakePoller, Now: virtualNow,
+				SizeChanged: func(Size) {}, TargetChanged: func(roster.Target) { l.recordChange(self.Name) }, BecameReader: configuration.wakePoller, Now: virtualNow,
 			})
 			others := make(map[string]Member, count)
 			for name, member := range members {
@@ -244,6 +246,24 @@
 	}
 }
 
+func (l *largeFleet) recordChange(vm string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.changesHeard[vm]++
+}
+
+// TestReaderHearsChangeFromAnotherZoneFirst guards against a zone whose VMs never learn that a target is leaving: its reader,
+// told by the reader of another zone before its own watch returned, had no news to announce.
+func TestReaderHearsChangeFromAnotherZoneFirst(t *testing.T) {
+	runLargeFleet(t, 150, 3, func(l *largeFleet) {
+		l.fleets[1].AnnounceChange(roster.Target{ID: "i-0000000002", Leaving: true}) // vm-1 reads for zone-1
+		time.Sleep(changeRepeatTime)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		require.Len(t, l.changesHeard, 49, "the other VMs of zone-1 alone")
+	})
+}
+
 // seniors is countSeniors for tests.
 func (f *Fleet) seniors() int {
 	f.mu.Lock()
--- a/internal/fleet/send.go
+++ b/internal/fleet/send.go
@@ -27,7 +27,7 @@
 		out.Loads = packLoads(own)
 		guests = f.dueGuestDigests(others, now)
 	}
-	hasChanges := f.addDueChanges(&out, now)
+	f.addDueChanges(&out, now)
 	f.addLimits(&out, reader, now)
 	zoneTotal := out // copied before the status is added, which is only for local recipients
 	hasStatus := reader && now.Sub(f.statusSentAt) >= statusInterval
@@ -35,7 +35,10 @@
 		f.statusSentAt = now
 		f.addStatus(&out)
 	}
-	sendsTotal := len(crossZone) > 0 && (hasStatus || hasChanges)
+	sendsTotal := len(crossZone) > 0 && hasStatus
+	// Each reader announces to its zone what it reads from the list itself. A change that it had heard from another zone
+	// before would be no news to it, and its zone would not learn of it.
+	zoneTotal.Changes, zoneTotal.Versions = nil, nil
 	if sendsTotal {
 		zoneTotal.ZoneTotal = true
 		zoneTotal.VMCount = f.zoneSize(now)
@@ -58,9 +61,8 @@
 	}
 }
 
-// addDueChanges adds the changes that have not been sent within changeRepeatInterval, and reports whether there are any.
-// The caller holds mu.
-func (f *Fleet) addDueChanges(out *digest, now time.Time) bool {
+// addDueChanges adds the changes that have not been sent within changeRepeatInterval. The caller holds mu.
+func (f *Fleet) addDueChanges(out *digest, now time.Time) {
 	for i := range f.changes {
 		change := &f.changes[i]
 		if now.Sub(change.sentAt) >= changeRepeatInterval {
@@ -68,7 +70,6 @@
 			out.addChange(change.target)
 		}
 	}
-	return len(out.Changes) > 0
 }
 
 // addStatus adds what a reader tells its zone besides the loads. The caller holds mu.
