placement, soak: one test of whether a target serves, one end of a target

The pause of targets had put the conditions of canTakeWork beside it a second time, and the fault of targets that say they leave repeated the end of replaceTarget. Change. isServing and startSuccessor hold them once; behaviour and assertions are unchanged. The tests of both packages pass.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -113,7 +113,7 @@
 
 // acceptsAfterPause is accepts for a target that may want no requests for a time.
 func (q *Query) acceptsAfterPause(t *target, now time.Time) bool {
-	return !t.leaving && t.health.available(now) && !slices.Contains(q.Excluded, t.ID) && (!q.VersionFixed || t.Version == q.Version)
+	return t.isServing(now) && !slices.Contains(q.Excluded, t.ID) && (!q.VersionFixed || t.Version == q.Version)
 }
 
 // Outcome is how a request ended at its target.
@@ -314,5 +314,8 @@
 }
 
 func (t *target) canTakeWork(now time.Time) bool {
-	return !t.leaving && t.health.available(now) && t.pause.allows(now)
+	return t.isServing(now) && t.pause.allows(now)
 }
+
+// isServing reports whether the target takes work, unless it wants none for a time.
+func (t *target) isServing(now time.Time) bool { return !t.leaving && t.health.available(now) }
--- a/internal/stand/soak/faults.go
+++ b/internal/stand/soak/faults.go
@@ -244,9 +244,14 @@
 // replaceTarget removes the target as the platform reclaims engines: leavingNotice after a notice, even while requests
 // run there. It then starts another target at the same address.
 func (h *harness) replaceTarget(slot *targetSlot, target *platformtest.Target, duration time.Duration) {
-	service := h.Service(target.ID)
 	h.MarkLeaving(target.ID)
 	time.Sleep(leavingNotice)
+	h.startSuccessor(slot, target, duration)
+}
+
+// startSuccessor ends the target, even while requests run there, and starts another one at the same address.
+func (h *harness) startSuccessor(slot *targetSlot, target *platformtest.Target, duration time.Duration) {
+	service := h.Service(target.ID)
 	slot.link.Cut()
 	h.Unregister(target.ID)
 	time.Sleep(min(duration, time.Second))
--- a/internal/stand/soak/statements.go
+++ b/internal/stand/soak/statements.go
@@ -25,14 +25,9 @@
 // runSaysLeaving makes a target say in its answers that it is leaving, while the platform's list calls it ready, and then
 // replaces it without another notice.
 func (h *harness) runSaysLeaving(slot *targetSlot, target *platformtest.Target, duration time.Duration) {
-	service := h.Service(target.ID)
 	target.SetLeaving(true)
 	time.Sleep(drainBound + leavingNotice)
-	slot.link.Cut()
-	h.Unregister(target.ID)
-	time.Sleep(min(duration, time.Second))
-	h.startTarget(slot, service)
-	h.checkRestored(slot.link.Restore())
+	h.startSuccessor(slot, target, duration)
 }
 
 // runTurnsAway makes a target turn all requests away for the time and ask for a pause.
