poison: log what is known against the features of each crash

Cause: `requests blocked` tells when a block begins. No line told why a request under which targets crash is *not* blocked, so the hypotheses of docs/incidents/crashing-requests.md (no other request answered; nothing that identifies the request) could not be told apart.

Change: one line for each crash that a VM learns of, with crashes, requests, other requests answered and blocks for each feature. Bounded by the crashes of the fleet.

Measured: package tests pass; the line itself was read in a run of the entry tests, not in a deployment.

--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -13,8 +13,10 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -137,7 +139,8 @@
 	if known != nil && known.isRefuted() && at.After(known.refutedAt) {
 		known = nil // it has crashed after all
 	}
-	if known == nil {
+	isNew := known == nil
+	if isNew {
 		if len(r.crashes) >= maxCrashes {
 			return
 		}
@@ -157,6 +160,20 @@
 		r.tellIfDue(feature)
 	}
 	r.updateBlocks(now)
+	if isNew {
+		r.logCrash(vm, target, features, now)
+	}
+}
+
+// logCrash logs what is known against the features of a request under which a target has crashed. The caller holds mu.
+func (r *Registry) logCrash(vm string, target targetlimit.Incarnation, features []Feature, now time.Time) {
+	descriptions := make([]string, len(features))
+	for i, feature := range features {
+		against := r.gather(feature, r.openCrashes(), now)
+		descriptions[i] = fmt.Sprintf("%s crashes=%d requests=%d others_answered=%d answered=%t blocked=%t",
+			feature, against.crashes, against.requests, against.control, against.answered, against.blocked)
+	}
+	r.options.Logger.Info("target crashed under a request", "target", target.ID, "reporter", vm, "features", strings.Join(descriptions, "; "))
 }
 
 // reconsider decides again after time has passed.
