--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -34,9 +34,20 @@
 	return append([]time.Time(nil), l.at...)
 }
 
-// crashingEngine serves engines in succession at one address: each crashes when it begins an answer to a prompt with the
-// part, and the next one starts restartTime later.
+// crashingEngine is crashingTarget for engines that crash when they begin an answer to a prompt with the part.
 func (d *deployment) crashingEngine(name, part string, restartTime time.Duration, crashes *crashLog) {
+	d.t.Helper()
+	d.crashingTarget(name, "drafter", restartTime, func(engine *platformtest.Target, onCrash func(*platformtest.Target)) {
+		engine.SetCrash(part, func(crashed *platformtest.Target) {
+			crashes.add()
+			onCrash(crashed)
+		})
+	})
+}
+
+// crashingTarget serves targets in succession at one address: prepare tells each what it crashes on, and the next one starts
+// restartTime after the crash.
+func (d *deployment) crashingTarget(name, service string, restartTime time.Duration, prepare func(target *platformtest.Target, onCrash func(*platformtest.Target))) {
 	d.t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(d.t, err)
@@ -45,12 +56,9 @@
 	d.t.Cleanup(func() { close(ended) })
 	go func() {
 		for boot := 1; listener != nil; boot++ {
-			engine := d.AddVersion(fmt.Sprintf("%s-%d", name, boot), address, "drafter", zone, "v1")
-			server := &http.Server{Handler: engine, ErrorLog: log.New(io.Discard).StandardLog()}
-			engine.SetCrash(part, func(*platformtest.Target) {
-				crashes.add()
-				server.Close()
-			})
+			target := d.AddVersion(fmt.Sprintf("%s-%d", name, boot), address, service, zone, "v1")
+			server := &http.Server{Handler: target, ErrorLog: log.New(io.Discard).StandardLog()}
+			prepare(target, func(*platformtest.Target) { server.Close() })
 			served := make(chan struct{})
 			go func() {
 				_ = server.Serve(listener)
@@ -63,7 +71,7 @@
 				return
 			}
 			time.Sleep(restartTime)
-			d.Unregister(engine.ID)
+			d.Unregister(target.ID)
 			listener = listenAgain(address, ended)
 		}
 	}()
