poison: an outage is no evidence against what most targets crash without

Cause: TestOutagesBlockNothing ended targets while nothing was on board of them: `play` waits until its requests have ended. Nothing weighed how many targets crashed without the feature.

Change: at most twice as many targets may crash without the feature at the same time, and at most as many where it was answered in the last minute. The test ends targets under load and requires that requests were lost with them.

--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -18,6 +18,12 @@
 	minStrongCrashes = 4
 	minStrongControl = 5
 	minCrashSpan     = time.Second
+	// maxOtherCrashes is how many crashes without the feature there may be for each one with it, and maxStrongOtherCrashes
+	// if it was answered. In an outage most targets crash without it.
+	maxOtherCrashes       = 2
+	maxStrongOtherCrashes = 1
+	// sameTime is how long before the first crash with the feature another one counts as of the same time.
+	sameTime = 500 * time.Millisecond
 	// settleTime is how long the newest crash must be past, so that other VMs can contradict.
 	settleTime = 60 * time.Millisecond
 )
@@ -28,6 +34,8 @@
 	crashes     int
 	requests    int
 	first, last time.Time
+	// otherCrashes counts the targets that crashed without the feature in that time.
+	otherCrashes int
 	// reporters counts the VMs that saw them; ownReport is set if this VM is one of them.
 	reporters int
 	ownReport bool
@@ -64,10 +72,10 @@
 	if e.blocked {
 		return proven
 	}
-	if now.Sub(e.last) < settleTime {
+	if now.Sub(e.last) < settleTime || e.otherCrashes > maxOtherCrashes*e.crashes {
 		return unproven
 	}
-	isStrong := e.crashes >= minStrongCrashes && e.last.Sub(e.first) >= minCrashSpan
+	isStrong := e.crashes >= minStrongCrashes && e.last.Sub(e.first) >= minCrashSpan && e.otherCrashes <= maxStrongOtherCrashes*e.crashes
 	control := minControl
 	if e.answered {
 		control = minStrongControl
--- a/internal/poison/evidence_test.go
+++ b/internal/poison/evidence_test.go
@@ -26,6 +26,8 @@
 		"answered before, over a second": {evidence{crashes: 4, first: ago(1500), last: ago(100), reporters: 3, control: 5, answered: true}, true},
 		"blocked, still supported":       {evidence{crashes: 3, first: ago(500), last: ago(10), reporters: 2, blocked: true}, true},
 		"blocked, crashes refuted":       {evidence{crashes: 2, first: ago(500), last: ago(100), reporters: 2, control: 9, blocked: true}, false},
+		"most targets crash without it":  {evidence{crashes: 3, otherCrashes: 7, first: ago(500), last: ago(100), reporters: 3, control: 9}, false},
+		"answered, half crash without":   {evidence{crashes: 9, otherCrashes: 10, first: ago(5000), last: ago(100), reporters: 3, control: 9, answered: true}, false},
 	}
 	for name, c := range cases {
 		c.evidence.requests = c.evidence.crashes
@@ -42,13 +44,14 @@
 		evidence evidence
 		expected confidence
 	}{
-		"three crashes":              {evidence{crashes: 3, first: ago(500), last: ago(100), reporters: 2}, suspected},
-		"one other answered":         {evidence{crashes: 3, first: ago(500), last: ago(100), reporters: 2, control: 1}, suspected},
-		"others answered":            {evidence{crashes: 3, first: ago(500), last: ago(100), reporters: 2, control: 2}, proven},
-		"two crashes":                {evidence{crashes: 2, first: ago(500), last: ago(100), reporters: 2}, unproven},
-		"told by one other VM":       {evidence{crashes: 9, first: ago(500), last: ago(100), reporters: 1}, unproven},
-		"answered before, a burst":   {evidence{crashes: 9, first: ago(500), last: ago(100), reporters: 3, answered: true}, unproven},
-		"answered before, over time": {evidence{crashes: 4, first: ago(1500), last: ago(100), reporters: 3, answered: true}, suspected},
+		"three crashes":                 {evidence{crashes: 3, first: ago(500), last: ago(100), reporters: 2}, suspected},
+		"one other answered":            {evidence{crashes: 3, first: ago(500), last: ago(100), reporters: 2, control: 1}, suspected},
+		"others answered":               {evidence{crashes: 3, first: ago(500), last: ago(100), reporters: 2, control: 2}, proven},
+		"two crashes":                   {evidence{crashes: 2, first: ago(500), last: ago(100), reporters: 2}, unproven},
+		"told by one other VM":          {evidence{crashes: 9, first: ago(500), last: ago(100), reporters: 1}, unproven},
+		"most targets crash without it": {evidence{crashes: 3, otherCrashes: 7, first: ago(500), last: ago(100), reporters: 2}, unproven},
+		"answered before, a burst":      {evidence{crashes: 9, first: ago(500), last: ago(100), reporters: 3, answered: true}, unproven},
+		"answered before, over time":    {evidence{crashes: 4, first: ago(1500), last: ago(100), reporters: 3, answered: true}, suspected},
 	}
 	for name, c := range cases {
 		c.evidence.requests, c.evidence.isRequest = c.evidence.crashes, true
--- a/internal/poison/fleet_test.go
+++ b/internal/poison/fleet_test.go
@@ -44,11 +44,9 @@
 		for seed := range 20 {
 			synctest.Test(t, func(t *testing.T) {
 				m := newModel(9, 18, uint64(seed))
-				m.play(2*time.Second, 20, 0)
-				for range 4 {
-					m.crashEach(share)
-					m.play(4*time.Second, 20, 0)
-				}
+				time.AfterFunc(2*time.Second, func() { m.crashEvery(4*time.Second, 4, share) })
+				m.play(20*time.Second, 20, 0)
+				require.NotZero(t, m.lostRequests)
 				require.Zero(t, m.refused["sound"], "seed %d", seed)
 				m.end()
 			})
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -221,10 +221,22 @@
 	_, against.ownReport = reporters[r.options.VM]
 	if against.crashes >= minCrashes {
 		against.control = r.answers.countWithout(feature, against.first)
+		against.otherCrashes = countSince(crashes, against.first.Add(-sameTime)) - against.crashes
 	}
 	return against
 }
 
+// countSince returns the number of crashes since the time.
+func countSince(crashes []*crash, since time.Time) int {
+	count := 0
+	for _, c := range crashes {
+		if !c.at.Before(since) {
+			count++
+		}
+	}
+	return count
+}
+
 // lastAnswer returns when a request with the feature was last answered, as far as this VM knows. The caller holds mu.
 func (r *Registry) lastAnswer(feature Feature) time.Time {
 	own, public := r.own.last(feature), r.public.last(feature)
