poison: keep two requests that crash the same targets from taking turns

Cause: two bad requests at once are on board of the same crashes. A common part of both was blocked for them, and its trial was one of the two. When its block ended, both were sent on until the next crash.

Change: a feature that also crashes a target without the culprit is to blame for all of its crashes. The evidence is weighed anew when a block ends.

--- a/internal/poison/block.go
+++ b/internal/poison/block.go
@@ -122,7 +122,7 @@
 		if known == nil {
 			continue
 		}
-		mayTry := r.mayTry(feature, known, now)
+		mayTry := r.mayTry(features, feature, known, now)
 		known.usedAt = now
 		if !mayTry {
 			known.refused++
@@ -134,8 +134,9 @@
 }
 
 // mayTry reports whether this VM may send one request with the blocked feature. The VMs that have such requests get their
-// turns in an order that changes with each trialPeriod: first one, then twice as many each trialTurn.
-func (r *Registry) mayTry(feature Feature, known *block, now time.Time) bool {
+// turns in an order that changes with each trialPeriod: first one, then twice as many each trialTurn. A request that may crash
+// its target for another reason is no trial, unless no other comes for trialPeriod.
+func (r *Registry) mayTry(features Features, feature Feature, known *block, now time.Time) bool {
 	due := known.trialDue()
 	if now.Before(due) {
 		return false
@@ -143,10 +144,22 @@
 	if known.waitingSince.Before(due) || now.Sub(known.usedAt) > trialPeriod {
 		known.waitingSince = now
 	}
-	turns := min(int(now.Sub(known.waitingSince)/trialTurn), maxTrialTurns)
+	waited := now.Sub(known.waitingSince)
+	if waited < trialPeriod && !known.isRequest && r.isOtherwiseAccused(features, feature, now) {
+		return false
+	}
+	turns := min(int(waited/trialTurn), maxTrialTurns)
 	return r.rank(feature, uint64(now.UnixNano()/int64(trialPeriod))) < 1<<turns
 }
 
+// isOtherwiseAccused reports whether a crash accuses one of the other features. The caller holds mu.
+func (r *Registry) isOtherwiseAccused(features Features, feature Feature, now time.Time) bool {
+	open := r.openCrashes()
+	return slices.ContainsFunc(features.list, func(other Feature) bool {
+		return other != feature && r.gather(other, open, now).crashes > 0
+	})
+}
+
 // trialDue returns when the next trial may begin. One that is under way keeps others back.
 func (b *block) trialDue() time.Time {
 	held := b.triedAt.Add(min(trialPeriod, b.duration))
--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -156,21 +156,27 @@
 }
 
 // culprits returns the features that the crashes show to be to blame. A crash that a culprit explains does not count
-// against the other features of its requests. gather returns the evidence against a feature from the given crashes.
+// against the other features of its requests, but one that also crashes a target without the culprit is to blame for all of its
+// crashes. gather returns the evidence against a feature from the given crashes.
 func culprits(crashes []*crash, now time.Time, gather func(Feature, []*crash) evidence) []culprit {
 	var found []culprit
+	unexplained := crashes
 	for {
-		next := strongest(crashes, now, gather)
+		next := strongest(unexplained, unexplained, now, gather)
+		if next == nil && len(found) > 0 {
+			next = strongest(unexplained, crashes, now, gather)
+		}
 		if next == nil {
 			return found
 		}
 		found = append(found, *next)
-		crashes = slices.DeleteFunc(slices.Clone(crashes), func(c *crash) bool { _, has := c.accused[next.feature]; return has })
+		unexplained = slices.DeleteFunc(slices.Clone(unexplained), func(c *crash) bool { _, has := c.accused[next.feature]; return has })
 	}
 }
 
-// strongest returns the feature with the strongest evidence that suffices; nil if there is none.
-func strongest(crashes []*crash, now time.Time, gather func(Feature, []*crash) evidence) *culprit {
+// strongest returns the feature of an unexplained crash with the strongest evidence that suffices, from the given crashes; nil if
+// there is none.
+func strongest(unexplained, crashes []*crash, now time.Time, gather func(Feature, []*crash) evidence) *culprit {
 	var best *culprit
 	counts := make(map[Feature]int)
 	for _, c := range crashes {
@@ -178,8 +184,15 @@
 			counts[feature]++
 		}
 	}
-	maps.DeleteFunc(counts, func(_ Feature, count int) bool { return count < minCrashes })
-	for _, feature := range slices.Sorted(maps.Keys(counts)) {
+	candidates := make(map[Feature]struct{})
+	for _, c := range unexplained {
+		for feature := range c.accused {
+			if counts[feature] >= minCrashes {
+				candidates[feature] = struct{}{}
+			}
+		}
+	}
+	for _, feature := range slices.Sorted(maps.Keys(candidates)) {
 		against := gather(feature, crashes)
 		if against.suffices(now) && (best == nil || against.isStronger(&best.evidence)) {
 			best = &culprit{feature: feature, evidence: against}
--- a/internal/poison/fleet_test.go
+++ b/internal/poison/fleet_test.go
@@ -280,3 +280,22 @@
 		m.end()
 	})
 }
+
+// TestPartThatTwoBadRequestsShareIsServedAgain guards against refusing all requests with a common part for long because two
+// requests that crash their targets have it: the trial has to be a sound one.
+func TestPartThatTwoBadRequestsShareIsServedAgain(t *testing.T) {
+	for _, size := range []struct{ vms, targets int }{{1, 3}, {9, 18}, {70, 36}} {
+		for seed := range 5 {
+			synctest.Test(t, func(t *testing.T) {
+				m := newModel(size.vms, size.targets, uint64(seed))
+				m.repeated, m.repeatedCount = "bad", 2
+				m.play(2*provenTime, 15, 10)
+				refused := m.refused["sound"]
+				m.play(20*time.Second, 15, 10)
+				require.Equal(t, refused, m.refused["sound"], "%d VMs, seed %d: sound requests refused", size.vms, seed)
+				require.LessOrEqual(t, m.lateRepetitions(), maxLate, "%d VMs, seed %d", size.vms, seed)
+				m.end()
+			})
+		}
+	}
+}
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -248,17 +248,19 @@
 
 // recordPublicAnswer records that other VMs were told of answers to requests with the features. The caller holds mu.
 func (r *Registry) recordPublicAnswer(features Features, at, now time.Time) {
+	isLifted := false
 	for _, feature := range features.list {
 		r.public.record(feature, at, now)
-		r.clear(feature, at)
+		isLifted = r.clear(feature, at) || isLifted
 	}
 	r.answers.add(at, features.list)
-	r.reviewAfterAnswer(now)
+	r.reviewAfterAnswer(isLifted, now)
 }
 
-// reviewAfterAnswer decides anew if a crash was reported lately. The caller holds mu.
-func (r *Registry) reviewAfterAnswer(now time.Time) {
-	if now.Sub(r.crashedAt) < answerReviewTime {
+// reviewAfterAnswer decides anew if a crash was reported lately, or if a block was lifted: the crashes that it explained may
+// have another cause. The caller holds mu.
+func (r *Registry) reviewAfterAnswer(isLifted bool, now time.Time) {
+	if isLifted || now.Sub(r.crashedAt) < answerReviewTime {
 		r.updateBlocks(now)
 	}
 }
--- a/internal/poison/trial.go
+++ b/internal/poison/trial.go
@@ -62,15 +62,17 @@
 	}
 	r.recordAlive(t.target, t.sentAt, now)
 	r.answers.add(now, t.features.list)
+	isLifted := false
 	for _, feature := range t.features.list {
 		r.own.record(feature, now, now)
 		if r.clear(feature, now) {
+			isLifted = true
 			r.public.record(feature, now, now)
 			r.broadcast(Message{Kind: Answered, Features: []Feature{feature}}, now)
 		}
 		r.tellIfDue(feature)
 	}
-	r.reviewAfterAnswer(now)
+	r.reviewAfterAnswer(isLifted, now)
 }
 
 // Crashed records that the target ended before its answer began. It returns false if the trial had ended before.
