poison: a VM that starts asks others what they block

Cause: blocks reached a VM that had started only when others happened to repeat them, up to 1.2 s later. Callers repeat a request at any VM at once; each send in that time ends a server. The same after a suspension.

Change: as soon as the directory is known a VM asks five others, chosen at random, and others after 100 and 400 ms; they state their blocks to it alone. A VM whose ticker shows that it was suspended asks too. At 295 VMs that start together this is 15 small datagrams a VM; asking all would have been 260,000 over the fleet.

Measured: TestStartedVMSendsWhatAllOthersRefuse (2 to 300 VMs, virtual time): known within 20 ms; without the question the request is let through.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -96,7 +96,7 @@
 	e.limits = targetlimit.NewLedger(targetlimit.Options{VM: s.VM.Name, Logger: logger, Changed: e.sendDigestNow, Transmit: e.transmitPermit, PermitAvailable: e.retryWaiting, Capacity: e.capacityOf})
 	e.table = placement.NewTable(placement.Options{Self: placement.Sender{VM: s.VM.Name, Zone: s.VM.Zone}, OnLoadChange: e.sendDigestNow, Limits: e.limits, Seed: nameSeed(s.VM.Name)})
 	e.origins = origin.NewRegistry(origin.Options{VM: s.VM.Name, VMs: e.entryVMs, Transmit: e.transmitOrigin})
-	e.poison = poison.NewRegistry(poison.Options{VM: s.VM.Name, VMs: e.entryVMNames, Broadcast: e.broadcastPoison, Logger: logger})
+	e.poison = poison.NewRegistry(poison.Options{VM: s.VM.Name, VMs: e.entryVMNames, Broadcast: e.broadcastPoison, Send: e.transmitPoison, Logger: logger})
 	e.budget = retrybudget.New(s.Bounds.RetryRatio*usableBudgetShare, initialRetrySlack(s))
 	e.poller = inforce.NewPoller(inforce.Options{
 		Reader: e.store, Logger: logger, InForceWithin: s.Bounds.ConfigurationDelay(), RevokedWithin: s.Bounds.RevocationDelay(),
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -83,13 +83,16 @@
 	}
 }
 
-// broadcastPoison tells the other entry VMs about requests that crash their targets.
-func (e *Entry) broadcastPoison(message poison.Message) {
+// transmitPoison sends a message about requests that crash their targets to another entry VM or, without a name, to all.
+func (e *Entry) transmitPoison(vm string, message poison.Message) {
 	if e.fleet != nil {
-		e.fleet.BroadcastPoison(message)
+		e.fleet.SendPoison(vm, message)
 	}
 }
 
+// broadcastPoison is transmitPoison to all other entry VMs.
+func (e *Entry) broadcastPoison(message poison.Message) { e.transmitPoison("", message) }
+
 func (e *Entry) entryVMNames() []string {
 	var names []string
 	for _, vm := range e.entryVMs() {
--- a/internal/fleet/direct.go
+++ b/internal/fleet/direct.go
@@ -69,9 +69,9 @@
 	DurationMillis int64
 }
 
-// BroadcastPoison sends a message about requests that crash their targets to all other VMs. It does not block; the message
-// may be lost.
-func (f *Fleet) BroadcastPoison(message poison.Message) {
+// SendPoison sends a message about requests that crash their targets to another VM or, without a name, to all. It does not
+// block; the message may be lost.
+func (f *Fleet) SendPoison(vm string, message poison.Message) {
 	packed := poisonMessage{
 		Kind: uint8(message.Kind), Target: message.Target.ID, StartedAt: message.Target.StartedAt, Request: message.Request,
 		AgeMillis: message.Age.Milliseconds(), RemainingMillis: message.Remaining.Milliseconds(), Failures: message.Failures,
@@ -81,7 +81,7 @@
 		packed.Features = append(packed.Features, uint64(feature))
 	}
 	// VMs that do not know the message take it for a guest digest without loads, which has no effect.
-	f.sendDirect("", digest{Guest: true, Poison: &packed})
+	f.sendDirect(vm, digest{Guest: true, Poison: &packed})
 }
 
 func (m *poisonMessage) unpack() poison.Message {
--- a/internal/fleet/direct_test.go
+++ b/internal/fleet/direct_test.go
@@ -31,7 +31,7 @@
 		{Kind: poison.Blocked, Features: []poison.Feature{3}, NamesRequest: true, Remaining: time.Second, Duration: 2 * time.Second},
 		{Kind: poison.Tried, Features: []poison.Feature{3}},
 	} {
-		f.BroadcastPoison(message)
+		f.SendPoison("", message)
 		sent := <-f.direct
 		require.Empty(t, sent.vm, "it is for all VMs")
 		parsed := marshalAndParse(t, sent.digest)
--- a/internal/poison/block.go
+++ b/internal/poison/block.go
@@ -43,6 +43,8 @@
 	// another.
 	blockSpeakers  = 3
 	blockWitnesses = 2
+	// blocksAskedOf is the number of VMs that a VM asks for their blocks at a time.
+	blocksAskedOf = 5
 	// maxStateDelay bounds the random wait before a VM states a block that it has just made. It says nothing once it has heard
 	// blockSpeakers others.
 	maxStateDelay = 200 * time.Millisecond
@@ -324,12 +326,23 @@
 	}
 }
 
+// answerQuestion states the blocks to a VM that has asked. The caller holds mu.
+func (r *Registry) answerQuestion(asker string, now time.Time) {
+	for feature, known := range r.blocks {
+		r.options.Send(asker, statement(feature, known, now))
+	}
+}
+
 // state requires the lock.
 func (r *Registry) state(feature Feature, known *block, now time.Time) {
-	r.options.Broadcast(Message{
+	r.options.Broadcast(statement(feature, known, now))
+}
+
+func statement(feature Feature, known *block, now time.Time) Message {
+	return Message{
 		Kind: Blocked, Features: []Feature{feature}, NamesRequest: known.isRequest, Age: now.Sub(known.since),
 		Remaining: known.until.Sub(now), Failures: known.failures, Duration: known.duration,
-	})
+	}
 }
 
 // stateBlocks repeats the blocks that too few other VMs have repeated lately, and forgets those that nobody asks for.
--- a/internal/poison/fleet_test.go
+++ b/internal/poison/fleet_test.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -86,6 +87,29 @@
 	})
 }
 
+// TestStartedVMSendsWhatAllOthersRefuse guards against a VM that learns of blocks only when others happen to repeat them: callers
+// repeat their requests at once, at any VM.
+func TestStartedVMSendsWhatAllOthersRefuse(t *testing.T) {
+	for _, vms := range []int{2, 3, 9, 70, 300} {
+		synctest.Test(t, func(t *testing.T) {
+			m := newModel(vms, 18, 1)
+			m.repeated = "bad"
+			m.play(6*time.Second, 2, 5)
+			bad := NewFeatures(requestFeature("bad"))
+			require.Error(t, m.vms[0].Check(bad))
+			m.network.Lock()
+			m.vms[0] = m.newVM(0)
+			m.network.Unlock()
+			ctx, end := context.WithCancel(t.Context())
+			go func() { _ = m.vms[0].Run(ctx) }()
+			time.Sleep(20 * time.Millisecond)
+			require.Error(t, m.vms[0].Check(bad), "%d VMs", vms)
+			end()
+			m.end()
+		})
+	}
+}
+
 // TestRollOfVMsKeepsBlocks guards against blocks that get lost while VMs are restarted, any two at a time: those that are
 // to repeat a block may have just started themselves.
 func TestRollOfVMsKeepsBlocks(t *testing.T) {
--- a/internal/poison/message.go
+++ b/internal/poison/message.go
@@ -22,6 +22,8 @@
 	Unblocked
 	// Tried reports that a blocked request has been sent to a target to see whether it still crashes.
 	Tried
+	// Asked asks for the blocks, for a VM that has started or was suspended.
+	Asked
 )
 
 // Message is the word of one VM to all others.
@@ -83,5 +85,7 @@
 		r.recordLift(vm, message, now)
 	case Tried:
 		r.recordTrial(message, at)
+	case Asked:
+		r.answerQuestion(vm, now)
 	}
 }
--- a/internal/poison/model_test.go
+++ b/internal/poison/model_test.go
@@ -95,7 +95,7 @@
 func vmName(i int) string { return fmt.Sprintf("vm-%d", i) }
 
 func (m *model) newVM(i int) *Registry {
-	return NewRegistry(Options{VM: vmName(i), VMs: m.names, Logger: log.New(io.Discard), Broadcast: func(message Message) { m.deliver(i, message) }})
+	return NewRegistry(Options{VM: vmName(i), VMs: m.names, Logger: log.New(io.Discard), Broadcast: func(message Message) { m.deliver(i, "", message) }, Send: func(vm string, message Message) { m.deliver(i, vm, message) }})
 }
 
 func (m *model) names() []string {
@@ -106,8 +106,8 @@
 	return names
 }
 
-// deliver sends a message to all other VMs.
-func (m *model) deliver(from int, message Message) {
+// deliver sends a message to the VM or, without a name, to all other VMs.
+func (m *model) deliver(from int, vm string, message Message) {
 	if from == m.silenced {
 		return
 	}
@@ -115,7 +115,7 @@
 	m.network.Lock()
 	defer m.network.Unlock()
 	for i := range m.vms {
-		if i == from || m.chance.Float64() < m.loss {
+		if i == from || vm != "" && vm != vmName(i) || m.chance.Float64() < m.loss {
 			continue
 		}
 		delay := time.Millisecond + time.Duration(m.chance.IntN(3000))*time.Microsecond
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -17,6 +17,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -37,6 +38,10 @@
 	maxCrashes   = 256
 	maxWitnessed = 256
 	maxFeatures  = 33
+	// directoryPollInterval is how often a VM that starts looks whether the directory has been read.
+	directoryPollInterval = 20 * time.Millisecond
+	// suspensionTime is the time between two statements after which this VM was suspended.
+	suspensionTime = 2 * statementInterval
 	// answerReviewTime is how long after a crash each answer makes this VM decide anew.
 	answerReviewTime = 10 * time.Second
 	// maxTellDelay bounds the random wait before a VM tells that an accused feature was answered. One that hears the same
@@ -50,8 +55,9 @@
 	VM string
 	// VMs returns the names of the entry VMs of the directory, this one included.
 	VMs func() []string
-	// Broadcast sends a message to all other VMs. It must not block; messages may be lost.
+	// Broadcast sends a message to all other VMs, and Send to one. They must not block; messages may be lost.
 	Broadcast func(Message)
+	Send      func(vm string, message Message)
 	Logger    *log.Logger
 }
 
@@ -92,20 +98,58 @@
 	}
 }
 
-// Run repeats the blocks for VMs that have started since, until ctx is done.
+// Run asks the other VMs for their blocks as soon as they are known, and repeats those of this VM for VMs that have started
+// since, until ctx is done.
 func (r *Registry) Run(ctx context.Context) error {
+	r.askOnceOthersAreKnown(ctx)
 	ticker := time.NewTicker(statementInterval)
 	defer ticker.Stop()
+	lastTick := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case now := <-ticker.C:
+		case <-ticker.C:
+			now := time.Now()
+			if now.Sub(lastTick) > suspensionTime {
+				r.ask()
+			}
+			lastTick = now
 			r.stateBlocks(now)
 		}
 	}
 }
 
+// askOnceOthersAreKnown waits for the directory, and asks the VMs in it for their blocks.
+func (r *Registry) askOnceOthersAreKnown(ctx context.Context) {
+	ticker := time.NewTicker(directoryPollInterval)
+	defer ticker.Stop()
+	for len(r.options.VMs()) == 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+	r.ask()
+}
+
+// ask asks some of the other VMs for their blocks, and others a little later: messages are lost, and VMs are down.
+func (r *Registry) ask() {
+	r.askSome()
+	for _, delay := range resendDelays {
+		time.AfterFunc(delay, r.askSome)
+	}
+}
+
+func (r *Registry) askSome() {
+	others := slices.DeleteFunc(r.options.VMs(), func(vm string) bool { return vm == r.options.VM })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, vm := range others[:min(len(others), blocksAskedOf)] {
+		r.options.Send(vm, Message{Kind: Asked})
+	}
+}
+
 // MayRetry reports whether a request may be sent again after its target has crashed: not while another crash accuses one
 // of its features too.
 func (r *Registry) MayRetry(features Features) bool {
