entry: show that a target which turned an address away hears from it

Change: a test of two VMs and a cut, both ways round, on plain requests and generations; targets see the address of the VM behind each path, and record it.

--- a/internal/entry/cut_test.go
+++ b/internal/entry/cut_test.go
@@ -24,7 +24,7 @@
 	for i := range vms {
 		number := listenerCount.Add(1)
 		address := fmt.Sprintf("127.%d.%d.%d", 128+i, number/250, 1+number%250)
-		path, err := rig.NewPath(freePort(d.t))
+		path, err := rig.NewPath(freePort(d.t), address)
 		require.NoError(d.t, err)
 		d.t.Cleanup(path.Close)
 		paths[i] = path
--- a/internal/stand/rig/path.go
+++ b/internal/stand/rig/path.go
@@ -18,6 +18,7 @@
 	Address string
 
 	server *http.Server
+	dialer net.Dialer
 
 	mu sync.Mutex
 	// refuses and hangs tell what a new connection meets while the path is cut.
@@ -29,13 +30,17 @@
 // maxPathTunnels bounds the connections of one path.
 const maxPathTunnels = 10000
 
-// NewPath returns a path that already listens.
-func NewPath(listen string) (*Path, error) {
+// NewPath returns a path that already listens. Targets see the IP address source, or any if it is empty.
+func NewPath(listen, source string) (*Path, error) {
 	listener, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen at the address of a path")
 	}
-	p := &Path{Address: listener.Addr().String(), conns: make(map[net.Conn]struct{}), lifted: make(chan struct{})}
+	var dialer net.Dialer
+	if source != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(source)}
+	}
+	p := &Path{dialer: dialer, Address: listener.Addr().String(), conns: make(map[net.Conn]struct{}), lifted: make(chan struct{})}
 	p.server = &http.Server{Handler: tunnel.NewServer(tunnel.ServerOptions{Dial: p.dial, MaxTunnels: maxPathTunnels, Allow: func(netip.Addr, string) error { return nil }})}
 	go p.server.Serve(listener)
 	return p, nil
@@ -67,7 +72,7 @@
 		}
 		return nil, errors.New("the path was cut")
 	}
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", address)
+	conn, err := p.dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/stand/soak/harness.go
+++ b/internal/stand/soak/harness.go
@@ -179,7 +179,7 @@
 	if err != nil {
 		return err
 	}
-	path, err := rig.NewPath(pathAddress)
+	path, err := rig.NewPath(pathAddress, "")
 	if err != nil {
 		return err
 	}
