entry: VMs that share an address for a target share the pause it asks for

The same class is open on one way: a VM that is cut off from targets goes through another VM. The target turns *that* address away; the carrier never reads the answer and goes on, or was turned away itself while the VM behind it goes on.

Change: the VM that hears the word through another one tells it, and a VM that carries connections to a target tells their users. Both hold the pause. A new tunnel to a target in a pause is refused as if the target were down.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -104,7 +104,7 @@
 	})
 	e.forwarder = forward.New(forward.Options{
 		Codec: platform.Codec{}, Mover: platform.NewMover(e.client), Poller: e.poller, Table: e.table, Client: e.client,
-		Budget: e.budget, Lengths: lengths.NewEstimator(0), Limits: e.limits, Origins: e.origins, Poison: e.poison, Logger: logger, Trail: e.trail, Zone: s.VM.Zone, Stopping: e.stopping, TargetLeaving: e.recordLeaving,
+		Budget: e.budget, Lengths: lengths.NewEstimator(0), Limits: e.limits, Origins: e.origins, Poison: e.poison, Logger: logger, Trail: e.trail, Zone: s.VM.Zone, Stopping: e.stopping, TargetLeaving: e.recordLeaving, TargetPaused: e.sharePause,
 		MaxConfigurationAge: s.Bounds.ConfigurationDelay(),
 	})
 	e.follower = roster.NewFollower(roster.Options{
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
@@ -83,6 +84,9 @@
 	if _, listed := e.table.ZoneOf(address); !listed {
 		return errors.Mark(errors.Newf("no target is listed at %s", address), tunnel.ErrForbidden)
 	}
+	if e.table.IsPaused(address, time.Now()) {
+		return errors.Mark(errors.Newf("the target at %s has asked this VM for a pause", address), tunnel.ErrNoWay)
+	}
 	if e.draining.Load() {
 		return errors.New("this VM is shutting down")
 	}
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -48,11 +48,12 @@
 	// it takes as their coordinator.
 	Limits           []limitAnnouncement `msgpack:"m,omitempty"`
 	LimitCoordinator uint32              `msgpack:"k,omitempty"`
-	// Permit and Origin are messages for one VM, and Poison is one for all. A digest with such a message carries nothing
-	// else.
+	// Permit, Origin and Pause are messages for one VM, and Poison is one for all or one. A digest with such a message carries
+	// nothing else.
 	Permit *permitMessage `msgpack:"q,omitempty"`
 	Origin *originMessage `msgpack:"g,omitempty"`
 	Poison *poisonMessage `msgpack:"x,omitempty"`
+	Pause  *pauseMessage  `msgpack:"h,omitempty"`
 }
 
 type targetLoads struct {
--- a/internal/fleet/direct.go
+++ b/internal/fleet/direct.go
@@ -142,6 +142,8 @@
 		if f.options.Poison != nil {
 			f.options.Poison.HandleMessage(received.VM, received.Poison.unpack())
 		}
+	case received.Pause != nil:
+		f.handlePause(received)
 	default:
 		return false
 	}
@@ -166,14 +168,20 @@
 
 // IsMember reports whether another entry VM of the directory has the address.
 func (f *Fleet) IsMember(address netip.Addr) bool {
+	_, found := f.memberAt(address)
+	return found
+}
+
+// memberAt returns the other entry VM of the directory with the address.
+func (f *Fleet) memberAt(address netip.Addr) (Member, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, member := range f.members {
 		if member.Address.Addr() == address {
-			return true
+			return member, true
 		}
 	}
-	return false
+	return Member{}, false
 }
 
 // VMs returns all entry VMs of the directory, this one included, or nil before the directory has been read.
--- a/internal/fleet/direct_test.go
+++ b/internal/fleet/direct_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -66,3 +67,38 @@
 	f.peers["frozen"] = &peer{heardAt: now.Add(-2 * helpSilence)}
 	require.Equal(t, map[Member]bool{{Name: "fresh"}: false, {Name: "cut"}: true, {Name: "frozen"}: true, {Name: "lost"}: true, {Name: "new"}: false}, f.Others())
 }
+
+// pauseLog records what it is told.
+type pauseLog struct {
+	from []netip.Addr
+	told []Pause
+}
+
+func (l *pauseLog) HandlePause(from netip.Addr, pause Pause) {
+	l.from, l.told = append(l.from, from), append(l.told, pause)
+}
+
+// TestPausesAreToldByVMsOfTheDirectory checks the encoding of the word that a target asks for a pause, and that it counts only
+// from a VM of the directory.
+func TestPausesAreToldByVMsOfTheDirectory(t *testing.T) {
+	var log pauseLog
+	f := New(Options{Self: Member{Name: "vm-1"}, Pauses: &log})
+	address := netip.MustParseAddrPort("10.0.0.2:7000")
+	f.SetMembers(map[string]Member{"vm-2": {Name: "vm-2", Address: address}})
+	pause := Pause{Target: "t", StartedAt: 7, Address: "10.0.0.9:80", Remaining: 3 * time.Second, ForCarrier: true}
+	f.SendPause(address.Addr(), pause)
+	sent := <-f.direct
+	require.Equal(t, "vm-2", sent.vm)
+	received := marshalAndParse(t, sent.digest)
+	require.True(t, received.Guest)
+	for _, sender := range []string{"vm-2", "vm-3"} {
+		received.VM = sender
+		require.True(t, f.handleDirect(received, time.Now()))
+	}
+	require.Equal(t, []netip.Addr{address.Addr()}, log.from)
+	require.InDelta(t, pause.Remaining, log.told[0].Remaining, float64(time.Second))
+	log.told[0].Remaining = pause.Remaining
+	require.Equal(t, pause, log.told[0])
+	f.SendPause(netip.MustParseAddr("10.0.0.3"), pause)
+	require.Empty(t, f.direct, "no VM has the address")
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -113,6 +113,8 @@
 	Now func() boottime.Instant
 	// Limits keeps the request limits of targets; nil means that digests carry none.
 	Limits Limits
+	// Pauses receives the messages about targets that ask for a pause; nil means that they are ignored.
+	Pauses Pauses
 	// Origins receives the messages about where streams began; nil means that they are ignored.
 	Origins Origins
 	// IsCutOff reports whether this VM reaches no target itself; nil means that it is never cut off.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -163,7 +163,7 @@
 		return nil, x.endTrial(ctx, trial, lease.Target, x.classifyError(ctx, err), false)
 	}
 	verdict := x.options.Codec.CheckResponse(x.call, response.Response)
-	x.recordStatements(lease.Target, verdict, sentAt)
+	x.recordStatements(lease.Target, verdict, sentAt, response.Carrier())
 	switch {
 	case verdict.WrongTarget:
 		trial.Done()
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strconv"
 	"time"
@@ -43,6 +44,9 @@
 	Zone  string
 	// TargetLeaving is called when a target has said in an answer that it is leaving. It must not block.
 	TargetLeaving func(roster.Target)
+	// TargetPaused is called when a target has asked for a pause, with the IP address of the entry VM through which it was
+	// asked; that is not valid if there was none. It must not block.
+	TargetPaused func(target roster.Target, retryAfter time.Duration, carrier netip.Addr)
 	// Stopping reports whether the VM is shutting down gracefully, and the timing of the shutdown.
 	Stopping func() (stop Stop, stopping bool)
 	// MaxConfigurationAge is the maximum age of the configuration's last confirmation at which an unknown route or key
--- a/internal/forward/statement.go
+++ b/internal/forward/statement.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"net/netip"
 	"time"
 
 	"godwitcart/internal/roster"
@@ -8,8 +9,8 @@
 
 // recordStatements records what the target says of itself in an answer, before anything else is chosen: its request
 // limit, that it is leaving, and how long it wants no request of this VM. The codec reports only statements of the target
-// that was asked.
-func (x *exchange) recordStatements(target roster.Target, verdict Verdict, sentAt time.Time) {
+// that was asked. carrier is the IP address of the entry VM through which it was asked, if there is one.
+func (x *exchange) recordStatements(target roster.Target, verdict Verdict, sentAt time.Time, carrier netip.Addr) {
 	now := time.Now()
 	if verdict.Limit != nil {
 		x.options.Limits.Observe(target, *verdict.Limit, sentAt, now)
@@ -24,6 +25,7 @@
 	}
 	if verdict.RetryAfter > 0 {
 		until := x.options.Table.Pause(target, verdict.RetryAfter, now)
+		x.options.TargetPaused(target, verdict.RetryAfter, carrier)
 		x.log("target asks for a pause", "target", target.ID, "retry_after_ms", verdict.RetryAfter.Milliseconds(), "paused_ms", until.Sub(now).Milliseconds())
 	}
 }
--- a/internal/placement/pause.go
+++ b/internal/placement/pause.go
@@ -54,6 +54,18 @@
 	return current.pause.until
 }
 
+// IsPaused reports whether the target at host:port has asked for a pause that has not ended.
+func (t *Table) IsPaused(address string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, candidate := range t.targets {
+		if candidate.Address == address && now.Before(candidate.pause.until) {
+			return true
+		}
+	}
+	return false
+}
+
 // rememberPause keeps the pause of a target that leaves the list: it may be listed again. The caller holds the lock.
 func (t *Table) rememberPause(departed *target, now time.Time) {
 	maps.DeleteFunc(t.departedPauses, func(_ string, earlier *target) bool { return !now.Before(earlier.pause.until) })
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"net/netip"
+	"slices"
+	"sync"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -21,17 +24,57 @@
 	Context context.Context
 }
 
-// ErrForbidden marks errors of ServerOptions.Allow that will not go away by themselves.
-var ErrForbidden = errors.New("forbidden")
+// ErrForbidden marks errors of ServerOptions.Allow that will not go away by themselves, and ErrNoWay those that concern the
+// target alone: the user is told that it cannot be reached through this process.
+var (
+	ErrForbidden = errors.New("forbidden")
+	ErrNoWay     = errors.New("no way to the target")
+)
 
 // Server is the HTTP handler at the other end of tunnels.
 type Server struct {
 	options ServerOptions
 	open    atomic.Int64
+
+	mu sync.Mutex
+	// users counts the open tunnels of each user, by the address of the target.
+	users map[string]map[netip.Addr]int
 }
 
 // NewServer returns a Server without tunnels.
-func NewServer(options ServerOptions) *Server { return &Server{options: options} }
+func NewServer(options ServerOptions) *Server {
+	return &Server{options: options, users: make(map[string]map[netip.Addr]int)}
+}
+
+// Users returns the IP addresses that have a tunnel to the target at host:port.
+func (s *Server) Users(address string) []netip.Addr {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.users[address]))
+}
+
+// addUser counts a tunnel of the user; the function that it returns ends that.
+func (s *Server) addUser(user netip.Addr, address string) (remove func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.users[address] == nil {
+		s.users[address] = make(map[netip.Addr]int)
+	}
+	s.users[address][user]++
+	return func() { s.removeUser(user, address) }
+}
+
+func (s *Server) removeUser(user netip.Addr, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.users[address][user]--
+	if s.users[address][user] == 0 {
+		delete(s.users[address], user)
+	}
+	if len(s.users[address]) == 0 {
+		delete(s.users, address)
+	}
+}
 
 // Open returns the number of open tunnels.
 func (s *Server) Open() int64 { return s.open.Load() }
@@ -51,6 +94,9 @@
 	case errors.Is(err, ErrForbidden):
 		http.Error(w, err.Error(), http.StatusForbidden)
 		return
+	case errors.Is(err, ErrNoWay):
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
 	case err != nil:
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
@@ -61,6 +107,7 @@
 		return
 	}
 	defer s.open.Add(-1)
+	defer s.addUser(user.Addr().Unmap(), r.Host)()
 	s.carry(w, r)
 }
 
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -126,6 +126,7 @@
 		"target is down":    {tunnel.ServerOptions{}, closed, "status 502", true},
 		"forbidden":         {tunnel.ServerOptions{Allow: forbid}, target, "status 403", false},
 		"not now":           {tunnel.ServerOptions{Allow: func(netip.Addr, string) error { return errors.New("busy") }}, target, "status 503", false},
+		"no way to it":      {tunnel.ServerOptions{Allow: func(netip.Addr, string) error { return errors.Mark(errors.New("paused"), tunnel.ErrNoWay) }}, target, "status 502", true},
 		"no free tunnel":    {tunnel.ServerOptions{MaxTunnels: -1}, target, "status 503", false},
 		"address is broken": {tunnel.ServerOptions{}, "nonsense", "status 502", true},
 	} {
@@ -171,3 +172,22 @@
 	require.Error(t, err)
 	require.Eventually(t, func() bool { return server.Open() == 0 }, 10*time.Second, 5*time.Millisecond)
 }
+
+// TestUsersOfATarget checks who has a tunnel to a target, while it is open and after.
+func TestUsersOfATarget(t *testing.T) {
+	target := listen(t, func(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
+	via, server := serve(t, tunnel.ServerOptions{})
+	var conns []net.Conn
+	for range 2 {
+		conn, err := tunnel.Connect(context.Background(), dial, via, target)
+		require.NoError(t, err)
+		conns = append(conns, conn)
+	}
+	require.Equal(t, []netip.Addr{netip.MustParseAddr("127.0.0.1")}, server.Users(target))
+	require.Empty(t, server.Users("127.0.0.1:1"))
+	conns[0].Close()
+	require.Eventually(t, func() bool { return server.Open() == 1 }, 10*time.Second, 5*time.Millisecond)
+	require.Len(t, server.Users(target), 1)
+	conns[1].Close()
+	require.Eventually(t, func() bool { return len(server.Users(target)) == 0 }, 10*time.Second, 5*time.Millisecond)
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -14,6 +14,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
@@ -221,6 +222,18 @@
 // IsRelayed reports whether the connection goes through another entry VM.
 func (r *Response) IsRelayed() bool { return r.conn.relayed }
 
+// Carrier returns the IP address of the entry VM through which the connection goes; it is not valid for a direct one.
+func (r *Response) Carrier() netip.Addr {
+	if !r.conn.relayed {
+		return netip.Addr{}
+	}
+	carrier, err := netip.ParseAddrPort(r.conn.RemoteAddr().String())
+	if err != nil {
+		return netip.Addr{}
+	}
+	return carrier.Addr().Unmap()
+}
+
 // EndsWithConnection reports whether the response has neither a length nor chunks, so that its end is the end of the
 // connection.
 func (r *Response) EndsWithConnection() bool {
