soak: repeat requests that crash targets, and judge pauses by address

The soak played one part of prompts under which engines crash, always beside many sound requests.

Targets see the addresses of the VMs behind links and paths. `pause_ignored` counts by address, as a target does: the requests may be those of a VM which is cut off. The pause is 3 s as in the users' record, so that the slack of a run leaves something of it.

--- a/internal/stand/rig/link.go
+++ b/internal/stand/rig/link.go
@@ -159,7 +159,8 @@
 func (l *Link) forward(client net.Conn) {
 	defer reset(client)
 	l.waitUntilOpen(false)
-	server, err := net.DialTimeout("tcp", l.destination, linkDialTimeout)
+	dialer := net.Dialer{Timeout: linkDialTimeout, LocalAddr: sameAddress(client)}
+	server, err := dialer.Dial("tcp", l.destination)
 	if err != nil {
 		return
 	}
@@ -175,6 +176,15 @@
 	directions.Wait()
 }
 
+// sameAddress returns the IP address of the client, which the destination is to see too.
+func sameAddress(client net.Conn) net.Addr {
+	remote, isTCP := client.RemoteAddr().(*net.TCPAddr)
+	if !isTCP {
+		return nil
+	}
+	return &net.TCPAddr{IP: remote.IP}
+}
+
 // copyDirection forwards data in one direction until it ends. It passes a half-close or a reset on.
 func (l *Link) copyDirection(destination, source net.Conn, isResponse bool) {
 	buffer := make([]byte, linkBufferBytes)
--- a/internal/stand/soak/callers.go
+++ b/internal/stand/soak/callers.go
@@ -46,8 +46,9 @@
 	versions []string
 	// sameVersionTargets is the number of undisturbed targets of the stream's version when it was resumed.
 	sameVersionTargets int
-	// crashesEngines is set if engines crash under the request, and refusedAsCrashing if it was refused for that reason.
-	crashesEngines, refusedAsCrashing bool
+	// crashCause is why targets crash under the request, and refusedAsCrashing is set if it was refused for that reason.
+	crashCause        crashCause
+	refusedAsCrashing bool
 	// mismatched is set when the response carries the ID of another request.
 	mismatched bool
 }
@@ -140,8 +141,11 @@
 // send sends one request of a random kind and records the response in c. It returns the generation of a stream.
 func (h *harness) send(client *http.Client, v *vm, c *call, random *rand.Rand) platformtest.Generation {
 	path, generation := c.randomize(random)
-	if c.kind == "check" {
+	switch c.kind {
+	case "check":
 		generation.Prefix, generation.Prefill = h.choosePrefix(c, random), prefillTime
+	case "peek":
+		path = h.choosePath(c, path, random)
 	}
 	disconnectAfter := -1
 	if c.streaming && random.Float64() < disconnectProbability {
--- a/internal/stand/soak/cuts.go
+++ b/internal/stand/soak/cuts.go
@@ -85,7 +85,7 @@
 
 // isJudged reports whether a call may count for checkCuts: no other fault explains how it ended at its VM.
 func (h *harness) isJudged(c *call) bool {
-	return !c.crashesEngines && c.status != http.StatusUnauthorized && !h.disturbed(c.vm, c.sentAt, c.endedAt) && !h.disturbed(c.vm+"/"+storeSubject, c.sentAt, c.endedAt) &&
+	return c.crashCause == "" && c.status != http.StatusUnauthorized && !h.disturbed(c.vm, c.sentAt, c.endedAt) && !h.disturbed(c.vm+"/"+storeSubject, c.sentAt, c.endedAt) &&
 		!h.disturbed(storeSubject, c.sentAt, c.endedAt)
 }
 
--- a/internal/stand/soak/judge_test.go
+++ b/internal/stand/soak/judge_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"godwitcart/internal/stand/rig"
 	"godwitcart/platform/platformtest"
 )
 
@@ -82,3 +85,33 @@
 func refuse(c *call) {
 	c.status, c.fromTarget, c.events = http.StatusServiceUnavailable, false, 0
 }
+
+// TestEndOfCarrierExcusesLostAnswers checks that a stream which ran through another VM may be lost with that one alone, when
+// it is killed or frozen.
+func TestEndOfCarrierExcusesLostAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		from   string
+		faults []fault
+		lost   bool
+	}{
+		"carrier killed":    {"127.0.0.2", []fault{{"vm_kill", "vm-2", at(11), at(12)}}, false},
+		"carrier stopped":   {"127.0.0.2", []fault{{"vm_stop", "vm-2", at(11), at(12)}}, true},
+		"another VM killed": {"127.0.0.2", []fault{{"vm_kill", "vm-3", at(11), at(12)}}, true},
+		"no carrier":        {"127.0.0.1", []fault{{"vm_kill", "vm-2", at(11), at(12)}}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := &harness{Deployment: platformtest.NewDeployment(), faults: c.faults}
+			for i := range 3 {
+				h.vms = append(h.vms, &vm{Program: &rig.Program{Name: fmt.Sprint("vm-", i+1)}, address: fmt.Sprint("127.0.0.", i+1)})
+			}
+			target := h.Add("t-1", "127.0.0.1:1", platformtest.PlainService, "zone")
+			request := httptest.NewRequest(http.MethodPost, "/lookup/1", nil)
+			platformtest.SetCallerHeaders(request, "c", "key", time.Second)
+			request.RemoteAddr = c.from + ":1"
+			target.ServeHTTP(httptest.NewRecorder(), request)
+			sent := completeCall()
+			sent.err = errors.New("connection reset")
+			require.Equal(t, c.lost, h.isAnswerLost(sent, []platformtest.Run{run}))
+		})
+	}
+}
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -43,7 +43,7 @@
 	Continued int `json:"continued"`
 	// LimitWindows counts the windows in which a target's request limit was checked.
 	LimitWindows int `json:"limit_windows"`
-	// Crashes counts the engines that crashed under a part of prompts.
+	// Crashes counts the targets that crashed under a part of prompts or a request.
 	Crashes int `json:"crashes"`
 	// CutCalls counts the first attempts at VMs that were cut off from all targets, BrittleTimes the times in which targets
 	// were brittle, and Falls the targets that fell over then.
--- a/internal/stand/soak/statements.go
+++ b/internal/stand/soak/statements.go
@@ -16,7 +16,7 @@
 	turnedAwaySlack = 500 * time.Millisecond
 	maxDuringPause  = 2
 	// requestedPause is the pause that targets ask for.
-	requestedPause = 1500 * time.Millisecond
+	requestedPause = 3 * time.Second
 )
 
 // linkFaultKinds are the faults that can keep a target's answers from its callers.
@@ -84,7 +84,8 @@
 	return false
 }
 
-// checkPauses counts the arrivals of each VM during the pauses that the target asked it for.
+// checkPauses counts the arrivals from the address of each VM during the pauses that the target asked it for. A target knows
+// addresses alone: the request may be that of a VM which is cut off and goes through another one.
 func (h *harness) checkPauses(target *platformtest.Target, calls map[string]*call) {
 	arrivals := target.Arrivals()
 	for i, refused := range arrivals {
@@ -93,19 +94,29 @@
 			continue
 		}
 		from, to := refused.At.Add(turnedAwaySlack+h.options.Slack), refused.At.Add(requestedPause)
-		if h.disturbed(c.vm, refused.At, to) || h.hasFaultWithin(contactTime, target.ID, refused.At, to, linkFaultKinds...) {
+		if h.disturbed(c.vm, refused.At, to) || h.disturbed(h.vmAt(refused.From), refused.At, to) || h.hasFaultWithin(contactTime, target.ID, refused.At, to, linkFaultKinds...) {
 			continue
 		}
 		arrived := 0
 		for _, later := range arrivals[i+1:] {
 			other := calls[later.ID]
-			if other != nil && other.vm == c.vm && later.At.After(from) && later.At.Before(to) {
+			if other != nil && later.From == refused.From && later.At.After(from) && later.At.Before(to) {
 				arrived++
 			}
 		}
 		if arrived > maxDuringPause {
-			h.addViolation(Violation{Guarantee: "pause_ignored", VM: c.vm, At: refused.At,
+			h.addViolation(Violation{Guarantee: "pause_ignored", VM: h.vmAt(refused.From), At: refused.At,
 				Detail: fmt.Sprintf("%s got %d requests in the pause that it had asked for", target.ID, arrived)})
 		}
 	}
 }
+
+// vmAt returns the name of the VM with the IP address; empty if there is none.
+func (h *harness) vmAt(address string) string {
+	for _, v := range h.vms {
+		if v.address == address {
+			return v.Name
+		}
+	}
+	return ""
+}
