forward: do not send by a reservation that has lapsed

Cause: a target is chosen, then connected to. What it said in between was not looked at again: that it leaves, that it wants a pause; and a permit of a request limit was for the moment of the choice. Connecting takes up to some hundred milliseconds, and a VM that is suspended wakes seconds later with all that it had chosen (the operators' "acted on a permission that had run out meanwhile").

Change: the lease remembers what the target had said. Once there is a connection, and before a byte is sent, `Lease.CheckLapsed` looks again. A request that has lapsed is placed again, as not sent, without a charge to the retry budget; the connection is kept. Generations that go on from a copy at one target alone are sent as before.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -17,8 +17,8 @@
 
 // attemptError describes an attempt that ended without a response for the caller.
 type attemptError struct {
-	// notRun is true when the target certainly did not run the call.
-	notRun bool
+	// notRun is true when the target certainly did not run the call, and notSent when it was not even asked.
+	notRun, notSent bool
 	// final is true if the call must not be sent again.
 	final bool
 	// outcome is reported to the placement table for the target's health.
@@ -158,7 +158,11 @@
 	freshConnection := !x.route.Idempotent && !x.route.Resumable
 	sentAt := time.Now()
 	lease.CountSend(sentAt)
-	response, err := x.options.Client.Do(ctx, lease.Target.Address, request, x.call.Body, freshConnection)
+	check := func() error { return lease.CheckLapsed(time.Now()) }
+	if attempt.From != nil {
+		check = func() error { return nil } // the generation would be lost
+	}
+	response, err := x.options.Client.DoIf(ctx, lease.Target.Address, request, x.call.Body, freshConnection, check)
 	if err != nil {
 		return nil, x.endTrial(ctx, trial, lease.Target, x.classifyError(ctx, err), false)
 	}
@@ -186,6 +190,8 @@
 func (x *exchange) classifyError(ctx context.Context, err error) *attemptError {
 	var notSent *upstream.NotSentError
 	switch {
+	case errors.As(err, &notSent) && notSent.Lapsed:
+		return &attemptError{notRun: true, notSent: true, outcome: placement.Refused, cause: err}
 	case errors.As(err, &notSent) && ctx.Err() == nil:
 		return &attemptError{notRun: true, outcome: placement.Unreachable, cause: err}
 	case errors.As(err, &notSent) && errors.Is(ctx.Err(), context.Canceled):
@@ -207,7 +213,7 @@
 	if ctx.Err() != nil || failure.final || x.attempts >= maxAttempts || !x.mayRepeatAfterCrashes() {
 		return false
 	}
-	if failure.outcome == placement.Unreachable {
+	if failure.notSent || failure.outcome == placement.Unreachable {
 		return true
 	}
 	if !failure.notRun && (!x.isRepeatable() || x.attempts >= x.route.MaxAttempts) {
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -74,6 +74,9 @@
 	// sendCounted is set once the request has been counted at a target with a request limit.
 	sendCounted bool
 	done        bool
+	// wasLeaving and pausedUntil are what the target had said when it was reserved.
+	wasLeaving  bool
+	pausedUntil time.Time
 }
 
 // Pick chooses a target and reserves it. The error is an *apierror.Error.
@@ -289,7 +292,7 @@
 }
 
 func (t *Table) reserve(chosen *target, q *Query, now time.Time, candidates int) *Lease {
-	lease := &Lease{Target: chosen.Target, CandidateCount: candidates, table: t, target: chosen, load: q.load(), promptTokens: q.PromptTokens, sentAt: now}
+	lease := &Lease{Target: chosen.Target, CandidateCount: candidates, table: t, target: chosen, load: q.load(), promptTokens: q.PromptTokens, sentAt: now, wasLeaving: chosen.leaving, pausedUntil: chosen.pause.until}
 	lease.prefillBacklog = float64(chosen.ownLoad.PrefillTokens + chosen.peerLoad.PrefillTokens + q.prefill())
 	lease.ExpectedFirstEvent = time.Duration(lease.prefillBacklog / chosen.service.prefillRate * float64(time.Millisecond))
 	chosen.ownLoad.add(lease.load)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -52,7 +52,11 @@
 )
 
 // NotSentError reports that no part of a request reached the target.
-type NotSentError struct{ cause error }
+type NotSentError struct {
+	cause error
+	// Lapsed is set if there was a connection, and the check of DoIf forbade to use it.
+	Lapsed bool
+}
 
 // Error implements error.
 func (e *NotSentError) Error() string { return "not sent: " + e.cause.Error() }
@@ -132,10 +136,19 @@
 // Do sends the request and returns the response once its header has been read. With fresh, it opens a new connection
 // instead of reusing an idle one. The connection is closed when ctx ends, also while the body is read.
 func (c *Client) Do(ctx context.Context, address string, request *http.Request, body []byte, fresh bool) (*Response, error) {
+	return c.DoIf(ctx, address, request, body, fresh, func() error { return nil })
+}
+
+// DoIf is Do for a request that is sent only if check returns no error once there is a connection.
+func (c *Client) DoIf(ctx context.Context, address string, request *http.Request, body []byte, fresh bool, check func() error) (*Response, error) {
 	connection, err := c.connect(ctx, address, fresh)
 	if err != nil {
 		return nil, &NotSentError{cause: err}
 	}
+	if err := check(); err != nil {
+		c.putUnused(address, connection)
+		return nil, &NotSentError{cause: err, Lapsed: true}
+	}
 	stopCancel := context.AfterFunc(ctx, func() { connection.Close() })
 	response := &Response{client: c, address: address, conn: connection, stopCancel: stopCancel}
 	if err := response.send(request, body); err != nil {
@@ -318,6 +331,14 @@
 	return maxIdleTime
 }
 
+// putUnused keeps a connection that has carried nothing since it was taken. One that is new has no timeout of its own yet.
+func (c *Client) putUnused(address string, connection *conn) {
+	if connection.idleTimeout == 0 {
+		connection.idleTimeout = maxTunnelIdleTime
+	}
+	c.putIdle(address, connection)
+}
+
 func (c *Client) putIdle(address string, connection *conn) {
 	connection.idleSince = time.Now()
 	c.mu.Lock()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -358,3 +358,23 @@
 	const kernelBuffers = requests * (512 << 10)
 	require.Less(t, sent.Load(), int64(longest*8+bound+kernelBuffers), "bytes that were read")
 }
+
+// TestLapsedRequestIsNotSent checks that a request which its check forbids reaches no target, and that the connection made for
+// it serves the next one.
+func TestLapsedRequestIsNotSent(t *testing.T) {
+	address, connections := serve(t, func(conn net.Conn, r *http.Request, _ int) {
+		require.Equal(t, "/a%2Fb?c=%20", r.RequestURI)
+		write(conn, okResponse)
+	})
+	client := upstream.NewClient(upstream.Options{})
+	request, err := http.NewRequest(http.MethodGet, "http://host/lapsed", nil)
+	require.NoError(t, err)
+	_, err = client.DoIf(context.Background(), address, request, nil, false, func() error { return errors.New("too late") })
+	var notSent *upstream.NotSentError
+	require.ErrorAs(t, err, &notSent)
+	require.True(t, notSent.Lapsed)
+	body, err := call(t, client, address, false)
+	require.NoError(t, err)
+	require.Equal(t, "ok", body)
+	require.EqualValues(t, 1, connections.Load())
+}
