forward: a target that crashes behind another VM accuses its requests

Cause: a connection of its own that breaks says nothing at a VM which is cut off from all targets; one through another VM does. Whether it went through another VM was known from the answer only, and a target that crashes gives none. So a VM that is cut off never reported a crash, sent on and on, and told nobody.

Change: the error of a request that was sent says whether its connection was relayed.

--- a/internal/entry/crashing_request_test.go
+++ b/internal/entry/crashing_request_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"godwitcart/internal/stand/rig"
 	"godwitcart/platform/platformtest"
 )
 
@@ -60,17 +61,22 @@
 		bad, sound    func(v *vm, number int) bool
 		soundInterval time.Duration
 		isBad         func(arrival platformtest.Arrival) bool
+		// throughOthers is set if the requests come at a VM that reaches targets through others alone.
+		throughOthers bool
 	}{
 		"plain, nothing else is asked for": {
-			"counter", 3, crashOnPath, askBadPlain, nil, 0, isBadPlain,
+			"counter", 3, crashOnPath, askBadPlain, nil, 0, isBadPlain, false,
 		},
 		"plain, little else is asked for": {
-			"counter", 3, crashOnPath, askBadPlain, func(v *vm, number int) bool { return v.askPlain(fmt.Sprintf("/peek/%d", number)) }, time.Second, isBadPlain,
+			"counter", 3, crashOnPath, askBadPlain, func(v *vm, number int) bool { return v.askPlain(fmt.Sprintf("/peek/%d", number)) }, time.Second, isBadPlain, false,
 		},
 		"generation with nothing but its last part": {
 			"drafter", 9, crashOnPart, func(v *vm, _ int) bool { return v.askGeneration(crashPart) },
 			func(v *vm, number int) bool { return v.askGeneration(fmt.Sprintf("own-%d", number)) }, 100 * time.Millisecond,
-			func(arrival platformtest.Arrival) bool { return strings.Contains(arrival.Prefix, crashPart+":") },
+			func(arrival platformtest.Arrival) bool { return strings.Contains(arrival.Prefix, crashPart+":") }, false,
+		},
+		"plain, at a VM that is cut off": {
+			"counter", 3, crashOnPath, askBadPlain, func(v *vm, number int) bool { return v.askPlain(fmt.Sprintf("/peek/%d", number)) }, time.Second, isBadPlain, true,
 		},
 	}
 	for name, c := range cases {
@@ -87,7 +93,7 @@
 				})
 			}
 			d.configure("key-1")
-			vms := d.startFleet(3)
+			vms := d.startCrashFleet(c.throughOthers)
 			began := time.Now()
 			var callers sync.WaitGroup
 			var sound servedCount
@@ -113,6 +119,17 @@
 	}
 }
 
+// startCrashFleet starts three VMs, or the one of three that is cut off from the targets.
+func (d *deployment) startCrashFleet(throughOthers bool) []*vm {
+	d.t.Helper()
+	if !throughOthers {
+		return d.startFleet(3)
+	}
+	vms, paths := d.startFleetWithPaths(3)
+	paths[0].Cut(rig.Refused)
+	return vms[:1]
+}
+
 func crashOnPath(target *platformtest.Target, onCrash func(*platformtest.Target)) {
 	target.SetCrashPath(crashPath, onCrash)
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -164,7 +164,9 @@
 	}
 	response, err := x.options.Client.DoIf(ctx, lease.Target.Address, request, x.call.Body, freshConnection, check)
 	if err != nil {
-		return nil, x.endTrial(ctx, trial, lease.Target, x.classifyError(ctx, err), false)
+		var brokenOff *upstream.BrokenOffError
+		isRelayed := errors.As(err, &brokenOff) && brokenOff.Relayed
+		return nil, x.endTrial(ctx, trial, lease.Target, x.classifyError(ctx, err), isRelayed)
 	}
 	verdict := x.options.Codec.CheckResponse(x.call, response.Response)
 	x.recordStatements(lease.Target, verdict, sentAt, response.Carrier())
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -64,6 +64,19 @@
 // Unwrap returns the cause.
 func (e *NotSentError) Unwrap() error { return e.cause }
 
+// BrokenOffError reports that a request was sent, at least in part, and that no answer began.
+type BrokenOffError struct {
+	cause error
+	// Relayed is set if the connection went through another entry VM.
+	Relayed bool
+}
+
+// Error implements error.
+func (e *BrokenOffError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *BrokenOffError) Unwrap() error { return e.cause }
+
 // Options configures a Client.
 type Options struct {
 	// Proxy is the host:port of an HTTP proxy through which targets are reached; empty for none.
@@ -153,7 +166,7 @@
 	response := &Response{client: c, address: address, conn: connection, stopCancel: stopCancel}
 	if err := response.send(request, body); err != nil {
 		response.abort()
-		return nil, err
+		return nil, &BrokenOffError{cause: err, Relayed: connection.relayed}
 	}
 	connection.input.limit(maxHeadBytes)
 	httpResponse, err := readHeader(connection.reader, request)
@@ -163,7 +176,7 @@
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			c.CloseIdle(address) // the others may be as dead
 		}
-		return nil, fmt.Errorf("read the head of the target's answer: %w", err)
+		return nil, &BrokenOffError{cause: fmt.Errorf("read the head of the target's answer: %w", err), Relayed: connection.relayed}
 	}
 	response.Response = httpResponse
 	return response, nil
