--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -28,6 +28,9 @@
 	// preferred and believed.
 	avoidTime = 2 * time.Second
 	helpTime  = 5 * time.Second
+	// lastResortInterval is the time between two questions to a VM that is not to be asked, while there is no other: it may
+	// have been frozen for a moment.
+	lastResortInterval = 250 * time.Millisecond
 	// exploreShare is the share of connections for which any VM is asked first, so that the load spreads over all that can
 	// help.
 	exploreShare = 0.15
@@ -72,6 +75,16 @@
 	helpedAt time.Time
 	// avoidedUntil is set when the VM could not be reached or carries nothing, doubtedUntil when it did not reach a target.
 	avoidedUntil, doubtedUntil time.Time
+	// silentFor is the address of the target for which the VM last gave no answer in time.
+	silentFor string
+	// askedAt is when the VM was last asked as a last resort.
+	askedAt time.Time
+}
+
+// isFrozen reports whether a VM that gives no answer in time for the target is silent itself, and not the target: it has
+// given none for another one either, and has not helped since.
+func (e *experience) isFrozen(address string) bool {
+	return e.silentFor != "" && e.silentFor != address
 }
 
 // NewDialer returns a Dialer.
@@ -115,12 +128,12 @@
 	defer cancel()
 	conn, err := tunnel.Connect(bounded, d.options.Dial, peer.Address, address)
 	if ctx.Err() == nil {
-		d.record(peer.Name, err, time.Now())
+		d.record(peer.Name, address, err, time.Now())
 	}
 	return conn, err
 }
 
-func (d *Dialer) record(name string, err error, now time.Time) {
+func (d *Dialer) record(name, address string, err error, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	known := d.experiences[name]
@@ -130,8 +143,10 @@
 		known = experience{helpedAt: now}
 	case errors.As(err, &down):
 		known.doubtedUntil = now.Add(avoidTime)
+	case errors.Is(err, tunnel.ErrSilent) && !known.isFrozen(address):
+		known.doubtedUntil, known.silentFor = now.Add(avoidTime), address
 	default:
-		known = experience{avoidedUntil: now.Add(avoidTime)}
+		known = experience{avoidedUntil: now.Add(avoidTime), askedAt: known.askedAt}
 	}
 	d.experiences[name] = known
 	for other, old := range d.experiences {
@@ -145,11 +160,15 @@
 func (d *Dialer) choose(zone string, tried map[string]bool, now time.Time) (chosen Peer, helpful, found bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var helpers, unknown, doubted []Peer
+	var helpers, unknown, doubted, avoided []Peer
 	for _, peer := range d.options.Peers() {
 		known := d.experiences[peer.Name]
 		switch {
-		case peer.IsNoHelp || tried[peer.Name] || now.Before(known.avoidedUntil):
+		case peer.IsNoHelp || tried[peer.Name]:
+		case now.Before(known.avoidedUntil):
+			if now.Sub(known.askedAt) >= lastResortInterval && known.avoidedUntil.Sub(now) <= avoidTime-lastResortInterval {
+				avoided = append(avoided, peer)
+			}
 		case now.Sub(known.helpedAt) < helpTime:
 			helpers = append(helpers, peer)
 		case now.Before(known.doubtedUntil):
@@ -166,6 +185,12 @@
 		return d.draw(unknown, zone), false, true
 	case len(doubted) > 0:
 		return d.draw(doubted, zone), false, true
+	case len(avoided) > 0:
+		chosen = d.draw(avoided, zone)
+		known := d.experiences[chosen.Name]
+		known.askedAt = now
+		d.experiences[chosen.Name] = known
+		return chosen, false, true
 	default:
 		return Peer{}, false, false
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,6 +54,21 @@
 	// carried counts the tunnels of each VM.
 	carried map[string]int
 	status  int
+	// silent holds the VMs that answer nothing, or nothing for a target, as "VM" or "VM/target".
+	mu     sync.Mutex
+	silent map[string]bool
+}
+
+func (n *network) setSilent(name string, isSilent bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.silent[name] = isSilent
+}
+
+func (n *network) isSilent(vm, target string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.silent[vm] || n.silent[vm+"/"+target]
 }
 
 func (n *network) dial(_ context.Context, address string) (net.Conn, error) {
@@ -69,7 +85,8 @@
 		n.carried[address]++
 	}
 	go func() {
-		if _, err := http.ReadRequest(bufio.NewReader(peer)); err == nil {
+		request, err := http.ReadRequest(bufio.NewReader(peer))
+		if err == nil && !n.isSilent(address, request.Host) {
 			fmt.Fprintf(peer, "HTTP/1.1 %d x\r\nContent-Length: 0\r\n\r\n", status)
 		}
 	}()
@@ -124,7 +141,7 @@
 		},
 		ZoneOf: func(string) string { return "" }, Dial: n.dial,
 	})
-	d.record("b", nil, time.Now())
+	d.record("b", "target", nil, time.Now())
 	for asked := 0; asked < 20; asked++ {
 		before := n.asked["a"] + n.asked["c"]
 		_, err := d.Dial(context.Background(), "target")
@@ -133,3 +150,40 @@
 	}
 	require.Equal(t, 20, n.asked["b"])
 }
+
+// TestTargetThatHangsCostsNoHelper guards against a VM that is cut off and gives up the only one that helps because one target
+// behind it hangs, and against one that goes on asking a VM which is frozen.
+func TestTargetThatHangsCostsNoHelper(t *testing.T) {
+	for name, c := range map[string]struct {
+		silent string
+		served bool
+	}{"one target hangs": {"a/hangs", true}, "the helper is frozen": {"a", false}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := &network{asked: make(map[string]int), carried: make(map[string]int), silent: make(map[string]bool)}
+				d := NewDialer(Options{Peers: func() []Peer { return []Peer{{Name: "a", Address: "a"}} }, ZoneOf: func(string) string { return "" }, Dial: n.dial})
+				dial := func(target string) bool {
+					conn, err := d.Dial(context.Background(), target)
+					if err == nil {
+						conn.Close()
+					}
+					return err == nil
+				}
+				require.True(t, dial("sound"))
+				n.setSilent(c.silent, true)
+				began := time.Now()
+				for range 5 {
+					require.False(t, dial("hangs"))
+					require.Equal(t, c.served, dial("sound"))
+				}
+				if c.served {
+					return
+				}
+				require.LessOrEqual(t, n.asked["a"], 3+int(time.Since(began)/lastResortInterval), "a VM that is frozen is asked again and again")
+				n.setSilent(c.silent, false)
+				time.Sleep(lastResortInterval)
+				require.True(t, dial("sound"), "the only helper is asked soon after it was frozen")
+			})
+		})
+	}
+}
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -26,11 +26,14 @@
 // Error implements error.
 func (e *UnreachableError) Error() string { return e.text }
 
+// ErrSilent marks the error of a process that accepted the connection and did not answer in time: it or the target is silent.
+var ErrSilent = errors.New("no answer in time")
+
 // maxErrorBytes bounds the text of a refusal.
 const maxErrorBytes = 512
 
 // Connect opens a tunnel to the address through the process at host:port via. The error is an *UnreachableError if that
-// process could not reach the address.
+// process could not reach the address, and marked with ErrSilent if ctx ended before it answered.
 func Connect(ctx context.Context, dial Dial, via, address string) (net.Conn, error) {
 	conn, err := dial(ctx, via)
 	if err != nil {
@@ -38,8 +41,8 @@
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	err = handshake(conn, via, address)
-	if !stop() && err == nil {
-		err = ctx.Err()
+	if !stop() {
+		err = errors.Mark(errors.CombineErrors(ctx.Err(), err), ErrSilent)
 	}
 	if err != nil {
 		conn.Close()
