soak: calls at VMs that are cut off count while another VM could carry them

A call no longer counts if each VM that is not cut off was killed, frozen or stopping during that very call; the time after such a fault counts as before.

--- a/internal/stand/soak/cuts.go
+++ b/internal/stand/soak/cuts.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,6 +65,9 @@
 			if c.firstAttempt != "" || c.sentAt.Before(cut.from.Add(contactTime)) || c.endedAt.After(cut.to) || c.disconnected || !h.isJudged(c) {
 				continue
 			}
+			if cut.vms[c.vm] && h.hasNoCarrier(&cut, c) {
+				continue
+			}
 			served := c.complete && c.fromTarget && c.status == http.StatusOK
 			if cut.vms[c.vm] {
 				atCut.add(served)
@@ -83,6 +87,13 @@
 	}
 }
 
+// hasNoCarrier reports whether, during the call, each VM that is not cut off was down, stopping or frozen for some of the time.
+func (h *harness) hasNoCarrier(cut *pathCut, c *call) bool {
+	return !slices.ContainsFunc(h.vms, func(v *vm) bool {
+		return !cut.vms[v.Name] && !h.hasFaultWithin(0, v.Name, c.sentAt, c.endedAt, "vm_kill", "vm_stop", "vm_freeze")
+	})
+}
+
 // isJudged reports whether a call may count for checkCuts: no other fault explains how it ended at its VM.
 func (h *harness) isJudged(c *call) bool {
 	return c.crashCause == "" && c.status != http.StatusUnauthorized && !h.disturbed(c.vm, c.sentAt, c.endedAt) && !h.disturbed(c.vm+"/"+storeSubject, c.sentAt, c.endedAt) &&
