fleet: messages about crashes keep the form that earlier builds read

Cause: added two fields at the end of a message that is encoded as an array. The codec refuses an array of another length, in both directions, and the whole digest with it.

Change: the array is as it was; what is new stands in a field of its own in the digest, whose fields have names and are skipped by builds that don't know them.

Measured: TestEarlierBuildsUnderstandPoisonMessages, with the earlier build's messages written out, fails before ("number of fields in array-encoded struct has changed") and passes both ways.

--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -53,7 +53,9 @@
 	Permit *permitMessage `msgpack:"q,omitempty"`
 	Origin *originMessage `msgpack:"g,omitempty"`
 	Poison *poisonMessage `msgpack:"x,omitempty"`
-	Pause  *pauseMessage  `msgpack:"h,omitempty"`
+	// PoisonAddition belongs to Poison.
+	PoisonAddition poisonAddition `msgpack:"j,omitempty"`
+	Pause          *pauseMessage  `msgpack:"h,omitempty"`
 }
 
 type targetLoads struct {
--- a/internal/fleet/direct.go
+++ b/internal/fleet/direct.go
@@ -64,9 +64,13 @@
 	AgeMillis       int64
 	RemainingMillis int64
 	Failures        int
-	// The fields that follow are missing in messages of earlier versions, which skip them.
-	NamesRequest   bool
-	DurationMillis int64
+}
+
+// poisonAddition holds the fields of a poison.Message that earlier versions do not know. A message that is an array has the
+// same number of fields in all versions: the codec refuses any other.
+type poisonAddition struct {
+	NamesRequest   bool  `msgpack:"n,omitempty"`
+	DurationMillis int64 `msgpack:"d,omitempty"`
 }
 
 // SendPoison sends a message about requests that crash their targets to another VM or, without a name, to all. It does not
@@ -75,20 +79,19 @@
 	packed := poisonMessage{
 		Kind: uint8(message.Kind), Target: message.Target.ID, StartedAt: message.Target.StartedAt, Request: message.Request,
 		AgeMillis: message.Age.Milliseconds(), RemainingMillis: message.Remaining.Milliseconds(), Failures: message.Failures,
-		NamesRequest: message.NamesRequest, DurationMillis: message.Duration.Milliseconds(),
 	}
 	for _, feature := range message.Features {
 		packed.Features = append(packed.Features, uint64(feature))
 	}
 	// VMs that do not know the message take it for a guest digest without loads, which has no effect.
-	f.sendDirect(vm, digest{Guest: true, Poison: &packed})
+	f.sendDirect(vm, digest{Guest: true, Poison: &packed, PoisonAddition: poisonAddition{NamesRequest: message.NamesRequest, DurationMillis: message.Duration.Milliseconds()}})
 }
 
-func (m *poisonMessage) unpack() poison.Message {
+func (m *poisonMessage) unpack(addition poisonAddition) poison.Message {
 	message := poison.Message{
 		Kind: poison.Kind(m.Kind), Target: targetlimit.Incarnation{ID: m.Target, StartedAt: m.StartedAt}, Request: m.Request,
 		Age: time.Duration(m.AgeMillis) * time.Millisecond, Remaining: time.Duration(m.RemainingMillis) * time.Millisecond, Failures: m.Failures,
-		NamesRequest: m.NamesRequest, Duration: time.Duration(m.DurationMillis) * time.Millisecond,
+		NamesRequest: addition.NamesRequest, Duration: time.Duration(addition.DurationMillis) * time.Millisecond,
 	}
 	for _, feature := range m.Features {
 		message.Features = append(message.Features, poison.Feature(feature))
@@ -140,7 +143,7 @@
 		}
 	case received.Poison != nil:
 		if f.options.Poison != nil {
-			f.options.Poison.HandleMessage(received.VM, received.Poison.unpack())
+			f.options.Poison.HandleMessage(received.VM, received.Poison.unpack(received.PoisonAddition))
 		}
 	case received.Pause != nil:
 		f.handlePause(received)
--- a/internal/fleet/direct_test.go
+++ b/internal/fleet/direct_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"godwitcart/internal/origin"
 	"godwitcart/internal/poison"
@@ -36,7 +37,7 @@
 		sent := <-f.direct
 		require.Empty(t, sent.vm, "it is for all VMs")
 		parsed := marshalAndParse(t, sent.digest)
-		require.Equal(t, message, parsed.Poison.unpack())
+		require.Equal(t, message, parsed.Poison.unpack(parsed.PoisonAddition))
 		require.True(t, parsed.Guest)
 		require.Empty(t, parsed.Loads)
 	}
@@ -102,3 +103,40 @@
 	f.SendPause(netip.MustParseAddr("10.0.0.3"), pause)
 	require.Empty(t, f.direct, "no VM has the address")
 }
+
+// earlierDigest is the digest with a message about crashes as the builds up to c669ad0 know it.
+type earlierDigest struct {
+	VM     string                `msgpack:"v"`
+	Guest  bool                  `msgpack:"i,omitempty"`
+	Poison *earlierPoisonMessage `msgpack:"x,omitempty"`
+}
+
+type earlierPoisonMessage struct {
+	//lint:ignore U1000 the codec reads its tag
+	_msgpack        struct{} `msgpack:",as_array"`
+	Kind            uint8
+	Target          string
+	StartedAt       int64
+	Request         uint64
+	Features        []uint64
+	AgeMillis       int64
+	RemainingMillis int64
+	Failures        int
+}
+
+// TestEarlierBuildsUnderstandPoisonMessages guards against blocks and crashes that get lost between builds while VMs are replaced.
+func TestEarlierBuildsUnderstandPoisonMessages(t *testing.T) {
+	f := New(Options{Self: Member{Name: "vm-1"}})
+	f.SendPoison("", poison.Message{Kind: poison.Blocked, Features: []poison.Feature{3}, NamesRequest: true, Remaining: time.Second, Duration: 2 * time.Second, Failures: 1})
+	newer := (<-f.direct).digest
+	sent, err := newer.marshal()
+	require.NoError(t, err)
+	var heard earlierDigest
+	require.NoError(t, msgpack.Unmarshal(sent, &heard))
+	require.Equal(t, &earlierPoisonMessage{Kind: uint8(poison.Blocked), Features: []uint64{3}, RemainingMillis: 1000, Failures: 1}, heard.Poison)
+	sent, err = msgpack.Marshal(&earlierDigest{VM: "vm-2", Guest: true, Poison: &earlierPoisonMessage{Kind: uint8(poison.Crashed), Target: "e", Request: 5, Features: []uint64{3, 4}}})
+	require.NoError(t, err)
+	parsed, err := parseDigest(sent)
+	require.NoError(t, err)
+	require.Equal(t, poison.Message{Kind: poison.Crashed, Target: targetlimit.Incarnation{ID: "e"}, Request: 5, Features: []poison.Feature{3, 4}}, parsed.Poison.unpack(parsed.PoisonAddition))
+}
