soak: roll VMs from an earlier build to this one

Rules that came after the older build bind the VMs that know them (crashing_requests_sent, sound_requests_refused, pause_ignored by address); all others bind both.

--- a/cmd/godwitstand/soak.go
+++ b/cmd/godwitstand/soak.go
@@ -10,15 +10,16 @@
 )
 
 type soakCommand struct {
-	Seed     uint64        `default:"1" help:"Seed of load and faults."`
-	Seconds  float64       `default:"30" help:"How long requests start."`
-	VMs      int           `name:"vms" default:"6" help:"Entry VMs."`
-	Engines  int           `default:"9" help:"Model engines."`
-	Plain    int           `default:"3" help:"Targets of the plain service."`
-	Callers  int           `default:"40" help:"Callers, each with one request at a time."`
-	Slack    time.Duration `default:"800ms" help:"Added to the bounds in time that are checked; above 3s requests without an answer are not judged."`
-	Binaries string        `default:"bin" type:"existingdir" help:"Directory of the programs."`
-	Out      string        `help:"Directory for logs and settings; without it they are kept only when a promise was violated."`
+	Seed       uint64        `default:"1" help:"Seed of load and faults."`
+	Seconds    float64       `default:"30" help:"How long requests start."`
+	VMs        int           `name:"vms" default:"6" help:"Entry VMs."`
+	Engines    int           `default:"9" help:"Model engines."`
+	Plain      int           `default:"3" help:"Targets of the plain service."`
+	Callers    int           `default:"40" help:"Callers, each with one request at a time."`
+	Slack      time.Duration `default:"800ms" help:"Added to the bounds in time that are checked; above 3s requests without an answer are not judged."`
+	Binaries   string        `default:"bin" type:"existingdir" help:"Directory of the programs."`
+	Production string        `name:"production-binaries" type:"existingdir" help:"Directory of the build with which the VMs start before they are replaced one after the other; scripts/soak --production makes it."`
+	Out        string        `help:"Directory for logs and settings; without it they are kept only when a promise was violated."`
 }
 
 // Run prints a soak.Report as one JSON line. It returns an error when the report lists a violation.
@@ -31,7 +32,7 @@
 		return err
 	}
 	report, err := soak.Run(ctx, soak.Options{
-		Binaries: c.Binaries, Directory: directory, Seed: c.Seed, Duration: time.Duration(c.Seconds * float64(time.Second)),
+		Binaries: c.Binaries, ProductionBinaries: c.Production, Directory: directory, Seed: c.Seed, Duration: time.Duration(c.Seconds * float64(time.Second)),
 		VMs: c.VMs, Engines: c.Engines, PlainTargets: c.Plain, Callers: c.Callers, Slack: c.Slack,
 	})
 	if err != nil {
--- a/internal/stand/soak/crashes.go
+++ b/internal/stand/soak/crashes.go
@@ -128,7 +128,7 @@
 	late := 0
 	for _, target := range h.Targets() {
 		for _, arrival := range target.Arrivals() {
-			if c := calls[arrival.ID]; c != nil && c.crashCause == cause && arrival.At.After(from) && !h.disturbed(c.vm, c.sentAt, arrival.At) {
+			if c := calls[arrival.ID]; c != nil && c.crashCause == cause && arrival.At.After(from) && !h.disturbed(c.vm, c.sentAt, arrival.At) && !h.runsProduction(c.vm, c.sentAt) {
 				late++
 			}
 		}
@@ -152,7 +152,7 @@
 	}
 	sound, refused := make(map[string]int), make(map[string]int)
 	for _, c := range h.calls {
-		if c.crashCause == "" && c.sentAt.After(first.Add(contactTime)) {
+		if c.crashCause == "" && c.sentAt.After(first.Add(contactTime)) && !h.runsProduction(c.vm, c.sentAt) {
 			sound[c.kind]++
 			if c.refusedAsCrashing {
 				refused[c.kind]++
--- a/internal/stand/soak/faults.go
+++ b/internal/stand/soak/faults.go
@@ -79,10 +79,10 @@
 	slot := h.slots[subjectIndex%len(h.slots)]
 	switch kind {
 	case "vm_kill", "vm_stop", "vm_freeze", "vm_reload":
-		h.runVMFault(kind, entryVM, duration)
+		h.runVMFault(kind, entryVM, duration, nil)
 	case "rolling_stop":
 		for _, v := range h.vms {
-			h.runVMFault("vm_stop", v, minFaultDuration)
+			h.runVMFault("vm_stop", v, minFaultDuration, nil)
 		}
 	case "store_cut", "store_stall", "store_slow":
 		h.runStoreLinkFault(kind, entryVM, duration)
@@ -154,8 +154,9 @@
 	}
 }
 
-// runVMFault injects a fault of an entry VM's process. A VM that was killed or stopped is restarted.
-func (h *harness) runVMFault(kind string, v *vm, duration time.Duration) {
+// runVMFault injects a fault of an entry VM's process. A VM that was killed or stopped is restarted, after whileDown has
+// been called unless it is nil.
+func (h *harness) runVMFault(kind string, v *vm, duration time.Duration, whileDown func()) {
 	v.FaultMu.Lock()
 	defer v.FaultMu.Unlock()
 	if !v.IsRunning() {
@@ -183,6 +184,9 @@
 	}
 	v.inRotation.Store(false)
 	time.Sleep(min(duration, time.Second))
+	if whileDown != nil {
+		whileDown()
+	}
 	if err := v.Start(context.Background()); err != nil {
 		h.addViolation(Violation{Guarantee: "not_ready_after_start", VM: v.Name, Detail: err.Error()})
 	}
--- a/internal/stand/soak/harness.go
+++ b/internal/stand/soak/harness.go
@@ -35,6 +35,8 @@
 	callerAddress string
 	// address is the IP address that targets see.
 	address string
+	// builds holds which build the VM has run from when on.
+	builds []buildPeriod
 	// storeLink connects the VM to the platform's store, and targetPath to the targets.
 	storeLink  *rig.Link
 	targetPath *rig.Path
@@ -215,6 +217,7 @@
 		LogPath: filepath.Join(h.options.Directory, name+".log"), ReadyURL: "http://" + addresses[1] + platform.PathReady, Spawner: h.spawner,
 	}
 	h.vms = append(h.vms, v)
+	h.useBuild(v, h.options.ProductionBinaries != "")
 	return nil
 }
 
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -21,7 +21,10 @@
 type Options struct {
 	// Binaries is the directory of the programs, Directory where logs and settings are written.
 	Binaries, Directory string
-	Seed                uint64
+	// ProductionBinaries is the directory of the build with which all VMs start before they are replaced, one after the other,
+	// by the one in Binaries; empty if there is no upgrade.
+	ProductionBinaries string
+	Seed               uint64
 	// Duration is the time in which requests are started.
 	Duration time.Duration
 	// VMs, Engines and PlainTargets are the numbers of entry VMs, engines and targets of the plain service. Callers is
@@ -82,6 +85,7 @@
 	for i := range options.Callers {
 		work.Go(func() { h.runCaller(loadCtx, i) })
 	}
+	work.Go(func() { h.runUpgrade(loadCtx, upgradePlan(options.Seed%uint64(upgradePlans))) })
 	h.injectFaults(loadCtx)
 	work.Wait()
 	if err := ctx.Err(); err != nil {
--- a/internal/stand/soak/statements.go
+++ b/internal/stand/soak/statements.go
@@ -94,7 +94,7 @@
 			continue
 		}
 		from, to := refused.At.Add(turnedAwaySlack+h.options.Slack), refused.At.Add(requestedPause)
-		if h.disturbed(c.vm, refused.At, to) || h.disturbed(h.vmAt(refused.From), refused.At, to) || h.hasFaultWithin(contactTime, target.ID, refused.At, to, linkFaultKinds...) {
+		if h.runsProduction(c.vm, refused.At) || h.runsProduction(h.vmAt(refused.From), refused.At) || h.disturbed(c.vm, refused.At, to) || h.disturbed(h.vmAt(refused.From), refused.At, to) || h.hasFaultWithin(contactTime, target.ID, refused.At, to, linkFaultKinds...) {
 			continue
 		}
 		arrived := 0
