fleet: a datagram cannot claim more memory than it holds

What was seen: the new fuzz test of the digests' decoder ended with "out of memory" on its own seed of eight bytes, which state an array of four billion elements.

Any process that reaches the port of the digests could end an entry VM with one datagram.

Change: the bytes are walked once without allocating; what does not hold a whole value is ignored and logged like other bytes that are no digest.

--- a/internal/fleet/builds_test.go
+++ b/internal/fleet/builds_test.go
@@ -71,6 +71,16 @@
 	require.Equal(t, []uint64{3}, parsed.Poison.Features)
 }
 
+// TestDatagramThatClaimsMoreThanItHoldsTakesAllMemory guards against eight bytes that state an array of four billion elements.
+func TestDatagramThatClaimsMoreThanItHoldsTakesAllMemory(t *testing.T) {
+	for _, field := range []byte("mlton") {
+		for _, length := range [][]byte{{0xdd, 0xff, 0xff, 0xff, 0xff}, {0xdf, 0xff, 0xff, 0xff, 0xff}, {0xc6, 0xff, 0xff, 0xff, 0xff}} {
+			_, err := parseDigest(append([]byte{0x81, 0xa1, field}, length...))
+			require.Error(t, err)
+		}
+	}
+}
+
 // FuzzParseDigest checks that no bytes harm the decoder, and that what it accepts can be handled.
 func FuzzParseDigest(f *testing.F) {
 	for _, build := range builds {
--- a/internal/fleet/codec.go
+++ b/internal/fleet/codec.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"bytes"
+
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -52,3 +54,12 @@
 func (m *pauseMessage) DecodeMsgpack(decoder *msgpack.Decoder) error {
 	return decodeArray(decoder, &m.Target, &m.StartedAt, &m.Address, &m.RemainingMillis, &m.ForCarrier)
 }
+
+// checkWhole returns an error unless the bytes hold a whole value. The codec allocates what a stated length needs before it
+// reads the elements, so eight bytes could claim all memory; in a whole value, no length exceeds the bytes.
+func checkWhole(datagram []byte) error {
+	decoder := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(decoder)
+	decoder.Reset(bytes.NewReader(datagram))
+	return decoder.Skip()
+}
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -142,6 +142,9 @@
 func (d *digest) marshal() ([]byte, error) { return msgpack.Marshal(d) }
 
 func parseDigest(datagram []byte) (*digest, error) {
+	if err := checkWhole(datagram); err != nil {
+		return nil, err
+	}
 	var parsed digest
 	err := msgpack.Unmarshal(datagram, &parsed)
 	return &parsed, err
