--- a/internal/policy/route.go
+++ b/internal/policy/route.go
@@ -60,6 +60,13 @@
 	Name string
 	// Engine is nil for plain services.
 	Engine *Engine
+	// ColdPerSecond is the number of requests a second that a cold target takes from all entry VMs together; zero means
+	// that cold targets have no such limit.
+	ColdPerSecond float64
+	// ColdStart is how long a target is cold after a start.
+	ColdStart time.Duration
+	// MaxConnections is the number of connections that a target accepts from all callers; zero means that it is not known.
+	MaxConnections int
 }
 
 // RoutedAccount is a client account of a RouteTable.
--- a/internal/settings/deployment.go
+++ b/internal/settings/deployment.go
@@ -78,6 +78,13 @@
 	// RetryRatio times the requests of the period, plus RetrySlack.
 	RetryRatio float64 `yaml:"retry_ratio"`
 	RetrySlack float64 `yaml:"retry_slack"`
+	// EvacuationMillis bounds the time until a zone in evacuation gets nothing more; zero means that the operators of the
+	// deployment evacuate no zones.
+	EvacuationMillis float64 `yaml:"evacuation_ms"`
+	// ColdOverage and ColdSlack bound what a cold target gets in any second from all entry VMs: ColdOverage times the
+	// requests a second that its service declares for cold targets, plus ColdSlack.
+	ColdOverage float64 `yaml:"cold_overage"`
+	ColdSlack   float64 `yaml:"cold_slack"`
 }
 
 // ConfigurationDelay returns the bound on the time until an accepted configuration is in force.
@@ -86,6 +93,9 @@
 // RevocationDelay returns the bound on how long a revoked key may still be accepted.
 func (b Bounds) RevocationDelay() time.Duration { return millis(b.RevocationMillis) }
 
+// EvacuationDelay returns the bound on the time until a zone in evacuation gets nothing more; zero if there is none.
+func (b Bounds) EvacuationDelay() time.Duration { return millis(b.EvacuationMillis) }
+
 // GracePeriod returns the time between SIGTERM and SIGKILL.
 func (b Bounds) GracePeriod() time.Duration { return millis(b.GraceSeconds * 1000) }
 
@@ -100,6 +110,7 @@
 	defaultGraceSeconds        = 8
 	defaultRetryRatio          = 0.1
 	defaultRetrySlack          = 20
+	defaultColdOverage         = 1
 )
 
 // DefaultDeployment returns the default settings. They lack required values, so CheckDeployment rejects them.
@@ -108,6 +119,7 @@
 		Bounds: Bounds{
 			ConfigurationMillis: defaultConfigurationMillis, RevocationMillis: defaultRevocationMillis,
 			GraceSeconds: defaultGraceSeconds, RetryRatio: defaultRetryRatio, RetrySlack: defaultRetrySlack,
+			ColdOverage: defaultColdOverage,
 		},
 		Log: Log{Level: DefaultLogLevel, Format: "json"},
 	}
@@ -160,6 +172,12 @@
 	if s.Bounds.RetryRatio < 0 || s.Bounds.RetrySlack < 0 {
 		report("bounds.retry_ratio", "the retry budget is negative", "write a ratio and a slack of zero or more")
 	}
+	if s.Bounds.EvacuationMillis < 0 {
+		report("bounds.evacuation_ms", "it is negative", "write the bound in milliseconds, or 0 if no zones are evacuated")
+	}
+	if s.Bounds.ColdOverage < 1 || s.Bounds.ColdSlack < 0 {
+		report("bounds.cold_overage", "cold targets would get less than they take", "write an overage of 1 or more and a slack of 0 or more")
+	}
 	c.checkTokens("operators.tokens", s.Operators.Tokens)
 	return c.problems
 }
--- a/internal/settings/deployment_test.go
+++ b/internal/settings/deployment_test.go
@@ -1,6 +1,7 @@
 package settings_test
 
 import (
+	"maps"
 	"os"
 	"strings"
 	"testing"
@@ -30,6 +31,7 @@
 	"platform.address|json": `"10.200.1.7:8742"`, "limits.memory_mb": "134", "limits.max_fds": "4100",
 	"bounds.config_ms": "2000", "bounds.revoke_ms": "5000", "bounds.grace_s": "8",
 	"bounds.retry_ratio": "0.2", "bounds.retry_slack": "56",
+	"bounds.evacuate_ms": "5000", "bounds.cold_overage": "1.5", "bounds.cold_slack": "5",
 }
 
 // TestDeploymentTemplateRendersValidSettings guards against a template with unknown keys or invalid values, with
@@ -43,6 +45,18 @@
 	require.Equal(t, 5*time.Second, s.Bounds.RevocationDelay())
 	require.Equal(t, 8*time.Second, s.Bounds.GracePeriod())
 	require.Equal(t, 4100, s.Limits.OpenFiles)
+	require.Equal(t, 5*time.Second, s.Bounds.EvacuationDelay())
+	require.Equal(t, []float64{1.5, 5}, []float64{s.Bounds.ColdOverage, s.Bounds.ColdSlack})
+}
+
+// TestDeploymentWithoutBoundsOfEvacuation guards against values that the platform leaves empty.
+func TestDeploymentWithoutBoundsOfEvacuation(t *testing.T) {
+	values := maps.Clone(exampleValues)
+	values["bounds.evacuate_ms"], values["bounds.cold_overage"], values["bounds.cold_slack"] = "", "", ""
+	s, err := settings.ParseDeployment("boot.yaml", []byte(renderTemplate(t, values)))
+	require.NoError(t, err)
+	require.Zero(t, s.Bounds.EvacuationDelay())
+	require.Equal(t, []float64{1, 0}, []float64{s.Bounds.ColdOverage, s.Bounds.ColdSlack})
 }
 
 // TestDeploymentProblemsNameTheSetting checks that the error for each invalid value names its setting.
@@ -56,6 +70,8 @@
 		"no grace":      {"bounds.grace_s", "-1", "bounds.grace_s"},
 		"no port range": {"port_range.0", "99999", "peers.port"},
 		"budget":        {"bounds.retry_ratio", "-0.1", "bounds.retry_ratio"},
+		"evacuation":    {"bounds.evacuate_ms", "-1", "bounds.evacuation_ms"},
+		"cold overage":  {"bounds.cold_overage", "0.5", "bounds.cold_overage"},
 		"not a number":  {"limits.memory_mb", "much", "boot.yaml"},
 	}
 	for name, c := range cases {
