roster, platform: an entry that does not say when its target started makes no new incarnation

One whose start was missing took the known target for a new incarnation, which also freed one that was leaving; one whose start was no number dropped the target. Each key was logged once and remembered for ever, and nothing was counted.

Ruled out: taking such an entry for malformed altogether; the target is listed and would get no work.

Change: the start is a whole number of milliseconds above zero, anything else is marked (ErrUnknownStart): at the known address the entry is about the known incarnation, elsewhere it names no target. Ignored entries are counted, and logged once a second at most.

Measured: unit tests of roster and platform with -race.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -46,7 +46,11 @@
 	return t.ID == other.ID && t.StartedAt == other.StartedAt && t.Address == other.Address
 }
 
-// Decoder decodes an object of the list into a target.
+// ErrUnknownStart marks the error of a Decoder for a target whose entry states no usable StartedAt.
+var ErrUnknownStart = errors.New("the start of the target is not known")
+
+// Decoder decodes an object of the list into a target. With an error marked as ErrUnknownStart the target is valid but
+// for its StartedAt.
 type Decoder func(object.Object) (Target, error)
 
 // Listener receives changes of the list. Its methods are called from one goroutine.
@@ -109,7 +113,7 @@
 	removalsDeferredUntil time.Time
 	lastAnswerAt          time.Time
 	platformLost          bool
-	loggedMalformed       sync.Map
+	ignored               ignoredEntries
 	listed                atomic.Bool
 	peerChanges           chan Target
 	// removed holds recently removed targets, so that an outdated change of a peer does not add them again.
@@ -121,7 +125,7 @@
 
 // NewFollower returns a Follower without targets.
 func NewFollower(options Options) *Follower {
-	return &Follower{options: options, targets: make(map[string]Target), pendingRemovals: make(map[string]time.Time), peerChanges: make(chan Target, maxPeerChanges), removed: make(map[string]Target), saidLeaving: make(map[string]Target)}
+	return &Follower{options: options, targets: make(map[string]Target), pendingRemovals: make(map[string]time.Time), peerChanges: make(chan Target, maxPeerChanges), ignored: newIgnoredEntries(options.Logger), removed: make(map[string]Target), saidLeaving: make(map[string]Target)}
 }
 
 // The sources of a change.
@@ -399,17 +403,6 @@
 
 func (f *Follower) targetID(entry object.Object) string { return entry.Key[len(f.options.Prefix):] }
 
-func (f *Follower) decode(entry object.Object) (Target, bool) {
-	target, err := f.options.Decode(entry)
-	if err == nil {
-		return target, true
-	}
-	if _, logged := f.loggedMalformed.LoadOrStore(entry.Key, entry.Version); !logged {
-		f.options.Logger.Warn("entry of the list of targets ignored", "key", entry.Key, "revision", entry.Version, "error", err)
-	}
-	return Target{}, false
-}
-
 // put stores a target, and calls the listener if an incarnation is leaving or was replaced. A change from the list is
 // also passed to Options.TargetChanged, except during the first list. An incarnation that is leaving stays leaving.
 func (f *Follower) put(target Target, source string) {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -65,6 +65,9 @@
 		return target, errors.Wrap(err, "malformed")
 	}
 	target.ID = strings.TrimPrefix(stored.Key, prefix)
+	if target.StartedAt < 0 {
+		return target, errors.Mark(errors.New("no start"), roster.ErrUnknownStart)
+	}
 	return target, nil
 }
 
@@ -157,6 +160,24 @@
 	})
 }
 
+// TestEntryWithoutStartIsNoNewIncarnation checks that an entry that does not say when its target started neither drops the
+// known target nor makes a new one of one that is leaving.
+func TestEntryWithoutStartIsNoNewIncarnation(t *testing.T) {
+	run(t, nil, func(f *fixture) {
+		f.put("e1", roster.Target{StartedAt: 1, Leaving: true})
+		f.settle(200 * time.Millisecond)
+		for _, id := range []string{"e1", "e2", "e3"} {
+			f.write(id, []byte(`{"StartedAt": -1}`))
+		}
+		f.settle(200 * time.Millisecond)
+		f.put("e1", roster.Target{})
+		f.settle(200 * time.Millisecond)
+		require.Equal(t, []string{"e2"}, f.listener.usable())
+		require.Equal(t, int64(1), f.listener.targets["e1"].StartedAt)
+		require.Equal(t, []string{"e1"}, f.listener.leaving)
+	})
+}
+
 // TestCompactedHistoryIsRelisted checks that the list is read again if the platform has dropped the history of the
 // changes since the last watch, here of a target that started to leave.
 func TestCompactedHistoryIsRelisted(t *testing.T) {
