evacuation: zones are emptied on request

Ruled out: reading on all VMs strictly (each call is priced); a second mechanism beside the digests and the watch of the list.

Change: internal/evacuation follows the objects and keeps the newest state by the store's revision, told in digests under the key ev. placement asks in one place, target.isServing, so that no way leads into the zone; requests placed before are checked again before they are sent, tunnels into the zone are refused. Running streams move as off a leaving target, for half of the bound. Requests without another zone are refused at once, not run. After a zone is taken back each VM returns after its own random time. Off where the settings name no bound.

Tests in the packages' files.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
+	"godwitcart/internal/evacuation"
 	"godwitcart/internal/fleet"
 	"godwitcart/internal/forward"
 	"godwitcart/internal/inforce"
@@ -73,6 +74,9 @@
 	limits    *targetlimit.Ledger
 	origins   *origin.Registry
 	poison    *poison.Registry
+	// evacuations is nil if the settings set no bound for evacuations, and evacuationFollower, which reads them, too.
+	evacuations        *evacuation.Registry
+	evacuationFollower *evacuation.Follower
 	// fleet is nil if the settings name no port for load digests, and tunnels, which serves the other VMs, too.
 	fleet   *fleet.Fleet
 	tunnels *tunnel.Server
@@ -105,12 +109,15 @@
 	e.forwarder = forward.New(forward.Options{
 		Codec: platform.Codec{}, Mover: platform.NewMover(e.client), Poller: e.poller, Table: e.table, Client: e.client,
 		Budget: e.budget, Lengths: lengths.NewEstimator(0), Limits: e.limits, Origins: e.origins, Poison: e.poison, Logger: logger, Trail: e.trail, Zone: s.VM.Zone, Stopping: e.stopping, TargetLeaving: e.recordLeaving, TargetPaused: e.sharePause,
-		MaxConfigurationAge: s.Bounds.ConfigurationDelay(),
+		MaxConfigurationAge: s.Bounds.ConfigurationDelay(), EvacuateWithin: s.Bounds.EvacuationDelay(),
 	})
 	e.follower = roster.NewFollower(roster.Options{
 		Store: e.store, Relaxed: e.store.WithStaleReads(platform.ShortWatchWait), Prefix: platform.TargetsPrefix, Decode: platform.DecodeTarget, Listener: e, Logger: logger,
 		IsReader: e.readsPlatform, IsZoneLeader: e.isZoneLeader, TargetChanged: e.shareTarget,
 	})
+	if s.Bounds.EvacuationDelay() > 0 {
+		e.followEvacuations()
+	}
 	return e
 }
 
@@ -212,6 +219,9 @@
 	group.Go(func() error { return e.poller.Run(ctx) })
 	group.Go(func() error { return e.poison.Run(ctx) })
 	group.Go(func() error { return e.follower.Run(ctx) })
+	if e.evacuationFollower != nil {
+		group.Go(func() error { return e.evacuationFollower.Run(ctx) })
+	}
 	group.Go(func() error {
 		defer cancel()
 		select {
@@ -283,6 +293,8 @@
 		return false, "no configuration is known yet"
 	case !e.follower.HasSynced():
 		return false, "the list of targets has not been read yet"
+	case e.evacuationFollower != nil && !e.evacuationFollower.HasSynced():
+		return false, "the zones in evacuation have not been read yet"
 	default:
 		return true, "ready"
 	}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -87,6 +87,9 @@
 	if e.table.IsPaused(address, time.Now()) {
 		return errors.Mark(errors.Newf("the target at %s has asked this VM for a pause", address), tunnel.ErrNoWay)
 	}
+	if e.table.IsEvacuated(address) {
+		return errors.Mark(errors.Newf("the target at %s is in a zone in evacuation", address), tunnel.ErrNoWay)
+	}
 	if e.draining.Load() {
 		return errors.New("this VM is shutting down")
 	}
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -56,6 +56,8 @@
 	// PoisonAddition belongs to Poison.
 	PoisonAddition poisonAddition `msgpack:"j,omitempty"`
 	Pause          *pauseMessage  `msgpack:"h,omitempty"`
+	// Evacuations are the zones in evacuation as the sender knows them; nil if it knows of none since its start.
+	Evacuations *evacuationState `msgpack:"ev,omitempty"`
 }
 
 type targetLoads struct {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -119,6 +119,8 @@
 	Origins Origins
 	// IsCutOff reports whether this VM reaches no target itself; nil means that it is never cut off.
 	IsCutOff func() bool
+	// Evacuations keeps the zones in evacuation; nil means that digests carry none.
+	Evacuations Evacuations
 	// Poison receives the messages about requests that crash their targets; nil means that they are ignored.
 	Poison Poison
 }
@@ -191,6 +193,9 @@
 	isDeputyReader bool
 	// statusSentAt is when a digest with echoes and the totals of other zones was last sent.
 	statusSentAt time.Time
+	// evacuationsChangedAt is when this VM learned of the last change of the zones in evacuation, and evacuationsSentAt
+	// when it last told them.
+	evacuationsChangedAt, evacuationsSentAt time.Time
 }
 
 // recentChange is a change of a target that this VM announces. sentAt is zero until it has been sent.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -65,6 +65,7 @@
 type vm struct {
 	*fleet.Fleet
 	table         *placement.Table
+	evacuations   *evacuations
 	configuration *configuration
 	mu            sync.Mutex
 	changes       []roster.Target
@@ -87,11 +88,11 @@
 	}
 	vms := make(map[string]*vm)
 	for name, member := range members {
-		v := &vm{address: member.Address.String(), configuration: &configuration{version: 3}, stopped: make(chan struct{})}
+		v := &vm{address: member.Address.String(), configuration: &configuration{version: 3}, evacuations: &evacuations{}, stopped: make(chan struct{})}
 		v.table = placement.NewTable(placement.Options{Self: placement.Sender{VM: name, Zone: member.Zone}})
 		v.table.ReplaceTargets(map[string]roster.Target{"e1": {ID: "e1", Service: "drafter", Slots: 24, Zone: "a"}}, time.Now())
 		v.Fleet = fleet.New(fleet.Options{
-			Self: member, Table: v.table, Configuration: v.configuration, Conn: conns[name], Logger: log.New(io.Discard), InForceWithin: 4 * time.Second,
+			Self: member, Table: v.table, Configuration: v.configuration, Conn: conns[name], Logger: log.New(io.Discard), InForceWithin: 4 * time.Second, Evacuations: v.evacuations,
 			SizeChanged:   func(size fleet.Size) { v.mu.Lock(); defer v.mu.Unlock(); v.size = size },
 			TargetChanged: func(target roster.Target) { v.mu.Lock(); defer v.mu.Unlock(); v.changes = append(v.changes, target) },
 		})
--- a/internal/fleet/send.go
+++ b/internal/fleet/send.go
@@ -30,8 +30,9 @@
 	}
 	f.addDueChanges(&out, now)
 	f.addLimits(&out, reader, now)
-	zoneTotal := out // copied before the status is added, which is only for local recipients
 	hasStatus := reader && now.Sub(f.statusSentAt) >= statusInterval
+	f.addEvacuations(&out, hasStatus, now)
+	zoneTotal := out // copied before the status is added, which is only for local recipients
 	if hasStatus {
 		f.statusSentAt = now
 		f.addStatus(&out)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -160,7 +160,7 @@
 	lease.CountSend(sentAt)
 	check := func() error { return lease.CheckLapsed(time.Now()) }
 	if attempt.From != nil {
-		check = func() error { return nil } // the generation would be lost
+		check = func() error { return lease.CheckEvacuated(time.Now()) } // the generation would be lost
 	}
 	response, err := x.options.Client.DoIf(ctx, lease.Target.Address, request, x.call.Body, freshConnection, check)
 	if err != nil {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -52,6 +52,8 @@
 	// MaxConfigurationAge is the maximum age of the configuration's last confirmation at which an unknown route or key
 	// is denied. After that the request is refused as unavailable, since a newer configuration may allow it.
 	MaxConfigurationAge time.Duration
+	// EvacuateWithin is the time in which a zone in evacuation gets its last request; zero means that no zones are evacuated.
+	EvacuateWithin time.Duration
 }
 
 // Stop is a graceful shutdown in progress.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -340,6 +340,8 @@
 		s.gaps = smoothed{}
 		if s.options.Table.IsLeaving(lease.Target) {
 			go s.evacuate(lease.Target, now, func() {})
+		} else if since, evacuated := s.options.Table.EvacuatedSince(lease.Target); evacuated {
+			go s.evacuate(lease.Target, since, func() {})
 		}
 		if s.events > 1 {
 			s.metrics.resumeGap.Update(int64(now.Sub(s.lastEventAt)))
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -52,7 +52,7 @@
 	return streams
 }
 
-// Evacuate moves the running generations off a target that is leaving. It does not wait for them.
+// Evacuate moves the running generations off a target that is leaving or whose zone is in evacuation. It does not wait for them.
 func (f *Forwarder) Evacuate(leaving roster.Target) {
 	streams := f.streams.ofTarget(leaving.ID)
 	if len(streams) > 0 {
@@ -237,6 +237,9 @@
 	maxOverlap = 250 * time.Millisecond
 	// moveTimeout bounds a move. Engines in a planned replacement keep running for longer than minNoticeTime.
 	moveTimeout = 6 * time.Second
+	// evacuationMoveShare is the part of the bound of an evacuation in which generations move. The rest is left for the
+	// time until this VM learned of it.
+	evacuationMoveShare = 0.5
 	// maxMoveTurn is how long one move may hold up the next ones of this VM. A copy takes a third of it on a free link.
 	maxMoveTurn = 600 * time.Millisecond
 	// turnCheckInterval is the time between two checks whether the moves of other VMs are complete.
@@ -259,7 +262,7 @@
 // generation, copies the rest and returns the continuation. It returns nil if the generation stays at its source. It calls
 // blocked when no target has room, or when the source does not run the generation.
 func (s *stream) move(leaving roster.Target, noticedAt time.Time, blocked func()) *continuation {
-	ctx, cancel := context.WithTimeout(s.ctx, moveTimeout)
+	ctx, cancel := context.WithTimeout(s.ctx, s.moveTimeout(leaving, noticedAt))
 	defer cancel()
 	excluded := []string{leaving.ID}
 	for ctx.Err() == nil && s.isServedBy(leaving) {
@@ -290,7 +293,7 @@
 			blocked()
 			pause.For(ctx, moveRetryDelay)
 		case result.KVCache.Handle != "": // stopped for the final copy, which was refused
-			return s.resumeAtSource(leaving, result.KVCache)
+			return s.resumeAfterRefusal(leaving, lease.Target, result.KVCache)
 		default:
 			excluded = append(excluded, lease.Target.ID)
 		}
@@ -336,6 +339,32 @@
 	return s.response != nil && s.lease.Target.SameIncarnation(target)
 }
 
+// moveTimeout bounds a move that begins now. A generation at a target of a zone in evacuation may stay where it runs, so it
+// moves only while the zone is still being emptied.
+func (s *stream) moveTimeout(source roster.Target, noticedAt time.Time) time.Duration {
+	if _, evacuated := s.options.Table.EvacuatedSince(source); evacuated && !s.options.Table.IsLeaving(source) {
+		return time.Until(noticedAt.Add(time.Duration(evacuationMoveShare * float64(s.options.EvacuateWithin))))
+	}
+	return moveTimeout
+}
+
+// resumeAfterRefusal continues a generation that was stopped and whose last copy was refused: at its source or, where that
+// may get no request, at another target, which reads what it lacks from the source. It returns nil if there is none.
+func (s *stream) resumeAfterRefusal(source, refused roster.Target, cache KVCacheRef) *continuation {
+	if _, evacuated := s.options.Table.EvacuatedSince(source); !evacuated {
+		return s.resumeAtSource(source, cache)
+	}
+	query := s.transferQuery(source)
+	query.Excluded = []string{source.ID, refused.ID}
+	query.Move = true
+	lease, err := s.options.Table.Pick(query, time.Now())
+	if err != nil {
+		s.recordMoveFailure(source, "", err, "stopped", true)
+		return nil
+	}
+	return &continuation{lease: lease, from: &cache}
+}
+
 // resumeAtSource continues at the source after the generation was stopped there and could not be copied.
 func (s *stream) resumeAtSource(leaving roster.Target, cache KVCacheRef) *continuation {
 	lease := s.options.Table.ReserveLeaving(leaving, s.query(), time.Now())
@@ -349,6 +378,9 @@
 
 // freeMemory frees a copy of the KV cache that is not needed. It is best effort: the engine frees it later anyway.
 func (s *stream) freeMemory(cache KVCacheRef) {
+	if s.options.Table.IsEvacuated(cache.Address) {
+		return // the engine may get no call
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
 	if err := s.options.Mover.Free(ctx, cache); err != nil {
--- a/internal/placement/lapse.go
+++ b/internal/placement/lapse.go
@@ -11,11 +11,14 @@
 const maxSendDelay = time.Second
 
 // CheckLapsed returns an error if the reservation no longer permits to send the request: since it was made, the target has
-// said that it is leaving or asked for a pause, or the permit to send has run out. Connecting takes time, and the process may
+// said that it is leaving or asked for a pause, its zone is in evacuation, or the permit to send has run out. Connecting takes time, and the process may
 // have been suspended.
 func (l *Lease) CheckLapsed(now time.Time) error {
 	l.table.mu.Lock()
 	defer l.table.mu.Unlock()
+	if err := l.evacuatedError(now); err != nil {
+		return err
+	}
 	switch {
 	case l.target.leaving && !l.wasLeaving:
 		return errors.Newf("target %s has begun to leave since it was chosen", l.Target.ID)
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -109,6 +109,9 @@
 		if paused := t.pausedTargets(s, q, now); paused != nil {
 			return nil, paused
 		}
+		if evacuated := t.evacuatedTargets(s, q, now); evacuated != nil {
+			return nil, evacuated
+		}
 	}
 	if best == nil && candidates > 0 {
 		return nil, apierror.Newf(apierror.KindOverloaded, "come back after the time given",
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -113,7 +113,12 @@
 
 // acceptsAfterPause is accepts for a target that may want no requests for a time.
 func (q *Query) acceptsAfterPause(t *target, now time.Time) bool {
-	return t.isServing(now) && !slices.Contains(q.Excluded, t.ID) && (!q.VersionFixed || t.Version == q.Version)
+	return t.isServing(now) && q.fits(t)
+}
+
+// fits reports whether the query names no reason against the target.
+func (q *Query) fits(t *target) bool {
+	return !slices.Contains(q.Excluded, t.ID) && (!q.VersionFixed || t.Version == q.Version)
 }
 
 // Outcome is how a request ended at its target.
@@ -168,6 +173,8 @@
 	zoneAggregates int
 	// departedPauses holds the targets that left the list during a pause, by id.
 	departedPauses map[string]*target
+	// evacuations holds the zones in evacuation, and those that this VM does not choose again yet.
+	evacuations map[string]*zoneEvacuation
 	// capacityChanged is closed and replaced when capacity may have become free.
 	capacityChanged chan struct{}
 }
@@ -198,6 +205,8 @@
 	peerLoad Load
 	health   health
 	pause    requestedPause
+	// evacuation is that of the target's zone; nil for none.
+	evacuation *zoneEvacuation
 	// slowStartUntil is when the target has warmed up after its start.
 	slowStartUntil time.Time
 }
@@ -231,6 +240,7 @@
 		onLoadChange:    options.OnLoadChange,
 		peerLoads:       make(map[Sender]peerReport),
 		departedPauses:  make(map[string]*target),
+		evacuations:     make(map[string]*zoneEvacuation),
 		capacityChanged: make(chan struct{}),
 	}
 }
@@ -250,6 +260,7 @@
 		}
 		current.leaving = current.leaving || entry.Leaving
 		current.Target = entry
+		current.evacuation = t.evacuations[entry.Zone]
 	}
 	for id, current := range t.targets {
 		if _, found := listed[id]; !found {
@@ -332,4 +343,9 @@
 }
 
 // isServing reports whether the target takes work, unless it wants none for a time.
-func (t *target) isServing(now time.Time) bool { return !t.leaving && t.health.available(now) }
+func (t *target) isServing(now time.Time) bool {
+	return t.isServingInService(now) && !t.evacuation.blocks(now)
+}
+
+// isServingInService is isServing for a target whose zone may be in evacuation.
+func (t *target) isServingInService(now time.Time) bool { return !t.leaving && t.health.available(now) }
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -52,6 +52,9 @@
 		if lease != nil {
 			return lease, nil
 		}
+		if evacuated := (*evacuationError)(nil); errors.As(err, &evacuated) {
+			return nil, err
+		}
 		var limited *limitError
 		isLimited := errors.As(err, &limited)
 		if isLimited && !limited.inTime(maxWait-time.Since(started)) {
@@ -100,6 +103,9 @@
 	if paused := t.pausedTargets(s, q, now); paused != nil && !t.hasCandidate(s, q, now) && paused.end.Sub(now) > maxWait {
 		return nil, nil, paused
 	}
+	if evacuated := t.evacuatedTargets(s, q, now); evacuated != nil {
+		return nil, nil, evacuated
+	}
 	if expected := s.queueOf(q).expectedWait(ahead); expected > maxWait {
 		return nil, nil, apierror.Newf(apierror.KindOverloaded, "come back after the time given",
 			"%d requests wait for room at service %q, about %d ms, before this one of %d tokens", ahead, q.Service, expected.Milliseconds(), q.memory())
