soak: evacuate zones, and judge what reaches their targets

Change: the fault zone_evacuated puts the operator's entry into the store for seven seconds or more and takes it back; the check evacuated_zone_used counts requests at targets of the zone later than the bound, but for VMs that were disturbed or run the build in production, and outages of the store. Builds from before the setting get a settings file without it.

--- a/internal/stand/soak/faults.go
+++ b/internal/stand/soak/faults.go
@@ -50,7 +50,7 @@
 	"store_down", "store_forgets", "target_stall", "target_answers_stall", "target_slow", "target_reset", "target_cut",
 	"target_leaves", "target_leaves", "target_leaves", "copies_refused", "target_fails", "target_fails", "revoke", "versions", "rolling_stop",
 	"target_limits", "target_limits", "roll", "target_says_leaving", "target_says_leaving", "target_turns_away", "target_turns_away",
-	"part_crashes", "part_crashes", "part_crashes", "request_crashes", "request_crashes", "request_crashes", "target_cut_vms", "target_cut_vms", "target_cut_vms", "targets_brittle", "targets_brittle",
+	"part_crashes", "part_crashes", "part_crashes", "request_crashes", "request_crashes", "request_crashes", "target_cut_vms", "target_cut_vms", "target_cut_vms", "targets_brittle", "targets_brittle", "zone_evacuated", "zone_evacuated",
 }
 
 // injectFaults injects random faults, which may overlap, and returns when all have ended.
@@ -121,6 +121,8 @@
 		h.cutTargetPaths(subjectIndex, duration)
 	case "targets_brittle":
 		h.runBrittle(subjectIndex, duration)
+	case "zone_evacuated":
+		h.evacuateZone(subjectIndex, duration)
 	case "part_crashes":
 		h.partCrashes.Store(true) // until the end of the run
 	case "request_crashes":
--- a/internal/stand/soak/harness.go
+++ b/internal/stand/soak/harness.go
@@ -66,6 +66,8 @@
 	targetCount atomic.Int64
 	// brittleMu is held while targets are brittle, and cutMu while VMs are cut off from all targets: never all of them.
 	brittleMu, cutMu sync.Mutex
+	// evacuationMu is held while a zone is in evacuation.
+	evacuationMu sync.Mutex
 	// partCrashes is set once callers send prompts with crashingPart, and requestCrashes once they repeat requests under which
 	// targets crash.
 	partCrashes, requestCrashes atomic.Bool
@@ -84,6 +86,7 @@
 	pathCuts        []pathCut
 	checkedCutCalls int
 	brittleTimes    []brittleTime
+	evacuations     []evacuation
 	violations      []Violation
 }
 
@@ -198,7 +201,6 @@
 	}
 	v.callerAddress = addresses[0]
 	name := fmt.Sprintf("vm-%d", i+1)
-	file := filepath.Join(h.options.Directory, name+".yaml")
 	text := fmt.Sprintf(`vm: {name: %s, zone: %s, region: region, address: %s}
 callers: {listen: "%s"}
 readiness: {listen: "%s"}
@@ -206,14 +208,18 @@
 peers: {port: %s}
 platform: {address: "%s"}
 targets: {proxy: "%s"}
-bounds: {configuration_ms: %d, revocation_ms: %d, grace_s: %g, retry_ratio: 0.2, retry_slack: 100}
+bounds: {configuration_ms: %d, revocation_ms: %d, grace_s: %g, retry_ratio: 0.2, retry_slack: 100%%s}
 `, name, v.zone, address, addresses[0], addresses[1], addresses[2], portOf(digestAddress), link.Address, path.Address,
 		configurationBound.Milliseconds(), revocationBound.Milliseconds(), graceBound.Seconds())
-	if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
-		return errors.Wrap(err, "write settings")
+	// Builds that came before the bounds on evacuations refuse settings with them.
+	bounds := map[bool]string{true: "", false: fmt.Sprintf(", evacuation_ms: %d", evacuationBound.Milliseconds())}
+	for isProduction, added := range bounds {
+		if err := os.WriteFile(h.settingsFile(name, isProduction), fmt.Appendf(nil, text, added), 0o644); err != nil {
+			return errors.Wrap(err, "write settings")
+		}
 	}
 	v.Program = &rig.Program{
-		Name: name, Path: filepath.Join(h.options.Binaries, "godwitcartd"), Args: []string{"--deployment", "--settings", file},
+		Name:    name,
 		LogPath: filepath.Join(h.options.Directory, name+".log"), ReadyURL: "http://" + addresses[1] + platform.PathReady, Spawner: h.spawner,
 	}
 	h.vms = append(h.vms, v)
--- a/internal/stand/soak/roll.go
+++ b/internal/stand/soak/roll.go
@@ -40,11 +40,20 @@
 		directory = h.options.ProductionBinaries
 	}
 	v.Path = filepath.Join(directory, "godwitcartd")
+	v.Args = []string{"--deployment", "--settings", h.settingsFile(v.Name, isProduction)}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	v.builds = append(v.builds, buildPeriod{from: time.Now(), isProduction: isProduction})
 }
 
+// settingsFile returns the path of the VM's settings for a build.
+func (h *harness) settingsFile(vm string, isProduction bool) string {
+	if isProduction {
+		vm += "-production"
+	}
+	return filepath.Join(h.options.Directory, vm+".yaml")
+}
+
 // runUpgrade replaces the VMs one after the other by the build under test, beside all other faults, as far as the plan and the
 // time go.
 func (h *harness) runUpgrade(ctx context.Context, plan upgradePlan) {
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -99,6 +99,7 @@
 	h.checkCrashes()
 	h.checkCuts()
 	h.checkFalls()
+	h.checkEvacuations()
 	if err := h.checkLogs(); err != nil {
 		return nil, err
 	}
