targetlimit: VMs take turns at cold targets

Where a service declares how many requests a second a cold target takes, each VM of the directory has turns of its own, spread over time by its place. No message is needed in the short time that a target is cold. Without the declaration nothing changes.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -71,6 +71,7 @@
 	client    *upstream.Client
 	trail     *trail.Recorder
 	limits    *targetlimit.Ledger
+	cold      *targetlimit.ColdTargets
 	origins   *origin.Registry
 	poison    *poison.Registry
 	// fleet is nil if the settings name no port for load digests, and tunnels, which serves the other VMs, too.
@@ -93,7 +94,8 @@
 	e.client = e.newClient(s)
 	e.settings.Store(s)
 	e.store = platform.NewStore(s.Platform.Address, platform.ShortWatchWait)
-	e.limits = targetlimit.NewLedger(targetlimit.Options{VM: s.VM.Name, Logger: logger, Changed: e.sendDigestNow, Transmit: e.transmitPermit, PermitAvailable: e.retryWaiting, Capacity: e.capacityOf})
+	e.cold = e.newColdTargets(s)
+	e.limits = targetlimit.NewLedger(targetlimit.Options{VM: s.VM.Name, Logger: logger, Changed: e.sendDigestNow, Transmit: e.transmitPermit, PermitAvailable: e.retryWaiting, Capacity: e.capacityOf, Cold: e.cold})
 	e.table = placement.NewTable(placement.Options{Self: placement.Sender{VM: s.VM.Name, Zone: s.VM.Zone}, OnLoadChange: e.sendDigestNow, Limits: e.limits, Seed: nameSeed(s.VM.Name)})
 	e.origins = origin.NewRegistry(origin.Options{VM: s.VM.Name, VMs: e.entryVMs, Transmit: e.transmitOrigin})
 	e.poison = poison.NewRegistry(poison.Options{VM: s.VM.Name, VMs: e.entryVMNames, Broadcast: e.broadcastPoison, Send: e.transmitPoison, Logger: logger})
@@ -109,7 +111,7 @@
 	})
 	e.follower = roster.NewFollower(roster.Options{
 		Store: e.store, Relaxed: e.store.WithStaleReads(platform.ShortWatchWait), Prefix: platform.TargetsPrefix, Decode: platform.DecodeTarget, Listener: e, Logger: logger,
-		IsReader: e.readsPlatform, IsZoneLeader: e.isZoneLeader, TargetChanged: e.shareTarget,
+		IsReader: e.readsPlatform, IsZoneLeader: e.isZoneLeader, TargetChanged: e.shareTarget, TargetCold: e.recordCold,
 	})
 	return e
 }
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -23,6 +23,7 @@
 	s := e.settings.Load()
 	if s.Peers.Port == 0 {
 		e.limits.SetCoordination(targetlimit.Elect(s.VM.Name, nil, 1), time.Now())
+		e.cold.SetVMs(s.VM.Name, []string{s.VM.Name})
 		return nil
 	}
 	ownAddress, err := netip.ParseAddr(s.VM.Address)
@@ -42,7 +43,7 @@
 	if err := e.startTunnels(ctx, group, address.String()); err != nil {
 		return err
 	}
-	directory := &fleet.Directory{Store: e.store.WithStaleReads(platform.LongWatchWait), Self: self, Logger: e.logger, Changed: e.fleet.SetMembers}
+	directory := &fleet.Directory{Store: e.store.WithStaleReads(platform.LongWatchWait), Self: self, Logger: e.logger, Changed: e.setMembers}
 	group.Go(func() error { return directory.Run(ctx) })
 	group.Go(func() error { return e.fleet.Run(ctx) })
 	return nil
--- a/internal/fleet/send.go
+++ b/internal/fleet/send.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"godwitcart/internal/placement"
+	"godwitcart/internal/roster"
 )
 
 // send sends a digest to the local recipients, and in a large fleet a guest digest to each zone in which this VM has
@@ -68,11 +69,18 @@
 		change := &f.changes[i]
 		if now.Sub(change.sentAt) >= changeRepeatInterval {
 			change.sentAt = now
-			out.addChange(change.target)
+			out.addChange(change.current(now))
 		}
 	}
 }
 
+// current returns the changed target with what remains of its time to warm up.
+func (c *recentChange) current(now time.Time) roster.Target {
+	target := c.target
+	target.WarmupRemaining = max(target.WarmupRemaining-now.Sub(c.recordedAt), 0)
+	return target
+}
+
 // addStatus adds what a reader tells its zone besides the loads. The caller holds mu.
 func (f *Fleet) addStatus(out *digest) {
 	out.Echoes = make(map[uint32]uint32, len(f.peers))
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -18,6 +18,10 @@
 	IsLimited(target roster.Target) bool
 	// NamesLimit reports whether the target has named a limit. Other targets that need permits take transfers without.
 	NamesLimit(target roster.Target) bool
+	// IsCold reports whether the target has just started, or has become cold again, and takes few requests for a time.
+	IsCold(target roster.Target, now time.Time) bool
+	// Unreachable records that the target could not be reached and gets no requests of this VM until the given time.
+	Unreachable(target roster.Target, until, now time.Time)
 	// IsBrittle reports whether the target says that it falls over when it has to turn requests away.
 	IsBrittle(target roster.Target) bool
 	// Ask asks for a permit at the target. A request is urgent if no other target can take it; it needs the permit within
@@ -26,7 +30,7 @@
 	// Wait returns the time until a permit at the target is expected, and whether asking is pointless until then.
 	Wait(target roster.Target, now time.Time) (wait time.Duration, refused bool)
 	// MaxWaiting returns how many requests of this VM may wait for permits at the target.
-	MaxWaiting(target roster.Target) int
+	MaxWaiting(target roster.Target, now time.Time) int
 	// Describe returns the limit and its source for log lines; empty if the target has none.
 	Describe(target roster.Target, now time.Time) string
 }
@@ -41,7 +45,9 @@
 func (unlimited) IsBrittle(roster.Target) bool                        { return false }
 func (unlimited) Ask(roster.Target, bool, time.Duration, time.Time)   {}
 func (unlimited) Wait(roster.Target, time.Time) (time.Duration, bool) { return 0, false }
-func (unlimited) MaxWaiting(roster.Target) int                        { return 0 }
+func (unlimited) MaxWaiting(roster.Target, time.Time) int             { return 0 }
+func (unlimited) IsCold(roster.Target, time.Time) bool                { return false }
+func (unlimited) Unreachable(roster.Target, time.Time, time.Time)     {}
 func (unlimited) Describe(target roster.Target, now time.Time) string { return "" }
 
 // minPermitRetryAfter is the least Retry-After of a request for which no target has a permit.
@@ -62,12 +68,22 @@
 // Unwrap returns the error for the caller.
 func (e *limitError) Unwrap() error { return e.cause }
 
+// needsPermit reports whether requests to the target need permits, or turns while it is cold.
+func (t *Table) needsPermit(candidate *target, now time.Time) bool {
+	return t.limits.IsLimited(candidate.Target) || t.limits.IsCold(candidate.Target, now)
+}
+
+// takesNoTransfers reports whether the target is in need or cold: moves and copies to it could not wait for permits.
+func (t *Table) takesNoTransfers(candidate *target, now time.Time) bool {
+	return t.limits.NamesLimit(candidate.Target) || t.limits.IsCold(candidate.Target, now)
+}
+
 // limitedTarget returns the error for a request that only targets with a request limit could take, or nil if there is
 // none. It names the target where a permit is expected first.
 func (t *Table) limitedTarget(s *service, q *Query, now time.Time) *limitError {
 	var found *limitError
 	for _, candidate := range s.targets {
-		if !t.limits.IsLimited(candidate.Target) || !q.accepts(candidate, now) || !t.hasCapacity(s, candidate, q) {
+		if !t.needsPermit(candidate, now) || !q.accepts(candidate, now) || !t.hasCapacity(s, candidate, q) {
 			continue
 		}
 		wait, refused := t.limits.Wait(candidate.Target, now)
--- a/internal/placement/limits_test.go
+++ b/internal/placement/limits_test.go
@@ -58,7 +58,11 @@
 
 func (p *permits) IsBrittle(target roster.Target) bool { return p.brittle && p.IsLimited(target) }
 
-func (p *permits) MaxWaiting(roster.Target) int { return 4 }
+func (p *permits) MaxWaiting(roster.Target, time.Time) int { return 4 }
+
+func (p *permits) IsCold(roster.Target, time.Time) bool { return false }
+
+func (p *permits) Unreachable(roster.Target, time.Time, time.Time) {}
 
 func (p *permits) Describe(roster.Target, time.Time) string { return "" }
 
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -211,8 +211,8 @@
 // drawTransferTarget picks the engine that receives the memory of a generation, at random and weighted by free
 // memory. When an engine leaves, many VMs choose at the same moment from the same view; always choosing the engine
 // with the most free memory would overfill it. Each engine replaces the one drawn before it with the probability
-// weight/total, so that one pass draws in proportion to the weights. Engines that name a request limit are in need and
-// receive no transfers.
+// weight/total, so that one pass draws in proportion to the weights. Engines that name a request limit are in need, and
+// they and cold ones receive no transfers.
 func (t *Table) drawTransferTarget(s *service, q *Query, now time.Time) (drawn *target, candidates int) {
 	if q.Copy && s.memoryUse(q, now) > copyMemoryLimit {
 		return nil, len(s.targets)
@@ -224,7 +224,7 @@
 		}
 		candidates++
 		weight := candidate.transferWeight(q)
-		if weight <= 0 || candidate.Missing || t.limits.NamesLimit(candidate.Target) {
+		if weight <= 0 || candidate.Missing || t.takesNoTransfers(candidate, now) {
 			continue
 		}
 		total += weight
@@ -274,7 +274,7 @@
 	defer t.mu.Unlock()
 	q.Excluded = nil // a target that failed an earlier attempt still holds the memory
 	current := t.targets[wanted.ID]
-	if current == nil || !current.SameIncarnation(wanted) || !q.accepts(current, now) || !q.Copy && t.limits.NamesLimit(current.Target) && !t.limits.MayTake(current.Target, now) {
+	if current == nil || !current.SameIncarnation(wanted) || !q.accepts(current, now) || !q.Copy && t.takesNoTransfers(current, now) && !t.limits.MayTake(current.Target, now) {
 		return nil, false
 	}
 	return t.reserve(current, &q, now, 1), true
@@ -387,6 +387,9 @@
 		l.table.onLoadChange() // other VMs wait for their turn to move generations off the target, or for its free slot
 	}
 	l.target.health.record(outcome, now)
+	if outcome == Unreachable {
+		l.table.limits.Unreachable(l.Target, l.target.health.blockedUntil, now)
+	}
 	if outcome == Answered {
 		l.target.pause.unanswered = false
 		l.target.service.recordServiceTime(now.Sub(l.sentAt))
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -120,7 +120,7 @@
 // enqueueForPermit asks for a permit at the limited target and returns a waiter, or the error if no permit is expected
 // within maxWait. The wait for a permit does not depend on earlier waits for capacity. The caller holds the lock.
 func (t *Table) enqueueForPermit(s *service, q *Query, limited *limitError, ahead int, maxWait time.Duration, now time.Time) (*Lease, *waiter, error) {
-	if ahead >= t.limits.MaxWaiting(limited.target.Target) || !limited.inTime(maxWait) {
+	if ahead >= t.limits.MaxWaiting(limited.target.Target, now) || !limited.inTime(maxWait) {
 		return nil, nil, limited
 	}
 	t.limits.Ask(limited.target.Target, true, maxWait, now)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -80,6 +80,9 @@
 	// TargetChanged is called with each change that this VM reads from the platform after the first list. It may be
 	// nil.
 	TargetChanged func(Target)
+	// TargetCold is called with each entry that states that its target is cold, before the Listener learns of it, and reports
+	// whether that limits requests, so that peers must know. It may be nil.
+	TargetCold func(Target) bool
 }
 
 const (
@@ -356,6 +359,7 @@
 func (f *Follower) applyPeerChange(target Target) bool {
 	known, found := f.targets[target.ID]
 	if found && known.SameIncarnation(target) && (known.Leaving || !target.Leaving) {
+		f.recordCold(target)
 		return false
 	}
 	if found && !known.SameIncarnation(target) && target.StartedAt <= known.StartedAt {
@@ -368,6 +372,11 @@
 	return true
 }
 
+// recordCold passes on that a target is cold, if it is, and reports whether that limits requests.
+func (f *Follower) recordCold(target Target) bool {
+	return target.WarmupRemaining > 0 && f.options.TargetCold != nil && f.options.TargetCold(target)
+}
+
 // withRemovalDeadline sets a deadline on the context of a watch, so that the watch ends when the first pending removal
 // is due. The store limits its waiting time to the deadline of the context.
 func (f *Follower) withRemovalDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
@@ -424,7 +433,8 @@
 		target.Version = previous.Version
 	}
 	f.targets[target.ID] = target
-	if changed := !sameIncarnation || target.Leaving && !previous.Leaving; changed && source == sourceList && f.listed.Load() && f.options.TargetChanged != nil {
+	becameCold := f.recordCold(target) && target.WarmupRemaining > previous.WarmupRemaining
+	if changed := !sameIncarnation || target.Leaving && !previous.Leaving || becameCold; changed && source == sourceList && f.listed.Load() && f.options.TargetChanged != nil {
 		f.options.TargetChanged(target)
 	}
 	if known && !sameIncarnation {
--- a/internal/targetlimit/ledger.go
+++ b/internal/targetlimit/ledger.go
@@ -81,6 +81,8 @@
 	// Capacity estimates how many requests a second a target takes; nil means that it cannot be told. It is called without
 	// a lock held.
 	Capacity func(target Incarnation) float64
+	// Cold limits the requests to cold targets; nil means that cold targets have no limit.
+	Cold *ColdTargets
 }
 
 // Ledger holds what one VM knows about the limits of targets. It is safe for concurrent use.
@@ -264,6 +266,7 @@
 // Retain drops the limits of incarnations that have restarted or are no longer listed, and ends of limits that are no
 // longer needed.
 func (l *Ledger) Retain(listed map[string]roster.Target, now time.Time) {
+	l.options.Cold.Retain(listed, now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for target, known := range l.limits {
--- a/internal/targetlimit/permits.go
+++ b/internal/targetlimit/permits.go
@@ -64,8 +64,13 @@
 }
 
 // MayTake reports whether a request may be sent to the target now: it has no limit, or this VM has a permit there. The
-// coordinator has those that are saved up beyond what an urgent request of another VM may need.
+// coordinator has those that are saved up beyond what an urgent request of another VM may need. At a cold target, it must
+// be this VM's turn.
 func (l *Ledger) MayTake(target roster.Target, now time.Time) bool {
+	return l.options.Cold.mayTake(target, now) && l.hasPermit(target, now)
+}
+
+func (l *Ledger) hasPermit(target roster.Target, now time.Time) bool {
 	if !l.Active() {
 		return true
 	}
@@ -82,6 +87,16 @@
 // NamesLimit reports whether the target has named a limit.
 func (l *Ledger) NamesLimit(target roster.Target) bool { return l.statementInForce(target).Limited }
 
+// IsCold reports whether the target is cold and has a limit for that time.
+func (l *Ledger) IsCold(target roster.Target, now time.Time) bool {
+	return l.options.Cold.isCold(target, now)
+}
+
+// Unreachable records that the target could not be reached and gets no requests of this VM until the given time.
+func (l *Ledger) Unreachable(target roster.Target, until, now time.Time) {
+	l.options.Cold.Unreachable(target, until, now)
+}
+
 // IsBrittle reports whether the target says that it is brittle.
 func (l *Ledger) IsBrittle(target roster.Target) bool { return l.statementInForce(target).Brittle > 0 }
 
@@ -105,6 +120,7 @@
 
 // Take counts a request that is sent to the target, also if there is no permit for it.
 func (l *Ledger) Take(target roster.Target, now time.Time) {
+	l.options.Cold.take(target, now)
 	if !l.Active() {
 		return
 	}
@@ -157,6 +173,9 @@
 
 // Wait returns the time until a permit at the target is expected, and whether asking is pointless until then.
 func (l *Ledger) Wait(target roster.Target, now time.Time) (wait time.Duration, refused bool) {
+	if wait, cold := l.options.Cold.wait(target, now); cold {
+		return wait, true
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known := l.inForce(IncarnationOf(target))
@@ -167,7 +186,10 @@
 }
 
 // MaxWaiting returns how many requests of a VM may wait for permits at the target.
-func (l *Ledger) MaxWaiting(target roster.Target) int {
+func (l *Ledger) MaxWaiting(target roster.Target, now time.Time) int {
+	if l.options.Cold.isCold(target, now) {
+		return maxWaitingAtCold
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if known := l.inForce(IncarnationOf(target)); known != nil && !known.Limited {
@@ -179,6 +201,9 @@
 // Describe returns the limit of the target, who gives out its permits, and the source and age of the statement; empty
 // for none.
 func (l *Ledger) Describe(target roster.Target, now time.Time) string {
+	if cold := l.options.Cold.describe(target, now); cold != "" {
+		return cold
+	}
 	if !l.Active() {
 		return ""
 	}
