--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -44,6 +44,8 @@
 	Changes []targetChange `msgpack:"t,omitempty"`
 	// Versions holds the software versions of the targets in Changes, by target.
 	Versions map[string]string `msgpack:"b,omitempty"`
+	// ColdRevisions holds the revisions of the entries of the targets in Changes that are cold, by target.
+	ColdRevisions map[string]uint64 `msgpack:"co,omitempty"`
 	// Limits are the request limits of targets that the sender knows of, and LimitCoordinator is the rank of the VM that
 	// it takes as their coordinator.
 	Limits           []limitAnnouncement `msgpack:"m,omitempty"`
@@ -104,6 +106,12 @@
 		}
 		d.Versions[target.ID] = target.Version
 	}
+	if target.WarmupRemaining > 0 && target.Revision > 0 {
+		if d.ColdRevisions == nil {
+			d.ColdRevisions = make(map[string]uint64)
+		}
+		d.ColdRevisions[target.ID] = target.Revision
+	}
 }
 
 // changedTargets returns the targets in Changes.
@@ -112,6 +120,7 @@
 	for i, change := range d.Changes {
 		targets[i] = change.target()
 		targets[i].Version = d.Versions[change.ID]
+		targets[i].Revision = d.ColdRevisions[change.ID]
 	}
 	return targets
 }
--- a/internal/fleet/send.go
+++ b/internal/fleet/send.go
@@ -40,7 +40,7 @@
 	sendsTotal := len(crossZone) > 0 && hasStatus
 	// Each reader announces to its zone what it reads from the list itself. A change that it had heard from another zone
 	// before would be no news to it, and its zone would not learn of it.
-	zoneTotal.Changes, zoneTotal.Versions = nil, nil
+	zoneTotal.Changes, zoneTotal.Versions, zoneTotal.ColdRevisions = nil, nil, nil
 	if sendsTotal {
 		zoneTotal.ZoneTotal = true
 		zoneTotal.VMCount = f.zoneSize(now)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -39,6 +39,8 @@
 	Missing bool
 	// WarmupRemaining is how much longer the target is slow after its start.
 	WarmupRemaining time.Duration
+	// Revision is the platform's revision of the entry, which dates WarmupRemaining; zero if it is not known.
+	Revision uint64
 }
 
 // SameIncarnation reports whether both describe the same run of the same target, with no restart in between.
@@ -80,8 +82,8 @@
 	// TargetChanged is called with each change that this VM reads from the platform after the first list. It may be
 	// nil.
 	TargetChanged func(Target)
-	// TargetCold is called with each entry that states that its target is cold, before the Listener learns of it, and reports
-	// whether that limits requests, so that peers must know. It may be nil.
+	// TargetCold is called with each new entry that states that its target is cold, before the Listener learns of it, and
+	// reports whether that limits requests, so that peers must know. It may be nil.
 	TargetCold func(Target) bool
 }
 
@@ -359,7 +361,7 @@
 func (f *Follower) applyPeerChange(target Target) bool {
 	known, found := f.targets[target.ID]
 	if found && known.SameIncarnation(target) && (known.Leaving || !target.Leaving) {
-		f.recordCold(target)
+		f.applyPeerCold(known, target)
 		return false
 	}
 	if found && !known.SameIncarnation(target) && target.StartedAt <= known.StartedAt {
@@ -372,6 +374,14 @@
 	return true
 }
 
+// applyPeerCold records a peer's word that a known incarnation is cold, unless it is as old as what is known.
+func (f *Follower) applyPeerCold(known, target Target) {
+	if target.Revision > known.Revision && f.recordCold(target) {
+		known.Revision = target.Revision
+		f.targets[known.ID] = known
+	}
+}
+
 // recordCold passes on that a target is cold, if it is, and reports whether that limits requests.
 func (f *Follower) recordCold(target Target) bool {
 	return target.WarmupRemaining > 0 && f.options.TargetCold != nil && f.options.TargetCold(target)
@@ -411,6 +421,7 @@
 func (f *Follower) decode(entry object.Object) (Target, bool) {
 	target, err := f.options.Decode(entry)
 	if err == nil {
+		target.Revision = entry.Version
 		return target, true
 	}
 	if _, logged := f.loggedMalformed.LoadOrStore(entry.Key, entry.Version); !logged {
@@ -432,8 +443,11 @@
 	if sameIncarnation && previous.Version != "" {
 		target.Version = previous.Version
 	}
+	becameCold := (!sameIncarnation || target.Revision > previous.Revision) && f.recordCold(target) && f.isReader()
+	if sameIncarnation {
+		target.Revision = max(target.Revision, previous.Revision)
+	}
 	f.targets[target.ID] = target
-	becameCold := f.recordCold(target) && target.WarmupRemaining > previous.WarmupRemaining
 	if changed := !sameIncarnation || target.Leaving && !previous.Leaving || becameCold; changed && source == sourceList && f.listed.Load() && f.options.TargetChanged != nil {
 		f.options.TargetChanged(target)
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -77,6 +77,8 @@
 	versions map[string]uint64
 	// announced are the targets whose changes this VM would send to its peers.
 	announced []string
+	// colds are the targets that were said to be cold.
+	colds []string
 }
 
 func run(t *testing.T, isReader func() bool, test func(*fixture)) {
@@ -87,6 +89,7 @@
 		f.follower = roster.NewFollower(roster.Options{
 			Store: f.store, Prefix: prefix, Decode: decode, Listener: f.listener, Logger: log.New(io.Discard), IsReader: isReader,
 			TargetChanged: func(target roster.Target) { f.announced = append(f.announced, target.ID) },
+			TargetCold:    func(target roster.Target) bool { f.colds = append(f.colds, target.ID); return true },
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
@@ -254,6 +257,49 @@
 	})
 }
 
+// TestColdTargets checks that a known incarnation which becomes cold again is noticed and announced by the reader, and that
+// what was said before does not make a target cold a second time, however late it is heard.
+func TestColdTargets(t *testing.T) {
+	cold := roster.Target{StartedAt: 1, WarmupRemaining: time.Second}
+	run(t, nil, func(f *fixture) {
+		f.put("e1", cold)
+		f.settle(200 * time.Millisecond)
+		require.Equal(t, []string{"e1"}, f.colds)
+		require.Equal(t, []string{"e1"}, f.announced)
+		f.store.SetOutage(true)
+		f.settle(300 * time.Millisecond)
+		f.store.SetOutage(false)
+		f.put("e2", roster.Target{StartedAt: 1, Leaving: true})
+		f.store.Compact()
+		f.settle(time.Second)
+		require.Equal(t, []string{"e1"}, f.listener.usable(), "the list was not read again")
+		require.Equal(t, []string{"e1"}, f.colds)
+		f.put("e1", cold)
+		f.settle(200 * time.Millisecond)
+		require.Equal(t, []string{"e1", "e1"}, f.colds)
+	})
+	run(t, func() bool { return false }, func(f *fixture) {
+		heard := cold
+		heard.ID, heard.Revision = "e1", 100
+		f.follower.QueuePeerChange(heard)
+		f.follower.QueuePeerChange(heard)
+		f.settle(10 * time.Millisecond)
+		require.Equal(t, []string{"e1"}, f.colds, "a repeated word counts twice")
+		f.put("e1", cold)
+		f.settle(10 * time.Second)
+		require.Equal(t, []string{"e1"}, f.colds, "the entry itself, read late, counts as new")
+		heard.Revision = 0
+		f.follower.QueuePeerChange(heard)
+		f.settle(10 * time.Millisecond)
+		require.Equal(t, []string{"e1"}, f.colds, "a word without a date counts as new")
+		heard.Revision = 101
+		f.follower.QueuePeerChange(heard)
+		f.settle(10 * time.Millisecond)
+		require.Equal(t, []string{"e1", "e1"}, f.colds)
+		require.Empty(t, f.announced)
+	})
+}
+
 // TestIncarnationKeepsItsVersion guards against a digest that names the version of the next incarnation, or none, for a
 // target that streams are about to leave.
 func TestIncarnationKeepsItsVersion(t *testing.T) {
--- a/internal/targetlimit/cold_test.go
+++ b/internal/targetlimit/cold_test.go
@@ -180,3 +180,73 @@
 		}
 	}
 }
+
+// TestModelCountsFleetThatIgnoresColdTarget checks that the model sees VMs that break the bound, and that nothing is limited
+// where the service declares no rate.
+func TestModelCountsFleetThatIgnoresColdTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &coldModel{random: rand.New(rand.NewPCG(1, 1)), bound: coldDeployments[0].bound}
+		vm := &coldVM{known: 1}
+		vm.start(m)
+		m.vms = append(m.vms, vm)
+		m.run(time.Now(), time.Second, nil)
+		require.Len(t, m.arrivals, 1000)
+		require.False(t, vm.IsCold(coldTarget, time.Now()))
+		require.Empty(t, vm.Describe(coldTarget, time.Now()))
+	})
+}
+
+// TestColdTimes checks what begins and ends the time for which a target is cold.
+func TestColdTimes(t *testing.T) {
+	other := roster.Target{ID: "t-2", Service: "s", Zone: "b"}
+	listed := map[string]roster.Target{coldTarget.ID: coldTarget, other.ID: other}
+	tests := map[string]struct {
+		happens func(cold *targetlimit.ColdTargets, now time.Time)
+		colds   time.Duration
+	}{
+		"nothing": {func(*targetlimit.ColdTargets, time.Time) {}, 0},
+		"stated":  {func(cold *targetlimit.ColdTargets, now time.Time) { cold.Stated(coldTarget, 700*time.Millisecond, now) }, 700 * time.Millisecond},
+		"stated again": {func(cold *targetlimit.ColdTargets, now time.Time) {
+			cold.Stated(coldTarget, time.Second, now)
+			cold.Stated(coldTarget, 3*time.Second, now)
+		}, 3 * time.Second},
+		"overtaken word": {func(cold *targetlimit.ColdTargets, now time.Time) {
+			cold.Stated(coldTarget, time.Second, now)
+			cold.Stated(coldTarget, 10*time.Millisecond, now)
+		}, time.Second},
+		"unreachable": {func(cold *targetlimit.ColdTargets, now time.Time) {
+			cold.Unreachable(coldTarget, now.Add(200*time.Millisecond), now)
+		}, 1200 * time.Millisecond},
+		"zone taken back":       {func(cold *targetlimit.ColdTargets, now time.Time) { cold.BeginZone("a", now) }, time.Second},
+		"other zone taken back": {func(cold *targetlimit.ColdTargets, now time.Time) { cold.BeginZone("b", now) }, 0},
+		"started again": {func(cold *targetlimit.ColdTargets, now time.Time) {
+			cold.Stated(coldTarget, time.Second, now)
+			restarted := coldTarget
+			restarted.StartedAt++
+			cold.Retain(map[string]roster.Target{coldTarget.ID: restarted}, now)
+		}, 0},
+		"not listed for a moment": {func(cold *targetlimit.ColdTargets, now time.Time) {
+			cold.Stated(coldTarget, time.Second, now)
+			cold.Retain(nil, now)
+		}, time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				now := time.Now()
+				cold := newCold(32, coldDeployments[0].bound, nil)
+				ledger := targetlimit.NewLedger(targetlimit.Options{Logger: log.New(io.Discard), Cold: cold})
+				ledger.Retain(listed, now)
+				tt.happens(cold, now)
+				require.Equal(t, tt.colds > 0, ledger.IsCold(coldTarget, now))
+				require.Equal(t, name == "other zone taken back", ledger.IsCold(other, now))
+				if tt.colds > 0 {
+					require.False(t, ledger.MayTake(coldTarget, now.Add(tt.colds-1)), "sent before the directory is known")
+					require.NotEmpty(t, ledger.Describe(coldTarget, now))
+				}
+				require.False(t, ledger.IsCold(coldTarget, now.Add(tt.colds)))
+				require.True(t, ledger.MayTake(coldTarget, now.Add(tt.colds)))
+			})
+		})
+	}
+}
