--- a/internal/entry/evacuation.go
+++ b/internal/entry/evacuation.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"godwitcart/internal/evacuation"
@@ -34,9 +35,16 @@
 }
 
 // evacuationsChanged puts the zones in evacuation in force, and moves running streams off the targets there as if these
-// were leaving.
+// were leaving. Targets of a zone that is taken back may be cold. It is called for one change after the other.
 func (e *Entry) evacuationsChanged(zones []string) {
-	emptied, returnsIn := e.table.SetEvacuations(zones, time.Now())
+	now := time.Now()
+	for _, zone := range e.evacuatedZones {
+		if !slices.Contains(zones, zone) {
+			e.cold.BeginZone(zone, now)
+		}
+	}
+	e.evacuatedZones = zones
+	emptied, returnsIn := e.table.SetEvacuations(zones, now)
 	for _, target := range emptied {
 		e.client.CloseIdle(target.Address)
 		e.forwarder.Evacuate(target)
--- a/internal/fleet/send.go
+++ b/internal/fleet/send.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"godwitcart/internal/placement"
+	"godwitcart/internal/roster"
 )
 
 // send sends a digest to the local recipients, and in a large fleet a guest digest to each zone in which this VM has
@@ -40,7 +41,7 @@
 	sendsTotal := len(crossZone) > 0 && hasStatus
 	// Each reader announces to its zone what it reads from the list itself. A change that it had heard from another zone
 	// before would be no news to it, and its zone would not learn of it.
-	zoneTotal.Changes, zoneTotal.Versions = nil, nil
+	zoneTotal.Changes, zoneTotal.Versions, zoneTotal.ColdRevisions = nil, nil, nil
 	if sendsTotal {
 		zoneTotal.ZoneTotal = true
 		zoneTotal.Echoes = f.echoesFor(crossZone)
@@ -70,11 +71,18 @@
 		change := &f.changes[i]
 		if now.Sub(change.sentAt) >= changeRepeatInterval {
 			change.sentAt = now
-			out.addChange(change.target)
+			out.addChange(change.current(now))
 		}
 	}
 }
 
+// current returns the changed target with what remains of its time to warm up.
+func (c *recentChange) current(now time.Time) roster.Target {
+	target := c.target
+	target.WarmupRemaining = max(target.WarmupRemaining-now.Sub(c.recordedAt), 0)
+	return target
+}
+
 // addStatus adds what a reader tells its zone besides the loads. The caller holds mu.
 func (f *Fleet) addStatus(out *digest) {
 	out.Echoes = make(map[uint32]uint32, len(f.peers))
--- a/internal/roster/ignored.go
+++ b/internal/roster/ignored.go
@@ -40,6 +40,7 @@
 // started, it is about the known incarnation at its address: another would get new work though it may be the same.
 func (f *Follower) decode(entry object.Object) (Target, bool) {
 	target, err := f.options.Decode(entry)
+	target.Revision = entry.Version
 	known, isKnown := f.targets[f.targetID(entry)]
 	isSame := isKnown && known.Address == target.Address
 	switch {
