inforce, entry: the leader of a zone tells at once that the configuration can be read again

Change: a leader whose read succeeds after one that failed sends its digest at once, with the new proof. One digest a leader and outage.

--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -58,6 +58,13 @@
 // mayOthersServe reports whether other VMs may still have a proof of the configuration while this one has none.
 func (e *Entry) mayOthersServe() bool { return e.fleet != nil && !e.fleet.HearsMostVMs() }
 
+// tellRegained informs the other VMs without delay that the configuration can be read again, if they learn it from this one.
+func (e *Entry) tellRegained() {
+	if e.fleet != nil && e.fleet.IsZoneLeader() {
+		e.fleet.SendSoon()
+	}
+}
+
 // sendDigestNow informs the other VMs without delay of what this VM has placed.
 func (e *Entry) sendDigestNow() {
 	if e.fleet != nil {
--- a/internal/inforce/inforce.go
+++ b/internal/inforce/inforce.go
@@ -34,6 +34,8 @@
 	RevokedWithin time.Duration
 	// Changed is called after a new version has come into force. It may be nil.
 	Changed func(*policy.RouteTable)
+	// Regained is called when a read has succeeded after one that failed; it must not block. It may be nil.
+	Regained func()
 	// IsReader reports whether this VM must read at every interval; nil means always. Other VMs rely on the proofs of
 	// peers, and read only when a peer names a newer version or the proof is too old.
 	IsReader func() bool
@@ -245,10 +247,14 @@
 	if err != nil {
 		return err
 	}
-	if p.lostAt.Swap(0) != 0 {
+	isRegained := p.lostAt.Swap(0) != 0
+	p.accept(configuration, sentAt)
+	if isRegained {
 		p.options.Logger.Info("dependency regained", "dependency", "configuration")
+		if p.options.Regained != nil {
+			p.options.Regained()
+		}
 	}
-	p.accept(configuration, sentAt)
 	return nil
 }
 
