--- a/internal/targetlimit/cold.go
+++ b/internal/targetlimit/cold.go
@@ -17,11 +17,11 @@
 	// coldShare is the part of a service's cold rate that the turns of all VMs add up to.
 	coldShare = 0.85
 	// turnLifetime is how long a VM may use its turn. Within one second of requests, turns of that much more time count.
-	turnLifetime = 200 * time.Millisecond
+	turnLifetime = 400 * time.Millisecond
 	// ColdSendDelay is how long after its reservation a request may be sent to a cold target.
 	ColdSendDelay = 200 * time.Millisecond
 	// clockTolerance is by how much the clocks of VMs may differ in any case without a breach of the bound.
-	clockTolerance = 250 * time.Millisecond
+	clockTolerance = 200 * time.Millisecond
 	// maxTurnsAhead bounds the turns that requests without one use up in advance.
 	maxTurnsAhead = 8
 	// minWakeDelay keeps requests that wait for a turn from looking for it without a pause.
--- a/internal/targetlimit/cold_test.go
+++ b/internal/targetlimit/cold_test.go
@@ -116,7 +116,7 @@
 		"late word": {prepare: func(m *coldModel, _ int, vm *coldVM) { vm.hearsAt = within(m, time.Second) }},
 		"two words": {prepare: func(_ *coldModel, i int, vm *coldVM) { vm.hearsAt = time.Duration(i%2) * 700 * time.Millisecond }},
 		"clocks differ": {prepare: func(m *coldModel, _ int, vm *coldVM) {
-			vm.clock = within(m, 250*time.Millisecond) - 125*time.Millisecond
+			vm.clock = within(m, 400*time.Millisecond) - 200*time.Millisecond
 		}},
 		"clocks jump": {onStep: func(m *coldModel, elapsed time.Duration) {
 			if elapsed%(100*time.Millisecond) == 0 {
