placement, fleet: a target to which no connection can be made is told to the other VMs

Change: the digest names, under a new key sp, the targets to which its sender failed to connect in the last 300 ms; the hearers take such a target last for a second.

--- a/internal/fleet/codec.go
+++ b/internal/fleet/codec.go
@@ -55,6 +55,11 @@
 	return decodeArray(decoder, &m.Target, &m.StartedAt, &m.Address, &m.RemainingMillis, &m.ForCarrier)
 }
 
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (m *unreachableWord) DecodeMsgpack(decoder *msgpack.Decoder) error {
+	return decodeArray(decoder, &m.Target, &m.StartedAt, &m.AgeMillis)
+}
+
 // checkWhole returns an error unless the bytes hold a whole value. The codec allocates what a stated length needs before it
 // reads the elements, so eight bytes could claim all memory; in a whole value, no length exceeds the bytes.
 func checkWhole(datagram []byte) error {
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -56,6 +56,8 @@
 	// PoisonAddition belongs to Poison.
 	PoisonAddition poisonAddition `msgpack:"j,omitempty"`
 	Pause          *pauseMessage  `msgpack:"h,omitempty"`
+	// Unreachable names the targets to which the sender itself could not connect a moment ago.
+	Unreachable []unreachableWord `msgpack:"sp,omitempty"`
 }
 
 type targetLoads struct {
--- a/internal/fleet/receive.go
+++ b/internal/fleet/receive.go
@@ -79,6 +79,7 @@
 	for _, target := range received.changedTargets() {
 		f.options.TargetChanged(target)
 	}
+	f.hearUnreachable(received, now)
 	f.hearLimits(received, now)
 	f.coordinateLimits(now)
 }
--- a/internal/fleet/send.go
+++ b/internal/fleet/send.go
@@ -30,6 +30,7 @@
 	}
 	f.addDueChanges(&out, now)
 	f.addLimits(&out, reader, now)
+	f.addUnreachable(&out, now)
 	zoneTotal := out // copied before the status is added, which is only for local recipients
 	hasStatus := reader && now.Sub(f.statusSentAt) >= statusInterval
 	if hasStatus {
@@ -39,7 +40,7 @@
 	sendsTotal := len(crossZone) > 0 && hasStatus
 	// Each reader announces to its zone what it reads from the list itself. A change that it had heard from another zone
 	// before would be no news to it, and its zone would not learn of it.
-	zoneTotal.Changes, zoneTotal.Versions = nil, nil
+	zoneTotal.Changes, zoneTotal.Versions, zoneTotal.Unreachable = nil, nil, nil
 	if sendsTotal {
 		zoneTotal.ZoneTotal = true
 		zoneTotal.VMCount = f.zoneSize(now)
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -176,7 +176,7 @@
 			withoutPermit = candidate
 			continue
 		}
-		if candidate.Missing {
+		if candidate.isLastChoice(now) {
 			missing = candidate
 			continue
 		}
@@ -227,7 +227,7 @@
 		}
 		candidates++
 		weight := candidate.transferWeight(q)
-		if weight <= 0 || candidate.Missing || t.limits.NamesLimit(candidate.Target) {
+		if weight <= 0 || candidate.isLastChoice(now) || t.limits.NamesLimit(candidate.Target) {
 			continue
 		}
 		total += weight
@@ -347,6 +347,7 @@
 		return
 	}
 	l.firstEventSeen = true
+	l.target.health.answered(now)
 	l.target.pause.unanswered = false
 	l.target.ownLoad.PrefillTokens -= l.load.PrefillTokens
 	l.load.PrefillTokens = 0
@@ -386,8 +387,8 @@
 	}
 	l.done = true
 	l.target.ownLoad.subtract(l.load)
-	if l.table.onLoadChange != nil && (outcome == Moved || l.table.limits.IsBrittle(l.Target)) {
-		l.table.onLoadChange() // other VMs wait for their turn to move generations off the target, or for its free slot
+	if l.table.onLoadChange != nil && (outcome == Moved || outcome == Unreachable || l.table.limits.IsBrittle(l.Target)) {
+		l.table.onLoadChange() // other VMs wait for their turn to move generations, or for a slot, or should avoid the target
 	}
 	l.target.health.record(outcome, now)
 	if outcome == Answered {
