--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,6 +27,7 @@
 	"godwitcart/internal/poison"
 	"godwitcart/internal/retrybudget"
 	"godwitcart/internal/roster"
+	"godwitcart/internal/selfreport"
 	"godwitcart/internal/settings"
 	"godwitcart/internal/targetlimit"
 	"godwitcart/internal/trail"
@@ -162,6 +163,21 @@
 	e.shareTarget(target)
 }
 
+// newReportWatcher returns what asks the engines of this VM's zone whether they are leaving while the list cannot be read. Only
+// generations that can move gain by it.
+func (e *Entry) newReportWatcher() *selfreport.Watcher {
+	movesGenerations := func(service string) bool {
+		table := e.poller.Current()
+		return table != nil && table.Services[service].Engine != nil && table.Services[service].Engine.SupportsMoves
+	}
+	return selfreport.NewWatcher(selfreport.Options{
+		Source: platform.NewReports(e.client), Targets: func() []roster.Target {
+			return e.table.Serving(e.settings.Load().VM.Zone, movesGenerations, time.Now())
+		},
+		IsListLost: e.poller.HasLostPlatform, IsAsker: e.asksTargets, Leaving: e.recordLeaving, Logger: e.logger,
+	})
+}
+
 // Shutdown starts a graceful shutdown; Run returns when it is complete. It must be called at most once.
 func (e *Entry) Shutdown() {
 	e.shutdownAt.Store(int64(time.Since(e.startedAt)))
@@ -226,6 +242,7 @@
 	if e.evacuationFollower != nil {
 		group.Go(func() error { return e.evacuationFollower.Run(ctx) })
 	}
+	group.Go(func() error { return e.newReportWatcher().Run(ctx) })
 	group.Go(func() error {
 		defer cancel()
 		select {
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -60,6 +60,8 @@
 	Pause          *pauseMessage  `msgpack:"h,omitempty"`
 	// Evacuations are the zones in evacuation as the sender knows them; nil if it knows of none since its start.
 	Evacuations *evacuationState `msgpack:"ev,omitempty"`
+	// Unreachable names the targets to which the sender itself could not connect a moment ago.
+	Unreachable []unreachableWord `msgpack:"sp,omitempty"`
 }
 
 type targetLoads struct {
--- a/internal/fleet/receive.go
+++ b/internal/fleet/receive.go
@@ -81,6 +81,7 @@
 		f.options.TargetChanged(target)
 	}
 	f.hearEvacuations(received, now)
+	f.hearUnreachable(received, now)
 	f.hearLimits(received, now)
 	f.coordinateLimits(now)
 }
--- a/internal/fleet/send.go
+++ b/internal/fleet/send.go
@@ -31,6 +31,7 @@
 	}
 	f.addDueChanges(&out, now)
 	f.addLimits(&out, reader, now)
+	f.addUnreachable(&out, now)
 	hasStatus := reader && now.Sub(f.statusSentAt) >= statusInterval
 	f.addEvacuations(&out, hasStatus, now)
 	zoneTotal := out // copied before the status is added, which is only for local recipients
@@ -41,7 +42,7 @@
 	sendsTotal := len(crossZone) > 0 && hasStatus
 	// Each reader announces to its zone what it reads from the list itself. A change that it had heard from another zone
 	// before would be no news to it, and its zone would not learn of it.
-	zoneTotal.Changes, zoneTotal.Versions, zoneTotal.ColdRevisions = nil, nil, nil
+	zoneTotal.Changes, zoneTotal.Versions, zoneTotal.ColdRevisions, zoneTotal.Unreachable = nil, nil, nil, nil
 	if sendsTotal {
 		zoneTotal.ZoneTotal = true
 		zoneTotal.Echoes = f.echoesFor(crossZone)
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -23,6 +23,9 @@
 	// same engine.
 	crossZoneCost      = 8.0
 	aggregatedZoneCost = 200.0
+	// isolatedGenerationCost is added for a generation that a cut between the zones would lose. That costs its caller more
+	// than a later first event within the objective, so it leaves the zone only where the zone's engines are nearly full.
+	isolatedGenerationCost = 800.0
 	// runningGenerationCost is the delay that one more running generation adds to the decoding steps of the others.
 	runningGenerationCost = 6.0
 	// memoryPressureCost is added in proportion as the expected memory use goes from memoryPressureThreshold to 1.
@@ -176,7 +179,7 @@
 			withoutPermit = candidate
 			continue
 		}
-		if candidate.Missing {
+		if candidate.isLastChoice(now) {
 			missing = candidate
 			continue
 		}
@@ -227,7 +230,7 @@
 		}
 		candidates++
 		weight := candidate.transferWeight(q)
-		if weight <= 0 || candidate.Missing || t.takesNoTransfers(candidate, now) {
+		if weight <= 0 || candidate.isLastChoice(now) || t.takesNoTransfers(candidate, now) {
 			continue
 		}
 		total += weight
@@ -319,8 +322,8 @@
 	score := failureCost * candidate.health.failureRate()
 	if candidate.Zone != q.Zone {
 		score += t.zoneSurcharge()
-		if q.NotResumable {
-			score += float64(q.prefill()) / s.prefillRate
+		if q.NotResumable && q.MemoryTokens > 0 {
+			score += float64(q.prefill())/s.prefillRate + isolatedGenerationCost
 		}
 	}
 	if now.Before(candidate.slowStartUntil) {
@@ -347,6 +350,7 @@
 		return
 	}
 	l.firstEventSeen = true
+	l.target.health.answered(now)
 	l.target.pause.unanswered = false
 	l.target.ownLoad.PrefillTokens -= l.load.PrefillTokens
 	l.load.PrefillTokens = 0
@@ -386,8 +390,8 @@
 	}
 	l.done = true
 	l.target.ownLoad.subtract(l.load)
-	if l.table.onLoadChange != nil && (outcome == Moved || l.table.limits.IsBrittle(l.Target)) {
-		l.table.onLoadChange() // other VMs wait for their turn to move generations off the target, or for its free slot
+	if l.table.onLoadChange != nil && (outcome == Moved || outcome == Unreachable || l.table.limits.IsBrittle(l.Target)) {
+		l.table.onLoadChange() // other VMs wait for their turn to move generations, or for a slot, or should avoid the target
 	}
 	l.target.health.record(outcome, now)
 	if outcome == Unreachable {
