placement, forward, fleet: room is kept and given out by objectives over the fleet

By logs: memory is what targets lack (33 of 34), not slots or prefill. Accounts have priorities of their own, so the priority does not tell which is which; the objective does. Change: a request waits as long as waiting helps; the waiting requests of all VMs have one order; memory is kept ahead for the observed demand of generations with the tightest objectives; Retry-After follows from the observed release. Digests carry wq.

--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -38,6 +38,8 @@
 	Loads   []targetLoads `msgpack:"l,omitempty"`
 	// WaitingVMs is the number of those VMs where requests wait for capacity.
 	WaitingVMs int `msgpack:"w,omitempty"`
+	// Demands are the sender's own demands for the memory of services.
+	Demands []serviceDemand `msgpack:"wq,omitempty"`
 	// OtherZones holds the loads on the targets of other zones, as reported by the readers there.
 	OtherZones []zoneLoads `msgpack:"o,omitempty"`
 	// Changes are the recent changes of targets that the sender has read from the platform.
--- a/internal/fleet/receive.go
+++ b/internal/fleet/receive.go
@@ -69,6 +69,9 @@
 	}
 	f.options.Table.SetPeerLoads(sender, loads, now)
 	f.options.Table.SetPeerWaiting(sender, received.WaitingVMs)
+	if !received.ZoneTotal {
+		f.options.Table.SetPeerDemand(sender, unpackDemands(received.Demands), now)
+	}
 	for _, zone := range received.OtherZones {
 		f.options.Table.SetPeerLoads(placement.Sender{Zone: zone.Zone}, unpackLoads(zone.Loads), now)
 	}
--- a/internal/fleet/send.go
+++ b/internal/fleet/send.go
@@ -30,7 +30,8 @@
 	}
 	f.addDueChanges(&out, now)
 	f.addLimits(&out, reader, now)
-	zoneTotal := out // copied before the status is added, which is only for local recipients
+	zoneTotal := out // copied before the demands and the status are added, which are only for local recipients
+	out.Demands = packDemands(f.options.Table.OwnDemand(now))
 	hasStatus := reader && now.Sub(f.statusSentAt) >= statusInterval
 	if hasStatus {
 		f.statusSentAt = now
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -49,6 +49,9 @@
 
 func (x *exchange) query() placement.Query {
 	query := placement.Query{Service: x.service.Name, Zone: x.options.Zone, Priority: x.priority(), FirstEventObjective: x.route.LatencyObjective, Excluded: x.excluded}
+	if x.route.LatencyObjective > 0 && !x.headerSent {
+		query.ObjectiveEnds = x.arrivedAt.Add(x.route.LatencyObjective)
+	}
 	query.NotResumable = x.route.Streaming && !x.route.Resumable
 	if engine := x.service.Engine; engine != nil && x.call.Prompt.Tokens > 0 {
 		query.MemoryTokens = engine.KVCacheTokens
@@ -80,26 +83,39 @@
 	return lengths.Key{Service: x.service.Name, Class: x.route.Name, Account: x.account.Name}
 }
 
-// queueWaitShare is the share of the latency objective that a request may spend waiting for capacity; the rest is
-// left for processing the prompt. A request without an objective waits for up to defaultQueueWait. A stream that
-// continues at one of several software versions has few targets, and waits for up to continuedQueueWaitShare.
+// queueWaitShare is the share of the latency objective that a plain request or a stream under way may spend waiting for
+// capacity. A request without an objective waits for up to defaultQueueWait. A stream that continues at one of several
+// software versions has few targets, and waits for up to continuedQueueWaitShare.
 const (
 	queueWaitShare          = 0.25
 	continuedQueueWaitShare = 0.75
 	defaultQueueWait        = time.Second
 )
 
+// queueWait returns how long the request may wait for capacity. Plain requests, and streams whose caller already has a
+// part, wait for a share of the latency objective.
+func (x *exchange) queueWait(query placement.Query) time.Duration {
+	switch objective := x.route.LatencyObjective; {
+	case objective == 0:
+		return defaultQueueWait
+	case query.MemoryTokens > 0 && !x.headerSent:
+		return placement.Patience{Objective: objective, Elapsed: time.Since(x.arrivedAt), Left: time.Until(x.deadline), FirstEvent: x.options.Table.FirstEventTime(query)}.LongestWait()
+	case x.versionFixed && !x.hasSoleVersion():
+		return time.Duration(continuedQueueWaitShare * float64(objective))
+	default:
+		return time.Duration(queueWaitShare * float64(objective))
+	}
+}
+
+func (x *exchange) hasSoleVersion() bool {
+	_, sole := x.options.Table.SoleVersion(x.service.Name, time.Now())
+	return sole
+}
+
 // place reserves a target for the next attempt, waiting for capacity if necessary.
 func (x *exchange) place(ctx context.Context) (*placement.Lease, error) {
-	maxWait := defaultQueueWait
-	if x.route.LatencyObjective > 0 {
-		share := queueWaitShare
-		if _, single := x.options.Table.SoleVersion(x.service.Name, time.Now()); x.versionFixed && !single {
-			share = continuedQueueWaitShare
-		}
-		maxWait = time.Duration(share * float64(x.route.LatencyObjective))
-	}
-	lease, err := x.options.Table.Acquire(ctx, x.boundQuery(), min(maxWait, time.Until(x.deadline)))
+	query := x.boundQuery()
+	lease, err := x.options.Table.Acquire(ctx, query, min(x.queueWait(query), time.Until(x.deadline)))
 	if err != nil {
 		return nil, x.withRetryAfter(apierror.FromError(err))
 	}
@@ -118,8 +134,8 @@
 	return refusal.WithRetryAfter(min(refusal.RetryAfter, time.Duration(retryAfterShare*float64(time.Until(x.deadline)))))
 }
 
-// The range of the Retry-After of refused generations. Generations last for seconds, so capacity is not freed
-// sooner; the value is random because callers that retry together would be refused together.
+// The range of the Retry-After of refused generations while no memory is observed to be released; the value is random
+// because callers that retry together would be refused together.
 const (
 	minRetryAfter = 1500 * time.Millisecond
 	maxRetryAfter = 4500 * time.Millisecond
@@ -128,12 +144,15 @@
 	retryAfterShare = 0.3
 )
 
-// retryAfter returns a random Retry-After for a refused request.
+// retryAfter returns the Retry-After for a refused request, which is when room is expected for it.
 func (x *exchange) retryAfter() time.Duration {
 	if x.call.Prompt.Tokens == 0 {
 		return refusedRetryAfter
 	}
-	delay := minRetryAfter + rand.N(maxRetryAfter-minRetryAfter)
+	delay, known := x.options.Table.ReturnAfter(x.boundQuery(), time.Now())
+	if !known {
+		delay = minRetryAfter + rand.N(maxRetryAfter-minRetryAfter)
+	}
 	return min(delay, time.Duration(retryAfterShare*float64(time.Until(x.deadline))))
 }
 
--- a/internal/placement/loads.go
+++ b/internal/placement/loads.go
@@ -8,9 +8,11 @@
 func (t *Table) SetPeerLoads(peer Sender, loads map[string]Load, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	previous := t.peerLoads[peer]
+	t.recordReleases(previous.loads, loads, now)
 	t.removePeer(peer)
 	t.expirePeerLoads(now)
-	t.peerLoads[peer] = peerReport{receivedAt: now, loads: loads}
+	t.peerLoads[peer] = peerReport{receivedAt: now, loads: loads, waitingVMs: previous.waitingVMs, demands: previous.demands}
 	if peer.VM == "" {
 		t.zoneAggregates++
 	}
@@ -28,6 +30,7 @@
 	for sender, report := range t.peerLoads {
 		if now.Sub(report.receivedAt) > peerLoadTTL {
 			t.removePeer(sender)
+			t.addPeerDemand(report.demands, -1, now)
 		}
 	}
 }
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -71,6 +71,8 @@
 	sentAt         time.Time
 	prefillBacklog float64
 	firstEventSeen bool
+	// urgent is the part of the urgent demand that ends with the lease.
+	urgent UrgentDemand
 	// sendCounted is set once the request has been counted at a target with a request limit.
 	sendCounted bool
 	done        bool
@@ -112,7 +114,7 @@
 	}
 	if best == nil && candidates > 0 {
 		return nil, apierror.Newf(apierror.KindOverloaded, "come back after the time given",
-			"none of the %d targets of service %q that serve has room for %d tokens", candidates, q.Service, q.memory())
+			"none of the %d targets of service %q that serve has room for %d tokens; lacking: %s", candidates, q.Service, q.memory(), q.lacking)
 	}
 	if best == nil && q.VersionFixed {
 		return nil, apierror.Newf(apierror.KindNotRun, "send the request again from its start",
@@ -125,32 +127,6 @@
 	return t.reserve(best, q, now, candidates), nil
 }
 
-// hasCapacity reports whether the target has memory and a slot for a new generation and can prefill its prompt
-// within the latency objective. Memory that is not used at all always suffices, and an engine without a backlog always
-// meets the objective, since waiting would not improve either. Plain services queue requests themselves, so they
-// always have capacity, but for brittle targets, whose queues may become shorter at any time: these get no more than
-// they can run at once. Where a service has several software versions, a stream that continues has no other targets than
-// those of its version: it may use all memory, and its prefill is not held against the objective.
-func (t *Table) hasCapacity(s *service, candidate *target, q *Query) bool {
-	requests := candidate.ownLoad.Requests + candidate.peerLoad.Requests
-	if q.MemoryTokens == 0 {
-		return requests < candidate.Slots || !t.limits.IsBrittle(candidate.Target)
-	}
-	limit := ordinaryMemoryLimit
-	isConfined := q.VersionFixed && len(s.versions) > 1
-	if q.Priority <= 0 || isConfined {
-		limit = urgentMemoryLimit
-	}
-	used := candidate.ownLoad.MemoryTokens + candidate.peerLoad.MemoryTokens
-	fits := float64(used+q.memory()) <= limit*float64(q.MemoryTokens) || used == 0
-	if !fits || requests >= candidate.Slots {
-		return false
-	}
-	backlog := candidate.ownLoad.PrefillTokens + candidate.peerLoad.PrefillTokens
-	expected := float64(backlog+q.prefill()) / s.prefillRate * float64(time.Millisecond)
-	return q.FirstEventObjective == 0 || isConfined || backlog == 0 || expected <= prefillObjectiveShare*float64(q.FirstEventObjective)
-}
-
 // lowestScoreTarget returns the target with the lowest score among the candidates with capacity, and the number of
 // candidates. Candidates are the targets that are not excluded and can take work, with free capacity or without.
 //
@@ -161,12 +137,14 @@
 	var withoutPermit, skipped, missing *target
 	skippedCount := 0
 	sampleShare := t.sampleShare(s)
+	q.kept, q.lacking = t.keptRoomFor(s, q, now), shortages{}
 	for _, candidate := range s.targets {
 		if !q.accepts(candidate, now) {
 			continue
 		}
 		candidates++
-		if !t.hasCapacity(s, candidate, q) {
+		if lacking := t.shortage(s, candidate, q); lacking != noShortage {
+			q.lacking[lacking]++
 			continue
 		}
 		if !t.limits.MayTake(candidate.Target, now) {
@@ -296,6 +274,10 @@
 	lease.prefillBacklog = float64(chosen.ownLoad.PrefillTokens + chosen.peerLoad.PrefillTokens + q.prefill())
 	lease.ExpectedFirstEvent = time.Duration(lease.prefillBacklog / chosen.service.prefillRate * float64(time.Millisecond))
 	chosen.ownLoad.add(lease.load)
+	if chosen.service.isUrgent(q) && !q.Copy {
+		lease.urgent = UrgentDemand{Running: 1, Tokens: q.memory()}
+		chosen.service.recordUrgent(lease.urgent, now)
+	}
 	if !q.Copy {
 		chosen.pause.requestSent(now)
 	}
@@ -383,6 +365,10 @@
 	}
 	l.done = true
 	l.target.ownLoad.subtract(l.load)
+	if !l.target.leaving {
+		l.target.service.released.record(l.load.MemoryTokens, now)
+	}
+	l.target.service.recordUrgent(l.urgent.times(-1), now)
 	if l.table.onLoadChange != nil && (outcome == Moved || l.table.limits.IsBrittle(l.Target)) {
 		l.table.onLoadChange() // other VMs wait for their turn to move generations off the target, or for its free slot
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -79,6 +79,13 @@
 	NotResumable bool
 	// Move means that another engine sends the generation's memory, so that almost no prefill is needed.
 	Move bool
+	// ObjectiveEnds is when the first event has to arrive; zero means no objective.
+	ObjectiveEnds time.Time
+
+	// kept is the memory that the query has to leave free at the current choice.
+	kept *keptRoom
+	// lacking counts the targets by what they lacked at the last choice.
+	lacking shortages
 }
 
 func (q *Query) load() Load {
@@ -185,6 +192,14 @@
 	versionsListed map[string]time.Time
 	// prefillRate is a moving average of the observed prefill rate, in tokens per millisecond.
 	prefillRate float64
+	// ownUrgent and peerUrgent are the demands for memory for urgent generations of this VM and of its peers.
+	ownUrgent, peerUrgent UrgentDemand
+	urgentEstimate        demandEstimate
+	// tightestObjective and loosestObjective bound the latency objectives of the generations that were asked for; zero before
+	// the first.
+	tightestObjective, loosestObjective time.Duration
+	// released is the memory that generations have released.
+	released releaseMeter
 	// serviceTime is a moving average of the time from sending a request to the end of its answer; zero before the first.
 	serviceTime time.Duration
 }
@@ -207,6 +222,8 @@
 	loads      map[string]Load
 	// waitingVMs is the number of VMs of the report where requests wait for capacity.
 	waitingVMs int
+	// demands are the demands for memory that the report states, by service.
+	demands map[string]peerDemand
 }
 
 const (
@@ -282,6 +299,7 @@
 		s.recordVersions(now)
 	}
 	t.recomputePeerLoads()
+	t.recomputePeerDemand(now)
 }
 
 // MarkLeaving records that the target announced that it is leaving; it gets no new work.
--- /dev/null
+++ b/internal/placement/precedence.go
@@ -0,0 +1,46 @@
+package placement
+
+import "time"
+
+// levelHeadStart is how much later the time limit of a waiting request may be than that of one of the next level for it to go
+// first all the same. Together with the objective it bounds starvation: a request is passed only by those whose limit, moved by
+// this time for each level between them, is earlier, however many arrive.
+const levelHeadStart = 5 * time.Second
+
+// waiter is a request that waits for capacity.
+type waiter struct {
+	priority int
+	// tokens is the memory that the request needs.
+	tokens int
+	// urgent is the part of the urgent demand that ends with the wait.
+	urgent UrgentDemand
+	// inTimeUntil is the last moment at which capacity lets the request meet its latency objective.
+	inTimeUntil time.Time
+}
+
+// precedence orders the waiting requests of all VMs: the earliest goes first. Within a priority that is the order in
+// which their objectives run out. One that cannot meet its objective any more counts as of the next level: those that still can go first.
+func (w *waiter) precedence(now time.Time) time.Time {
+	level := w.priority
+	if now.After(w.inTimeUntil) {
+		level++
+	}
+	return w.inTimeUntil.Add(time.Duration(level) * levelHeadStart)
+}
+
+// newWaiter returns the waiter of the query. A request without an objective is in time for as long as such requests wait.
+func (s *service) newWaiter(q *Query, now time.Time) *waiter {
+	w := &waiter{priority: q.Priority, tokens: q.memory(), inTimeUntil: now.Add(noObjectiveWait)}
+	if !q.ObjectiveEnds.IsZero() {
+		w.inTimeUntil = q.ObjectiveEnds.Add(-s.prefillTime(q))
+	}
+	if s.isUrgent(q) {
+		w.urgent = UrgentDemand{Waiting: 1, Tokens: w.tokens}
+	}
+	return w
+}
+
+// prefillTime returns the expected time to prefill the prompt at an engine without a backlog.
+func (s *service) prefillTime(q *Query) time.Duration {
+	return time.Duration(float64(q.prefill()) / s.prefillRate * float64(time.Millisecond))
+}
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -17,25 +17,22 @@
 	defaultGrantInterval = 50 * time.Millisecond
 	// grantIntervalWeight is the weight of one wait in the moving average.
 	grantIntervalWeight = 0.2
-	// turnTime is about the time until the other VMs know of a placement.
-	turnTime = 25 * time.Millisecond
+	// noObjectiveWait orders requests without an objective among the others.
+	noObjectiveWait = time.Second
 )
 
-// queue holds the requests of a service that wait for capacity, ordered by priority and then by arrival. It
-// protects engines whose memory is full: one more generation would make an engine preempt another, whose prefill is
+// queue holds the requests of a service that wait for capacity, in the order of their precedence. It protects engines whose memory is full: one more generation would make an engine preempt another, whose prefill is
 // then repeated, so that both miss their objective.
 type queue struct {
+	// waiting is in the order of arrival.
 	waiting []*waiter
 	// grantInterval is a moving average of the time that a request spends at the head of the queue.
 	grantInterval time.Duration
-	// headSince is when the current head of the queue became the head.
+	// current is the head of the queue when it was last asked for, and headSince when it became the head.
+	current   *waiter
 	headSince time.Time
 }
 
-type waiter struct {
-	priority int
-}
-
 // Acquire chooses and reserves a target, waiting for capacity up to maxWait. A request that is not expected to get
 // capacity in that time is refused at once. The error is an *apierror.Error.
 func (t *Table) Acquire(ctx context.Context, q Query, maxWait time.Duration) (*Lease, error) {
@@ -47,6 +44,8 @@
 	defer t.dequeue(&q, w)
 	timer := time.NewTimer(maxWait)
 	defer timer.Stop()
+	demotion := time.AfterFunc(max(0, w.inTimeUntil.Sub(started))+time.Millisecond, t.wakeAll)
+	defer demotion.Stop()
 	for {
 		lease, changed, err := t.pickIfFirst(&q, w, time.Now())
 		if lease != nil {
@@ -69,7 +68,7 @@
 		case <-pauseEnds:
 		case <-changed:
 			if !isLimited { // permits are given out one by one
-				pause.For(ctx, min(t.turnWait(), maxWait))
+				pause.For(ctx, min(t.turnWait(&q, w, time.Now()), maxWait-time.Since(started)))
 			}
 		case <-timer.C:
 			return nil, err
@@ -87,7 +86,8 @@
 	if s == nil {
 		return nil, nil, apierror.Newf(apierror.KindNotRun, "come back after the time given", "no target of service %q is known", q.Service)
 	}
-	ahead := s.queueOf(q).countAhead(q.Priority)
+	s.recordObjective(q)
+	ahead := s.queueOf(q).countAhead(s.newWaiter(q, now), now)
 	if ahead == 0 {
 		lease, err := t.pick(s, q, now)
 		if err == nil || !apierror.Is(err, apierror.KindOverloaded) {
@@ -110,8 +110,10 @@
 // enqueue adds a waiter. The caller holds the lock.
 func (t *Table) enqueue(s *service, q *Query, now time.Time) *waiter {
 	queue := s.queueOf(q)
-	w := queue.insert(q.Priority, now)
-	if t.onLoadChange != nil && len(queue.waiting) == 1 {
+	w := s.newWaiter(q, now)
+	queue.waiting = append(queue.waiting, w)
+	s.recordUrgent(w.urgent, now)
+	if t.onLoadChange != nil && queue.head(now) == w {
 		t.onLoadChange()
 	}
 	return w
@@ -139,7 +141,7 @@
 	defer t.mu.Unlock()
 	s := t.services[q.Service]
 	refusal := apierror.Newf(apierror.KindOverloaded, "come back after the time given", "service %q has no room", q.Service)
-	if s.queueOf(q).waiting[0] != w {
+	if s.queueOf(q).head(now) != w {
 		return nil, t.capacityChanged, refusal
 	}
 	lease, err := t.pick(s, q, now)
@@ -165,23 +167,12 @@
 	return false
 }
 
-// turnWait returns a random wait before a waiting request looks for capacity that has become free. All VMs learn of it
-// at the same moment; if each took it at once, one engine would receive the requests of all. The more VMs have waiting
-// requests, the longer the wait, so that each sees what the one before it has placed.
-func (t *Table) turnWait() time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	others := 0
-	for _, report := range t.peerLoads {
-		others += report.waitingVMs
-	}
-	return time.Duration(t.random.Float64() * float64(others) * float64(turnTime))
-}
-
 func (t *Table) dequeue(q *Query, w *waiter) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.services[q.Service].queueOf(q).remove(w, time.Now())
+	s, now := t.services[q.Service], time.Now()
+	s.queueOf(q).remove(w, now)
+	s.recordUrgent(w.urgent.times(-1), now)
 	if t.onLoadChange != nil && !t.hasWaiting() {
 		t.onLoadChange()
 	}
@@ -213,6 +204,13 @@
 	return false
 }
 
+// wakeAll is wakeWaiters for a caller without the lock.
+func (t *Table) wakeAll() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.wakeWaiters()
+}
+
 // wakeWaiters signals the waiters of all services. The caller holds the lock.
 func (t *Table) wakeWaiters() {
 	if t.hasWaiting() {
@@ -221,38 +219,42 @@
 	}
 }
 
-// countAhead returns the number of waiting requests that precede a new one of the priority.
-func (q *queue) countAhead(priority int) int {
-	count := 0
+// head returns the waiter that goes first, or nil if none waits.
+func (q *queue) head(now time.Time) *waiter {
+	var first *waiter
 	for _, w := range q.waiting {
-		if w.priority <= priority {
-			count++
+		if first == nil || w.precedence(now).Before(first.precedence(now)) {
+			first = w
 		}
 	}
-	return count
+	if first != q.current {
+		q.current, q.headSince = first, now
+	}
+	return first
 }
 
-func (q *queue) insert(priority int, now time.Time) *waiter {
-	w := &waiter{priority: priority}
-	position := q.countAhead(priority)
-	q.waiting = slices.Insert(q.waiting, position, w)
-	if position == 0 {
-		q.headSince = now
+// countAhead returns the number of waiting requests that precede a new one.
+func (q *queue) countAhead(added *waiter, now time.Time) int {
+	count := 0
+	for _, w := range q.waiting {
+		if !w.precedence(now).After(added.precedence(now)) {
+			count++
+		}
 	}
-	return w
+	return count
 }
 
 // remove removes a waiter that was granted capacity or has given up. Only the head of the queue updates the grant
 // interval; one that gave up does too, since its wait is a lower bound.
 func (q *queue) remove(w *waiter, now time.Time) {
-	if q.waiting[0] == w {
+	if q.head(now) == w {
 		if q.grantInterval == 0 {
 			q.grantInterval = defaultGrantInterval
 		}
 		q.grantInterval += time.Duration(grantIntervalWeight * float64(now.Sub(q.headSince)-q.grantInterval))
-		q.headSince = now
 	}
 	q.waiting = slices.DeleteFunc(q.waiting, func(other *waiter) bool { return other == w })
+	q.head(now)
 }
 
 // expectedWait returns the expected wait of a request behind the given number of others. A request that would be
--- /dev/null
+++ b/internal/placement/turns.go
@@ -0,0 +1,48 @@
+package placement
+
+import "time"
+
+// turnTime is about the time until the other VMs know of a placement.
+const turnTime = 25 * time.Millisecond
+
+// turnWait returns the wait before a waiting request looks for capacity that has become free. All VMs learn of it at the same
+// moment; if each took it at once, one engine would receive the requests of all.
+//
+// The requests that wait at all VMs take turns in the order of their precedence: one looks after those before it have
+// had time to place and to tell of it. As many as find free places need no turn of their own. VMs that do not state what waits there
+// have no place in the order: among them the wait is random, as it is where this VM hears of no others.
+func (t *Table) turnWait(q *Query, w *waiter, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	own := w.precedence(now)
+	ahead, unknown := 0, 0
+	for _, report := range t.peerLoads {
+		demand, stated := report.demands[q.Service]
+		switch {
+		case stated && demand.WaitingTokens > 0 && demand.headPrecedence.Before(own):
+			ahead++
+		case len(report.demands) == 0:
+			unknown += report.waitingVMs
+		}
+	}
+	turns := float64(ahead)/float64(max(1, t.countPlaces(q, now))) + t.random.Float64()*float64(unknown)
+	return time.Duration(turns * float64(turnTime))
+}
+
+// countPlaces returns how many generations of the size of the query fit into the free memory of its service.
+func (t *Table) countPlaces(q *Query, now time.Time) int {
+	s := t.services[q.Service]
+	if s == nil || q.MemoryTokens == 0 || q.memory() == 0 {
+		return 0
+	}
+	limit := int(s.memoryLimit(q) * float64(q.MemoryTokens))
+	room := keptRoom{placeTokens: q.memory()}
+	places := 0
+	for _, member := range s.targets {
+		if q.accepts(member, now) && !t.isOutsideKnownZone(member) {
+			load := member.ownLoad.Plus(member.peerLoad)
+			places += room.freePlaces(load.MemoryTokens, limit, member.Slots-load.Requests)
+		}
+	}
+	return places
+}
