--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -119,6 +119,10 @@
 	if err != nil {
 		return nil, x.withRetryAfter(apierror.FromError(err))
 	}
+	if wait := lease.Wait; wait.Duration > 0 {
+		x.metrics.roomWait.Update(int64(wait.Duration))
+		x.log("waited for room", "waited_ms", wait.Duration.Milliseconds(), "ahead", wait.Ahead, "vms_ahead", wait.VMsAhead, "lacking", wait.Lacking, "priority", query.Priority)
+	}
 	return lease, nil
 }
 
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -21,6 +21,7 @@
 	backupSwitches               metrics.Counter
 	responseTime, firstEvent     metrics.Histogram
 	eventGap, resumeGap          metrics.Histogram
+	roomWait                     metrics.Histogram
 }
 
 func newRequestMetrics() *requestMetrics {
@@ -33,6 +34,7 @@
 		moves: counter("moves"), movesFailed: counter("moves_failed"), backupSwitches: counter("from_backup"),
 		responseTime: histogram("answer_nanoseconds"), firstEvent: histogram("first_event_nanoseconds"),
 		eventGap: histogram("event_gap_nanoseconds"), resumeGap: histogram("continue_pause_nanoseconds"),
+		roomWait: histogram("room_wait_nanoseconds"),
 	}
 }
 
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -63,6 +63,8 @@
 	ExpectedFirstEvent time.Duration
 	// CandidateCount is the number of targets that may take work, with free capacity or without.
 	CandidateCount int
+	// Wait is the wait for the reservation; zero if there was none.
+	Wait Wait
 
 	table          *Table
 	target         *target
--- a/internal/placement/precedence.go
+++ b/internal/placement/precedence.go
@@ -16,6 +16,17 @@
 	urgent UrgentDemand
 	// inTimeUntil is the last moment at which capacity lets the request meet its latency objective.
 	inTimeUntil time.Time
+	wait        Wait
+}
+
+// Wait says why a request waited for capacity, for logs.
+type Wait struct {
+	Duration time.Duration
+	// Ahead counts the requests of this VM that went before it when it began to wait, and VMsAhead the other VMs that had
+	// such requests.
+	Ahead, VMsAhead int
+	// Lacking says what the targets lacked, if any was looked at.
+	Lacking string
 }
 
 // precedence orders the waiting requests of all VMs: the earliest goes first. Within a priority that is the order in
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -21,8 +21,9 @@
 	noObjectiveWait = time.Second
 )
 
-// queue holds the requests of a service that wait for capacity, in the order of their precedence. It protects engines whose memory is full: one more generation would make an engine preempt another, whose prefill is
-// then repeated, so that both miss their objective.
+// queue holds the requests of a service that wait for capacity, in the order of their precedence. It protects engines
+// whose memory is full: one more generation would make an engine preempt another, whose prefill is then repeated, so
+// that both miss their objective.
 type queue struct {
 	// waiting is in the order of arrival.
 	waiting []*waiter
@@ -49,6 +50,8 @@
 	for {
 		lease, changed, err := t.pickIfFirst(&q, w, time.Now())
 		if lease != nil {
+			w.wait.Duration = time.Since(started)
+			lease.Wait = w.wait
 			return lease, nil
 		}
 		var limited *limitError
@@ -111,6 +114,7 @@
 func (t *Table) enqueue(s *service, q *Query, now time.Time) *waiter {
 	queue := s.queueOf(q)
 	w := s.newWaiter(q, now)
+	w.wait = Wait{Ahead: queue.countAhead(w, now), VMsAhead: t.countVMsAhead(q, w, now), Lacking: q.lacking.String()}
 	queue.waiting = append(queue.waiting, w)
 	s.recordUrgent(w.urgent, now)
 	if t.onLoadChange != nil && queue.head(now) == w {
@@ -140,9 +144,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.services[q.Service]
-	refusal := apierror.Newf(apierror.KindOverloaded, "come back after the time given", "service %q has no room", q.Service)
 	if s.queueOf(q).head(now) != w {
-		return nil, t.capacityChanged, refusal
+		return nil, t.capacityChanged, apierror.Newf(apierror.KindOverloaded, "come back after the time given", "service %q has no room, and other requests go before this one", q.Service)
 	}
 	lease, err := t.pick(s, q, now)
 	if err != nil {
--- a/internal/placement/shortage.go
+++ b/internal/placement/shortage.go
@@ -24,6 +24,9 @@
 
 // String implements fmt.Stringer for refusals and logs.
 func (s shortages) String() string {
+	if s == (shortages{}) {
+		return ""
+	}
 	return fmt.Sprintf("memory at %d, a slot at %d, memory not kept for urgent ones at %d, time to prefill at %d",
 		s[memoryShortage], s[slotShortage], s[keptShortage], s[prefillShortage])
 }
--- a/internal/placement/turns.go
+++ b/internal/placement/turns.go
@@ -14,21 +14,27 @@
 func (t *Table) turnWait(q *Query, w *waiter, now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	own := w.precedence(now)
-	ahead, unknown := 0, 0
+	unknown := 0
 	for _, report := range t.peerLoads {
-		demand, stated := report.demands[q.Service]
-		switch {
-		case stated && demand.WaitingTokens > 0 && demand.headPrecedence.Before(own):
-			ahead++
-		case len(report.demands) == 0:
+		if len(report.demands) == 0 {
 			unknown += report.waitingVMs
 		}
 	}
-	turns := float64(ahead)/float64(max(1, t.countPlaces(q, now))) + t.random.Float64()*float64(unknown)
+	turns := float64(t.countVMsAhead(q, w, now))/float64(max(1, t.countPlaces(q, now))) + t.random.Float64()*float64(unknown)
 	return time.Duration(turns * float64(turnTime))
 }
 
+// countVMsAhead returns the number of other VMs where a request waits that goes first.
+func (t *Table) countVMsAhead(q *Query, w *waiter, now time.Time) int {
+	own, count := w.precedence(now), 0
+	for _, report := range t.peerLoads {
+		if demand := report.demands[q.Service]; demand.WaitingTokens > 0 && demand.headPrecedence.Before(own) {
+			count++
+		}
+	}
+	return count
+}
+
 // countPlaces returns how many generations of the size of the query fit into the free memory of its service.
 func (t *Table) countPlaces(q *Query, now time.Time) int {
 	s := t.services[q.Service]
