placement: places for urgent generations lie below the ordinary limit

Late ones were placed in the last moment in which an idle engine would still have met their objective. Change: places are counted below the ordinary limit; the first event is expected at twice the prefill.

--- a/internal/placement/patience.go
+++ b/internal/placement/patience.go
@@ -28,12 +28,12 @@
 	return max(0, min(max(inTime, late), p.Left-p.FirstEvent))
 }
 
-// FirstEventTime returns the expected time to the first event of the query at an engine without a backlog.
+// FirstEventTime returns the expected time to the first event of the query.
 func (t *Table) FirstEventTime(q Query) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.services[q.Service]; s != nil {
-		return s.prefillTime(&q)
+		return firstEventFactor * s.prefillTime(&q)
 	}
 	return 0
 }
--- a/internal/placement/precedence.go
+++ b/internal/placement/precedence.go
@@ -7,6 +7,10 @@
 // this time for each level between them, is earlier, however many arrive.
 const levelHeadStart = 5 * time.Second
 
+// firstEventFactor is the expected time to the first event in times to prefill the prompt alone: other prompts and decoding steps
+// come between.
+const firstEventFactor = 2
+
 // waiter is a request that waits for capacity.
 type waiter struct {
 	priority int
@@ -43,7 +47,7 @@
 func (s *service) newWaiter(q *Query, now time.Time) *waiter {
 	w := &waiter{priority: q.Priority, tokens: q.memory(), inTimeUntil: now.Add(noObjectiveWait)}
 	if !q.ObjectiveEnds.IsZero() {
-		w.inTimeUntil = q.ObjectiveEnds.Add(-s.prefillTime(q))
+		w.inTimeUntil = q.ObjectiveEnds.Add(-firstEventFactor * s.prefillTime(q))
 	}
 	if s.isUrgent(q) {
 		w.urgent = UrgentDemand{Waiting: 1, Tokens: w.tokens}
--- a/internal/placement/shortage.go
+++ b/internal/placement/shortage.go
@@ -64,7 +64,7 @@
 		return memoryShortage
 	case requests >= candidate.Slots:
 		return slotShortage
-	case !t.isOutsideKnownZone(candidate) && !q.kept.leavesEnough(used, q.MemoryTokens, candidate.Slots-requests, q.memory()):
+	case !t.isOutsideKnownZone(candidate) && !q.kept.leavesEnough(used, candidate.Slots-requests, q.memory()):
 		return keptShortage
 	case backlog > 0 && q.FirstEventObjective > 0 && !isConfined && expected > prefillObjectiveShare*float64(q.FirstEventObjective):
 		return prefillShortage
--- a/internal/placement/urgent.go
+++ b/internal/placement/urgent.go
@@ -79,7 +79,11 @@
 
 // keptRoom is the memory that less urgent generations leave free at a moment, in places of one size. Only places of a
 // whole urgent generation count: free memory that is scattered over many engines holds none.
+//
+// Places are counted below the ordinary limit, so that what is above it remains for generations that move.
 type keptRoom struct {
+	// capacity is the memory of an engine in which places are counted.
+	capacity                int
 	placeTokens, kept, free int
 }
 
@@ -89,11 +93,11 @@
 }
 
 // leavesEnough reports whether the kept places remain free when a generation of the size is placed on the engine.
-func (r *keptRoom) leavesEnough(used, capacity, freeSlots, tokens int) bool {
+func (r *keptRoom) leavesEnough(used, freeSlots, tokens int) bool {
 	if r == nil {
 		return true
 	}
-	lost := r.freePlaces(used, capacity, freeSlots) - r.freePlaces(used+tokens, capacity, freeSlots-1)
+	lost := r.freePlaces(used, r.capacity, freeSlots) - r.freePlaces(used+tokens, r.capacity, freeSlots-1)
 	return lost == 0 || r.free-lost >= r.kept
 }
 
@@ -145,7 +149,7 @@
 		return nil
 	}
 	s.observeUrgent(now)
-	room := &keptRoom{placeTokens: s.urgentEstimate.placeTokens(), kept: s.urgentEstimate.keptPlaces(s.ownUrgent.Running + s.peerUrgent.Running)}
+	room := &keptRoom{capacity: int(ordinaryMemoryLimit * float64(q.MemoryTokens)), placeTokens: s.urgentEstimate.placeTokens(), kept: s.urgentEstimate.keptPlaces(s.ownUrgent.Running + s.peerUrgent.Running)}
 	if room.kept == 0 || room.placeTokens == 0 {
 		return nil
 	}
@@ -156,7 +160,7 @@
 		}
 		engines++
 		load := member.ownLoad.Plus(member.peerLoad)
-		room.free += room.freePlaces(load.MemoryTokens, q.MemoryTokens, member.Slots-load.Requests)
+		room.free += room.freePlaces(load.MemoryTokens, room.capacity, member.Slots-load.Requests)
 	}
 	room.kept = min(room.kept, int(maxKeptShare*float64(engines*q.MemoryTokens)/float64(room.placeTokens)))
 	return room
