evacuation: VMs on which no other relies ask the store seldom

Such a VM now waits 4 to 8 s after a failed call, unless it becomes the leader of its zone, which retries at once and tells the others (at most 16 calls a minute in that test). A relaxed watch that brought nothing is followed by 20 s without a call. Ruled out: longer strict watches, whose dead connections would be noticed too late for the bound.

--- a/internal/evacuation/evacuation_test.go
+++ b/internal/evacuation/evacuation_test.go
@@ -92,6 +92,7 @@
 	changes  *recorder
 	versions map[string]uint64
 	isReader atomic.Bool
+	isLeader atomic.Bool
 	relaxed  *objecttest.Store
 }
 
@@ -99,6 +100,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &fixture{t: t, store: objecttest.NewStore(), relaxed: objecttest.NewStore(), versions: make(map[string]uint64)}
 		f.isReader.Store(true)
+		f.isLeader.Store(true)
 		f.registry, f.changes = newRegistry()
 		follower := evacuation.NewFollower(evacuation.FollowerOptions{
 			Registry: f.registry, Store: f.store, Relaxed: f.relaxed, Prefix: prefix, Logger: log.New(io.Discard), Announce: func() {},
@@ -108,7 +110,7 @@
 				}
 				return key[len(prefix):], nil
 			},
-			IsReader: f.isReader.Load, IsZoneLeader: func() bool { return true },
+			IsReader: f.isReader.Load, IsZoneLeader: f.isLeader.Load,
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
@@ -194,3 +196,28 @@
 		f.requireAfter(bound/2, "a", "other")
 	})
 }
+
+// TestOtherVMsCallSeldom bounds the calls of a VM on which no other relies, and checks that it reads in time once it has
+// become the leader of its zone.
+func TestOtherVMsCallSeldom(t *testing.T) {
+	const away = time.Minute
+	run(t, func(f *fixture) {
+		calls := func() int { return f.store.Count(objecttest.OpWatch) + f.store.Count(objecttest.OpList) }
+		f.isLeader.Store(false) // and all read, since none hears a reader
+		f.store.SetOutage(true)
+		before := calls()
+		time.Sleep(away)
+		require.LessOrEqual(t, calls()-before, int(away/(4*time.Second))+1)
+		f.store.SetOutage(false)
+		f.put("a")
+		f.isLeader.Store(true)
+		f.requireAfter(bound/2, "a")
+	})
+	run(t, func(f *fixture) {
+		f.isReader.Store(false)
+		f.put("other") // ends the watch of a reader
+		f.requireAfter(0, "other")
+		time.Sleep(10 * away)
+		require.LessOrEqual(t, f.relaxed.Count(objecttest.OpWatch), int(10*away/(40*time.Second))+1)
+	})
+}
--- a/internal/evacuation/follower.go
+++ b/internal/evacuation/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,11 @@
 	listTimeout = 2 * time.Second
 	// readerCheckInterval is how often a VM checks during a relaxed watch whether it has become the reader.
 	readerCheckInterval = 250 * time.Millisecond
+	// memberRetry is the minimum wait after a failed call of a VM on which no other relies; a random time of up to the same
+	// length is added. The leader of the zone retries sooner and tells the others when the store is available again.
+	memberRetry = 4 * time.Second
+	// relaxedReadDelay is the wait after a relaxed watch that brought nothing, unless the VM becomes the reader.
+	relaxedReadDelay = 20 * time.Second
 )
 
 // errRelist is returned if the watch cannot go on and the objects must be listed again.
@@ -82,18 +88,31 @@
 			isListed = false
 		default:
 			f.recordFailure(ctx, err)
-			pause.For(ctx, f.retryWait())
+			f.awaitRetry(ctx)
 		}
 	}
 	return nil
 }
 
-func (f *Follower) retryWait() time.Duration {
-	wait := pause.RetryWait(f.options.IsZoneLeader())
-	if !f.HasSynced() {
-		return min(wait, pause.StartRetryWait())
+// awaitRetry waits after a failed call, briefly if others rely on this VM or it cannot serve yet.
+func (f *Follower) awaitRetry(ctx context.Context) {
+	switch {
+	case !f.HasSynced():
+		pause.For(ctx, min(pause.RetryWait(f.options.IsZoneLeader()), pause.StartRetryWait()))
+	case f.options.IsZoneLeader():
+		pause.For(ctx, pause.RetryWait(true))
+	default:
+		pauseUnless(ctx, memberRetry+rand.N(memberRetry), f.options.IsZoneLeader)
+	}
+}
+
+// pauseUnless waits for the given time, or until the condition holds.
+func pauseUnless(ctx context.Context, wait time.Duration, condition func() bool) {
+	for started := time.Now(); time.Since(started) < wait && !condition(); {
+		if !pause.For(ctx, readerCheckInterval) {
+			return
+		}
 	}
-	return wait
 }
 
 func (f *Follower) recordFailure(ctx context.Context, err error) {
@@ -155,6 +174,8 @@
 	// Without a change the state stays the one of its last change, which all VMs know by the same revision.
 	if len(batch.Events) > 0 {
 		f.publish(batch.Revision)
+	} else if store != f.options.Store {
+		pauseUnless(ctx, relaxedReadDelay, f.options.IsReader)
 	}
 	return batch.Revision, nil
 }
