--- a/internal/entry/evacuation_test.go
+++ b/internal/entry/evacuation_test.go
@@ -1,6 +1,9 @@
 package entry_test
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +15,8 @@
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
 
+	"godwitcart/internal/admin"
+	"godwitcart/internal/evacuation"
 	"godwitcart/internal/settings"
 	"godwitcart/platform/platformtest"
 )
@@ -34,15 +39,32 @@
 	return target
 }
 
+// operatorState returns the state dump of the VM.
+func (v *vm) operatorState(token string) []byte {
+	v.t.Helper()
+	request, err := http.NewRequest(http.MethodGet, "http://"+v.metricsAddress+admin.PathState, http.NoBody)
+	require.NoError(v.t, err)
+	request.Header.Set("Authorization", "Bearer "+token)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(v.t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(v.t, err)
+	require.Equal(v.t, http.StatusOK, response.StatusCode)
+	return body
+}
+
 // startWithEvacuations starts VMs of a deployment whose zones may be evacuated.
 func (d *deployment) startWithEvacuations(count int) []*vm {
 	d.t.Helper()
 	port := udpPort(d.t)
+	digest := sha256.Sum256([]byte("secret"))
 	var vms []*vm
 	for i := range count {
 		vms = append(vms, d.start(fmt.Sprintf("vm-%d", i+1), func(s *settings.Deployment) {
 			s.VM.Address, s.Peers.Port = fmt.Sprintf("127.0.0.%d", i+1), port
 			s.Bounds.EvacuationMillis = float64(evacuateWithin.Milliseconds())
+			s.Operators.Tokens = []settings.Token{{Name: "alice", Role: settings.RoleRead, SHA256: hex.EncodeToString(digest[:])}}
 		}))
 	}
 	return vms
@@ -116,6 +138,12 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 	require.Equal(t, before, arrivals([]*platformtest.Target{emptied}))
+	var state struct {
+		Zones []evacuation.ZoneStatus `json:"zones_in_evacuation"`
+	}
+	require.NoError(t, json.Unmarshal(vms[0].operatorState("secret"), &state))
+	require.Len(t, state.Zones, 1)
+	require.Equal(t, zone, state.Zones[0].Zone)
 	d.Store.SetDown(false)
 	unaware := d.start("vm-unaware", nil)
 	require.Eventually(t, func() bool {
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -19,11 +19,19 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET "+admin.PathMetrics, admin.NewMetricsHandler(metrics.DefaultRegistry))
 	mux.Handle("/", admin.NewHandler(admin.Options{
-		Ready: e.Ready, Tokens: admin.TokensFromSettings(s.Operators.Tokens), Queries: query.NewEngine(s.VM.Name, &trailSource{entry: e}, noPeers{}),
+		Ready: e.Ready, Tokens: admin.TokensFromSettings(s.Operators.Tokens), Queries: query.NewEngine(s.VM.Name, &trailSource{entry: e}, noPeers{}), States: e.operatorStates(),
 	}))
 	return mux
 }
 
+// operatorStates returns the parts of the state dump.
+func (e *Entry) operatorStates() []admin.StateProvider {
+	if e.evacuations == nil {
+		return nil
+	}
+	return []admin.StateProvider{admin.StateFunc{Part: "zones_in_evacuation", Get: func() any { return e.evacuations.Status(time.Now()) }}}
+}
+
 // trailSource answers operators' queries from the trail of the requests that this VM has served.
 type trailSource struct{ entry *Entry }
 
