--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -109,7 +109,7 @@
 	e.budget = retrybudget.New(s.Bounds.RetryRatio*usableBudgetShare, initialRetrySlack(s))
 	e.poller = inforce.NewPoller(inforce.Options{
 		Reader: e.store, Logger: logger, InForceWithin: s.Bounds.ConfigurationDelay(), RevokedWithin: s.Bounds.RevocationDelay(),
-		IsReader: e.readsPlatform, IsZoneLeader: e.isZoneLeader, MayOthersServe: e.mayOthersServe, Regained: e.tellRegained,
+		IsReader: e.readsPlatform, IsZoneLeader: e.isZoneLeader, Regained: e.tellRegained,
 	})
 	e.forwarder = forward.New(forward.Options{
 		Codec: platform.Codec{}, Mover: platform.NewMover(e.client), Poller: e.poller, Table: e.table, Client: e.client,
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -56,9 +56,6 @@
 // available again.
 func (e *Entry) isZoneLeader() bool { return e.fleet == nil || e.fleet.IsZoneLeader() }
 
-// mayOthersServe reports whether other VMs may still have a proof of the configuration while this one has none.
-func (e *Entry) mayOthersServe() bool { return e.fleet != nil && !e.fleet.HearsMostVMs() }
-
 // tellRegained informs the other VMs without delay that the configuration can be read again, if they learn it from this one.
 func (e *Entry) tellRegained() {
 	if e.fleet != nil && e.fleet.IsZoneLeader() {
--- a/internal/fleet/reader.go
+++ b/internal/fleet/reader.go
@@ -45,13 +45,6 @@
 	return f.members != nil && f.isZoneLeader(now) && !(lost && hearsReader)
 }
 
-// HearsMostVMs reports whether this VM hears from more than half of the fleet, so that it knows what most others know.
-func (f *Fleet) HearsMostVMs() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return 2*f.size.Live > f.size.Known
-}
-
 // actsAsReader reports whether this VM reads the platform for its zone: it is the zone's leader, or the deputy of one from
 // which no fresh proof comes. The caller holds mu.
 func (f *Fleet) actsAsReader(now time.Time) bool {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -80,6 +80,8 @@
 	maxBufferedBytes = 8 << 20
 	// defaultBodyBytes bounds a request's body if the configuration sets no limit.
 	defaultBodyBytes = 4 << 20
+	// staleRetryAfter is the Retry-After of a request refused because the configuration is stale.
+	staleRetryAfter = 700 * time.Millisecond
 	// drainDelay is how long a VM that shuts down still accepts every request, until the load balancer has noticed.
 	drainDelay = 2500 * time.Millisecond
 	// stoppingRetryAfter is the Retry-After of a request refused by a VM that shuts down. It is short, since
@@ -247,7 +249,7 @@
 func (x *exchange) staleConfigurationError() error {
 	age, _ := x.options.Poller.ProofAge()
 	return apierror.Newf(apierror.KindUnavailable, "come back after the time given",
-		"the configuration was last confirmed %d ms ago, which is too old to check API keys", age.Milliseconds()).WithRetryAfter(x.options.Poller.ReturnWait())
+		"the configuration was last confirmed %d ms ago, which is too old to check API keys", age.Milliseconds()).WithRetryAfter(staleRetryAfter)
 }
 
 func (x *exchange) readBody(r *http.Request) ([]byte, error) {
--- a/internal/inforce/inforce.go
+++ b/internal/inforce/inforce.go
@@ -41,9 +41,6 @@
 	IsReader func() bool
 	// IsZoneLeader reports whether this VM retries a failed read after a short delay; nil means always.
 	IsZoneLeader func() bool
-	// MayOthersServe reports whether other VMs may have a proof that this VM cannot have, because it is cut off from them; nil
-	// means that none may.
-	MayOthersServe func() bool
 	// Now returns the time that the age of proofs is measured with; nil means boottime.Now.
 	Now func() boottime.Instant
 }
@@ -62,9 +59,8 @@
 	// readAtProofShare is the age of the proof at which a VM that relies on peers reads itself, as a share of
 	// RevokedWithin.
 	readAtProofShare = 0.75
-	// clockErrorShare is the share of RevokedWithin by which a proof may be older than this VM's clock says. A request counts
-	// from when its caller sent it, which is before the check, so the time that it then waits adds nothing.
-	clockErrorShare = 0.02
+	// proofMargin is subtracted from RevokedWithin, for the time between the check and the arrival at the target.
+	proofMargin = 300 * time.Millisecond
 )
 
 // Poller reads the configuration and holds the version in force. It is safe for concurrent use.
@@ -75,10 +71,9 @@
 	// provenAt is the start of the latest read that proved the current version to be the newest; zero means none.
 	provenAt atomic.Int64
 	// newestNamed is the newest version that a peer has named.
-	newestNamed atomic.Uint64
-	wake        chan struct{}
-	// lostAt is when the first read since the last successful one failed; zero while reads succeed.
-	lostAt atomic.Int64
+	newestNamed  atomic.Uint64
+	wake         chan struct{}
+	platformLost atomic.Bool
 	// refusingKeys is set while API keys are refused because the proof is missing or too old.
 	refusingKeys atomic.Bool
 }
@@ -108,7 +103,7 @@
 // still contain a key that was revoked more than RevokedWithin ago. It logs when the answer changes.
 func (p *Poller) CanAcceptKeys() bool {
 	age, known := p.ProofAge()
-	proven := known && age <= p.maxProofAge()
+	proven := known && age <= p.options.RevokedWithin-proofMargin
 	// The answer has changed if refusingKeys equals proven. The swap lets one of several concurrent callers log it.
 	if p.refusingKeys.Load() == proven && p.refusingKeys.CompareAndSwap(proven, !proven) {
 		p.options.Logger.Warn("acceptance of API keys changed", "accepted", proven, "proof_age_ms", age.Milliseconds())
@@ -116,11 +111,6 @@
 	return proven
 }
 
-// maxProofAge returns the age up to which a proof allows API keys.
-func (p *Poller) maxProofAge() time.Duration {
-	return time.Duration((1 - clockErrorShare) * float64(p.options.RevokedWithin))
-}
-
 // Proof returns the version in force and the instant at which it was last proven to be the newest; zeros mean none.
 func (p *Poller) Proof() (version uint64, at boottime.Instant) {
 	// Load the proof before the version. If a newer version comes into force in between, the proof holds for it too:
@@ -161,7 +151,7 @@
 }
 
 // HasLostPlatform reports whether the last read has failed.
-func (p *Poller) HasLostPlatform() bool { return p.lostAt.Load() != 0 }
+func (p *Poller) HasLostPlatform() bool { return p.platformLost.Load() }
 
 // Wake makes the poller check at once whether a read is due. It does not block.
 func (p *Poller) Wake() {
@@ -232,7 +222,7 @@
 }
 
 func (p *Poller) recordFailure(ctx context.Context, err error) {
-	if ctx.Err() != nil || !p.lostAt.CompareAndSwap(0, int64(p.options.Now())) {
+	if ctx.Err() != nil || p.platformLost.Swap(true) {
 		return
 	}
 	age, _ := p.ProofAge()
@@ -247,7 +237,7 @@
 	if err != nil {
 		return err
 	}
-	isRegained := p.lostAt.Swap(0) != 0
+	isRegained := p.platformLost.Swap(false)
 	p.accept(configuration, sentAt)
 	if isRegained {
 		p.options.Logger.Info("dependency regained", "dependency", "configuration")
