--- a/internal/fleet/receive.go
+++ b/internal/fleet/receive.go
@@ -52,8 +52,7 @@
 	canDateProof = canDateProof && received.Version > 0 && f.sequence-echoedSequence < sendTimesKept && f.sendTimes[echoedSequence%sendTimesKept] != 0
 	proof := f.sendTimes[echoedSequence%sendTimesKept] - boottime.Instant(time.Duration(received.ProofAgeMillis)*time.Millisecond)
 	// Totals of another zone date proofs only: their sender does not tell this zone of changes.
-	// A reader that the platform turns away hands on the proofs of other zones, but reads for nobody.
-	if received.Reader && !received.ZoneTotal && !received.PlatformLost && received.Version > 0 && time.Duration(received.ProofAgeMillis)*time.Millisecond < f.shareOfBound(freshProofShare) {
+	if received.Reader && !received.ZoneTotal && received.Version > 0 && time.Duration(received.ProofAgeMillis)*time.Millisecond < f.shareOfBound(freshProofShare) {
 		f.readerHeardAt = now
 	}
 	becameReader := f.takesOver(now)
