--- a/internal/fleet/receive.go
+++ b/internal/fleet/receive.go
@@ -51,7 +51,7 @@
 	echoedSequence, canDateProof := received.Echoes[nameHash(f.options.Self.Name)]
 	canDateProof = canDateProof && received.Version > 0 && f.sequence-echoedSequence < sendTimesKept && f.sendTimes[echoedSequence%sendTimesKept] != 0
 	proof := f.sendTimes[echoedSequence%sendTimesKept] - boottime.Instant(time.Duration(received.ProofAgeMillis)*time.Millisecond)
-	// Totals of another zone date proofs only: their sender does not tell this zone of changes.
+	// Totals of another zone do not count: their sender does not tell this zone of changes, nor can its proof be dated.
 	if received.Reader && !received.ZoneTotal && received.Version > 0 && time.Duration(received.ProofAgeMillis)*time.Millisecond < f.shareOfBound(freshProofShare) {
 		f.readerHeardAt = now
 	}
--- a/internal/fleet/send.go
+++ b/internal/fleet/send.go
@@ -46,7 +46,6 @@
 	zoneTotal.Changes, zoneTotal.Versions, zoneTotal.ColdRevisions, zoneTotal.Unreachable = nil, nil, nil, nil
 	if sendsTotal {
 		zoneTotal.ZoneTotal = true
-		zoneTotal.Echoes = f.echoesFor(crossZone)
 		zoneTotal.VMCount = f.zoneSize(now)
 		zoneTotal.WaitingVMs += f.waitingPeers(now)
 		zoneTotal.Loads = packLoads(f.options.Table.ZoneLoads(f.options.Self.Zone))
@@ -96,18 +95,6 @@
 	}
 }
 
-// echoesFor returns the last sequence numbers received from the recipients, with which they date this VM's proof: a zone that
-// cannot read the platform itself has none but those of other zones. The caller holds mu.
-func (f *Fleet) echoesFor(recipients []Member) map[uint32]uint32 {
-	echoes := make(map[uint32]uint32, len(recipients))
-	for _, member := range recipients {
-		if remote := f.peers[member.Name]; remote != nil {
-			echoes[remote.rank.hash] = remote.sequence
-		}
-	}
-	return echoes
-}
-
 func (f *Fleet) sendTo(out *digest, recipients []Member) {
 	if len(recipients) == 0 {
 		return
