--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -92,13 +92,13 @@
 	defaultQueueWait        = time.Second
 )
 
-// queueWait returns how long the request may wait for capacity. Plain requests, and streams whose caller already has a
-// part, wait for a share of the latency objective.
+// queueWait returns how long the request may wait for capacity: a share of the latency objective or, where objectives compete
+// for memory and the caller has no part of the answer yet, as long as waiting helps.
 func (x *exchange) queueWait(query placement.Query) time.Duration {
 	switch objective := x.route.LatencyObjective; {
 	case objective == 0:
 		return defaultQueueWait
-	case query.MemoryTokens > 0 && !x.headerSent:
+	case query.MemoryTokens > 0 && !x.headerSent && x.options.Table.ObjectivesCompete(query.Service):
 		return placement.Patience{Objective: objective, Elapsed: time.Since(x.arrivedAt), Left: time.Until(x.deadline), FirstEvent: x.options.Table.FirstEventTime(query)}.LongestWait()
 	case x.versionFixed && !x.hasSoleVersion():
 		return time.Duration(continuedQueueWaitShare * float64(objective))
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -23,9 +23,6 @@
 	// same engine.
 	crossZoneCost      = 8.0
 	aggregatedZoneCost = 200.0
-	// isolatedGenerationCost is added for a generation that a cut between the zones would lose. That costs its caller more
-	// than a later first event within the objective, so it leaves the zone only where the zone's engines are nearly full.
-	isolatedGenerationCost = 800.0
 	// runningGenerationCost is the delay that one more running generation adds to the decoding steps of the others.
 	runningGenerationCost = 6.0
 	// memoryPressureCost is added in proportion as the expected memory use goes from memoryPressureThreshold to 1.
@@ -306,8 +303,8 @@
 	score := failureCost * candidate.health.failureRate()
 	if candidate.Zone != q.Zone {
 		score += t.zoneSurcharge()
-		if q.NotResumable && q.MemoryTokens > 0 {
-			score += float64(q.prefill())/s.prefillRate + isolatedGenerationCost
+		if q.NotResumable {
+			score += float64(q.prefill()) / s.prefillRate
 		}
 	}
 	if now.Before(candidate.slowStartUntil) {
--- a/internal/placement/urgent.go
+++ b/internal/placement/urgent.go
@@ -104,7 +104,21 @@
 // isUrgent reports whether the query is for an urgent generation. Where all objectives of a service are alike, none is.
 func (s *service) isUrgent(q *Query) bool {
 	urgentBelow := urgentObjectiveRatio * float64(s.tightestObjective)
-	return q.MemoryTokens > 0 && q.FirstEventObjective > 0 && float64(q.FirstEventObjective) < urgentBelow && float64(s.loosestObjective) >= urgentBelow
+	return q.MemoryTokens > 0 && q.FirstEventObjective > 0 && float64(q.FirstEventObjective) < urgentBelow && s.objectivesCompete()
+}
+
+// objectivesCompete reports whether the latency objectives of the service's generations are so far apart that some can wait
+// for others. Where they are alike, nothing is gained by an order among them.
+func (s *service) objectivesCompete() bool {
+	return s.tightestObjective > 0 && float64(s.loosestObjective) >= urgentObjectiveRatio*float64(s.tightestObjective)
+}
+
+// ObjectivesCompete reports whether requests of the service wait by their objectives.
+func (t *Table) ObjectivesCompete(name string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.services[name]
+	return s != nil && s.objectivesCompete()
 }
 
 // recordObjective keeps the range of the objectives of the generations that the service was asked for.
