object: one loop lists and watches for the list of targets and for zones in evacuation

Cause: the follower of evacuations repeated the loop of the roster, with an error of its own for a list that must be read again.

Change: object.Follow, with object.ErrRelist; both followers give it their calls. Behaviour is as before.

--- a/internal/evacuation/follower.go
+++ b/internal/evacuation/follower.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/cockroachdb/errors"
 
 	"godwitcart/internal/object"
 	"godwitcart/internal/pause"
@@ -30,9 +29,6 @@
 	relaxedReadDelay = 20 * time.Second
 )
 
-// errRelist is returned if the watch cannot go on and the objects must be listed again.
-var errRelist = errors.New("the zones in evacuation must be read again")
-
 // FollowerOptions configures a Follower.
 type FollowerOptions struct {
 	Registry *Registry
@@ -71,26 +67,10 @@
 
 // Run follows the objects until ctx is done. After a failure it continues from the last revision.
 func (f *Follower) Run(ctx context.Context) error {
-	isListed := false
-	var revision uint64
-	for ctx.Err() == nil {
-		var next uint64
-		var err error
-		if isListed {
-			next, err = f.watch(ctx, revision)
-		} else {
-			next, err = f.list(ctx)
-		}
-		switch {
-		case err == nil:
-			revision, isListed = next, true
-		case errors.Is(err, errRelist):
-			isListed = false
-		default:
-			f.recordFailure(ctx, err)
-			f.awaitRetry(ctx)
-		}
-	}
+	object.Follow(ctx, object.Followed{List: f.list, Watch: f.watch, Failed: func(ctx context.Context, err error) {
+		f.recordFailure(ctx, err)
+		f.awaitRetry(ctx)
+	}})
 	return nil
 }
 
@@ -148,7 +128,7 @@
 }
 
 // watch waits for changes after the given revision and applies them. It returns the revision from which to continue, or
-// errRelist if the objects must be listed again.
+// object.ErrRelist if the objects must be listed again.
 func (f *Follower) watch(ctx context.Context, after uint64) (uint64, error) {
 	callCtx, endCall := context.WithCancel(ctx)
 	defer endCall()
@@ -166,7 +146,7 @@
 	}
 	f.recordAnswer()
 	if batch.Compacted {
-		return 0, errRelist
+		return 0, object.ErrRelist
 	}
 	for _, entry := range batch.Events {
 		f.apply(entry)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -64,9 +64,6 @@
 	TargetLeaving(target Target)
 }
 
-// errRelist is returned if the watch cannot go on and the list must be read again.
-var errRelist = errors.New("the list of targets must be read again")
-
 // Options configures a Follower.
 type Options struct {
 	Store object.Store
@@ -159,30 +156,14 @@
 // Run follows the list until ctx is done. After a failure it continues from the last revision: the list is read again only
 // if the platform has dropped its history since, or if a removal is due.
 func (f *Follower) Run(ctx context.Context) error {
-	isListed := false
-	var revision uint64
-	for ctx.Err() == nil {
-		var next uint64
-		var err error
-		if isListed {
-			next, err = f.watch(ctx, revision)
-		} else {
-			next, err = f.list(ctx)
-		}
-		switch {
-		case err == nil:
-			revision, isListed = next, true
-		case errors.Is(err, errRelist):
-			isListed = false
-		default:
-			f.recordFailure(ctx, err)
-			wait := pause.RetryWait(f.options.IsZoneLeader == nil || f.options.IsZoneLeader())
-			if !f.HasSynced() {
-				wait = min(wait, pause.StartRetryWait())
-			}
-			f.applyPeerChangesDuring(ctx, func() { pause.For(ctx, wait) })
+	object.Follow(ctx, object.Followed{List: f.list, Watch: f.watch, Failed: func(ctx context.Context, err error) {
+		f.recordFailure(ctx, err)
+		wait := pause.RetryWait(f.options.IsZoneLeader == nil || f.options.IsZoneLeader())
+		if !f.HasSynced() {
+			wait = min(wait, pause.StartRetryWait())
 		}
-	}
+		f.applyPeerChangesDuring(ctx, func() { pause.For(ctx, wait) })
+	}})
 	return nil
 }
 
@@ -242,7 +223,7 @@
 }
 
 // watch waits for changes after the given revision, and applies and publishes them. It returns the revision from which
-// to continue, or errRelist if the list must be read again.
+// to continue, or object.ErrRelist if the list must be read again.
 func (f *Follower) watch(ctx context.Context, after uint64) (uint64, error) {
 	bounded, cancel := f.withRemovalDeadline(ctx)
 	defer cancel()
@@ -256,7 +237,7 @@
 	}
 	f.applyPeerChangesDuring(ctx, func() { batch, err = store.Watch(callCtx, f.options.Prefix, after) })
 	if err != nil && bounded.Err() != nil && ctx.Err() == nil {
-		return 0, errRelist // a pending removal is due; the platform has not failed
+		return 0, object.ErrRelist // a pending removal is due; the platform has not failed
 	}
 	if err != nil && callCtx.Err() != nil && ctx.Err() == nil {
 		return after, nil // this VM has become the reader
@@ -268,7 +249,7 @@
 	f.recordAnswer(now)
 	if batch.Compacted {
 		f.options.Logger.Info("list of targets is read again", "reason", "the platform dropped its history", "revision", after)
-		return 0, errRelist
+		return 0, object.ErrRelist
 	}
 	for _, entry := range batch.Events {
 		f.applyEvent(entry, now)
