placement, entry: the table says which zones were taken back

Cause: entry kept the zones of the last change beside the table, which knows them, only to tell which targets may be cold.

Change: SetEvacuations returns what a change means; the copy in entry is gone. A test asserts the zones that were taken back, besides what it asserted before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -79,8 +79,6 @@
 	// evacuations is nil if the settings set no bound for evacuations, and evacuationFollower, which reads them, too.
 	evacuations        *evacuation.Registry
 	evacuationFollower *evacuation.Follower
-	// evacuatedZones are those of the last change; only evacuationsChanged uses them.
-	evacuatedZones []string
 	// fleet is nil if the settings name no port for load digests, and tunnels, which serves the other VMs, too.
 	fleet   *fleet.Fleet
 	tunnels *tunnel.Server
--- a/internal/entry/evacuation.go
+++ b/internal/entry/evacuation.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"slices"
 	"time"
 
 	"godwitcart/internal/evacuation"
@@ -35,21 +34,18 @@
 }
 
 // evacuationsChanged puts the zones in evacuation in force, and moves running streams off the targets there as if these
-// were leaving. Targets of a zone that is taken back may be cold. It is called for one change after the other.
+// were leaving. Targets of a zone that is taken back may be cold.
 func (e *Entry) evacuationsChanged(zones []string) {
 	now := time.Now()
-	for _, zone := range e.evacuatedZones {
-		if !slices.Contains(zones, zone) {
-			e.cold.BeginZone(zone, now)
-		}
+	change := e.table.SetEvacuations(zones, now)
+	for _, zone := range change.TakenBack {
+		e.cold.BeginZone(zone, now)
 	}
-	e.evacuatedZones = zones
-	emptied, returnsIn := e.table.SetEvacuations(zones, now)
-	for _, target := range emptied {
+	for _, target := range change.Emptied {
 		e.client.CloseIdle(target.Address)
 		e.forwarder.Evacuate(target)
 	}
-	if returnsIn > 0 {
-		e.retryWaiting(returnsIn)
+	if change.ReturnsIn > 0 {
+		e.retryWaiting(change.ReturnsIn)
 	}
 }
--- a/internal/placement/evacuation.go
+++ b/internal/placement/evacuation.go
@@ -29,9 +29,18 @@
 	return e != nil && (e.until.IsZero() || now.Before(e.until))
 }
 
-// SetEvacuations replaces the zones in evacuation. It returns the targets of those that were not before, and the time until
-// this VM chooses targets again of all zones that were taken back; zero means that there are none.
-func (t *Table) SetEvacuations(zones []string, now time.Time) (emptied []roster.Target, returnsIn time.Duration) {
+// EvacuationChange is what a change of the zones in evacuation means for the targets.
+type EvacuationChange struct {
+	// Emptied are the targets of the zones that were not in evacuation before.
+	Emptied []roster.Target
+	// TakenBack are the zones that were, and ReturnsIn is the time until this VM chooses targets of all of them again.
+	TakenBack []string
+	ReturnsIn time.Duration
+}
+
+// SetEvacuations replaces the zones in evacuation.
+func (t *Table) SetEvacuations(zones []string, now time.Time) EvacuationChange {
+	var change EvacuationChange
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for zone, evacuation := range t.evacuations {
@@ -40,7 +49,8 @@
 		case evacuation.until.IsZero():
 			wait := time.Duration(t.random.Float64() * float64(returnSpread))
 			evacuation.until = now.Add(wait)
-			returnsIn = max(returnsIn, wait)
+			change.TakenBack = append(change.TakenBack, zone)
+			change.ReturnsIn = max(change.ReturnsIn, wait)
 		case !evacuation.blocks(now):
 			delete(t.evacuations, zone)
 		}
@@ -52,7 +62,7 @@
 		t.evacuations[zone] = &zoneEvacuation{since: now}
 		for _, member := range t.targets {
 			if member.Zone == zone {
-				emptied = append(emptied, member.Target)
+				change.Emptied = append(change.Emptied, member.Target)
 			}
 		}
 	}
@@ -60,7 +70,7 @@
 		member.evacuation = t.evacuations[member.Zone]
 	}
 	t.wakeWaiters()
-	return emptied, returnsIn
+	return change
 }
 
 // EvacuatedSince returns when this VM learned that the zone of the target is in evacuation, and false if it is not.
--- a/internal/placement/evacuation_test.go
+++ b/internal/placement/evacuation_test.go
@@ -33,7 +33,7 @@
 	for name, query := range ways {
 		t.Run(name, func(t *testing.T) {
 			table := newTestTable("vm-1", 1, inA, inB)
-			emptied, _ := table.SetEvacuations([]string{zoneA}, startTime)
+			emptied := table.SetEvacuations([]string{zoneA}, startTime).Emptied
 			require.Equal(t, []roster.Target{inA}, emptied)
 			for range 30 {
 				lease, err := table.Pick(query, startTime)
@@ -110,8 +110,10 @@
 				table.SetEvacuations([]string{zoneA}, startTime.Add(time.Hour)) // silence and time end nothing
 				require.False(t, table.HasUsableTarget(engineQuery(100), startTime.Add(time.Hour)))
 				backAt := startTime.Add(time.Hour)
-				emptied, returnsIn := table.SetEvacuations(nil, backAt)
-				require.Empty(t, emptied)
+				change := table.SetEvacuations(nil, backAt)
+				require.Empty(t, change.Emptied)
+				require.Equal(t, []string{zoneA}, change.TakenBack)
+				returnsIn := change.ReturnsIn
 				require.LessOrEqual(t, returnsIn, returnSpread)
 				require.True(t, table.HasUsableTarget(engineQuery(100), backAt.Add(returnsIn)))
 				first[returnsIn.Truncate(step)]++
