entry: peer ports of tests lie below those that the system gives to connections

Ports found by listening on port 0 come from the range of outgoing connections. They are now searched below it, free for digests and tunnels, each process beginning elsewhere.

--- a/internal/entry/budget_test.go
+++ b/internal/entry/budget_test.go
@@ -34,7 +34,7 @@
 	for _, name := range []string{"vm-3", "vm-4"} {
 		d.Store.Put("entry-vms", name, map[string]string{"digest_address": "127.0.0.1:9", "zone": zone})
 	}
-	port := udpPort(t)
+	port := peerPort(t)
 	start := func(name, address string) *vm {
 		return d.start(name, func(s *settings.Deployment) {
 			s.VM.Address, s.Peers.Port = address, port
--- a/internal/entry/cut_test.go
+++ b/internal/entry/cut_test.go
@@ -19,7 +19,7 @@
 // startFleetWithPaths is startFleet for VMs whose paths to targets can be cut.
 func (d *deployment) startFleetWithPaths(count int) ([]*vm, []*rig.Path) {
 	d.t.Helper()
-	port := udpPort(d.t)
+	port := peerPort(d.t)
 	vms, paths := make([]*vm, count), make([]*rig.Path, count)
 	for i := range vms {
 		number := listenerCount.Add(1)
--- a/internal/entry/evacuation_test.go
+++ b/internal/entry/evacuation_test.go
@@ -57,7 +57,7 @@
 // startWithEvacuations starts VMs of a deployment whose zones may be evacuated.
 func (d *deployment) startWithEvacuations(count int) []*vm {
 	d.t.Helper()
-	port := udpPort(d.t)
+	port := peerPort(d.t)
 	digest := sha256.Sum256([]byte("secret"))
 	var vms []*vm
 	for i := range count {
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -101,13 +101,35 @@
 	return listener.Addr().String()
 }
 
-// udpPort returns a UDP port that was free when it was checked.
-func udpPort(t *testing.T) int {
+// Peer ports are taken from below the range from which the system chooses ports for connections: one of those could take
+// the port before the VMs listen on it.
+const firstPeerPort, lastPeerPort = 12000, 32000
+
+// nextPeerPort is where the next search begins. Processes begin at different ports.
+var nextPeerPort atomic.Uint32
+
+func init() { nextPeerPort.Store(uint32(os.Getpid() * 61)) }
+
+// peerPort returns a port that was free for digests and for tunnels when it was checked.
+func peerPort(t *testing.T) int {
 	t.Helper()
-	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer conn.Close()
-	return conn.LocalAddr().(*net.UDPAddr).Port
+	for range lastPeerPort - firstPeerPort {
+		port := firstPeerPort + int(nextPeerPort.Add(1))%(lastPeerPort-firstPeerPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		digests, err := net.ListenPacket("udp4", address)
+		if err != nil {
+			continue
+		}
+		tunnels, err := net.Listen("tcp4", address)
+		digests.Close()
+		if err != nil {
+			continue
+		}
+		tunnels.Close()
+		return port
+	}
+	require.Fail(t, "no port is free for peers")
+	return 0
 }
 
 // start starts an entry VM and waits until it is ready; change may modify its settings.
--- a/internal/entry/limit_test.go
+++ b/internal/entry/limit_test.go
@@ -44,7 +44,7 @@
 // startFleet starts entry VMs that exchange digests.
 func (d *deployment) startFleet(count int) []*vm {
 	d.t.Helper()
-	port := udpPort(d.t)
+	port := peerPort(d.t)
 	vms := make([]*vm, count)
 	for i := range vms {
 		number := listenerCount.Add(1)
