soak: engines start cold, become cold again, and the judge counts what reached them

The judge counts what targets saw in each second. Requests meant for another target at the address do not count. VMs of the build in production, which refuse such settings, do not count either.

--- a/internal/stand/soak/faults.go
+++ b/internal/stand/soak/faults.go
@@ -51,6 +51,7 @@
 	"target_leaves", "target_leaves", "target_leaves", "copies_refused", "target_fails", "target_fails", "revoke", "versions", "rolling_stop",
 	"target_limits", "target_limits", "roll", "target_says_leaving", "target_says_leaving", "target_turns_away", "target_turns_away",
 	"part_crashes", "part_crashes", "part_crashes", "request_crashes", "request_crashes", "request_crashes", "target_cut_vms", "target_cut_vms", "target_cut_vms", "targets_brittle", "targets_brittle", "zone_evacuated", "zone_evacuated",
+	"target_cold_again", "target_cold_again", "target_cold_again",
 }
 
 // injectFaults injects random faults, which may overlap, and returns when all have ended.
@@ -115,6 +116,8 @@
 		target := slot.target.Load()
 		defer h.recordFault(kind, target.ID+"/limit")()
 		h.runLimit(target, float64(subjectIndex%limitChoices)+0.5, duration)
+	case "target_cold_again":
+		h.runColdAgain(slot, duration)
 	case "roll":
 		h.rollSoftware(subjectIndex)
 	case "target_cut_vms":
@@ -270,7 +273,7 @@
 	slot.link.Cut()
 	h.Unregister(target.ID)
 	time.Sleep(min(duration, time.Second))
-	h.startTarget(slot, service)
+	h.startColdTarget(slot, service)
 	h.checkRestored(slot.link.Restore())
 }
 
--- a/internal/stand/soak/harness.go
+++ b/internal/stand/soak/harness.go
@@ -87,7 +87,10 @@
 	checkedCutCalls int
 	brittleTimes    []brittleTime
 	evacuations     []evacuation
-	violations      []Violation
+	colds           []coldTime
+	// coldArrivals counts the requests that reached cold engines.
+	coldArrivals int
+	violations   []Violation
 }
 
 func newHarness(options Options) (*harness, error) {
@@ -113,6 +116,7 @@
 			return err
 		}
 	}
+	h.DeclareCold(coldPerSecond, coldStart)
 	h.keys.issue(h, 3)
 	digestAddress, err := h.ports.Address()
 	if err != nil {
@@ -160,12 +164,12 @@
 		return err
 	}
 	h.slots = append(h.slots, slot)
-	h.startTarget(slot, service)
+	h.register(slot, h.newTarget(slot, service), service)
 	return nil
 }
 
-// startTarget starts a new target in the slot and adds it to the platform's list.
-func (h *harness) startTarget(slot *targetSlot, service string) {
+// newTarget returns a new target for the slot.
+func (h *harness) newTarget(slot *targetSlot, service string) *platformtest.Target {
 	id := fmt.Sprintf("t-%d", h.targetCount.Add(1))
 	target := platformtest.NewTarget(id, slot.link.Address, h.Cluster)
 	target.Version = fmt.Sprintf("v%d", h.version.Load())
@@ -174,6 +178,11 @@
 		target.SetRoom(plainSlots, plainQueue, plainWorkTime)
 	}
 	h.setCrashes(slot, target)
+	return target
+}
+
+// register starts the target in the slot and adds it to the platform's list.
+func (h *harness) register(slot *targetSlot, target *platformtest.Target, service string) {
 	slot.target.Store(target)
 	h.Register(target, service, slot.zone)
 }
@@ -211,8 +220,8 @@
 bounds: {configuration_ms: %d, revocation_ms: %d, grace_s: %g, retry_ratio: 0.2, retry_slack: 100%%s}
 `, name, v.zone, address, addresses[0], addresses[1], addresses[2], portOf(digestAddress), link.Address, path.Address,
 		configurationBound.Milliseconds(), revocationBound.Milliseconds(), graceBound.Seconds())
-	// Builds that came before the bounds on evacuations refuse settings with them.
-	bounds := map[bool]string{true: "", false: fmt.Sprintf(", evacuation_ms: %d", evacuationBound.Milliseconds())}
+	// Builds that came before the bounds on evacuations and cold targets refuse settings with them.
+	bounds := map[bool]string{true: "", false: fmt.Sprintf(", evacuation_ms: %d, cold_overage: %g, cold_slack: %d", evacuationBound.Milliseconds(), coldOverage, coldSlack)}
 	for isProduction, added := range bounds {
 		if err := os.WriteFile(h.settingsFile(name, isProduction), fmt.Appendf(nil, text, added), 0o644); err != nil {
 			return errors.Wrap(err, "write settings")
--- a/internal/stand/soak/judge.go
+++ b/internal/stand/soak/judge.go
@@ -224,6 +224,7 @@
 		r.Falls += len(played.falls)
 	}
 	r.Resumed, r.Continued = resumed, continued
+	r.ColdTimes, r.ColdArrivals = len(h.colds), h.coldArrivals
 	for _, f := range h.faults {
 		r.Faults[f.kind]++
 	}
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -53,6 +53,9 @@
 	CutCalls     int `json:"cut_calls"`
 	BrittleTimes int `json:"brittle_times"`
 	Falls        int `json:"falls"`
+	// ColdTimes counts the times in which engines were cold, and ColdArrivals the requests that reached them then.
+	ColdTimes    int `json:"cold_times"`
+	ColdArrivals int `json:"cold_arrivals"`
 	// Violations counts violated guarantees by name; Examples describes the first of each.
 	Violations map[string]int `json:"violations"`
 	Examples   []Violation    `json:"examples,omitempty"`
@@ -100,6 +103,7 @@
 	h.checkCuts()
 	h.checkFalls()
 	h.checkEvacuations()
+	h.checkCold()
 	if err := h.checkLogs(); err != nil {
 		return nil, err
 	}
