placement, forward: the targets that a request could not use are named in its log line and in explain

Cause: neither the line `sent` nor a refusal for want of room said that targets were passed over since their zone is in evacuation or they are cold, so that a full zone beside an evacuated one looked like too few engines.

Change: `passed_over` of `sent` (which explain repeats), and the reason of the refusal. The table that orders requests is not touched.

Measured: go test -race of placement and forward passes.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -175,7 +175,7 @@
 	attempt.Priority = x.priority()
 	attempt.Remaining = time.Until(x.deadline)
 	x.log("sent", "target", lease.Target.ID, "zone", lease.Target.Zone, "version", lease.Target.Version, "attempt", x.attempts, "expected_ms", lease.ExpectedFirstEvent.Milliseconds(),
-		"candidates", lease.CandidateCount, "prompt_tokens", x.call.Prompt.Tokens, "shared_parts", strings.Join(x.call.Prompt.SharedParts, ","), "from", attempt.From != nil, "backup", attempt.BackupAddress, "after_event", attempt.LastEventID, "resumes", x.call.Resumes, "limit", lease.Limit(time.Now()))
+		"candidates", lease.CandidateCount, "prompt_tokens", x.call.Prompt.Tokens, "shared_parts", strings.Join(x.call.Prompt.SharedParts, ","), "from", attempt.From != nil, "backup", attempt.BackupAddress, "after_event", attempt.LastEventID, "resumes", x.call.Resumes, "limit", lease.Limit(time.Now()), "passed_over", lease.PassedOver(time.Now()))
 	request := x.options.Codec.NewRequest(x.call, attempt)
 	// An idle connection may turn out to be closed by the target; then it is unknown whether the call has run.
 	freshConnection := !x.route.Idempotent && !x.route.Resumable
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -119,7 +119,7 @@
 	}
 	if best == nil && candidates > 0 {
 		return nil, apierror.Newf(apierror.KindOverloaded, "come back after the time given",
-			"none of the %d targets of service %q that serve has room for %d tokens; lacking: %s", candidates, q.Service, q.memory(), q.lacking)
+			"none of the %d targets of service %q that serve has room for %d tokens; lacking: %s; passed over: %s", candidates, q.Service, q.memory(), q.lacking, t.passedOver(s, now))
 	}
 	if best == nil && q.VersionFixed {
 		return nil, apierror.Newf(apierror.KindNotRun, "send the request again from its start",
