placement: objectives that compete are those of the configuration in force

Cause: whether a service keeps memory, orders its queue by objective and tells when room is expected followed from the objectives of the requests that a VM had seen; a VM that had just started, or had seen one kind, decided otherwise than the others. The order of turns, the order of waiting and Retry-After by release applied to every engine service, also where objectives do not compete.

Where objectives do not compete, requests wait by priority and arrival, take turns at random, tell no demand and return as at. The tests of room set the objectives as a configuration instead of by requests; their bounds are unchanged.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -108,6 +108,7 @@
 	e.poller = inforce.NewPoller(inforce.Options{
 		Reader: e.store, Logger: logger, InForceWithin: s.Bounds.ConfigurationDelay(), RevokedWithin: s.Bounds.RevocationDelay(),
 		IsReader: e.readsPlatform, IsZoneLeader: e.isZoneLeader, Regained: e.tellRegained,
+		Changed: e.configurationChanged,
 	})
 	e.forwarder = forward.New(forward.Options{
 		Codec: platform.Codec{}, Mover: platform.NewMover(e.client), Poller: e.poller, Table: e.table, Client: e.client,
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"godwitcart/internal/policy"
 	"godwitcart/internal/roster"
 )
 
@@ -178,6 +179,8 @@
 	peerLoadsCheckedAt time.Time
 	// zoneAggregates counts the entries of peerLoads that are totals of a whole zone.
 	zoneAggregates int
+	// objectives holds the latency objectives of generations by service.
+	objectives map[string]policy.ObjectiveRange
 	// departedPauses holds the targets that left the list during a pause, by id.
 	departedPauses map[string]*target
 	// evacuations holds the zones in evacuation, and those that this VM does not choose again yet.
@@ -202,9 +205,8 @@
 	// ownUrgent and peerUrgent are the demands for memory for urgent generations of this VM and of its peers.
 	ownUrgent, peerUrgent UrgentDemand
 	urgentEstimate        demandEstimate
-	// tightestObjective and loosestObjective bound the latency objectives of the generations that were asked for; zero before
-	// the first.
-	tightestObjective, loosestObjective time.Duration
+	// objectives are those that the configuration in force sets for generations.
+	objectives policy.ObjectiveRange
 	// released is the memory that generations have released.
 	released releaseMeter
 	// serviceTime is a moving average of the time from sending a request to the end of its answer; zero before the first.
@@ -300,7 +302,7 @@
 			s = &service{prefillRate: defaultPrefillRate, versionsListed: make(map[string]time.Time), versionQueues: make(map[string]*queue)}
 			t.services[member.Service] = s
 		}
-		member.service = s
+		member.service, s.objectives = s, t.objectives[member.Service]
 		s.targets = append(s.targets, member)
 	}
 	for _, s := range t.services {
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -45,8 +45,10 @@
 	defer t.dequeue(&q, w)
 	timer := time.NewTimer(maxWait)
 	defer timer.Stop()
-	demotion := time.AfterFunc(max(0, w.inTimeUntil.Sub(started))+time.Millisecond, t.wakeAll)
-	defer demotion.Stop()
+	if w.byObjective {
+		demotion := time.AfterFunc(max(0, w.inTimeUntil.Sub(started))+time.Millisecond, t.wakeAll)
+		defer demotion.Stop()
+	}
 	for {
 		lease, changed, err := t.pickIfFirst(&q, w, time.Now())
 		if lease != nil {
@@ -74,7 +76,7 @@
 		case <-pauseEnds:
 		case <-changed:
 			if !isLimited { // permits are given out one by one
-				pause.For(ctx, min(t.turnWait(&q, w, time.Now()), maxWait-time.Since(started)))
+				pause.For(ctx, min(t.turnWait(&q, w, time.Now()), maxWait-w.elapsed(time.Since(started))))
 			}
 		case <-timer.C:
 			return nil, err
@@ -92,7 +94,6 @@
 	if s == nil {
 		return nil, nil, apierror.Newf(apierror.KindNotRun, "come back after the time given", "no target of service %q is known", q.Service)
 	}
-	s.recordObjective(q)
 	ahead := s.queueOf(q).countAhead(s.newWaiter(q, now), now)
 	if ahead == 0 {
 		lease, err := t.pick(s, q, now)
@@ -123,7 +124,7 @@
 	w.wait = Wait{Ahead: queue.countAhead(w, now), VMsAhead: t.countVMsAhead(q, w, now), Lacking: q.lacking.String()}
 	queue.waiting = append(queue.waiting, w)
 	s.recordUrgent(w.urgent, now)
-	if t.onLoadChange != nil && queue.head(now) == w {
+	if t.onLoadChange != nil && (len(queue.waiting) == 1 || w.byObjective && queue.head(now) == w) {
 		t.onLoadChange()
 	}
 	return w
--- a/internal/placement/release.go
+++ b/internal/placement/release.go
@@ -45,12 +45,13 @@
 }
 
 // ReturnAfter returns when a refused caller should come back: when the requests that wait at all VMs and go first, and
-// then this one, are expected to have got room, spread over that time again. It returns false if no memory is being released.
+// then this one, are expected to have got room, spread over that time again. It returns false if no memory is being released, or
+// if objectives do not compete.
 func (t *Table) ReturnAfter(q Query, now time.Time) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.services[q.Service]
-	if s == nil || q.MemoryTokens == 0 {
+	if s == nil || q.MemoryTokens == 0 || !s.objectivesCompete() {
 		return 0, false
 	}
 	rate := s.released.rate(now)
--- a/internal/placement/room_test.go
+++ b/internal/placement/room_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"godwitcart/internal/apierror"
+	"godwitcart/internal/policy"
 	"godwitcart/internal/roster"
 )
 
@@ -31,6 +32,13 @@
 	}
 }
 
+// newRoomTable returns a table of a service whose objectives are those of roomQueries.
+func newRoomTable(vm string, seed uint64, targets ...roster.Target) *Table {
+	table := newTestTable(vm, seed, targets...)
+	table.SetObjectives(map[string]policy.ObjectiveRange{testService: {Tightest: 1500 * time.Millisecond, Loosest: 4 * time.Second}})
+	return table
+}
+
 // roomQueries are a generation with time to wait and one with a tight objective.
 func roomQueries(now time.Time) (lax, tight Query) {
 	lax = Query{Service: testService, Zone: zoneA, MemoryTokens: 26000, PromptTokens: 3000, OutputTokens: 700, Priority: 2, FirstEventObjective: 4 * time.Second, ObjectiveEnds: now.Add(4 * time.Second)}
@@ -107,12 +115,9 @@
 	for i := range targets {
 		targets[i] = engine(fmt.Sprint("e", i), zoneA)
 	}
-	lax, tight := roomQueries(startTime)
 	for vm := range vms {
 		m.names = append(m.names, Sender{VM: fmt.Sprint("vm-", vm), Zone: zoneA})
-		m.tables = append(m.tables, newTestTable(m.names[vm].VM, uint64(vm), targets...))
-		m.tables[vm].services[testService].recordObjective(&tight)
-		m.tables[vm].services[testService].recordObjective(&lax)
+		m.tables = append(m.tables, newRoomTable(m.names[vm].VM, uint64(vm), targets...))
 	}
 	return m
 }
@@ -215,7 +220,7 @@
 // TestUrgentRequestsCannotStarveOthers: however many requests of the highest priority arrive, one of the lowest goes first once
 // they arrive later than its objective, one level for its lateness and one for each level between them.
 func TestUrgentRequestsCannotStarveOthers(t *testing.T) {
-	table := newTestTable("vm-1", 1, engine("e1", zoneA))
+	table := newRoomTable("vm-1", 1, engine("e1", zoneA))
 	s := table.services[testService]
 	lax, _ := roomQueries(startTime)
 	starved := s.newWaiter(&lax, startTime)
@@ -231,7 +236,7 @@
 
 // TestTimeLeftOrdersOnePriority: of two requests with one priority, the one whose time runs out goes first, unless it is too late for it.
 func TestTimeLeftOrdersOnePriority(t *testing.T) {
-	table := newTestTable("vm-1", 1, engine("e1", zoneA))
+	table := newRoomTable("vm-1", 1, engine("e1", zoneA))
 	s := table.services[testService]
 	lax, tight := roomQueries(startTime)
 	long, short := s.newWaiter(&lax, startTime), s.newWaiter(&tight, startTime)
@@ -245,7 +250,7 @@
 // no place in that order, and with many free places nobody has to wait for a turn.
 func TestLaterRequestsLookLater(t *testing.T) {
 	const peers = 82
-	table := newTestTable("vm-1", 1, engine("e1", zoneA))
+	table := newRoomTable("vm-1", 1, engine("e1", zoneA))
 	table.SetPeerLoads(Sender{VM: "full"}, map[string]Load{"e1": {Requests: 5, MemoryTokens: 25000}}, startTime)
 	lax, tight := roomQueries(startTime)
 	s := table.services[testService]
@@ -262,7 +267,7 @@
 
 // TestRefusedCallersReturnWhenRoomIsExpected: callers that come back before there is room are refused again.
 func TestRefusedCallersReturnWhenRoomIsExpected(t *testing.T) {
-	table := newTestTable("vm-1", 1, engine("e1", zoneA))
+	table := newRoomTable("vm-1", 1, engine("e1", zoneA))
 	lax, _ := roomQueries(startTime)
 	_, known := table.ReturnAfter(lax, startTime)
 	require.False(t, known, "no memory has been released")
@@ -284,10 +289,46 @@
 
 // TestRefusalNamesWhatIsLacking: an operator sees from a refusal whether memory, slots or time to prefill are short.
 func TestRefusalNamesWhatIsLacking(t *testing.T) {
-	table := newTestTable("vm-1", 1, engine("e1", zoneA), engine("e2", zoneA))
+	table := newRoomTable("vm-1", 1, engine("e1", zoneA), engine("e2", zoneA))
 	table.SetPeerLoads(Sender{VM: "vm-2"}, map[string]Load{"e1": {Requests: 5, MemoryTokens: 25000}, "e2": {Requests: 24}}, startTime)
 	lax, _ := roomQueries(startTime)
 	_, err := table.Pick(lax, startTime)
 	require.True(t, apierror.Is(err, apierror.KindOverloaded))
 	require.ErrorContains(t, err, "lacking: memory at 1, a slot at 1,")
 }
+
+// TestAlikeObjectivesWaitAsBefore: a service whose objectives do not compete is served by priority and arrival; nothing is told of its
+// demand, and no time to return is derived from it. Objectives are those of the configuration, not of the requests seen.
+func TestAlikeObjectivesWaitAsBefore(t *testing.T) {
+	table := newTestTable("vm-1", 1, engine("e1", zoneA))
+	table.SetObjectives(map[string]policy.ObjectiveRange{testService: {Tightest: 1500 * time.Millisecond, Loosest: 1800 * time.Millisecond}})
+	s := table.services[testService]
+	lax, tight := roomQueries(startTime)
+	require.False(t, s.isUrgent(&tight))
+	first, second, urgent := s.newWaiter(&lax, startTime), s.newWaiter(&tight, startTime.Add(time.Millisecond)), s.newWaiter(&tight, startTime.Add(time.Minute))
+	urgent.priority = 1
+	q := queue{waiting: []*waiter{second, first, urgent}}
+	require.True(t, q.head(startTime.Add(time.Hour)) == urgent, "the lower level goes first however late it comes")
+	q.remove(urgent, startTime)
+	require.True(t, q.head(startTime.Add(time.Hour)) == first)
+	_, w, _ := table.pickOrEnqueue(&lax, time.Second, startTime)
+	require.Nil(t, w)
+	table.SetPeerLoads(Sender{VM: "full"}, map[string]Load{"e1": {Requests: 5, MemoryTokens: 25900}}, startTime)
+	_, w, _ = table.pickOrEnqueue(&lax, time.Second, startTime)
+	require.NotNil(t, w)
+	require.Empty(t, table.OwnDemand(startTime))
+	s.released.record(100000, startTime)
+	_, known := table.ReturnAfter(lax, startTime)
+	require.False(t, known)
+	lax.Priority = 0
+	require.InDelta(t, urgentMemoryLimit, s.memoryLimit(&lax), 0, "the highest priority may use all memory")
+
+	peer := Sender{VM: "vm-3", Zone: zoneA}
+	table.SetPeerLoads(peer, nil, startTime)
+	table.SetPeerDemand(peer, []ServiceDemand{{Service: testService, WaitingTokens: 3000, HeadDue: -time.Hour}}, startTime)
+	require.Zero(t, table.turnWait(&lax, w, startTime), "a peer that is ahead by its objective only")
+
+	table.SetObjectives(map[string]policy.ObjectiveRange{testService: {Tightest: 1500 * time.Millisecond, Loosest: 4 * time.Second}})
+	require.True(t, table.ObjectivesCompete(testService), "a VM that has seen no request decides like the others")
+	require.True(t, s.isUrgent(&tight))
+}
--- a/internal/placement/turns.go
+++ b/internal/placement/turns.go
@@ -10,17 +10,20 @@
 //
 // The requests that wait at all VMs take turns in the order of their precedence: one looks after those before it have
 // had time to place and to tell of it. As many as find free places need no turn of their own. VMs that do not state what waits there
-// have no place in the order: among them the wait is random, as it is where this VM hears of no others.
+// have no place in the order: among them the wait is random, as it is at services whose objectives do not compete.
 func (t *Table) turnWait(q *Query, w *waiter, now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	unknown := 0
 	for _, report := range t.peerLoads {
-		if len(report.demands) == 0 {
+		if len(report.demands) == 0 || !w.byObjective {
 			unknown += report.waitingVMs
 		}
 	}
-	turns := float64(t.countVMsAhead(q, w, now))/float64(max(1, t.countPlaces(q, now))) + t.random.Float64()*float64(unknown)
+	turns := t.random.Float64() * float64(unknown)
+	if w.byObjective {
+		turns += float64(t.countVMsAhead(q, w, now)) / float64(max(1, t.countPlaces(q, now)))
+	}
 	return time.Duration(turns * float64(turnTime))
 }
 
--- a/internal/placement/urgent.go
+++ b/internal/placement/urgent.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"godwitcart/internal/policy"
 )
 
 const (
@@ -103,33 +105,34 @@
 
 // isUrgent reports whether the query is for an urgent generation. Where all objectives of a service are alike, none is.
 func (s *service) isUrgent(q *Query) bool {
-	urgentBelow := urgentObjectiveRatio * float64(s.tightestObjective)
+	urgentBelow := urgentObjectiveRatio * float64(s.objectives.Tightest)
 	return q.MemoryTokens > 0 && q.FirstEventObjective > 0 && float64(q.FirstEventObjective) < urgentBelow && s.objectivesCompete()
 }
 
 // objectivesCompete reports whether the latency objectives of the service's generations are so far apart that some can wait
-// for others. Where they are alike, nothing is gained by an order among them.
-func (s *service) objectivesCompete() bool {
-	return s.tightestObjective > 0 && float64(s.loosestObjective) >= urgentObjectiveRatio*float64(s.tightestObjective)
+// for others. Where they are alike, nothing is gained by an order among them, and requests wait by priority and arrival.
+func (s *service) objectivesCompete() bool { return compete(s.objectives) }
+
+func compete(objectives policy.ObjectiveRange) bool {
+	return objectives.Tightest > 0 && float64(objectives.Loosest) >= urgentObjectiveRatio*float64(objectives.Tightest)
 }
 
 // ObjectivesCompete reports whether requests of the service wait by their objectives.
 func (t *Table) ObjectivesCompete(name string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.services[name]
-	return s != nil && s.objectivesCompete()
+	return compete(t.objectives[name])
 }
 
-// recordObjective keeps the range of the objectives of the generations that the service was asked for.
-func (s *service) recordObjective(q *Query) {
-	if q.MemoryTokens == 0 || q.FirstEventObjective == 0 {
-		return
-	}
-	if s.tightestObjective == 0 || q.FirstEventObjective < s.tightestObjective {
-		s.tightestObjective = q.FirstEventObjective
+// SetObjectives replaces the latency objectives of generations, by service. They come from the configuration in force, so that
+// all VMs decide alike, whatever requests each has seen.
+func (t *Table) SetObjectives(objectives map[string]policy.ObjectiveRange) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.objectives = objectives
+	for name, s := range t.services {
+		s.objectives = objectives[name]
 	}
-	s.loosestObjective = max(s.loosestObjective, q.FirstEventObjective)
 }
 
 // yields reports whether the query leaves memory free for urgent generations. One of the highest priority does so while it
--- a/internal/placement/waiting.go
+++ b/internal/placement/waiting.go
@@ -17,12 +17,16 @@
 	HeadDue time.Duration
 }
 
-// OwnDemand returns the demand of this VM by service; services without any are left out.
+// OwnDemand returns the demand of this VM by service; services without any, or whose objectives do
+// not compete, are left out.
 func (t *Table) OwnDemand(now time.Time) []ServiceDemand {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var demands []ServiceDemand
 	for name, s := range t.services {
+		if !s.objectivesCompete() {
+			continue
+		}
 		demand := ServiceDemand{Service: name, Urgent: s.ownUrgent}
 		for _, w := range s.queue.waiting {
 			demand.WaitingTokens += w.tokens
--- a/internal/policy/route.go
+++ b/internal/policy/route.go
@@ -16,6 +16,8 @@
 	PathPrefix string
 	// Idempotent requests may run more than once.
 	Idempotent bool
+	// Generations is set if the requests are generations, which hold memory of an engine.
+	Generations bool
 	// Streaming responses are sequences of numbered events.
 	Streaming bool
 	// Resumable streams can be continued by another target after the last event that the client received.
