--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -38,7 +38,7 @@
 	self := fleet.Member{Name: s.VM.Name, Zone: s.VM.Zone, Address: address, Capacity: s.Limits.MemoryMB}
 	e.fleet = fleet.New(fleet.Options{
 		Self: self, Table: e.table, Configuration: e.poller, Conn: conn, Logger: e.logger, SizeChanged: e.updateRetrySlack, TargetChanged: e.follower.QueuePeerChange,
-		InForceWithin: s.Bounds.ConfigurationDelay(), BecameReader: e.poller.Wake, PlatformDoubted: e.poller.Doubt, Limits: e.limits, Origins: e.origins, Poison: e.poison, Pauses: e, IsCutOff: e.client.IsCutOff, Evacuations: e.sharedEvacuations(),
+		InForceWithin: s.Bounds.ConfigurationDelay(), BecameReader: e.poller.Wake, Limits: e.limits, Origins: e.origins, Poison: e.poison, Pauses: e, IsCutOff: e.client.IsCutOff, Evacuations: e.sharedEvacuations(),
 	})
 	if err := e.startTunnels(ctx, group, address.String()); err != nil {
 		return err
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -109,9 +109,6 @@
 	// BecameReader is called when this VM takes over from a reader of its zone that has fallen silent; it must not block.
 	// It may be nil.
 	BecameReader func()
-	// PlatformDoubted is called when a peer that reads the platform says for the first time that it has lost it; it must not
-	// block. It may be nil.
-	PlatformDoubted func()
 	// Now returns the time that the age of proofs is measured with; nil means boottime.Now.
 	Now func() boottime.Instant
 	// Limits keeps the request limits of targets; nil means that digests carry none.
--- a/internal/fleet/reader_test.go
+++ b/internal/fleet/reader_test.go
@@ -63,27 +63,3 @@
 		require.LessOrEqual(t, time.Since(proofAt)+readDelay, bound)
 	})
 }
-
-// TestLossOfThePlatformIsHeard checks which digests make this VM check whether it can read the platform: the first word of a
-// reader, of any zone, that it has lost it.
-func TestLossOfThePlatformIsHeard(t *testing.T) {
-	doubts := 0
-	f := New(Options{
-		Self: Member{Name: "vm-1", Zone: "a"}, Table: placement.NewTable(placement.Options{}), Configuration: noConfiguration{},
-		Logger: log.New(io.Discard), TargetChanged: func(roster.Target) {}, InForceWithin: 2 * time.Second, PlatformDoubted: func() { doubts++ },
-	})
-	for _, step := range []struct {
-		digest digest
-		doubts int
-	}{
-		{digest{VM: "vm-2", Zone: "b", Reader: true}, 0},
-		{digest{VM: "vm-3", Zone: "b", PlatformLost: true}, 0},
-		{digest{VM: "vm-2", Zone: "b", Reader: true, PlatformLost: true}, 1},
-		{digest{VM: "vm-2", Zone: "b", Reader: true, PlatformLost: true}, 1},
-		{digest{VM: "vm-2", Zone: "b", Reader: true}, 1},
-		{digest{VM: "vm-2", Zone: "b", Reader: true, PlatformLost: true}, 2},
-	} {
-		f.handleDigest(&step.digest, time.Now())
-		require.Equal(t, step.doubts, doubts)
-	}
-}
--- a/internal/fleet/receive.go
+++ b/internal/fleet/receive.go
@@ -40,8 +40,6 @@
 		return
 	}
 	f.mu.Lock()
-	previous := f.peers[received.VM]
-	platformDoubted := received.Reader && received.PlatformLost && (previous == nil || !previous.platformLost)
 	f.peers[received.VM] = &peer{zone: received.Zone, rank: rank{capacity: received.Capacity, hash: nameHash(received.VM)}, heardAt: now, sequence: received.Sequence, reader: received.Reader, platformLost: received.PlatformLost, cutOff: received.CutOff, zoneTotal: received.ZoneTotal, waitingVMs: received.WaitingVMs, loads: loads, limitCoordinator: received.LimitCoordinator}
 	if received.ZoneTotal {
 		f.zones[received.Zone] = &peer{heardAt: now, vmCount: received.VMCount, loads: loads}
@@ -65,9 +63,6 @@
 			f.options.BecameReader()
 		}
 	}
-	if platformDoubted && f.options.PlatformDoubted != nil {
-		f.options.PlatformDoubted()
-	}
 	sender := placement.Sender{VM: received.VM, Zone: received.Zone}
 	if received.ZoneTotal {
 		sender.VM = ""
--- a/internal/inforce/inforce.go
+++ b/internal/inforce/inforce.go
@@ -74,8 +74,6 @@
 	newestNamed  atomic.Uint64
 	wake         chan struct{}
 	platformLost atomic.Bool
-	// doubted is set if a peer that reads the platform has lost it since the last read.
-	doubted atomic.Bool
 	// refusingKeys is set while API keys are refused because the proof is missing or too old.
 	refusingKeys atomic.Bool
 }
@@ -163,15 +161,6 @@
 	}
 }
 
-// Doubt records that a peer which reads the platform has lost it. A reader then reads at once: what depends on the loss of
-// the platform must not wait for the next read. It does not block.
-func (p *Poller) Doubt() {
-	if !p.platformLost.Load() {
-		p.doubted.Store(true)
-		p.Wake()
-	}
-}
-
 // Run reads the configuration until ctx is done.
 func (p *Poller) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -208,7 +197,7 @@
 		return true
 	}
 	if p.options.IsReader == nil || p.options.IsReader() {
-		return p.doubted.Load() || time.Since(lastRead) >= p.interval
+		return time.Since(lastRead) >= p.interval
 	}
 	age, known := p.ProofAge()
 	return !known || age > time.Duration(float64(p.options.RevokedWithin)*readAtProofShare)
@@ -243,7 +232,6 @@
 func (p *Poller) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, p.readTimeout())
 	defer cancel()
-	p.doubted.Store(false)
 	sentAt := p.options.Now()
 	configuration, err := p.options.Reader.ReadConfiguration(ctx)
 	if err != nil {
--- a/internal/inforce/outage_test.go
+++ b/internal/inforce/outage_test.go
@@ -45,28 +45,3 @@
 		cancel()
 	})
 }
-
-// TestReaderChecksWhenPeerLostPlatform checks that a reader which hears that another one has lost the platform finds out at once
-// whether it has too, and reads no more often than without the word while it has.
-func TestReaderChecksWhenPeerLostPlatform(t *testing.T) {
-	const soon = 300 * time.Millisecond // what VMs may take to learn of a failure
-	for name, isReader := range map[string]bool{"reader": true, "other VM": false} {
-		t.Run(name, func(t *testing.T) {
-			run(t, func() bool { return isReader }, func(poller *inforce.Poller, source *platform, _ *clock) {
-				source.down.Store(true)
-				before := source.reads.Load()
-				poller.Doubt()
-				time.Sleep(soon)
-				require.Equal(t, isReader, poller.HasLostPlatform())
-				require.Equal(t, isReader, source.reads.Load() > before)
-				source.down.Store(false)
-				time.Sleep(2 * revokedWithin)
-				before = source.reads.Load()
-				poller.Doubt() // wrong word
-				time.Sleep(inForceWithin / 4)
-				require.LessOrEqual(t, source.reads.Load(), before+2)
-				require.False(t, poller.HasLostPlatform())
-			})
-		})
-	}
-}
