--- a/internal/placement/precedence.go
+++ b/internal/placement/precedence.go
@@ -67,7 +67,8 @@
 	return w
 }
 
-// elapsed returns the part of the time waited that shortens the wait for a turn.
+// elapsed returns what the time waited takes off the longest wait for a turn. Where objectives do not compete the last turn may come
+// after the request's longest wait.
 func (w *waiter) elapsed(waited time.Duration) time.Duration {
 	if w.byObjective {
 		return waited
