forward: requests that wait at a planned stop get an answer

Cause: the shutdown was looked at once, when a request arrived; a wait for room lasts up to two latency objectives, 8 s with objectives of 4 s, and nothing ended it.

Change: the beginning of a shutdown reaches the requests that wait; one waits on only while its answer would be complete in time, the others are refused at once as not run. What has no answer 250 ms before requests are aborted gets its final one. Own mode does the same when drain.timeout is over.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -216,7 +216,7 @@
 	drainCtx, cancel := context.WithTimeout(ctx, d.settings.Drain.Timeout)
 	defer cancel()
 	if unfinished := d.gateway.Drain(drainCtx); unfinished > 0 {
-		d.logger.Warn("drain timeout exceeded; cutting off requests in progress", "cut_off", unfinished)
+		d.logger.Warn("drain timeout exceeded; requests without an answer are cut off", "cut_off", unfinished)
 		return
 	}
 	d.logger.Info("graceful shutdown complete")
--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -227,7 +227,7 @@
 	if err == nil {
 		return nil
 	}
-	if ctxErr := contextError(ctx); ctxErr != nil {
+	if ctxErr := contextError(ctx, true); ctxErr != nil {
 		return ctxErr
 	}
 	if errors.Is(err, errCallerDisconnected) {
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -198,7 +198,7 @@
 	if err == nil {
 		return nil
 	}
-	if ctxErr := contextError(ctx); ctxErr != nil {
+	if ctxErr := contextError(ctx, g.mayHaveRun); ctxErr != nil {
 		return ctxErr
 	}
 	if errors.Is(err, errCallerDisconnected) {
@@ -243,12 +243,32 @@
 	}
 }
 
+// ErrStopping is the cause of the end of a request's context when its entry VM stops before the answer is complete.
+var ErrStopping = errors.New("this entry VM stops")
+
+// stoppingError returns the final error of a request whose entry VM stops before the answer is complete.
+func stoppingError(mayHaveRun bool) error {
+	if mayHaveRun {
+		return apierror.Wrap(ErrStopping, apierror.KindOutcomeUnknown, "this entry VM stopped before the answer was complete",
+			"repeat it with the same Idempotency-Key to learn how it ended, or as a new request if running it twice is harmless").
+			WithRetryAfter(retryAfterFailure)
+	}
+	return apierror.Wrap(ErrStopping, apierror.KindNotRun, "this entry VM stopped; the request did not run",
+		"send it again; the balancer leads to another entry VM").WithRetryAfter(retryAfterStop)
+}
+
+// retryAfterStop is the Retry-After of a request that did not run because its entry VM stopped.
+const retryAfterStop = time.Second
+
 // contextError returns the final error of a request whose context has ended, or nil if it has not.
-func contextError(ctx context.Context) error {
+func contextError(ctx context.Context, mayHaveRun bool) error {
 	cause := context.Cause(ctx)
 	if cause == nil {
 		return nil
 	}
+	if errors.Is(cause, ErrStopping) {
+		return stoppingError(mayHaveRun)
+	}
 	var apiErr *apierror.Error
 	if errors.As(cause, &apiErr) {
 		return apiErr
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -193,7 +193,7 @@
 
 // finalError returns the error that the caller receives for the last error.
 func (p *plainRun) finalError(ctx context.Context, err error) error {
-	if ctxErr := contextError(ctx); ctxErr != nil {
+	if ctxErr := contextError(ctx, p.mayHaveRun); ctxErr != nil {
 		return ctxErr
 	}
 	var failed *attemptError
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -112,7 +112,7 @@
 	})
 	e.forwarder = forward.New(forward.Options{
 		Codec: platform.Codec{}, Mover: platform.NewMover(e.client), Poller: e.poller, Table: e.table, Client: e.client,
-		Budget: e.budget, Lengths: lengths.NewEstimator(0), Limits: e.limits, Origins: e.origins, Poison: e.poison, Logger: logger, Trail: e.trail, Zone: s.VM.Zone, Stopping: e.stopping, TargetLeaving: e.recordLeaving, TargetPaused: e.sharePause,
+		Budget: e.budget, Lengths: lengths.NewEstimator(0), Limits: e.limits, Origins: e.origins, Poison: e.poison, Logger: logger, Trail: e.trail, Zone: s.VM.Zone, Stopping: e.stopping, ShutdownStarted: e.shutdownStarted, TargetLeaving: e.recordLeaving, TargetPaused: e.sharePause,
 		MaxConfigurationAge: s.Bounds.ConfigurationDelay(), EvacuateWithin: s.Bounds.EvacuationDelay(),
 	})
 	e.follower = roster.NewFollower(roster.Options{
@@ -337,6 +337,8 @@
 // the callers' server. It waits for at least minDrainTime and at most the grace period, and returns early if ctx ends.
 func (e *Entry) drain(ctx context.Context, callerServer *http.Server) {
 	drainStartedAt := time.Now()
+	finalAnswers := time.AfterFunc(e.gracePeriod()-forward.FinalAnswerTime, e.forwarder.EndUnanswered)
+	defer finalAnswers.Stop()
 	for time.Since(drainStartedAt) < e.gracePeriod() {
 		if e.activeRequests.Load() == 0 && e.openTunnels() == 0 && time.Since(drainStartedAt) > minDrainTime {
 			break
--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"godwitcart/internal/settings"
+	"godwitcart/platform/platformtest"
 )
 
 // TestGracefulShutdown checks that readiness fails immediately and that requests in progress complete.
@@ -114,3 +115,109 @@
 		require.Equal(t, http.StatusOK, short.StatusCode, "a resumable stream is accepted until the load balancer has noticed")
 	})
 }
+
+// configureCompetingObjectives writes a configuration in which letters wait for room for up to two objectives of 4 s, and an
+// engine has memory for one.
+func (d *deployment) configureCompetingObjectives() {
+	configuration := platformtest.Configuration(7, "key-1")
+	letters := configuration["routes"].([]any)[0].(map[string]any)
+	letters["slo_ms"], letters["priority"], letters["timeout_ms"] = 4000, 2, 30000
+	configuration["routes"].([]any)[1].(map[string]any)["session_affinity"] = true
+	engine := configuration["services"].([]any)[0].(map[string]any)["engine"].(map[string]any)
+	engine["kv_capacity"] = 800
+	d.Store.Put("config", "main", configuration)
+}
+
+// startWaiting starts a generation that fills the only engine, and others that wait for room behind it. Their answers are sent
+// to the channel; what fails is sent as nil.
+func startWaiting(t *testing.T, v *vm, running *http.Request, waiting int) (first *http.Response, requests []*http.Request, answers chan *http.Response) {
+	t.Helper()
+	running.Header.Set("X-Deadline-Ms", "30000")
+	first, err := v.client.Do(running)
+	require.NoError(t, err)
+	answers = make(chan *http.Response, waiting)
+	for range waiting {
+		request := v.generation("/letters/2", 3, 1)
+		request.Header.Set("X-Deadline-Ms", "30000")
+		requests = append(requests, request)
+		go func() {
+			response, err := v.client.Do(request)
+			if err != nil {
+				t.Logf("%s: %v", request.Header.Get("X-Attempt-Id"), err)
+				response = nil
+			}
+			answers <- response
+		}()
+	}
+	require.Eventually(t, func() bool { return v.entry.Active() == int64(1+waiting) }, waitTimeout, pollInterval)
+	return first, requests, answers
+}
+
+// TestRequestsThatWaitForRoomAreCutOffByAStop guards against requests that wait for room when SIGTERM comes, are neither passed on
+// nor refused, and lose their connections without an answer at the end of the grace period.
+func TestRequestsThatWaitForRoomAreCutOffByAStop(t *testing.T) {
+	d := newDeployment(t)
+	d.target("e1", "drafter")
+	d.configureCompetingObjectives()
+	v := d.start("vm-1", nil)
+	first, requests, answers := startWaiting(t, v, v.generation("/letters/1", 2000, 10), 3)
+	defer first.Body.Close()
+	v.entry.Shutdown()
+	for range requests {
+		response := <-answers
+		require.NotNil(t, response, "a request that waited for room got no answer")
+		response.Body.Close()
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		require.Equal(t, "0.050", response.Header.Get("Retry-After"))
+	}
+	require.EqualValues(t, 1, v.entry.Active(), "the requests are refused while the generation before them runs")
+	for _, request := range requests {
+		require.Empty(t, d.Cluster.Runs(request.Header.Get("X-Attempt-Id")))
+	}
+}
+
+// TestRequestThatWaitsForRoomIsServedWithinAStop guards against refusing, at SIGTERM, a request that gets room soon enough to be
+// answered before the end of the grace period.
+func TestRequestThatWaitsForRoomIsServedWithinAStop(t *testing.T) {
+	d := newDeployment(t)
+	d.target("e1", "drafter")
+	d.configureCompetingObjectives()
+	v := d.start("vm-1", func(s *settings.Deployment) { s.Bounds.GraceSeconds = 20 })
+	known, _ := v.do(v.generation("/letters/1", 3, 1)) // the VM learns how long such an answer takes
+	require.Equal(t, http.StatusOK, known.StatusCode)
+	first, _, answers := startWaiting(t, v, v.generation("/letters/1", 40, 10), 1)
+	v.entry.Shutdown()
+	readEvents(t, first, 40, nil)
+	response := <-answers
+	require.NotNil(t, response)
+	readEvents(t, response, 3, nil)
+}
+
+// TestSilentTargetAtTheEndOfAStop guards against a request whose connection ends without an answer because its target has not
+// answered by the end of the grace period.
+func TestSilentTargetAtTheEndOfAStop(t *testing.T) {
+	for _, path := range []string{"/lookup/1", "/letters/1"} {
+		t.Run(path, func(t *testing.T) {
+			d := newDeployment(t)
+			entered, leave := make(chan struct{}), make(chan struct{})
+			defer close(leave)
+			for id, service := range map[string]string{"c1": "counter", "e1": "drafter"} {
+				d.target(id, service).SetOverride(func(http.ResponseWriter, *http.Request) bool {
+					close(entered)
+					<-leave
+					return true
+				})
+			}
+			d.configureCompetingObjectives()
+			v := d.start("vm-1", func(s *settings.Deployment) { s.Bounds.GraceSeconds = 3 })
+			go func() {
+				<-entered
+				v.entry.Shutdown()
+			}()
+			request := v.generation(path, 3, 1)
+			request.Header.Set("X-Deadline-Ms", "30000")
+			response, _ := v.do(request)
+			require.Equal(t, http.StatusBadGateway, response.StatusCode, "the request may have run")
+		})
+	}
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -53,6 +53,7 @@
 		query.ObjectiveEnds = x.arrivedAt.Add(x.route.LatencyObjective)
 	}
 	query.NotResumable = x.route.Streaming && !x.route.Resumable
+	query.Interruption = x.interruption()
 	if engine := x.service.Engine; engine != nil && x.call.Prompt.Tokens > 0 {
 		query.MemoryTokens = engine.KVCacheTokens
 		query.PromptTokens = x.call.Prompt.Tokens
@@ -114,8 +115,17 @@
 
 // place reserves a target for the next attempt, waiting for capacity if necessary.
 func (x *exchange) place(ctx context.Context) (*placement.Lease, error) {
+	if x.attempts > 0 {
+		if err := x.placedInTime(); err != nil {
+			return nil, err
+		}
+	}
 	query := x.boundQuery()
 	lease, err := x.options.Table.Acquire(ctx, query, min(x.queueWait(query), time.Until(x.deadline)))
+	if errors.Is(err, placement.ErrInterrupted) {
+		stop, _ := x.options.Stopping()
+		return nil, x.stoppingError(stop)
+	}
 	if err != nil {
 		return nil, x.withRetryAfter(apierror.FromError(err))
 	}
@@ -180,6 +190,9 @@
 	// An idle connection may turn out to be closed by the target; then it is unknown whether the call has run.
 	freshConnection := !x.route.Idempotent && !x.route.Resumable
 	sentAt := time.Now()
+	if x.sentAt.IsZero() {
+		x.sentAt = sentAt
+	}
 	lease.CountSend(sentAt)
 	check := func() error { return lease.CheckLapsed(time.Now()) }
 	if attempt.From != nil {
@@ -264,6 +277,9 @@
 	if blocked := x.blockedError(err); blocked != nil {
 		return blocked
 	}
+	if abandoned := x.abandonedError(ctx, err); abandoned != nil {
+		return abandoned
+	}
 	if !attempted && !x.mayHaveRun {
 		return err
 	}
@@ -330,6 +346,7 @@
 	}
 	lease.FirstEvent(time.Now())
 	lease.Done(placement.Answered, time.Now())
+	x.durations.observe(x.route.Name, time.Since(x.sentAt))
 	x.writeBuffered(buffered)
 	x.log("request ended", "outcome", "answered", "status", buffered.status, "target", lease.Target.ID, "attempts", x.attempts)
 	return nil
@@ -347,7 +364,7 @@
 		header[name] = values
 	}
 	x.status = buffered.status
-	x.headerSent = true
+	x.beginAnswer()
 	x.w.WriteHeader(buffered.status)
 	if _, err := x.w.Write(buffered.body); err != nil {
 		x.log("answer not delivered to the caller", "error", err)
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -49,6 +49,8 @@
 	TargetPaused func(target roster.Target, retryAfter time.Duration, carrier netip.Addr)
 	// Stopping reports whether the VM is shutting down gracefully, and the timing of the shutdown.
 	Stopping func() (stop Stop, stopping bool)
+	// ShutdownStarted is closed when a graceful shutdown begins.
+	ShutdownStarted <-chan struct{}
 	// MaxConfigurationAge is the maximum age of the configuration's last confirmation at which an unknown route or key
 	// is denied. After that the request is refused as unavailable, since a newer configuration may allow it.
 	MaxConfigurationAge time.Duration
@@ -56,23 +58,22 @@
 	EvacuateWithin time.Duration
 }
 
-// Stop is a graceful shutdown in progress.
-type Stop struct {
-	// Since is the time since its start, and Remaining the time until requests still in progress are aborted.
-	Since, Remaining time.Duration
-}
-
 // Forwarder is the HTTP handler for callers' requests. It is safe for concurrent use.
 type Forwarder struct {
 	options   Options
 	streams   streamSet
 	durations *routeDurations
 	metrics   *requestMetrics
+	// unanswered ends when requests without an answer are given up.
+	unanswered    context.Context
+	endUnanswered context.CancelFunc
 }
 
 // New returns a Forwarder.
 func New(options Options) *Forwarder {
-	return &Forwarder{options: options, streams: newStreamSet(), durations: newRouteDurations(), metrics: newRequestMetrics()}
+	f := &Forwarder{options: options, streams: newStreamSet(), durations: newRouteDurations(), metrics: newRequestMetrics()}
+	f.unanswered, f.endUnanswered = context.WithCancel(context.Background())
+	return f
 }
 
 const (
@@ -82,11 +83,6 @@
 	defaultBodyBytes = 4 << 20
 	// staleRetryAfter is the Retry-After of a request refused because the configuration is stale.
 	staleRetryAfter = 700 * time.Millisecond
-	// drainDelay is how long a VM that shuts down still accepts every request, until the load balancer has noticed.
-	drainDelay = 2500 * time.Millisecond
-	// stoppingRetryAfter is the Retry-After of a request refused by a VM that shuts down. It is short, since
-	// another VM receives the retry.
-	stoppingRetryAfter = 50 * time.Millisecond
 	// startRetryAfter is the Retry-After before the first configuration has been read.
 	startRetryAfter = 500 * time.Millisecond
 )
@@ -116,9 +112,13 @@
 	versionFixed bool
 	// mayHaveRun is set once an attempt may have run the call at its target.
 	mayHaveRun bool
+	// sentAt is when the call was first sent to a target.
+	sentAt time.Time
 	// headerSent is set once the response's header has been sent to the caller.
 	headerSent bool
-	status     int
+	// answerBegun stops the watch of the shutdown.
+	answerBegun func() bool
+	status      int
 }
 
 // ServeHTTP implements http.Handler.
@@ -165,6 +165,8 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
+	ctx, stopWatching := x.watchShutdown(ctx)
+	defer stopWatching()
 	x.options.Budget.Earn(x.service.Name)
 	if x.route.Streaming {
 		return x.serveStream(ctx)
@@ -203,27 +205,6 @@
 	return x.refuseIfStopping()
 }
 
-// refuseIfStopping refuses a request that this VM might abort before it completes because it is shutting down. Callers
-// still send to it until the load balancer has noticed, and longer if all VMs of a zone shut down.
-func (x *exchange) refuseIfStopping() error {
-	stop, stopping := x.options.Stopping()
-	if !stopping || x.completesBefore(stop) {
-		return nil
-	}
-	return apierror.Newf(apierror.KindNotRun, "send it again on a new connection",
-		"this VM stops in %d ms, which may be before the answer is complete", stop.Remaining.Milliseconds()).WithRetryAfter(stoppingRetryAfter)
-}
-
-// completesBefore reports whether the request is accepted during the shutdown. Until drainDelay has passed, only
-// streams are refused that no target can continue and that last too long; then all except buffered requests whose
-// deadline is before requests are aborted.
-func (x *exchange) completesBefore(stop Stop) bool {
-	if stop.Since >= drainDelay {
-		return !x.route.Streaming && time.Until(x.deadline) < stop.Remaining
-	}
-	return !x.route.Streaming || x.route.Resumable || x.durations.completesWithin(x.route.Name, stop.Remaining)
-}
-
 // defaultTimeout applies where neither the caller nor the route sets a timeout, and caps both.
 const defaultTimeout = 10 * time.Minute
 
--- /dev/null
+++ b/internal/forward/shutdown.go
@@ -0,0 +1,121 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"godwitcart/internal/apierror"
+	"godwitcart/internal/placement"
+)
+
+const (
+	// drainDelay is how long a VM that shuts down still accepts every request, until the load balancer has noticed.
+	drainDelay = 2500 * time.Millisecond
+	// stoppingRetryAfter is the Retry-After of a request refused by a VM that shuts down. It is short, since
+	// another VM receives the retry.
+	stoppingRetryAfter = 50 * time.Millisecond
+	// FinalAnswerTime is the end of the grace period, in which requests whose answer has not begun get their final one.
+	FinalAnswerTime = 250 * time.Millisecond
+)
+
+// errStopping is why a request is given up that has no answer at the end of a graceful shutdown.
+var errStopping = errors.New("this VM is shutting down")
+
+// Stop is a graceful shutdown in progress.
+type Stop struct {
+	// Since is the time since its start, and Remaining the time until requests still in progress are aborted.
+	Since, Remaining time.Duration
+}
+
+// EndUnanswered gives up the requests of which the caller has received nothing: they get their final answer at once. It is
+// called when FinalAnswerTime is left until requests are aborted.
+func (f *Forwarder) EndUnanswered() { f.endUnanswered() }
+
+// watchShutdown makes the request end with errStopping at the end of a graceful shutdown, unless its answer has begun.
+func (x *exchange) watchShutdown(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	x.answerBegun = context.AfterFunc(x.unanswered, func() { cancel(errStopping) })
+	return ctx, func() {
+		x.answerBegun()
+		cancel(nil)
+	}
+}
+
+// beginAnswer records that the caller receives the header of its answer now.
+func (x *exchange) beginAnswer() {
+	x.headerSent = true
+	x.answerBegun()
+}
+
+// refuseIfStopping refuses a request that this VM might abort before it completes because it is shutting down. Callers
+// still send to it until the load balancer has noticed, and longer if all VMs of a zone shut down.
+func (x *exchange) refuseIfStopping() error {
+	stop, stopping := x.options.Stopping()
+	if !stopping || x.completesBefore(stop) {
+		return nil
+	}
+	return x.stoppingError(stop)
+}
+
+func (x *exchange) stoppingError(stop Stop) error {
+	x.w.Header().Set("Connection", "close")
+	return apierror.Newf(apierror.KindNotRun, "send it again on a new connection",
+		"this VM stops in %d ms, which may be before the answer is complete", stop.Remaining.Milliseconds()).WithRetryAfter(stoppingRetryAfter)
+}
+
+// completesBefore reports whether the request is accepted during the shutdown. Until drainDelay has passed, only
+// streams are refused that no target can continue and that last too long; then all except buffered requests whose
+// deadline is before requests are aborted.
+func (x *exchange) completesBefore(stop Stop) bool {
+	if stop.Since >= drainDelay {
+		return !x.route.Streaming && time.Until(x.deadline) < stop.Remaining
+	}
+	return !x.route.Streaming || x.route.Resumable || x.durations.completesWithin(x.route.Name, stop.Remaining)
+}
+
+// longestWait returns how long a request of which the caller has received nothing may wait for capacity during the
+// shutdown: until its answer would not be complete in time. Where it is not known how long an answer takes, another VM
+// is the better choice.
+func (x *exchange) longestWait() time.Duration {
+	stop, _ := x.options.Stopping()
+	needed, known := x.durations.expected(x.route.Name)
+	if !known {
+		return 0
+	}
+	return max(0, stop.Remaining-FinalAnswerTime-needed)
+}
+
+// interruption makes waits for capacity end when this VM begins to shut down; nil for a stream that has begun, which is
+// lost if it does not continue here.
+func (x *exchange) interruption() *placement.Interruption {
+	if x.headerSent {
+		return nil
+	}
+	return &placement.Interruption{Begun: x.options.ShutdownStarted, LongestWait: x.longestWait}
+}
+
+// placedInTime returns an error if this VM is shutting down and the request, which has waited or failed at a target, would
+// not be complete before it is aborted.
+func (x *exchange) placedInTime() error {
+	stop, stopping := x.options.Stopping()
+	if !stopping || x.headerSent || x.durations.completesWithin(x.route.Name, stop.Remaining-FinalAnswerTime) {
+		return nil
+	}
+	return x.stoppingError(stop)
+}
+
+// abandonedError returns the error for the caller of a request that was given up at the end of the shutdown, or nil if it
+// was not. It says "not run" only if no attempt can have run.
+func (x *exchange) abandonedError(ctx context.Context, cause error) error {
+	if !errors.Is(context.Cause(ctx), errStopping) {
+		return nil
+	}
+	x.w.Header().Set("Connection", "close")
+	if x.mayHaveRun {
+		return apierror.Wrap(cause, apierror.KindOutcomeUnknown, "this VM stopped before the target answered", "repeat it if running it twice is harmless")
+	}
+	stop, _ := x.options.Stopping()
+	return x.stoppingError(stop)
+}
--- a/internal/forward/smoothed.go
+++ b/internal/forward/smoothed.go
@@ -32,7 +32,7 @@
 // maxRouteDurations bounds the routes whose durations are kept; beyond it, the estimates start anew.
 const maxRouteDurations = 4096
 
-// routeDurations estimates how long the complete streams of each route take. It is safe for concurrent use.
+// routeDurations estimates how long the complete answers of each route take, from the first send to a target. It is safe for concurrent use.
 type routeDurations struct {
 	mu      sync.Mutex
 	byRoute map[string]*smoothed
@@ -42,7 +42,7 @@
 	return &routeDurations{byRoute: make(map[string]*smoothed)}
 }
 
-// observe records the time from the arrival of a request to the end of its stream.
+// observe records the time from the first send of a request to the end of its answer.
 func (d *routeDurations) observe(route string, duration time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -57,11 +57,21 @@
 	estimate.observe(duration)
 }
 
-// completesWithin reports whether a new stream of the route is expected to end within the time: most do within their
-// mean and one deviation. Without an estimate it returns true.
-func (d *routeDurations) completesWithin(route string, available time.Duration) bool {
+// expected returns the time in which most answers of the route are complete: their mean and one deviation. It is not known
+// before the first one.
+func (d *routeDurations) expected(route string) (duration time.Duration, known bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	estimate := d.byRoute[route]
-	return estimate == nil || estimate.mean+estimate.deviation <= available
+	if estimate == nil {
+		return 0, false
+	}
+	return estimate.mean + estimate.deviation, true
+}
+
+// completesWithin reports whether a new answer of the route is expected to be complete within the time. Without an estimate
+// it returns true.
+func (d *routeDurations) completesWithin(route string, available time.Duration) bool {
+	expected, known := d.expected(route)
+	return !known || expected <= available
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -188,7 +188,7 @@
 		next.lease.Done(placement.Answered, time.Now())
 		s.releaseBackup(true)
 		s.options.Lengths.Observe(s.lengthKey(), s.events*tokensPerEvent)
-		s.durations.observe(s.route.Name, time.Since(s.arrivedAt))
+		s.durations.observe(s.route.Name, time.Since(s.sentAt))
 		s.log("request ended", "outcome", "answered", "status", response.StatusCode, "target", next.lease.Target.ID, "attempts", s.attempts, "events", s.events,
 			"first_event_ms", s.firstEventDelay.Milliseconds(), "longest_gap_ms", s.longestGap.Milliseconds())
 		return nil
@@ -366,7 +366,7 @@
 		header[name] = values
 	}
 	s.status = response.StatusCode
-	s.headerSent = true
+	s.beginAnswer()
 	s.w.WriteHeader(response.StatusCode)
 }
 
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -85,7 +85,9 @@
 		cancelCause(apierror.New(apierror.KindCanceled, "an operator canceled the request: "+reason,
 			"ask the operators before sending it again"))
 	})
+	stopWatching := context.AfterFunc(g.drain.cutOff, func() { cancelCause(dispatch.ErrStopping) })
 	return ctx, record, func() {
+		stopWatching()
 		cancel()
 		cancelCause(context.Canceled)
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -79,6 +79,7 @@
 	options.DefaultDeadline = cmp.Or(options.DefaultDeadline, defaultDeadline)
 	g := &Gateway{options: options, mux: http.NewServeMux()}
 	g.drain.handOver = make(chan struct{})
+	g.drain.cutOff, g.drain.endUnfinished = context.WithCancel(context.Background())
 	g.mux.HandleFunc("POST /v1/completions", g.serve(g.completions))
 	g.mux.HandleFunc("POST /v1/chat/completions", g.serve(g.chatCompletions))
 	g.mux.HandleFunc("GET /v1/completions", g.serve(g.resume))
@@ -166,6 +167,9 @@
 	idle chan struct{}
 	// handOver is closed when draining starts; resumable streams then end so that their callers resume at another VM.
 	handOver chan struct{}
+	// cutOff ends when requests that are still in progress get their final answers.
+	cutOff        context.Context
+	endUnfinished context.CancelFunc
 }
 
 func (d *drainState) admit() bool {
@@ -187,14 +191,23 @@
 	}
 }
 
-// Drain rejects new requests and waits until those in progress have ended or ctx is done.
-// It returns the number of requests that are still in progress. It must be called at most once.
+// finalAnswerTime is how long requests that have not ended when draining may last no longer take to answer their callers.
+const finalAnswerTime = time.Second
+
+// Drain rejects new requests and waits until those in progress have ended or ctx is done; the others then get their final
+// answers. It returns the number of requests without one.
 func (g *Gateway) Drain(ctx context.Context) int {
 	idle := g.drain.start()
 	select {
 	case <-idle:
+		return g.Active()
 	case <-ctx.Done():
 	}
+	g.drain.endUnfinished()
+	select {
+	case <-idle:
+	case <-time.After(finalAnswerTime):
+	}
 	return g.Active()
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -82,6 +82,8 @@
 	Move bool
 	// ObjectiveEnds is when the first event has to arrive; zero means no objective.
 	ObjectiveEnds time.Time
+	// Interruption shortens the wait for capacity when this VM shuts down; nil for none.
+	Interruption *Interruption
 
 	// kept is the memory that the query has to leave free at the current choice.
 	kept *keptRoom
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -34,9 +34,52 @@
 	headSince time.Time
 }
 
+// Interruption shortens the wait of a request for capacity when its VM begins to shut down.
+type Interruption struct {
+	// Begun is closed when the shutdown begins.
+	Begun <-chan struct{}
+	// LongestWait returns how much longer the request may wait then.
+	LongestWait func() time.Duration
+}
+
+// ErrInterrupted marks the error of Acquire for a request whose wait was cut short by its Interruption.
+var ErrInterrupted = errors.New("the wait for room was cut short")
+
+// begun returns the channel that signals the start of the shutdown; nil for none.
+func (i *Interruption) begun() <-chan struct{} {
+	if i == nil {
+		return nil
+	}
+	return i.Begun
+}
+
+// limit returns the longest wait, and whether the shutdown that has begun makes it shorter.
+func (i *Interruption) limit(wait time.Duration) (time.Duration, bool) {
+	select {
+	case <-i.begun():
+		if limit := i.LongestWait(); limit < wait {
+			return limit, true
+		}
+	default:
+	}
+	return wait, false
+}
+
 // Acquire chooses and reserves a target, waiting for capacity up to maxWait. A request that is not expected to get
-// capacity in that time is refused at once. The error is an *apierror.Error.
+// capacity in that time is refused at once. The error is an *apierror.Error, or marked with ErrInterrupted if the wait was
+// shortened by the query's Interruption.
 func (t *Table) Acquire(ctx context.Context, q Query, maxWait time.Duration) (*Lease, error) {
+	maxWait, interrupted := q.Interruption.limit(maxWait)
+	lease, err := t.acquire(ctx, &q, maxWait, &interrupted)
+	if err != nil && interrupted {
+		return nil, errors.Mark(err, ErrInterrupted)
+	}
+	return lease, err
+}
+
+// acquire is Acquire that sets interrupted when the wait is shortened.
+func (t *Table) acquire(ctx context.Context, query *Query, maxWait time.Duration, interrupted *bool) (*Lease, error) {
+	q := *query
 	started := time.Now()
 	lease, w, err := t.pickOrEnqueue(&q, maxWait, started)
 	if w == nil {
@@ -45,6 +88,7 @@
 	defer t.dequeue(&q, w)
 	timer := time.NewTimer(maxWait)
 	defer timer.Stop()
+	begun := q.Interruption.begun()
 	if w.byObjective {
 		demotion := time.AfterFunc(max(0, w.inTimeUntil.Sub(started))+time.Millisecond, t.wakeAll)
 		defer demotion.Stop()
@@ -78,6 +122,14 @@
 			if !isLimited { // permits are given out one by one
 				pause.For(ctx, min(t.turnWait(&q, w, time.Now()), maxWait-w.elapsed(time.Since(started))))
 			}
+		case <-begun:
+			begun = nil
+			left := maxWait - time.Since(started)
+			if limit, shortened := q.Interruption.limit(left); shortened {
+				*interrupted = true
+				maxWait -= left - limit
+				timer.Reset(limit)
+			}
 		case <-timer.C:
 			return nil, err
 		case <-ctx.Done():
