tunnel: the end of a carrier is not taken for the end of an answer

Cause: tunnels pass on plain bytes, and the kernel ends the sockets of a killed process in order, as a target ends an answer without a length. A planned stop closed open tunnels in the same way.

Change: the bytes to the user of a tunnel are framed; a last frame states how the target ended its connection. An end without it is the carrier's: the answer is not whole, and the target is neither excluded nor counted as crashed. Builds that do not know frames get plain tunnels; through those the end of an answer without a length is not believed.

--- a/internal/entry/cut_test.go
+++ b/internal/entry/cut_test.go
@@ -162,3 +162,48 @@
 	response, body := fleet[0].do(fleet[0].request(http.MethodPost, "/lookup/1", "x"))
 	require.Equal(t, http.StatusBadGateway, response.StatusCode, body)
 }
+
+// TestCarriedStreamEndsAsCompleteWithItsCarrier guards against a stream without a length that ends as complete when the VM ends
+// through which it comes.
+func TestCarriedStreamEndsAsCompleteWithItsCarrier(t *testing.T) {
+	const first, second = "id: 1\ndata: part 1\n\n", "id: 2\ndata: part 2\n\n"
+	for name, request := range map[string]func(v *vm) *http.Request{
+		"stream": func(v *vm) *http.Request { return v.generation("/letters/1", 2, 1) },
+		"plain":  func(v *vm) *http.Request { return v.request(http.MethodPost, "/lookup/1", "x") },
+	} {
+		for _, isLost := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/lost %t", name, isLost), func(t *testing.T) {
+				d := newDeployment(t)
+				begun, proceed := make(chan struct{}), make(chan struct{})
+				for id, service := range map[string]string{"engine": "drafter", "plain": "counter"} {
+					d.target(id, service).SetOverride(func(w http.ResponseWriter, r *http.Request) bool {
+						return respondUnframedInParts(w, r, first, begun, proceed, second)
+					})
+				}
+				d.configure("key-1")
+				fleet, paths := d.startFleetWithPaths(2)
+				paths[0].Cut(rig.Refused)
+				go func() {
+					<-begun
+					if isLost {
+						fleet[1].kill()
+						<-fleet[1].stopped
+					} else {
+						close(proceed)
+					}
+				}()
+				response, err := fleet[0].client.Do(request(fleet[0]))
+				require.NoError(t, err)
+				defer response.Body.Close()
+				body, err := io.ReadAll(response.Body)
+				isWhole := err == nil && response.StatusCode == http.StatusOK
+				require.Equal(t, !isLost, isWhole, "status %d, error %v, body %q", response.StatusCode, err, body)
+				if isWhole {
+					require.Equal(t, first+second, string(body))
+				} else {
+					close(proceed)
+				}
+			})
+		}
+	}
+}
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -308,14 +308,24 @@
 // connection.
 func respondUnframed(text string) func(w http.ResponseWriter, r *http.Request) bool {
 	return func(w http.ResponseWriter, r *http.Request) bool {
-		conn, _, err := w.(http.Hijacker).Hijack()
-		if err != nil {
-			return false
-		}
-		defer conn.Close()
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: %s\r\nX-Response-Stamp: stamp.a\r\n\r\n%s", r.Header.Get("X-Attempt-Id"), text)
-		return true
+		proceed := make(chan struct{})
+		close(proceed)
+		return respondUnframedInParts(w, r, text, make(chan struct{}), proceed, "")
+	}
+}
+
+// respondUnframedInParts is respondUnframed that closes begun after the first part and waits for proceed before the second.
+func respondUnframedInParts(w http.ResponseWriter, r *http.Request, first string, begun, proceed chan struct{}, second string) bool {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return false
 	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: %s\r\nX-Response-Stamp: stamp.a\r\n\r\n%s", r.Header.Get("X-Attempt-Id"), first)
+	close(begun)
+	<-proceed
+	_, _ = io.WriteString(conn, second)
+	return true
 }
 
 // TestUnframedStreamWithoutEventsLooksComplete guards against taking the end of a connection for the end of a stream that
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -236,7 +236,7 @@
 		return &attemptError{notRun: true, outcome: placement.Canceled, cause: err}
 	case errors.As(err, &notSent): // the deadline passed before a connection was made
 		return &attemptError{notRun: true, outcome: placement.Unreachable, cause: err}
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled), upstream.IsCarrierLost(err):
 		return &attemptError{outcome: placement.Canceled, cause: err}
 	default: // the connection broke, or no response came before the deadline
 		return &attemptError{outcome: placement.Failed, cause: err}
@@ -246,7 +246,9 @@
 // prepareRetry reports whether the call may be sent to another target after the failure, and charges the retry
 // budget for it. Retries after a failed connect are not charged: they put no load on the service.
 func (x *exchange) prepareRetry(ctx context.Context, failure *attemptError, target string) bool {
-	x.excluded = append(x.excluded, target)
+	if !upstream.IsCarrierLost(failure.cause) {
+		x.excluded = append(x.excluded, target)
+	}
 	x.mayHaveRun = x.mayHaveRun || !failure.notRun
 	if ctx.Err() != nil || failure.final || x.attempts >= maxAttempts || !x.mayRepeatAfterCrashes() {
 		return false
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -13,6 +13,7 @@
 	"godwitcart/internal/poison"
 	"godwitcart/internal/roster"
 	"godwitcart/internal/targetlimit"
+	"godwitcart/internal/tunnel"
 	"godwitcart/internal/upstream"
 )
 
@@ -78,8 +79,8 @@
 // silence.
 func isCrash(err error) bool {
 	var notSent *upstream.NotSentError
-	return !errors.As(err, &notSent) &&
-		(errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE))
+	return !errors.As(err, &notSent) && !upstream.IsCarrierLost(err) &&
+		(errors.Is(err, tunnel.ErrTargetFailed) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE))
 }
 
 // mayRepeatAfterCrashes reports whether the call may be sent to another target: not after several have crashed under it,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -126,7 +126,7 @@
 func (d *Dialer) try(ctx context.Context, peer Peer, address string) (net.Conn, error) {
 	bounded, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
-	conn, err := tunnel.Connect(bounded, d.options.Dial, peer.Address, address)
+	conn, err := tunnel.ConnectFramed(bounded, d.options.Dial, peer.Address, address)
 	if ctx.Err() == nil {
 		d.record(peer.Name, address, err, time.Now())
 	}
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -20,7 +20,7 @@
 	Allow func(user netip.Addr, address string) error
 	// MaxTunnels bounds the open tunnels.
 	MaxTunnels int
-	// Context closes all tunnels when it ends; nil means that nothing does.
+	// Context resets all tunnels when it ends; nil means that nothing does.
 	Context context.Context
 }
 
@@ -123,17 +123,22 @@
 		http.Error(w, "the connection cannot carry a tunnel", http.StatusInternalServerError)
 		return
 	}
-	if _, err := user.Write([]byte("HTTP/1.1 200 OK\r\n\r\n")); err != nil || buffered.Reader.Buffered() > 0 {
+	accepted, copyAnswers := "HTTP/1.1 200 OK\r\n", copyBytes
+	if wantsFrames(r.Header) {
+		accepted, copyAnswers = accepted+headerFraming+": "+valueFraming+"\r\n", copyFramed
+	}
+	if _, err := user.Write([]byte(accepted + "\r\n")); err != nil || buffered.Reader.Buffered() > 0 {
 		target.Close()
 		user.Close()
 		return
 	}
 	if s.options.Context != nil {
 		stop := context.AfterFunc(s.options.Context, func() {
+			reset(user)
 			user.Close()
 			target.Close()
 		})
 		defer stop()
 	}
-	pipe(user, target)
+	pipe(user, target, copyAnswers)
 }
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -1,11 +1,13 @@
 // Package tunnel carries connections to targets through another process, with the CONNECT method of HTTP/1.1.
 //
-// A tunnel keeps the meaning of how a connection ends: an orderly end stays one, and a reset or a failure resets the other
-// side, so that an answer that was cut off never looks complete.
+// A tunnel keeps the meaning of how a connection ends: an orderly end of the target stays one, and any other end, also of the
+// process in between, is a failure at the user, so that an answer that was cut off never looks complete. Tunnels between
+// processes of which one does not know frames cannot keep it when the process in between is killed (StatesEnd).
 package tunnel
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -35,42 +37,61 @@
 // Connect opens a tunnel to the address through the process at host:port via. The error is an *UnreachableError if that
 // process could not reach the address, and marked with ErrSilent if ctx ended before it answered.
 func Connect(ctx context.Context, dial Dial, via, address string) (net.Conn, error) {
+	conn, _, err := connect(ctx, dial, via, address, nil)
+	return conn, err
+}
+
+// ConnectFramed is Connect that asks the other process to state how the target ends its connection (StatesEnd).
+func ConnectFramed(ctx context.Context, dial Dial, via, address string) (net.Conn, error) {
+	conn, answer, err := connect(ctx, dial, via, address, http.Header{headerFraming: {valueFraming}})
+	if err == nil && wantsFrames(answer) {
+		return newFramedConn(conn), nil
+	}
+	return conn, err
+}
+
+// connect opens a tunnel and returns the header of the answer as well.
+func connect(ctx context.Context, dial Dial, via, address string, header http.Header) (net.Conn, http.Header, error) {
 	conn, err := dial(ctx, via)
 	if err != nil {
-		return nil, errors.Wrapf(err, "connect to %s", via)
+		return nil, nil, errors.Wrapf(err, "connect to %s", via)
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
-	err = handshake(conn, via, address)
+	answer, err := handshake(conn, via, address, header)
 	if !stop() {
 		err = errors.Mark(errors.CombineErrors(ctx.Err(), err), ErrSilent)
 	}
 	if err != nil {
 		conn.Close()
-		return nil, err
+		return nil, nil, err
 	}
-	return conn, nil
+	return conn, answer, nil
 }
 
-// handshake asks the process at the other end for the tunnel.
-func handshake(conn net.Conn, via, address string) error {
-	if _, err := fmt.Fprintf(conn, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n\r\n", address, address); err != nil {
-		return errors.Wrapf(err, "ask %s for a tunnel", via)
+// handshake asks the process at the other end for the tunnel, and returns the header of its answer.
+func handshake(conn net.Conn, via, address string, header http.Header) (http.Header, error) {
+	var request bytes.Buffer
+	fmt.Fprintf(&request, "CONNECT %s HTTP/1.1\r\nHost: %s\r\n", address, address)
+	_ = header.Write(&request) // a buffer takes all bytes
+	request.WriteString("\r\n")
+	if _, err := conn.Write(request.Bytes()); err != nil {
+		return nil, errors.Wrapf(err, "ask %s for a tunnel", via)
 	}
 	// Targets send nothing before they are asked, so the reader takes no bytes of the target.
 	reader := bufio.NewReader(io.LimitReader(conn, maxHeadBytes))
 	response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodConnect})
 	if err != nil {
-		return errors.Wrapf(err, "ask %s for a tunnel", via)
+		return nil, errors.Wrapf(err, "ask %s for a tunnel", via)
 	}
 	if response.StatusCode == http.StatusOK && reader.Buffered() == 0 {
-		return nil
+		return response.Header, nil
 	}
 	text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes)) // a part of it is enough
 	reason := fmt.Sprintf("%s has no tunnel to %s: status %d: %s", via, address, response.StatusCode, strings.TrimSpace(string(text)))
 	if response.StatusCode == http.StatusBadGateway {
-		return &UnreachableError{text: reason}
+		return nil, &UnreachableError{text: reason}
 	}
-	return errors.New(reason)
+	return nil, errors.New(reason)
 }
 
 const (
@@ -81,12 +102,12 @@
 	lingerTime = 2 * time.Second
 )
 
-// pipe copies between the user of a tunnel and the target until both are closed.
-func pipe(user, target net.Conn) {
+// pipe copies between the user of a tunnel and the target until both are closed. copyAnswers copies what the target sends.
+func pipe(user, target net.Conn, copyAnswers func(user io.Writer, target io.Reader) error) {
 	defer user.Close()
 	defer target.Close()
 	answered := make(chan error, 1)
-	go func() { answered <- copyBytes(user, target) }()
+	go func() { answered <- copyAnswers(user, target) }()
 	asked := make(chan struct{})
 	go func() {
 		defer close(asked)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -20,10 +20,13 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"godwitcart/internal/tunnel"
 )
 
 const (
@@ -236,15 +239,30 @@
 	}
 }
 
+// IsCarrierLost reports whether the error is the end of a connection through another entry VM that says nothing of the target.
+func IsCarrierLost(err error) bool { return errors.Is(err, tunnel.ErrCarrierLost) }
+
 // Read reads the body. It returns io.EOF only at the end of a complete response.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.Body.Read(p)
+	if err == io.EOF && r.hasUncertainEnd() {
+		err = errUncertainEnd
+	}
 	if err == io.EOF {
 		r.bodyRead = true
 	}
 	return n, err
 }
 
+// errUncertainEnd is the error of a response that ends with a connection through another entry VM, of an earlier build,
+// whose own end looks the same.
+var errUncertainEnd = errors.Mark(errors.New("the answer has no length and came through an entry VM that does not state the end of the target's connection"), tunnel.ErrCarrierLost)
+
+// hasUncertainEnd reports whether the end of the connection may not be that of the target's.
+func (r *Response) hasUncertainEnd() bool {
+	return r.conn.relayed && r.EndsWithConnection() && !tunnel.StatesEnd(r.conn.Conn)
+}
+
 // IsRelayed reports whether the connection goes through another entry VM.
 func (r *Response) IsRelayed() bool { return r.conn.relayed }
 
@@ -418,11 +436,14 @@
 
 // hasNoInput reports whether an idle connection is still open and has no bytes to read.
 func hasNoInput(connection net.Conn) bool {
-	tcp, ok := connection.(*net.TCPConn)
+	if buffering, ok := connection.(interface{ Buffered() int }); ok && buffering.Buffered() > 0 {
+		return false
+	}
+	descriptor, ok := connection.(syscall.Conn)
 	if !ok {
 		return false
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := descriptor.SyscallConn()
 	if err != nil {
 		return false
 	}
