roster: a target that lapses and returns is not taken for one that leaves

Cause: a VM that had read the removals and not yet the returns dropped all these targets once the time to register again was over, and told the others that they were leaving. One word stood for a removal, which a return refutes, and for a leaving, which nothing does; it was never taken back, and a reader that believed it told nobody when a target really left.

Change: leaving, gone and missing are told apart; each word bears the store's revision and the later one holds; only a list asked for after the time to register again shows that a target is gone. Readers tell of returns, and of a leaving when they first read it.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -147,13 +147,16 @@
 	e.table.ReplaceTargets(targets, now)
 }
 
-// TargetLeaving implements roster.Listener.
+// TargetLeaving implements roster.Listener. The list that follows says whether the target is still leaving.
 func (e *Entry) TargetLeaving(target roster.Target) {
-	e.table.MarkLeaving(target)
+	e.table.Withdraw(target)
 	e.client.CloseIdle(target.Address)
 	e.forwarder.Evacuate(target)
 }
 
+// TargetGone implements roster.Listener.
+func (e *Entry) TargetGone(target roster.Target) { e.TargetLeaving(target) }
+
 // recordLeaving records that a target has said in an answer that it is leaving, and tells the other VMs. Its running
 // streams are moved like those of a target that the list reports as leaving.
 func (e *Entry) recordLeaving(target roster.Target) {
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -48,6 +49,10 @@
 	Versions map[string]string `msgpack:"b,omitempty"`
 	// ColdRevisions holds the revisions of the entries of the targets in Changes that are cold, by target.
 	ColdRevisions map[string]uint64 `msgpack:"co,omitempty"`
+	// Revisions holds the revisions of the entries of the targets in Changes, by target, and Gone names those that the platform
+	// did not list at that revision. A change without a revision comes from an earlier build.
+	Revisions map[string]uint64 `msgpack:"rv,omitempty"`
+	Gone      []string          `msgpack:"gn,omitempty"`
 	// Limits are the request limits of targets that the sender knows of, and LimitCoordinator is the rank of the VM that
 	// it takes as their coordinator.
 	Limits           []limitAnnouncement `msgpack:"m,omitempty"`
@@ -112,6 +117,15 @@
 		}
 		d.Versions[target.ID] = target.Version
 	}
+	if target.Revision > 0 {
+		if d.Revisions == nil {
+			d.Revisions = make(map[string]uint64)
+		}
+		d.Revisions[target.ID] = target.Revision
+	}
+	if target.Gone {
+		d.Gone = append(d.Gone, target.ID)
+	}
 	if target.WarmupRemaining > 0 && target.Revision > 0 {
 		if d.ColdRevisions == nil {
 			d.ColdRevisions = make(map[string]uint64)
@@ -126,7 +140,11 @@
 	for i, change := range d.Changes {
 		targets[i] = change.target()
 		targets[i].Version = d.Versions[change.ID]
-		targets[i].Revision = d.ColdRevisions[change.ID]
+		targets[i].Revision = d.Revisions[change.ID]
+		targets[i].Gone = slices.Contains(d.Gone, change.ID) && targets[i].Revision > 0
+		if d.Revisions == nil && !change.Leaving {
+			targets[i].Revision = d.ColdRevisions[change.ID]
+		}
 	}
 	return targets
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -231,9 +231,11 @@
 	maps.DeleteFunc(f.discoveredAt, func(name string, _ time.Time) bool { _, listed := members[name]; return !listed })
 }
 
-// AnnounceChange sends a change of a target to the other VMs at once, and repeats it for changeRepeatTime.
+// AnnounceChange sends a change of a target to the other VMs at once, and repeats it for changeRepeatTime. It takes the place of
+// an earlier one of the same target.
 func (f *Fleet) AnnounceChange(target roster.Target) {
 	f.mu.Lock()
+	f.changes = slices.DeleteFunc(f.changes, func(c recentChange) bool { return c.target.ID == target.ID })
 	f.changes = append(f.changes, recentChange{recordedAt: time.Now(), target: target})
 	if excess := len(f.changes) - maxChanges; excess > 0 {
 		f.changes = slices.Delete(f.changes, 0, excess)
--- a/internal/placement/pause.go
+++ b/internal/placement/pause.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -66,23 +65,6 @@
 	return false
 }
 
-// rememberPause keeps the pause of a target that leaves the list: it may be listed again. The caller holds the lock.
-func (t *Table) rememberPause(departed *target, now time.Time) {
-	maps.DeleteFunc(t.departedPauses, func(_ string, earlier *target) bool { return !now.Before(earlier.pause.until) })
-	if now.Before(departed.pause.until) {
-		t.departedPauses[departed.ID] = departed
-	}
-}
-
-// recallPause returns the pause of a target that is listed again. The caller holds the lock.
-func (t *Table) recallPause(listed roster.Target, now time.Time) requestedPause {
-	departed := t.departedPauses[listed.ID]
-	if departed == nil || !departed.SameIncarnation(listed) || !now.Before(departed.pause.until) {
-		return requestedPause{}
-	}
-	return departed.pause
-}
-
 // pauseError reports that all targets that could take the request want none for a time.
 type pauseError struct {
 	// end is when the first of them may be sent a request again.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -183,8 +183,8 @@
 	zoneAggregates int
 	// objectives holds the latency objectives of generations by service.
 	objectives map[string]policy.ObjectiveRange
-	// departedPauses holds the targets that left the list during a pause, by id.
-	departedPauses map[string]*target
+	// departed holds targets that left the list during a pause or while they had work of this VM, by id.
+	departed map[string]*target
 	// evacuations holds the zones in evacuation, and those that this VM does not choose again yet.
 	evacuations map[string]*zoneEvacuation
 	// capacityChanged is closed and replaced when capacity may have become free.
@@ -218,12 +218,13 @@
 type target struct {
 	roster.Target
 	service *service
-	// leaving is set when this incarnation is leaving or no longer listed; it is never cleared.
-	leaving  bool
-	ownLoad  Load
-	peerLoad Load
-	health   health
-	pause    requestedPause
+	// leaving is set while this incarnation is leaving or not listed, and saidLeaving once it is known to leave for good.
+	leaving     bool
+	saidLeaving bool
+	ownLoad     Load
+	peerLoad    Load
+	health      health
+	pause       requestedPause
 	// evacuation is that of the target's zone; nil for none.
 	evacuation *zoneEvacuation
 	// slowStartUntil is when the target has warmed up after its start.
@@ -260,7 +261,7 @@
 		self:            options.Self,
 		onLoadChange:    options.OnLoadChange,
 		peerLoads:       make(map[Sender]peerReport),
-		departedPauses:  make(map[string]*target),
+		departed:        make(map[string]*target),
 		evacuations:     make(map[string]*zoneEvacuation),
 		capacityChanged: make(chan struct{}),
 	}
@@ -273,20 +274,20 @@
 	for id, entry := range listed {
 		current := t.targets[id]
 		if current == nil || !current.SameIncarnation(entry) {
-			current = &target{pause: t.recallPause(entry, now)}
+			current = t.recallDeparted(entry, now)
 			t.targets[id] = current
 			if entry.WarmupRemaining > 0 {
 				current.slowStartUntil = now.Add(entry.WarmupRemaining)
 			}
 		}
-		current.leaving = current.leaving || entry.Leaving
+		current.leaving = current.saidLeaving || entry.Leaving
 		current.Target = entry
 		current.evacuation = t.evacuations[entry.Zone]
 	}
 	for id, current := range t.targets {
 		if _, found := listed[id]; !found {
 			current.leaving = true
-			t.rememberPause(current, now)
+			t.rememberDeparted(current, now)
 			delete(t.targets, id)
 		}
 	}
@@ -317,16 +318,35 @@
 	t.recomputePeerDemand(now)
 }
 
-// MarkLeaving records that the target announced that it is leaving; it gets no new work.
+// MarkLeaving records that the target announced that it is leaving; this incarnation gets no new work any more.
 func (t *Table) MarkLeaving(leaving roster.Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if current := t.targets[leaving.ID]; current != nil && current.SameIncarnation(leaving) {
+	if current := t.listed(leaving); current != nil {
+		current.leaving, current.saidLeaving = true, true
+		current.service.countVersions()
+	}
+}
+
+// Withdraw records that the target is leaving or not listed any more; it gets no new work unless ReplaceTargets lists it as
+// serving.
+func (t *Table) Withdraw(gone roster.Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if current := t.listed(gone); current != nil {
 		current.leaving = true
 		current.service.countVersions()
 	}
 }
 
+// listed returns the target that is listed in the incarnation, or nil. The caller holds the lock.
+func (t *Table) listed(wanted roster.Target) *target {
+	if current := t.targets[wanted.ID]; current != nil && current.SameIncarnation(wanted) {
+		return current
+	}
+	return nil
+}
+
 // zoneSurcharge returns the score penalty of a target in another zone.
 func (t *Table) zoneSurcharge() float64 {
 	if t.zoneAggregates > 0 {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -1,13 +1,14 @@
 // Package roster follows the platform's list of targets.
 //
-// The list may be stale or unavailable. Invariants: a malformed entry is ignored and does not affect others; a target
-// that is leaving or was removed gets no new work under the same incarnation; after an outage of the platform, the
-// removal of missing entries is deferred, since live targets need some time to register again.
+// The list may be stale or unavailable. Invariants: a malformed entry is ignored and does not affect others; an incarnation
+// that has announced that it is leaving gets no new work any more; one whose entry was removed gets none until it is listed
+// again. All that is read or heard of an entry is ordered by the platform's revision, and the later word holds. After an
+// outage of the platform, the removal of missing entries is deferred, since live targets need some time to register again,
+// and no target is dropped for the passing of time alone: only a list that was read after that shows that it is gone.
 package roster
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,11 +36,14 @@
 	Slots int
 	// Leaving is set if the target accepts no new work.
 	Leaving bool
+	// Gone is set in a change: the platform had no entry of the target at Revision. Leaving is set as well, for VMs of
+	// earlier builds.
+	Gone bool
 	// Missing is set while the target is no longer listed after an outage of the platform, and may register again.
 	Missing bool
 	// WarmupRemaining is how much longer the target is slow after its start.
 	WarmupRemaining time.Duration
-	// Revision is the platform's revision of the entry, which dates WarmupRemaining; zero if it is not known.
+	// Revision is the platform's revision of the entry, which dates what is said of the target; zero if it is not known.
 	Revision uint64
 }
 
@@ -59,9 +63,10 @@
 type Listener interface {
 	// TargetsListed replaces the known targets, including those that are leaving.
 	TargetsListed(targets map[string]Target)
-	// TargetLeaving is called when a target is leaving, or when it was removed from the list or replaced by a new
-	// incarnation.
+	// TargetLeaving is called when a target is leaving, or was replaced by a new incarnation.
 	TargetLeaving(target Target)
+	// TargetGone is called when a target was removed from the list. It may be listed again.
+	TargetGone(target Target)
 }
 
 // Options configures a Follower.
@@ -109,7 +114,8 @@
 type Follower struct {
 	options Options
 	targets map[string]Target
-	// pendingRemovals maps targets that have been missing from the list since an outage to the time of their removal.
+	// pendingRemovals maps targets that have been missing from the list since an outage to the time after which a list without
+	// them shows that they are gone.
 	pendingRemovals map[string]time.Time
 	// removalsDeferredUntil is the time until which a missing entry may be an effect of the last outage.
 	removalsDeferredUntil time.Time
@@ -118,8 +124,20 @@
 	ignored               ignoredEntries
 	listed                atomic.Bool
 	peerChanges           chan Target
-	// removed holds recently removed targets, so that an outdated change of a peer does not add them again.
+	// removed holds recently removed targets with the revision at which they were gone, so that an outdated change of a peer
+	// does not add them again.
 	removed map[string]Target
+	// unconfirmed holds the revisions of the entries of incarnations that a peer of an earlier build has called leaving. It may
+	// have meant that the entry was removed: a later entry refutes it.
+	unconfirmed map[string]uint64
+	// returnedAt is when targets that had been missing or removed were listed again.
+	returnedAt map[string]time.Time
+	// mustList is set if only a list read from now on tells what a peer meant, and endWatch ends the watch in progress then;
+	// it is nil if there is none.
+	mustList bool
+	endWatch context.CancelFunc
+	// announced holds the incarnations whose entry this VM has read as leaving.
+	announced map[string]Target
 	// saidLeaving holds the incarnations that have said themselves that they are leaving, by id.
 	saidLeaving   map[string]Target
 	saidLeavingMu sync.Mutex
@@ -127,7 +145,7 @@
 
 // NewFollower returns a Follower without targets.
 func NewFollower(options Options) *Follower {
-	return &Follower{options: options, targets: make(map[string]Target), pendingRemovals: make(map[string]time.Time), peerChanges: make(chan Target, maxPeerChanges), ignored: newIgnoredEntries(options.Logger), removed: make(map[string]Target), saidLeaving: make(map[string]Target)}
+	return &Follower{options: options, targets: make(map[string]Target), pendingRemovals: make(map[string]time.Time), peerChanges: make(chan Target, maxPeerChanges), ignored: newIgnoredEntries(options.Logger), removed: make(map[string]Target), unconfirmed: make(map[string]uint64), returnedAt: make(map[string]time.Time), announced: make(map[string]Target), saidLeaving: make(map[string]Target)}
 }
 
 // The sources of a change.
@@ -199,6 +217,8 @@
 	defer cancel()
 	var listing object.Listing
 	var err error
+	askedAt := time.Now()
+	f.mustList = false
 	f.applyPeerChangesDuring(ctx, func() { listing, err = f.options.Store.List(bounded, f.options.Prefix) })
 	if err != nil {
 		return 0, err
@@ -209,15 +229,20 @@
 	for _, entry := range listing.Objects {
 		if target, ok := f.decode(entry); ok {
 			seen[target.ID] = true
+			f.forgetLaterRevision(target, listing.Revision)
 			f.put(target, sourceList)
 		}
 	}
-	for id := range f.targets {
+	for id, target := range f.targets {
 		if !seen[id] {
-			f.remove(id, now)
+			f.settleRemoval(id, target, listing.Revision, askedAt, now)
 		}
 	}
-	f.publish(now)
+	for id, gone := range f.removed {
+		gone.Revision = listing.Revision
+		f.removed[id] = gone
+	}
+	f.publish()
 	f.listed.Store(true)
 	return listing.Revision, nil
 }
@@ -229,8 +254,13 @@
 	defer cancel()
 	var batch object.Batch
 	var err error
+	if f.mustList {
+		return 0, object.ErrRelist
+	}
 	callCtx, endCall := context.WithCancel(bounded)
 	defer endCall()
+	f.endWatch = endCall
+	defer func() { f.endWatch = nil }()
 	store, relaxed := f.watchStore()
 	if relaxed {
 		go f.endWhenReader(callCtx, endCall)
@@ -240,7 +270,7 @@
 		return 0, object.ErrRelist // a pending removal is due; the platform has not failed
 	}
 	if err != nil && callCtx.Err() != nil && ctx.Err() == nil {
-		return after, nil // this VM has become the reader
+		return after, nil // this VM has become the reader, or the list must be read
 	}
 	if err != nil {
 		return 0, err
@@ -254,7 +284,7 @@
 	for _, entry := range batch.Events {
 		f.applyEvent(entry, now)
 	}
-	f.publish(now)
+	f.publish()
 	if len(batch.Events) > 0 {
 		f.delayNextWatch(ctx)
 	}
@@ -276,7 +306,10 @@
 		case target := <-f.peerChanges:
 			if ctx.Err() == nil && f.applyPeerChange(target) {
 				f.applyQueuedPeerChanges() // changes that arrived together are published once
-				f.publish(time.Now())
+				f.publish()
+			}
+			if f.mustList && f.endWatch != nil {
+				f.endWatch()
 			}
 		}
 	}
@@ -302,24 +335,24 @@
 func (f *Follower) isReader() bool { return f.options.IsReader == nil || f.options.IsReader() }
 
 // delayNextWatch waits before the next watch and applies peers' changes meanwhile. The reader waits for watchDelay
-// without such a change, other VMs for relaxedWatchDelay or until they become the reader.
+// without such a change, other VMs for relaxedWatchDelay or until a removal is due or they become the reader.
 func (f *Follower) delayNextWatch(ctx context.Context) {
 	started := time.Now()
 	for ctx.Err() == nil {
 		if f.applyQueuedPeerChanges() {
-			f.publish(time.Now())
+			f.publish()
 		}
 		wait := readerCheckInterval
 		if f.isReader() {
 			wait = watchDelay
-		} else if time.Since(started) > relaxedWatchDelay {
+		} else if time.Since(started) > relaxedWatchDelay || f.isRemovalDue(time.Now()) || f.mustList {
 			return
 		}
 		select {
 		case <-ctx.Done():
 		case target := <-f.peerChanges:
 			f.applyPeerChange(target)
-			f.publish(time.Now())
+			f.publish()
 		case <-time.After(wait):
 			if wait == watchDelay {
 				return
@@ -340,144 +373,27 @@
 	}
 }
 
-// applyPeerChange applies a peer's change and reports whether it was new. A change that would make a leaving or
-// removed incarnation usable again, or that is about an older incarnation than the known one, is ignored. So is the
-// leaving of an unknown target.
-func (f *Follower) applyPeerChange(target Target) bool {
-	known, found := f.targets[target.ID]
-	if found && known.SameIncarnation(target) && (known.Leaving || !target.Leaving) {
-		f.applyPeerCold(known, target)
-		return false
-	}
-	if found && !known.SameIncarnation(target) && target.StartedAt <= known.StartedAt {
-		return false
-	}
-	if last, wasRemoved := f.removed[target.ID]; !found && (target.Leaving || wasRemoved && target.StartedAt <= last.StartedAt) {
-		return false
-	}
-	f.put(target, sourcePeer)
-	return true
-}
-
-// applyPeerCold records a peer's word that a known incarnation is cold, unless it is as old as what is known.
-func (f *Follower) applyPeerCold(known, target Target) {
-	if target.Revision > known.Revision && f.recordCold(target) {
-		known.Revision = target.Revision
-		f.targets[known.ID] = known
-	}
-}
-
-// recordCold passes on that a target is cold, if it is, and reports whether that limits requests.
-func (f *Follower) recordCold(target Target) bool {
-	return target.WarmupRemaining > 0 && f.options.TargetCold != nil && f.options.TargetCold(target)
-}
-
 // withRemovalDeadline sets a deadline on the context of a watch, so that the watch ends when the first pending removal
 // is due. The store limits its waiting time to the deadline of the context.
 func (f *Follower) withRemovalDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
-	var earliest time.Time
-	for _, due := range f.pendingRemovals {
-		if earliest.IsZero() || due.Before(earliest) {
-			earliest = due
-		}
-	}
-	if earliest.IsZero() {
+	due, isPending := f.nextRemoval()
+	if !isPending {
 		return context.WithCancel(ctx)
 	}
-	return context.WithDeadline(ctx, earliest.Add(removalMargin))
-}
-
-// applyEvent applies one change of the list. An entry that cannot be decoded removes its target.
-func (f *Follower) applyEvent(entry object.Object, now time.Time) {
-	if entry.Deleted {
-		f.remove(f.targetID(entry), now)
-		return
-	}
-	target, ok := f.decode(entry)
-	if !ok {
-		f.remove(f.targetID(entry), now)
-		return
-	}
-	f.put(target, sourceList)
+	return context.WithDeadline(ctx, due.Add(removalMargin))
 }
 
-func (f *Follower) targetID(entry object.Object) string { return entry.Key[len(f.options.Prefix):] }
-
-// put stores a target, and calls the listener if an incarnation is leaving or was replaced. A change from the list is
-// also passed to Options.TargetChanged, except during the first list. An incarnation that is leaving stays leaving.
-func (f *Follower) put(target Target, source string) {
-	delete(f.pendingRemovals, target.ID)
-	previous, known := f.targets[target.ID]
-	target.Leaving = target.Leaving || f.hasSaidLeaving(target)
-	sameIncarnation := known && previous.SameIncarnation(target)
-	if sameIncarnation && previous.Leaving {
-		target.Leaving = true
-	}
-	if sameIncarnation && previous.Version != "" {
-		target.Version = previous.Version
-	}
-	becameCold := (!sameIncarnation || target.Revision > previous.Revision) && f.recordCold(target) && f.isReader()
-	if sameIncarnation {
-		target.Revision = max(target.Revision, previous.Revision)
-	}
-	f.targets[target.ID] = target
-	if changed := !sameIncarnation || target.Leaving && !previous.Leaving || becameCold; changed && source == sourceList && f.listed.Load() && f.options.TargetChanged != nil {
-		f.options.TargetChanged(target)
-	}
-	if known && !sameIncarnation {
-		f.options.Listener.TargetLeaving(previous)
-	}
-	if sameIncarnation && target.Leaving && !previous.Leaving {
-		f.options.Logger.Info("target is leaving", "target", target.ID, "service", target.Service, "source", source)
-		f.options.Listener.TargetLeaving(target)
-	}
-}
-
-// remove removes a target, or defers its removal while targets may still register again after an outage.
-func (f *Follower) remove(id string, now time.Time) {
-	target, known := f.targets[id]
-	if !known {
-		return
-	}
-	if _, pending := f.pendingRemovals[id]; pending {
-		return // publish removes it when it is due
-	}
-	if now.Before(f.removalsDeferredUntil) {
-		f.pendingRemovals[id] = f.removalsDeferredUntil
-		return
-	}
-	f.drop(id, target)
-}
-
-// drop removes a target at once, and announces it as leaving.
-func (f *Follower) drop(id string, target Target) {
-	delete(f.targets, id)
-	delete(f.pendingRemovals, id)
-	if len(f.removed) >= maxRemoved {
-		clear(f.removed)
-	}
-	f.removed[id] = target
-	if !target.Leaving && f.options.TargetChanged != nil {
-		leaving := target
-		leaving.Leaving = true
-		f.options.TargetChanged(leaving)
+// nextRemoval returns when the first pending removal is due.
+func (f *Follower) nextRemoval() (earliest time.Time, isPending bool) {
+	for _, due := range f.pendingRemovals {
+		if !isPending || due.Before(earliest) {
+			earliest, isPending = due, true
+		}
 	}
-	f.options.Logger.Info("target has left the list", "target", id, "service", target.Service, "was_leaving", target.Leaving)
-	f.options.Listener.TargetLeaving(target)
+	return earliest, isPending
 }
 
-// publish passes the targets to the listener, after removing those whose pending removal is due.
-func (f *Follower) publish(now time.Time) {
-	for id, due := range f.pendingRemovals {
-		if !now.Before(due) {
-			f.drop(id, f.targets[id])
-		}
-	}
-	listed := maps.Clone(f.targets)
-	for id := range f.pendingRemovals {
-		missing := listed[id]
-		missing.Missing = true
-		listed[id] = missing
-	}
-	f.options.Listener.TargetsListed(listed)
+func (f *Follower) isRemovalDue(now time.Time) bool {
+	due, isPending := f.nextRemoval()
+	return isPending && !now.Before(due)
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -41,6 +41,9 @@
 // TargetLeaving implements roster.Listener.
 func (l *listener) TargetLeaving(target roster.Target) { l.leaving = append(l.leaving, target.ID) }
 
+// TargetGone implements roster.Listener.
+func (l *listener) TargetGone(target roster.Target) { l.leaving = append(l.leaving, target.ID) }
+
 func (l *listener) usable() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
