versions: a VM concludes nothing from versions that it has not seen

Cause: a caller that does not name its attempt went on if the VM had listed one version since its start. A restart forgets, and a VM that has missed a change does not know it. The records of attempts are held by VMs that had all ended.

Change: a version is recorded in the platform's store before a resumable stream may begin there; a VM that does not know where a stream began reads the record after the request has arrived, and goes on only if it holds one version.

--- a/cmd/godwitcartd/deployment.go
+++ b/cmd/godwitcartd/deployment.go
@@ -19,6 +19,10 @@
 // settingsPollInterval is how often the settings file is checked for changes; it may change without a SIGHUP.
 const settingsPollInterval = 2 * time.Second
 
+// firstStartVariable is the environment variable that is "true" where the platform starts the whole fleet for the first time;
+// it stands for the setting first_start.
+const firstStartVariable = "GODWITCART_FIRST_START"
+
 // runDeployment loads the settings of a deployment and forwards requests until a graceful shutdown is complete, or
 // until a second SIGTERM or SIGINT stops it immediately. SIGHUP reloads the settings.
 func runDeployment(args *arguments) error {
@@ -30,6 +34,7 @@
 		fmt.Println("godwitcartd: settings are valid:", args.Settings)
 		return nil
 	}
+	loaded.FirstStart = loaded.FirstStart || os.Getenv(firstStartVariable) == "true"
 	sink := logsink.New(os.Stdout)
 	defer sink.Close()
 	logger := newLogger(sink, loaded.Log).With("vm", loaded.VM.Name)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,6 +33,7 @@
 	"godwitcart/internal/trail"
 	"godwitcart/internal/tunnel"
 	"godwitcart/internal/upstream"
+	"godwitcart/internal/versions"
 	"godwitcart/platform"
 )
 
@@ -56,6 +57,9 @@
 	graceMargin = 400 * time.Millisecond
 	// maxReadingTime is how long a shutdown waits for requests that are being read.
 	maxReadingTime = time.Second
+	// maxRecordWait is how long after its start a VM waits for the record of the targets' software versions before it takes
+	// requests; without it, only streams that callers may resume are refused.
+	maxRecordWait = 3 * time.Second
 	// drainPollInterval is the interval at which a shutdown checks for requests in progress.
 	drainPollInterval = 100 * time.Millisecond
 )
@@ -75,6 +79,7 @@
 	limits    *targetlimit.Ledger
 	cold      *targetlimit.ColdTargets
 	origins   *origin.Registry
+	versions  *versions.Registry
 	poison    *poison.Registry
 	// evacuations is nil if the settings set no bound for evacuations, and evacuationFollower, which reads them, too.
 	evacuations        *evacuation.Registry
@@ -103,6 +108,9 @@
 	e.limits = targetlimit.NewLedger(targetlimit.Options{VM: s.VM.Name, Logger: logger, Changed: e.sendDigestNow, Transmit: e.transmitPermit, PermitAvailable: e.retryWaiting, Capacity: e.capacityOf, Cold: e.cold})
 	e.table = placement.NewTable(placement.Options{Self: placement.Sender{VM: s.VM.Name, Zone: s.VM.Zone}, OnLoadChange: e.sendDigestNow, Limits: e.limits, Seed: nameSeed(s.VM.Name)})
 	e.origins = origin.NewRegistry(origin.Options{VM: s.VM.Name, VMs: e.entryVMs, Transmit: e.transmitOrigin})
+	e.versions = versions.NewRegistry(versions.Options{
+		Store: e.store, Logger: logger, IsReader: e.readsPlatform, IsFirstStart: s.FirstStart, Recorded: e.table.SetRecordedVersions,
+	})
 	e.poison = poison.NewRegistry(poison.Options{VM: s.VM.Name, VMs: e.entryVMNames, Broadcast: e.broadcastPoison, Send: e.transmitPoison, Logger: logger})
 	e.budget = retrybudget.New(s.Bounds.RetryRatio*usableBudgetShare, initialRetrySlack(s))
 	e.poller = inforce.NewPoller(inforce.Options{
@@ -112,7 +120,7 @@
 	})
 	e.forwarder = forward.New(forward.Options{
 		Codec: platform.Codec{}, Mover: platform.NewMover(e.client), Poller: e.poller, Table: e.table, Client: e.client,
-		Budget: e.budget, Lengths: lengths.NewEstimator(0), Limits: e.limits, Origins: e.origins, Poison: e.poison, Logger: logger, Trail: e.trail, Zone: s.VM.Zone, Stopping: e.stopping, ShutdownStarted: e.shutdownStarted, TargetLeaving: e.recordLeaving, TargetPaused: e.sharePause,
+		Budget: e.budget, Lengths: lengths.NewEstimator(0), Limits: e.limits, Origins: e.origins, Versions: e.versions, Poison: e.poison, Logger: logger, Trail: e.trail, Zone: s.VM.Zone, Stopping: e.stopping, ShutdownStarted: e.shutdownStarted, TargetLeaving: e.recordLeaving, TargetPaused: e.sharePause,
 		MaxConfigurationAge: s.Bounds.ConfigurationDelay(), EvacuateWithin: s.Bounds.EvacuationDelay(),
 	})
 	e.follower = roster.NewFollower(roster.Options{
@@ -145,6 +153,14 @@
 	now := time.Now()
 	e.limits.Retain(targets, now)
 	e.table.ReplaceTargets(targets, now)
+	listed := make(map[string]map[string]bool)
+	for _, target := range targets {
+		if listed[target.Service] == nil {
+			listed[target.Service] = make(map[string]bool)
+		}
+		listed[target.Service][target.Version] = true
+	}
+	e.versions.Observe(listed, now)
 }
 
 // TargetLeaving implements roster.Listener. The list that follows says whether the target is still leaving.
@@ -241,6 +257,7 @@
 	group.Go(func() error { return e.poller.Run(ctx) })
 	group.Go(func() error { return e.poison.Run(ctx) })
 	group.Go(func() error { return e.follower.Run(ctx) })
+	group.Go(func() error { return e.versions.Run(ctx) })
 	if e.evacuationFollower != nil {
 		group.Go(func() error { return e.evacuationFollower.Run(ctx) })
 	}
@@ -318,6 +335,8 @@
 		return false, "the list of targets has not been read yet"
 	case e.evacuationFollower != nil && !e.evacuationFollower.HasSynced():
 		return false, "the zones in evacuation have not been read yet"
+	case !e.versions.HasRecorded() && time.Since(e.startedAt) < maxRecordWait:
+		return false, "the software versions of the targets have not been recorded yet"
 	default:
 		return true, "ready"
 	}
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -139,6 +139,7 @@
 	s.VM = settings.DeploymentVM{Name: name, Zone: zone, Region: "sk", Address: "127.0.0.1"}
 	s.Callers.Listen, s.Readiness.Listen, s.Metrics.Listen = freePort(d.t), freePort(d.t), freePort(d.t)
 	s.Platform.Address = d.address
+	s.FirstStart = true
 	s.Bounds.ConfigurationMillis = 600
 	s.Bounds.GraceSeconds = 4
 	if change != nil {
--- a/internal/entry/limit_test.go
+++ b/internal/entry/limit_test.go
@@ -47,13 +47,22 @@
 	port := peerPort(d.t)
 	vms := make([]*vm, count)
 	for i := range vms {
-		number := listenerCount.Add(1)
-		address := fmt.Sprintf("127.%d.%d.%d", 128+i, number/250, 1+number%250)
-		vms[i] = d.start(fmt.Sprintf("vm-%d", i+1), func(s *settings.Deployment) { s.VM.Address, s.Peers.Port = address, port })
+		vms[i] = d.startMember(port, i, func(*settings.Deployment) {})
 	}
 	return vms
 }
 
+// startMember starts an entry VM that exchanges digests with others on the port; change may modify its settings.
+func (d *deployment) startMember(port, index int, change func(*settings.Deployment)) *vm {
+	d.t.Helper()
+	number := listenerCount.Add(1)
+	address := fmt.Sprintf("127.%d.%d.%d", 128+index, number/250, 1+number%250)
+	return d.start(fmt.Sprintf("vm-%d", index+1), func(s *settings.Deployment) {
+		s.VM.Address, s.Peers.Port = address, port
+		change(s)
+	})
+}
+
 // TestLimitedTargetGetsMoreThanItsLimit guards against entry VMs that each use a target as if its limit did not exist
 // or were theirs alone, on every way by which a request reaches a target.
 func TestLimitedTargetGetsMoreThanItsLimit(t *testing.T) {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -67,6 +67,8 @@
 	query := x.query()
 	if x.versionFixed {
 		query.FixVersion(x.version)
+	} else {
+		query.RecordedVersion = x.route.Streaming && x.route.Resumable
 	}
 	return query
 }
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -28,17 +28,18 @@
 
 // Options are the dependencies and settings of a Forwarder.
 type Options struct {
-	Codec   Codec
-	Mover   Mover
-	Poller  *inforce.Poller
-	Table   *placement.Table
-	Client  *upstream.Client
-	Budget  *retrybudget.Budget
-	Lengths *lengths.Estimator
-	Limits  *targetlimit.Ledger
-	Origins Origins
-	Poison  *poison.Registry
-	Logger  *log.Logger
+	Codec    Codec
+	Mover    Mover
+	Poller   *inforce.Poller
+	Table    *placement.Table
+	Client   *upstream.Client
+	Budget   *retrybudget.Budget
+	Lengths  *lengths.Estimator
+	Limits   *targetlimit.Ledger
+	Origins  Origins
+	Versions Versions
+	Poison   *poison.Registry
+	Logger   *log.Logger
 	// Trail keeps the log lines of recent requests for operators' queries.
 	Trail *trail.Recorder
 	Zone  string
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -23,18 +23,25 @@
 // resumeRemedy is the remedy where a stream cannot be resumed.
 const resumeRemedy = "send the request again from its start"
 
+// Versions tells which software versions of a service may have begun streams.
+type Versions interface {
+	// Sole returns the only such version, as of a moment after the call; found is false if there may be several. The error is
+	// that of ctx or marked with versions.ErrUnknown.
+	Sole(ctx context.Context, service string) (version string, found bool, err error)
+}
+
 // resumeAtOrigin fixes the service and the software version of a stream of which the caller has received events before. The
 // error is an *apierror.Error of kind not_run if they are not known.
 func (x *exchange) resumeAtOrigin(ctx context.Context) error {
 	if x.call.Resumes == "" {
-		return x.resumeUnnamed()
+		return x.resumeAtSoleVersion(ctx)
 	}
 	startedAt := time.Now()
 	record, err := x.options.Origins.Lookup(ctx, x.call.Resumes)
-	if errors.Is(err, origin.ErrNoAnswer) {
-		return apierror.Wrap(err, apierror.KindNotRun, "the stream cannot be resumed now", "come back after the time given").WithRetryAfter(refusedRetryAfter)
-	}
-	if err == nil && (record.Account != x.account.Name || !x.route.LeadsTo(record.Service)) {
+	switch {
+	case errors.Is(err, origin.ErrUnknown), errors.Is(err, origin.ErrNoAnswer):
+		return x.resumeAtSoleVersion(ctx) // the VMs that knew it may have ended
+	case err == nil && (record.Account != x.account.Name || !x.route.LeadsTo(record.Service)):
 		err = origin.ErrUnknown
 	}
 	if err != nil {
@@ -50,14 +57,23 @@
 	return nil
 }
 
-// resumeUnnamed accepts a stream whose caller does not name its first attempt if this VM knows one version of the
-// service only.
-func (x *exchange) resumeUnnamed() error {
-	version, found := x.options.Table.SoleVersion(x.service.Name, time.Now())
+// resumeAtSoleVersion accepts a stream of which nobody can tell where it began if it can have begun at one service and one
+// software version only.
+func (x *exchange) resumeAtSoleVersion(ctx context.Context) error {
+	if len(x.route.Destinations) > 1 {
+		return apierror.Newf(apierror.KindNotRun, resumeRemedy, "the stream began at one of %d services, and it is not known at which", len(x.route.Destinations))
+	}
+	startedAt := time.Now()
+	version, found, err := x.options.Versions.Sole(ctx, x.service.Name)
+	if err != nil {
+		return apierror.Wrap(err, apierror.KindNotRun, "it cannot be checked now at which software version the stream began",
+			"resume it after the time given, or send the request again from its start").WithRetryAfter(refusedRetryAfter)
+	}
 	if !found {
-		return apierror.New(apierror.KindNotRun, "the service has had several software versions, and the request does not name the attempt that began the stream", resumeRemedy)
+		return apierror.New(apierror.KindNotRun, "the service has had several software versions, and it is not known at which one the stream began", resumeRemedy)
 	}
 	x.version, x.versionFixed = version, true
+	x.log("stream resumed by its caller", "resumes", x.call.Resumes, "service", x.service.Name, "version", version, "sole_version", true, "lookup_ms", time.Since(startedAt).Milliseconds())
 	return nil
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -70,6 +70,9 @@
 	// that began there.
 	Version      string
 	VersionFixed bool
+	// RecordedVersion limits the query to targets of versions that SetRecordedVersions has named: what begins there may be
+	// resumed by a caller that does not know its version.
+	RecordedVersion bool
 	// Excluded lists the ids of targets that must not be chosen.
 	Excluded []string
 	// Copy reserves memory for a copy of a running generation instead of placing a request. It is refused while memory
@@ -128,7 +131,7 @@
 
 // fits reports whether the query names no reason against the target.
 func (q *Query) fits(t *target) bool {
-	return !slices.Contains(q.Excluded, t.ID) && (!q.VersionFixed || t.Version == q.Version)
+	return !slices.Contains(q.Excluded, t.ID) && (!q.VersionFixed || t.Version == q.Version) && (!q.RecordedVersion || t.service.recorded[t.Version])
 }
 
 // Outcome is how a request ended at its target.
@@ -181,6 +184,8 @@
 	peerLoadsCheckedAt time.Time
 	// zoneAggregates counts the entries of peerLoads that are totals of a whole zone.
 	zoneAggregates int
+	// recordedVersions holds what SetRecordedVersions has named, by service.
+	recordedVersions map[string]map[string]bool
 	// objectives holds the latency objectives of generations by service.
 	objectives map[string]policy.ObjectiveRange
 	// departed holds targets that left the list during a pause or while they had work of this VM, by id.
@@ -200,6 +205,8 @@
 	versionQueues map[string]*queue
 	// versions counts the targets of each software version.
 	versions map[string]*versionCount
+	// recorded are the versions that SetRecordedVersions has named.
+	recorded map[string]bool
 	// versionsListed holds when a target of each software version was last listed.
 	versionsListed map[string]time.Time
 	// prefillRate is a moving average of the observed prefill rate, in tokens per millisecond.
@@ -254,16 +261,17 @@
 		limits = unlimited{}
 	}
 	return &Table{
-		limits:          limits,
-		random:          rand.New(rand.NewPCG(options.Seed, 0)),
-		targets:         make(map[string]*target),
-		services:        make(map[string]*service),
-		self:            options.Self,
-		onLoadChange:    options.OnLoadChange,
-		peerLoads:       make(map[Sender]peerReport),
-		departed:        make(map[string]*target),
-		evacuations:     make(map[string]*zoneEvacuation),
-		capacityChanged: make(chan struct{}),
+		limits:           limits,
+		random:           rand.New(rand.NewPCG(options.Seed, 0)),
+		targets:          make(map[string]*target),
+		recordedVersions: make(map[string]map[string]bool),
+		services:         make(map[string]*service),
+		self:             options.Self,
+		onLoadChange:     options.OnLoadChange,
+		peerLoads:        make(map[Sender]peerReport),
+		departed:         make(map[string]*target),
+		evacuations:      make(map[string]*zoneEvacuation),
+		capacityChanged:  make(chan struct{}),
 	}
 }
 
@@ -305,7 +313,7 @@
 			s = &service{prefillRate: defaultPrefillRate, versionsListed: make(map[string]time.Time), versionQueues: make(map[string]*queue)}
 			t.services[member.Service] = s
 		}
-		member.service, s.objectives = s, t.objectives[member.Service]
+		member.service, s.objectives, s.recorded = s, t.objectives[member.Service], t.recordedVersions[member.Service]
 		s.targets = append(s.targets, member)
 	}
 	for _, s := range t.services {
--- a/internal/placement/versions.go
+++ b/internal/placement/versions.go
@@ -16,7 +16,8 @@
 // versionCount counts the targets of one software version.
 type versionCount struct{ serving, leaving int }
 
-// SoleVersion returns the software version of the service's targets if this VM has listed no other within versionMemory.
+// SoleVersion returns the software version of the service's targets if this VM has listed no other within versionMemory. It
+// does not show that there has been no other: this VM may have missed it.
 func (t *Table) SoleVersion(serviceName string, now time.Time) (sole string, found bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -36,6 +37,21 @@
 	return sole, found
 }
 
+// SetRecordedVersions replaces the versions of a service at which streams may begin that callers can resume.
+func (t *Table) SetRecordedVersions(serviceName string, versions []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	recorded := make(map[string]bool, len(versions))
+	for _, version := range versions {
+		recorded[version] = true
+	}
+	t.recordedVersions[serviceName] = recorded
+	if s := t.services[serviceName]; s != nil {
+		s.recorded = recorded
+		t.wakeWaiters()
+	}
+}
+
 // recordVersions records that the targets' versions are listed, and forgets those that are long gone.
 func (s *service) recordVersions(now time.Time) {
 	for _, member := range s.targets {
--- a/internal/settings/deployment.go
+++ b/internal/settings/deployment.go
@@ -19,6 +19,8 @@
 	Limits    ResourceLimits      `yaml:"limits"`
 	Bounds    Bounds              `yaml:"bounds"`
 	Log       Log                 `yaml:"log"`
+	// FirstStart is set if no VM of the fleet has run before.
+	FirstStart bool `yaml:"first_start"`
 }
 
 // DeploymentVM identifies the VM on which the process runs.
