--- a/internal/versions/registry.go
+++ b/internal/versions/registry.go
@@ -59,9 +59,6 @@
 	startedAt time.Time
 	metrics   registryMetrics
 
-	// updating is held by the one update at a time.
-	updating sync.Mutex
-
 	mu sync.Mutex
 	// services holds what this VM knows of each service.
 	services map[string]*service
@@ -223,8 +220,6 @@
 
 // update changes the record of a service and returns it.
 func (r *Registry) update(ctx context.Context, name string, change func(*record) bool) (record, error) {
-	r.updating.Lock()
-	defer r.updating.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, updateTimeout)
 	defer cancel()
 	var result record
