forward: the engine is kept while its backup is being connected

Evidence: TestSilenceWhileBackupCannotBeReached fails without the change (unexpected EOF, two of two) and passes three of three.

--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"godwitcart/internal/settings"
+	"godwitcart/internal/stand/rig"
 	"godwitcart/platform/platformtest"
 )
 
@@ -79,6 +81,35 @@
 	require.Eventually(t, func() bool { return d.Cluster.DisconnectCount() == 1 }, waitTimeout, pollInterval, "the silent engine still works on the request")
 }
 
+// TestSilenceWhileBackupCannotBeReached guards against a stream that is given up after a silence of its engine since no connection to
+// its backup can be made meanwhile: the engine goes on.
+func TestSilenceWhileBackupCannotBeReached(t *testing.T) {
+	const (
+		events  = 200
+		silence = 2 * time.Second // longer than a connection may take
+	)
+	d := newDeployment(t)
+	for _, id := range []string{"e1", "e2"} {
+		d.target(id, "drafter")
+	}
+	d.configure("key-1")
+	path, err := rig.NewPath(freePort(t), "")
+	require.NoError(t, err)
+	t.Cleanup(path.Close)
+	link, err := rig.NewLink(freePort(t), path.Address)
+	require.NoError(t, err)
+	link.AddDelay(60 * time.Millisecond) // connections that usually take long are given more time
+	v := d.start("vm-1", func(s *settings.Deployment) { s.Targets.Proxy = link.Address })
+	response, err := v.client.Do(v.generation("/letters/1", events, 10))
+	require.NoError(t, err)
+	readEvents(t, response, events, func(number int) {
+		if number == 60 {
+			link.Stall()
+			time.AfterFunc(silence, link.Unstall)
+		}
+	})
+}
+
 // TestRefusedBackupsCopyAtOnce guards against a leaving engine from which no generation gets away: the backups refuse, all
 // generations are then copied at once, and none is complete when the engine ends.
 func TestRefusedBackupsCopyAtOnce(t *testing.T) {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -200,7 +200,16 @@
 	if attempt.From != nil {
 		check = func() error { return lease.CheckEvacuated(time.Now()) } // the generation would be lost
 	}
-	response, err := x.options.Client.DoIf(ctx, lease.Target.Address, request, x.call.Body, freshConnection, check)
+	mayBeSent := func() error {
+		if err := check(); err != nil {
+			return err
+		}
+		if attempt.Sending != nil {
+			attempt.Sending()
+		}
+		return nil
+	}
+	response, err := x.options.Client.DoIf(ctx, lease.Target.Address, request, x.call.Body, freshConnection, mayBeSent)
 	if err != nil {
 		var brokenOff *upstream.BrokenOffError
 		isRelayed := errors.As(err, &brokenOff) && brokenOff.Relayed
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -191,9 +191,14 @@
 	}
 	ctx, cancel := context.WithDeadline(s.ctx, s.deadline)
 	next.cancel = cancel
-	overlapEnds := time.AfterFunc(maxOverlap, func() { s.leaveSource(source) })
-	defer overlapEnds.Stop()
-	response, failure := s.sendAttempt(ctx, next.lease, Attempt{LastEventID: s.lastEvent(), From: next.from, BackupAddress: s.reserveBackup(next.lease)})
+	var overlapEnds *time.Timer
+	attempt := Attempt{LastEventID: s.lastEvent(), From: next.from, BackupAddress: s.reserveBackup(next.lease)}
+	// While a connection is being made, the source is the only engine that works on the generation.
+	attempt.Sending = func() { overlapEnds = time.AfterFunc(maxOverlap, func() { s.leaveSource(source) }) }
+	response, failure := s.sendAttempt(ctx, next.lease, attempt)
+	if overlapEnds != nil {
+		overlapEnds.Stop()
+	}
 	if failure == nil && response.StatusCode/100 != 2 {
 		response.Close(true)
 		failure = &attemptError{outcome: placement.Failed, cause: errors.Newf("the backup answered with status %d", response.StatusCode)}
