soak: VMs know that their fleet starts for the first time

Without it the record of software versions counts as incomplete for ten minutes and streams of which nobody knows are refused, which is not what a deployment sees. Fleets that begin with another build go without, as in an upgrade.

--- a/internal/stand/soak/harness.go
+++ b/internal/stand/soak/harness.go
@@ -210,7 +210,12 @@
 	}
 	v.callerAddress = addresses[0]
 	name := fmt.Sprintf("vm-%d", i+1)
-	text := fmt.Sprintf(`vm: {name: %s, zone: %s, region: region, address: %s}
+	// Builds that came before the record of software versions refuse settings with it; where they began, streams are not in it.
+	firstStart := ""
+	if h.options.ProductionBinaries == "" {
+		firstStart = "first_start: true\n"
+	}
+	text := firstStart + fmt.Sprintf(`vm: {name: %s, zone: %s, region: region, address: %s}
 callers: {listen: "%s"}
 readiness: {listen: "%s"}
 metrics: {listen: "%s"}
--- a/internal/versions/record.go
+++ b/internal/versions/record.go
@@ -2,7 +2,7 @@
 //
 // What a VM has not seen proves nothing: it may have just started, stood still, or be cut off while targets of another version
 // served. So a version is recorded before a resumable stream may begin there, and a caller that cannot say where its stream began
-// goes on only if the record, read after its request arrived, holds a single version. Invariants: no stream begins at a version
+// is served only if the record, read after its request arrived, holds a single version. Invariants: no stream begins at a version
 // that the record does not hold; a version leaves the record only after it has been absent from the list for longer than any
 // stream lasts.
 package versions
