roster: only readers repeat a leaving that they had heard of

Cause: since every VM told all others of each leaving when it read the entry, though a reader had told it before: 82 times the same word on a fleet of 83.

Change: a VM tells what is news to it, as before; only a reader repeats what it had heard.

Evidence: TestOtherVMsDoNotRepeatWhatTheReaderTells fails without the change.

--- a/internal/roster/changes.go
+++ b/internal/roster/changes.go
@@ -165,8 +165,9 @@
 	}
 	if source == sourceList && f.listed.Load() {
 		isReturn := sameIncarnation && f.isReader() && (isPending || previous.Leaving && !target.Leaving)
-		isFirstLeaving := entryLeaves && f.recordAnnounced(target)
-		if !sameIncarnation || isFirstLeaving || isReturn || becameCold {
+		isNewLeaving := target.Leaving && !previous.Leaving
+		isFirstLeaving := entryLeaves && f.isReader() && f.recordAnnounced(target)
+		if !sameIncarnation || isNewLeaving || isFirstLeaving || isReturn || becameCold {
 			f.tell(target)
 		}
 	}
@@ -180,7 +181,7 @@
 }
 
 // recordAnnounced records that the entry of an incarnation says that it is leaving, and reports whether this VM reads it for the
-// first time. Peers are told then, also if this VM had heard of it in another way: they may not have.
+// first time. A reader then tells its peers, also if it had heard of it in another way: they may not have.
 func (f *Follower) recordAnnounced(target Target) bool {
 	if earlier, found := f.announced[target.ID]; found && earlier.SameIncarnation(target) {
 		return false
--- a/internal/roster/lapse_test.go
+++ b/internal/roster/lapse_test.go
@@ -182,6 +182,22 @@
 	})
 }
 
+// TestOtherVMsDoNotRepeatWhatTheReaderTells guards against a fleet in which each VM tells all others of a leaving that it has heard of
+// and later reads itself.
+func TestOtherVMsDoNotRepeatWhatTheReaderTells(t *testing.T) {
+	run(t, func() bool { return false }, func(f *fixture) {
+		f.put("e3", roster.Target{StartedAt: 1}) // the next watch begins seconds later
+		f.settle(100 * time.Millisecond)
+		told := len(f.announced)
+		f.follower.QueuePeerChange(roster.Target{ID: "e1", StartedAt: 1, Leaving: true, Revision: f.versions["e3"] + 1})
+		f.settle(10 * time.Millisecond)
+		f.put("e1", roster.Target{StartedAt: 1, Leaving: true})
+		f.settle(12 * time.Second)
+		require.Equal(t, []string{"e2", "e3"}, f.listener.usable())
+		require.Len(t, f.announced, told)
+	})
+}
+
 // TestLateWordOfRemoval guards against a target that counts as gone since a peer's word of its removal arrives after its return, and
 // against one that stays in use since the word of its return is older than that of its removal.
 func TestLateWordOfRemoval(t *testing.T) {
