--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -70,7 +70,7 @@
 // shortened by the query's Interruption.
 func (t *Table) Acquire(ctx context.Context, q Query, maxWait time.Duration) (*Lease, error) {
 	maxWait, interrupted := q.Interruption.limit(maxWait)
-	lease, err := t.acquire(ctx, &q, maxWait, &interrupted)
+	lease, err := t.acquire(ctx, q, maxWait, &interrupted)
 	if err != nil && interrupted {
 		return nil, errors.Mark(err, ErrInterrupted)
 	}
@@ -78,8 +78,7 @@
 }
 
 // acquire is Acquire that sets interrupted when the wait is shortened.
-func (t *Table) acquire(ctx context.Context, query *Query, maxWait time.Duration, interrupted *bool) (*Lease, error) {
-	q := *query
+func (t *Table) acquire(ctx context.Context, q Query, maxWait time.Duration, interrupted *bool) (*Lease, error) {
 	started := time.Now()
 	lease, w, err := t.pickOrEnqueue(&q, maxWait, started)
 	if w == nil {
