delivery: one place decides what ends as complete and what follows a head

Cause: a stream ended as complete whenever the handler returned without an error, and six places wrote to the caller. (1) io.EOF of an answer without a length and chunks is an orderly end of its connection, which the kernel makes for a killed process as well, and an engine that breaks off by closing, stops for its last copy or cuts off a slow reader. (2) After the head, any answer below 500 of a next target was written as a whole answer, and any 2xx relayed as events; an empty one ended the stream. (3) HTTP/1.0 has no chunks.

Change: only delivery.Answer has the ResponseWriter. What may be written and what may end as complete takes values that only the evidence makes: upstream.Body, upstream.End, delivery.NextEvent. The handler's last call breaks the connection off unless the answer was proved whole, so a path that is forgotten ends as broken. Streams to HTTP/1.0 callers are refused, other answers reset. Whole answers state their length.

Two tests of sound streams without a length asked for a whole answer from one engine alone: TestUnframedStreamWithoutEventsLooksComplete and TestCarriedStreamEndsAsCompleteWithItsCarrier. That cannot be told from a killed engine; they have a second engine now, whose word proves the end, and ask for the same results. The other cases of both are unchanged.

--- a/internal/entry/cut_test.go
+++ b/internal/entry/cut_test.go
@@ -175,9 +175,11 @@
 			t.Run(fmt.Sprintf("%s/lost %t", name, isLost), func(t *testing.T) {
 				d := newDeployment(t)
 				begun, proceed := make(chan struct{}), make(chan struct{})
-				for id, service := range map[string]string{"engine": "drafter", "plain": "counter"} {
+				begin := sync.OnceFunc(func() { close(begun) })
+				// The second engine is the backup of the stream, whose word on its end is needed.
+				for id, service := range map[string]string{"engine": "drafter", "backup": "drafter", "plain": "counter"} {
 					d.target(id, service).SetOverride(func(w http.ResponseWriter, r *http.Request) bool {
-						return respondUnframedInParts(w, r, first, begun, proceed, second)
+						return respondUnframedInParts(w, r, first, begin, proceed, second)
 					})
 				}
 				d.configure("key-1")
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -341,19 +341,19 @@
 	return func(w http.ResponseWriter, r *http.Request) bool {
 		proceed := make(chan struct{})
 		close(proceed)
-		return respondUnframedInParts(w, r, text, make(chan struct{}), proceed, "")
+		return respondUnframedInParts(w, r, text, func() {}, proceed, "")
 	}
 }
 
-// respondUnframedInParts is respondUnframed that closes begun after the first part and waits for proceed before the second.
-func respondUnframedInParts(w http.ResponseWriter, r *http.Request, first string, begun, proceed chan struct{}, second string) bool {
+// respondUnframedInParts is respondUnframed that calls begun after the first part and waits for proceed before the second.
+func respondUnframedInParts(w http.ResponseWriter, r *http.Request, first string, begun func(), proceed chan struct{}, second string) bool {
 	conn, _, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return false
 	}
 	defer conn.Close()
 	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: %s\r\nX-Response-Stamp: stamp.a\r\n\r\n%s", r.Header.Get("X-Attempt-Id"), first)
-	close(begun)
+	begun()
 	<-proceed
 	_, _ = io.WriteString(conn, second)
 	return true
@@ -372,7 +372,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t)
-			d.target("a", "drafter").SetOverride(respondUnframed(c.text))
+			for _, id := range []string{"a", "b"} { // the backup's word on the end is needed
+				d.target(id, "drafter").SetOverride(respondUnframed(c.text))
+			}
 			d.configure("key-1")
 			v := d.start("vm-1", nil)
 			response, err := v.client.Do(v.generation("/letters/1", 1, 1))
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"godwitcart/internal/apierror"
+	"godwitcart/internal/delivery"
 	"godwitcart/internal/lengths"
 	"godwitcart/internal/placement"
 	"godwitcart/internal/upstream"
@@ -30,9 +31,8 @@
 
 // bufferedResponse is a complete response of a target.
 type bufferedResponse struct {
-	status int
-	header http.Header
-	body   []byte
+	head delivery.Head
+	body upstream.Body
 }
 
 // Error implements error.
@@ -49,7 +49,7 @@
 
 func (x *exchange) query() placement.Query {
 	query := placement.Query{Service: x.service.Name, Zone: x.options.Zone, Priority: x.priority(), FirstEventObjective: x.route.LatencyObjective, Excluded: x.excluded}
-	if x.route.LatencyObjective > 0 && !x.headerSent {
+	if x.route.LatencyObjective > 0 && !x.caller.HasBegun() {
 		query.ObjectiveEnds = x.arrivedAt.Add(x.route.LatencyObjective)
 	}
 	query.NotResumable = x.route.Streaming && !x.route.Resumable
@@ -101,7 +101,7 @@
 	switch objective := x.route.LatencyObjective; {
 	case objective == 0:
 		return defaultQueueWait
-	case query.MemoryTokens > 0 && !x.headerSent && x.options.Table.ObjectivesCompete(query.Service):
+	case query.MemoryTokens > 0 && !x.caller.HasBegun() && x.options.Table.ObjectivesCompete(query.Service):
 		return placement.Patience{Objective: objective, Elapsed: time.Since(x.arrivedAt), Left: time.Until(x.deadline), FirstEvent: x.options.Table.FirstEventTime(query)}.LongestWait()
 	case x.versionFixed && !x.hasSoleVersion():
 		return time.Duration(continuedQueueWaitShare * float64(objective))
@@ -346,40 +346,38 @@
 // relayBuffered reads the complete response and relays it. A 5xx response is returned in the error instead: the
 // caller receives it only if no other target is tried.
 func (x *exchange) relayBuffered(ctx context.Context, lease *placement.Lease, response *answer) *attemptError {
-	body, err := response.ReadAll(maxBufferedBytes)
+	body, err := response.ReadWhole(maxBufferedBytes)
 	if err != nil {
 		response.Close(true)
 		return x.endTrial(response.ctx, response.trial, lease.Target, x.classifyError(ctx, errors.Wrap(err, "the target's answer was cut off")), response.IsRelayed())
 	}
 	response.trial.Answered()
 	response.Close(false)
-	buffered := &bufferedResponse{status: response.StatusCode, header: x.options.Codec.ResponseHeader(response.Header), body: body}
-	if buffered.status >= http.StatusInternalServerError {
-		return &attemptError{outcome: placement.Failed, targetResponse: buffered, cause: errors.Newf("the target answered with status %d", buffered.status)}
+	buffered := &bufferedResponse{head: x.headOf(response), body: body}
+	if response.StatusCode >= http.StatusInternalServerError {
+		return &attemptError{outcome: placement.Failed, targetResponse: buffered, cause: errors.Newf("the target answered with status %d", response.StatusCode)}
 	}
 	lease.FirstEvent(time.Now())
 	lease.Done(placement.Answered, time.Now())
 	x.durations.observe(x.route.Name, time.Since(x.sentAt))
 	x.writeBuffered(buffered)
-	x.log("request ended", "outcome", "answered", "status", buffered.status, "target", lease.Target.ID, "attempts", x.attempts)
+	x.log("request ended", "outcome", "answered", "status", response.StatusCode, "target", lease.Target.ID, "attempts", x.attempts)
 	return nil
 }
 
 // relayTargetFailure sends the caller the target's own error response.
 func (x *exchange) relayTargetFailure(failure *bufferedResponse, target string) {
 	x.writeBuffered(failure)
-	x.log("request ended", "outcome", "failed by the target", "status", x.status, "target", target, "attempts", x.attempts)
+	x.log("request ended", "outcome", "failed by the target", "status", x.caller.Status(), "target", target, "attempts", x.attempts)
 }
 
 func (x *exchange) writeBuffered(buffered *bufferedResponse) {
-	header := x.w.Header()
-	for name, values := range buffered.header {
-		header[name] = values
-	}
-	x.status = buffered.status
-	x.beginAnswer()
-	x.w.WriteHeader(buffered.status)
-	if _, err := x.w.Write(buffered.body); err != nil {
+	if err := x.caller.WriteWhole(buffered.head, buffered.body); err != nil {
 		x.log("answer not delivered to the caller", "error", err)
 	}
 }
+
+// headOf returns the head with which a target's response is passed on.
+func (x *exchange) headOf(response *answer) delivery.Head {
+	return delivery.Head{Status: response.StatusCode, Header: x.options.Codec.ResponseHeader(response.Header)}
+}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"net/netip"
 	"slices"
-	"strconv"
 	"time"
 
 	"math/rand/v2"
@@ -14,6 +13,7 @@
 	"github.com/charmbracelet/log"
 
 	"godwitcart/internal/apierror"
+	"godwitcart/internal/delivery"
 	"godwitcart/internal/inforce"
 	"godwitcart/internal/lengths"
 	"godwitcart/internal/placement"
@@ -91,7 +91,8 @@
 // exchange is one request of a caller while it is served.
 type exchange struct {
 	*Forwarder
-	w       http.ResponseWriter
+	// caller is the answer to the caller.
+	caller  *delivery.Answer
 	call    *Call
 	route   *policy.Route
 	service policy.RoutedService
@@ -115,36 +116,38 @@
 	mayHaveRun bool
 	// sentAt is when the call was first sent to a target.
 	sentAt time.Time
-	// headerSent is set once the response's header has been sent to the caller.
-	headerSent bool
-	// answerBegun stops the watch of the shutdown.
-	answerBegun func() bool
-	status      int
 }
 
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{Forwarder: f, w: w, arrivedAt: time.Now()}
+	x := &exchange{Forwarder: f, caller: delivery.New(w, r), arrivedAt: time.Now()}
 	if _, stopping := f.options.Stopping(); stopping {
-		w.Header().Set("Connection", "close")
+		x.caller.CloseConnection()
 	}
-	err := x.serve(r)
+	x.finish(r, x.serve(r))
+	x.caller.Close()
+}
+
+// finish records how the request has ended, and writes the error unless the caller has a part of an answer.
+func (x *exchange) finish(r *http.Request, err error) {
 	if err == nil {
-		f.metrics.recordResponse(x)
+		x.metrics.recordResponse(x)
 		return
 	}
 	if r.Context().Err() != nil {
 		x.log("request ended", "outcome", "caller left")
-		f.metrics.recordDisconnect(x)
-		panic(http.ErrAbortHandler)
+		x.metrics.recordDisconnect(x)
+		return
 	}
 	apiErr := apierror.FromError(err)
 	x.log("request ended", "outcome", string(apiErr.Kind), "reason", apiErr, "attempts", x.attempts)
-	f.metrics.recordError(x, apiErr.Kind)
-	if x.headerSent {
-		panic(http.ErrAbortHandler) // closes the connection, so that the response cannot look complete
+	x.metrics.recordError(x, apiErr.Kind)
+	if x.caller.HasBegun() {
+		return
+	}
+	if err := x.caller.WriteError(apiErr); err != nil {
+		x.log("answer not delivered to the caller", "error", err)
 	}
-	x.writeError(apiErr)
 }
 
 // serve serves the request or returns the error for the caller.
@@ -266,19 +269,6 @@
 	return x.route.Priority
 }
 
-func (x *exchange) writeError(apiErr *apierror.Error) {
-	header := x.w.Header()
-	header.Set("Content-Type", "text/plain; charset=utf-8")
-	if apiErr.RetryAfter > 0 {
-		header.Set("Retry-After", strconv.FormatFloat(apiErr.RetryAfter.Seconds(), 'f', 3, 64))
-	}
-	x.status = apiErr.Kind.HTTPStatus()
-	x.w.WriteHeader(x.status)
-	if _, err := io.WriteString(x.w, apiErr.Message+"; "+apiErr.Remedy+"\n"); err != nil {
-		x.log("answer not delivered to the caller", "error", err)
-	}
-}
-
 // log writes one line about the request and records it in the trail for operators' queries.
 func (x *exchange) log(message string, fields ...any) {
 	if x.call != nil {
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -19,9 +19,11 @@
 	responses, callerDisconnects metrics.Counter
 	moves, movesFailed           metrics.Counter
 	backupSwitches               metrics.Counter
-	responseTime, firstEvent     metrics.Histogram
-	eventGap, resumeGap          metrics.Histogram
-	roomWait                     metrics.Histogram
+	// unprovenEnds counts responses that ended without proof that their stream had.
+	unprovenEnds             metrics.Counter
+	responseTime, firstEvent metrics.Histogram
+	eventGap, resumeGap      metrics.Histogram
+	roomWait                 metrics.Histogram
 }
 
 func newRequestMetrics() *requestMetrics {
@@ -31,7 +33,7 @@
 	}
 	return &requestMetrics{
 		responses: counter("answers"), callerDisconnects: counter("callers_left"),
-		moves: counter("moves"), movesFailed: counter("moves_failed"), backupSwitches: counter("from_backup"),
+		moves: counter("moves"), movesFailed: counter("moves_failed"), backupSwitches: counter("from_backup"), unprovenEnds: counter("unproven_ends"),
 		responseTime: histogram("answer_nanoseconds"), firstEvent: histogram("first_event_nanoseconds"),
 		eventGap: histogram("event_gap_nanoseconds"), resumeGap: histogram("continue_pause_nanoseconds"),
 		roomWait: histogram("room_wait_nanoseconds"),
--- a/internal/forward/shutdown.go
+++ b/internal/forward/shutdown.go
@@ -36,19 +36,14 @@
 // watchShutdown makes the request end with errStopping at the end of a graceful shutdown, unless its answer has begun.
 func (x *exchange) watchShutdown(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	x.answerBegun = context.AfterFunc(x.unanswered, func() { cancel(errStopping) })
+	stopWatching := context.AfterFunc(x.unanswered, func() { cancel(errStopping) })
+	x.caller.OnBegin(func() { stopWatching() })
 	return ctx, func() {
-		x.answerBegun()
+		stopWatching()
 		cancel(nil)
 	}
 }
 
-// beginAnswer records that the caller receives the header of its answer now.
-func (x *exchange) beginAnswer() {
-	x.headerSent = true
-	x.answerBegun()
-}
-
 // refuseIfStopping refuses a request that this VM might abort before it completes because it is shutting down. Callers
 // still send to it until the load balancer has noticed, and longer if all VMs of a zone shut down.
 func (x *exchange) refuseIfStopping() error {
@@ -60,7 +55,7 @@
 }
 
 func (x *exchange) stoppingError(stop Stop) error {
-	x.w.Header().Set("Connection", "close")
+	x.caller.CloseConnection()
 	return apierror.Newf(apierror.KindNotRun, "send it again on a new connection",
 		"this VM stops in %d ms, which may be before the answer is complete", stop.Remaining.Milliseconds()).WithRetryAfter(stoppingRetryAfter)
 }
@@ -90,7 +85,7 @@
 // interruption makes waits for capacity end when this VM begins to shut down; nil for a stream that has begun, which is
 // lost if it does not continue here.
 func (x *exchange) interruption() *placement.Interruption {
-	if x.headerSent {
+	if x.caller.HasBegun() {
 		return nil
 	}
 	return &placement.Interruption{Begun: x.options.ShutdownStarted, LongestWait: x.longestWait}
@@ -100,7 +95,7 @@
 // not be complete before it is aborted.
 func (x *exchange) placedInTime() error {
 	stop, stopping := x.options.Stopping()
-	if !stopping || x.headerSent || x.durations.completesWithin(x.route.Name, stop.Remaining-FinalAnswerTime) {
+	if !stopping || x.caller.HasBegun() || x.durations.completesWithin(x.route.Name, stop.Remaining-FinalAnswerTime) {
 		return nil
 	}
 	return x.stoppingError(stop)
@@ -112,7 +107,7 @@
 	if !errors.Is(context.Cause(ctx), errStopping) {
 		return nil
 	}
-	x.w.Header().Set("Connection", "close")
+	x.caller.CloseConnection()
 	if x.mayHaveRun {
 		return apierror.Wrap(cause, apierror.KindOutcomeUnknown, "this VM stopped before the target answered", "repeat it if running it twice is harmless")
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"strconv"
 	"sync"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"godwitcart/internal/apierror"
+	"godwitcart/internal/delivery"
 	"godwitcart/internal/eventstream"
 	"godwitcart/internal/placement"
 )
@@ -18,7 +18,6 @@
 // stream is one streamed response. Its generation may move to other targets while it runs.
 type stream struct {
 	*exchange
-	flusher http.Flusher
 	// ctx is canceled when the caller disconnects and at the deadline.
 	ctx         context.Context
 	events      int
@@ -31,11 +30,9 @@
 	silenceTimer *time.Timer
 
 	// mu guards writes to events and the fields below, which the relay shares with the evacuation of a leaving target.
-	mu sync.Mutex
-	// lastEventID is the id of the last event sent to the caller.
-	lastEventID string
-	lease       *placement.Lease
-	response    *answer
+	mu       sync.Mutex
+	lease    *placement.Lease
+	response *answer
 	// targetSentEvent is true if the current target has sent an event.
 	targetSentEvent bool
 	// firstOfTargetAt is when the current target sent its first event.
@@ -59,16 +56,16 @@
 
 // serveStream serves a call whose response is a stream of events.
 func (x *exchange) serveStream(ctx context.Context) error {
-	flusher, ok := x.w.(http.Flusher)
-	if !ok {
-		return apierror.New(apierror.KindInternal, "the connection cannot carry a stream", "report the request id to the operators")
+	if !x.caller.CanStream() {
+		return apierror.New(apierror.KindBadRequest, "HTTP/1.0 does not tell the end of a stream from that of this VM", "send the request with HTTP/1.1")
 	}
+	x.caller.Resume(x.call.LastEventID)
 	if x.call.LastEventID != "" {
 		if err := x.resumeAtOrigin(ctx); err != nil {
 			return err
 		}
 	}
-	s := &stream{exchange: x, flusher: flusher, ctx: ctx, lastEventID: x.call.LastEventID}
+	s := &stream{exchange: x, ctx: ctx}
 	defer s.release()
 	for {
 		next, err := s.nextAttempt(ctx)
@@ -80,7 +77,7 @@
 			return nil
 		}
 		x.log("attempt ended", "target", next.lease.Target.ID, "not_run", failure.notRun, "events", s.events, "reason", failure)
-		if failure.targetResponse != nil && !x.headerSent {
+		if failure.targetResponse != nil && !x.caller.HasBegun() {
 			x.relayTargetFailure(failure.targetResponse, next.lease.Target.ID)
 			return nil
 		}
@@ -94,11 +91,11 @@
 // interruptedError returns the final error of a stream. After the header has been sent, all that is left is to close
 // the caller's connection.
 func (s *stream) interruptedError(ctx context.Context, failure *attemptError) error {
-	if s.headerSent && ctx.Err() == nil && s.versionFixed && !s.options.Table.HasUsableTarget(s.boundQuery(), time.Now()) {
+	if s.caller.HasBegun() && ctx.Err() == nil && s.versionFixed && !s.options.Table.HasUsableTarget(s.boundQuery(), time.Now()) {
 		return apierror.Wrap(failure, apierror.KindGenerationLost,
 			"the generation broke off and no other target has its software version "+strconv.Quote(s.version), "send the request again from its start")
 	}
-	if s.headerSent && ctx.Err() == nil {
+	if s.caller.HasBegun() && ctx.Err() == nil {
 		return apierror.Wrap(failure, apierror.KindGenerationLost, "the generation broke off", "send the request again if it may run twice")
 	}
 	return s.finalError(ctx, failure)
@@ -156,7 +153,7 @@
 	s.mu.Unlock()
 	if response == nil {
 		var failure *attemptError
-		attempt := Attempt{LastEventID: s.lastEvent(), From: next.from, BackupAddress: s.reserveBackup(next.lease)}
+		attempt := Attempt{LastEventID: s.caller.LastEvent(), From: next.from, BackupAddress: s.reserveBackup(next.lease)}
 		if response, failure = s.sendAttempt(ctx, next.lease, attempt); failure != nil {
 			next.lease.Done(failure.outcome, time.Now())
 			s.releaseBackup(false)
@@ -165,6 +162,10 @@
 	} else {
 		defer next.cancel()
 	}
+	source, err := s.caller.From(next.lease.Target.ID, s.headOf(response))
+	if err != nil {
+		return s.rejectContinuation(next.lease, response, err)
+	}
 	if response.StatusCode/100 != 2 {
 		failure := s.relayBuffered(ctx, next.lease, response)
 		if failure != nil {
@@ -173,41 +174,62 @@
 		return failure
 	}
 	s.register(next.lease, response)
-	err := s.relay(next.lease, response)
+	err = s.relay(next.lease, response, source)
 	s.stopWatchingSilence()
 	s.unregister()
 	hasMoved := s.awaitMove(ctx)
-	if err == nil && s.isCutOff(response) {
-		err = io.ErrUnexpectedEOF
+	if err == nil {
+		err = s.complete(source, response)
 	}
-	complete := err == nil && !hasMoved
-	response.Close(!complete)
-	if complete {
-		response.trial.Done()
-		s.writeHeader(response) // a stream that is resumed after its last event has no events
-		next.lease.Done(placement.Answered, time.Now())
-		s.releaseBackup(true)
-		s.options.Lengths.Observe(s.lengthKey(), s.events*tokensPerEvent)
-		s.durations.observe(s.route.Name, time.Since(s.sentAt))
-		s.log("request ended", "outcome", "answered", "status", response.StatusCode, "target", next.lease.Target.ID, "attempts", s.attempts, "events", s.events,
-			"first_event_ms", s.firstEventDelay.Milliseconds(), "longest_gap_ms", s.longestGap.Milliseconds())
-		return nil
+	response.Close(err != nil)
+	if err != nil {
+		return s.breakOff(ctx, next.lease, response, err, hasMoved)
 	}
+	response.trial.Done()
+	next.lease.Done(placement.Answered, time.Now())
+	s.releaseBackup(true)
+	s.options.Lengths.Observe(s.lengthKey(), s.events*tokensPerEvent)
+	s.durations.observe(s.route.Name, time.Since(s.sentAt))
+	s.log("request ended", "outcome", "answered", "status", response.StatusCode, "target", next.lease.Target.ID, "attempts", s.attempts, "events", s.events,
+		"first_event_ms", s.firstEventDelay.Milliseconds(), "longest_gap_ms", s.longestGap.Milliseconds())
+	return nil
+}
+
+// rejectContinuation gives up a response that is none to a stream that the caller has begun to receive.
+func (s *stream) rejectContinuation(lease *placement.Lease, response *answer, cause error) *attemptError {
+	response.trial.Done()
+	response.Close(true)
+	lease.Done(placement.Failed, time.Now())
+	s.releaseBackup(false)
+	return &attemptError{outcome: placement.Failed, cause: cause}
+}
+
+// complete ends the stream as complete if the end of the response proves that of the stream. A response that brought nothing
+// at all and ended with its connection counts as broken off: its target has crashed.
+func (s *stream) complete(source *delivery.Source, response *answer) error {
+	err := source.Complete(response.End())
 	if err == nil {
-		err = io.ErrUnexpectedEOF
+		return nil
 	}
-	failure := s.endTrial(response.ctx, response.trial, next.lease.Target, s.classifyError(ctx, errors.Wrap(err, "the target's stream was interrupted")), response.IsRelayed())
-	if hasMoved {
-		failure.outcome = placement.Moved
+	s.metrics.unprovenEnds.Inc(1)
+	s.log("end of the stream not proved", "framing", response.Framing(), "end", response.End(), "events", s.events, "reason", err)
+	if response.End().IsUnstated() && !s.hasTargetSentEvent() {
+		return io.ErrUnexpectedEOF
 	}
-	next.lease.Done(failure.outcome, time.Now())
-	return failure
+	return err
 }
 
-// isCutOff reports whether a response that ended without an error has brought no event though it should have. One that is
-// not framed ends with its connection, also where its target has crashed.
-func (s *stream) isCutOff(response *answer) bool {
-	return response.EndsWithConnection() && !s.hasTargetSentEvent() && s.lastEvent() == ""
+// breakOff returns the failure of a response that ended before the stream.
+func (s *stream) breakOff(ctx context.Context, lease *placement.Lease, response *answer, cause error, hasMoved bool) *attemptError {
+	failure := s.endTrial(response.ctx, response.trial, lease.Target, s.classifyError(ctx, errors.Wrap(cause, "the target's stream was interrupted")), response.IsRelayed())
+	switch {
+	case hasMoved:
+		failure.outcome = placement.Moved
+	case response.End().IsUnstated() && errors.Is(cause, delivery.ErrNotWhole):
+		failure.outcome = placement.Canceled // sound targets end answers in this way, too
+	}
+	lease.Done(failure.outcome, time.Now())
+	return failure
 }
 
 // hasTargetSentEvent reports whether the current target has sent an event.
@@ -238,10 +260,9 @@
 	s.streams.remove(id, s)
 }
 
-// relay forwards events as they arrive, until the target's stream ends.
-func (s *stream) relay(lease *placement.Lease, response *answer) error {
+// relay forwards events as they arrive, until the target's response ends.
+func (s *stream) relay(lease *placement.Lease, response *answer, source *delivery.Source) error {
 	events := eventstream.NewReader(response)
-	var comments []byte // held until the header is sent, which fixes the target
 	for {
 		event, err := events.Next()
 		if err == io.EOF {
@@ -252,68 +273,29 @@
 		}
 		if event.IsComment {
 			// A comment is no progress: an engine that sends nothing else is silent.
-			comments = append(comments, event.Raw...)
-			if err := s.passOn(&comments); err != nil {
+			if err := source.SendComment(event.Raw); err != nil {
 				return err
 			}
 			continue
 		}
 		response.trial.Answered()
-		if !s.isNew(event.ID) {
+		next, isNew, err := source.Admit(event)
+		if err != nil {
+			return err
+		}
+		if !isNew {
 			continue
 		}
 		if !s.versionFixed {
 			s.fixVersion(lease)
 		}
 		s.recordEvent(lease)
-		s.writeHeader(response)
-		comments = append(comments, event.Raw...)
-		if err := s.passOn(&comments); err != nil {
+		if err := source.Send(next); err != nil {
 			return err
 		}
-		if event.ID != "" {
-			s.mu.Lock()
-			s.lastEventID = event.ID
-			s.mu.Unlock()
-		}
 	}
 }
 
-// passOn sends the bytes to the caller and clears them. It keeps them while the header has not been sent.
-func (s *stream) passOn(held *[]byte) error {
-	if !s.headerSent {
-		*held = (*held)[max(0, len(*held)-maxHeldComments):]
-		return nil
-	}
-	if _, err := s.w.Write(*held); err != nil {
-		return errors.Wrap(err, "write on the caller's connection")
-	}
-	s.flusher.Flush()
-	*held = (*held)[:0]
-	return nil
-}
-
-// maxHeldComments bounds the bytes of comments that are held before the first event.
-const maxHeldComments = 64 << 10
-
-// lastEvent returns the id of the last event sent to the caller.
-func (s *stream) lastEvent() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.lastEventID
-}
-
-// isNew reports whether the event has not been sent to the caller yet. A generation that continues at its backup
-// repeats the events that the source sent in the meantime.
-func (s *stream) isNew(id string) bool {
-	number, err := strconv.ParseUint(id, 10, 64)
-	if err != nil {
-		return true // an event without a number belongs to the event before it
-	}
-	last, err := strconv.ParseUint(s.lastEventID, 10, 64)
-	return err != nil || number > last
-}
-
 // recordEvent updates the metrics, the lease and the log for an event.
 func (s *stream) recordEvent(lease *placement.Lease) {
 	now := time.Now()
@@ -345,7 +327,7 @@
 		}
 		if s.events > 1 {
 			s.metrics.resumeGap.Update(int64(now.Sub(s.lastEventAt)))
-			s.log("stream resumed", "target", lease.Target.ID, "pause_ms", now.Sub(s.lastEventAt).Milliseconds(), "after_event", s.lastEvent())
+			s.log("stream resumed", "target", lease.Target.ID, "pause_ms", now.Sub(s.lastEventAt).Milliseconds(), "after_event", s.caller.LastEvent())
 		}
 	}
 	if !isFirstOfTarget {
@@ -355,21 +337,6 @@
 	s.watchSilence(lease)
 }
 
-// writeHeader sends the response's header. This is delayed to the first event, so that until then the response may
-// still come from another target.
-func (s *stream) writeHeader(response *answer) {
-	if s.headerSent {
-		return
-	}
-	header := s.w.Header()
-	for name, values := range s.options.Codec.ResponseHeader(response.Header) {
-		header[name] = values
-	}
-	s.status = response.StatusCode
-	s.beginAnswer()
-	s.w.WriteHeader(response.StatusCode)
-}
-
 // release frees the reservations, response and KV cache copies that the stream still holds.
 func (s *stream) release() {
 	s.mu.Lock()
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -192,7 +192,7 @@
 	ctx, cancel := context.WithDeadline(s.ctx, s.deadline)
 	next.cancel = cancel
 	var overlapEnds *time.Timer
-	attempt := Attempt{LastEventID: s.lastEvent(), From: next.from, BackupAddress: s.reserveBackup(next.lease)}
+	attempt := Attempt{LastEventID: s.caller.LastEvent(), From: next.from, BackupAddress: s.reserveBackup(next.lease)}
 	// While a connection is being made, the source is the only engine that works on the generation.
 	attempt.Sending = func() { overlapEnds = time.AfterFunc(maxOverlap, func() { s.leaveSource(source) }) }
 	response, failure := s.sendAttempt(ctx, next.lease, attempt)
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -25,7 +25,7 @@
 	address    string
 	conn       *conn
 	stopCancel func() bool
-	// end is how the body ended; NotEnded until it has been read to its end.
+	// end is how the body has ended.
 	end         End
 	writeResult chan error
 	closeOnce   sync.Once
@@ -34,25 +34,33 @@
 // IsCarrierLost reports whether the error is the end of a connection through another entry VM that says nothing of the target.
 func IsCarrierLost(err error) bool { return errors.Is(err, tunnel.ErrCarrierLost) }
 
-// End tells how the body of a response has ended.
-type End int
+// End tells how the body of a response has ended. Only a Response makes another than the zero value, which is a body that was
+// not read to its end or that broke off.
+type End struct{ kind endKind }
+
+type endKind int
 
 const (
-	// NotEnded is a body that was not read to its end, or that broke off.
-	NotEnded End = iota
-	// Unstated is the orderly end of the connection of a response that has neither a length nor chunks. The kernel ends the
+	brokenOff endKind = iota
+	// unstated is the orderly end of the connection of a response that has neither a length nor chunks. The kernel ends the
 	// connections of a killed process in the same way.
-	Unstated
-	// Stated is an end that the length or the last chunk names.
-	Stated
+	unstated
+	// stated is an end that the length or the last chunk names.
+	stated
 )
 
+// IsStated reports whether the length or the last chunk names the end, so that the body is whole.
+func (e End) IsStated() bool { return e.kind == stated }
+
+// IsUnstated reports whether a connection was closed in order, and nothing but that ends the body.
+func (e End) IsUnstated() bool { return e.kind == unstated }
+
 // String returns the name of the end in log lines.
 func (e End) String() string {
-	switch e {
-	case Unstated:
+	switch e.kind {
+	case unstated:
 		return "connection closed"
-	case Stated:
+	case stated:
 		return "stated"
 	default:
 		return "broken off"
@@ -66,9 +74,9 @@
 		err = errUncertainEnd
 	}
 	if err == io.EOF {
-		r.end = Stated
+		r.end = End{kind: stated}
 		if r.EndsWithConnection() {
-			r.end = Unstated
+			r.end = End{kind: unstated}
 		}
 	}
 	return n, err
@@ -113,6 +121,18 @@
 // Bytes returns the content; it must not be changed.
 func (b Body) Bytes() []byte { return b.content }
 
+// Framing names how the response tells the end of its body, for log lines.
+func (r *Response) Framing() string {
+	switch {
+	case r.EndsWithConnection():
+		return "none"
+	case r.ContentLength >= 0:
+		return "length"
+	default:
+		return "chunks"
+	}
+}
+
 // ReadWhole is ReadAll for a body that is passed on as the target's whole answer.
 func (r *Response) ReadWhole(limit int64) (Body, error) {
 	content, err := r.ReadAll(limit)
@@ -163,7 +183,7 @@
 func (r *Response) CloseConnection() { r.conn.Conn.Close() }
 
 func (r *Response) isReusable() bool {
-	if r.end == NotEnded || r.Response.Close || r.conn.reader.Buffered() > 0 {
+	if r.end == (End{}) || r.Response.Close || r.conn.reader.Buffered() > 0 {
 		return false
 	}
 	if r.writeResult != nil {
