forward: a status that promises 'not run' is not passed on for a request that has run

Callers saw 408, 421, 429 or 503 for a request that a target had run: 'not run, try again' (REFUSED), and might run it twice. Cause: a target's own failure is passed on with its status; those four are promises to callers, while a target that does not state so (X-Not-Executed) may have run the request. The caller gets 502 without the target's stamp. TestTargetThatRanARequestMakesItsCallerRepeatIt failed in its eight cases before.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -339,3 +340,29 @@
 		require.Equal(t, "POST of c2", body)
 	}
 }
+
+// TestTargetThatRanARequestMakesItsCallerRepeatIt guards against a status that promises "not run" and comes from a target that has run the request.
+func TestTargetThatRanARequestMakesItsCallerRepeatIt(t *testing.T) {
+	for path, service := range map[string]string{"/lookup/1": "counter", "/letters/1": "drafter"} {
+		for _, status := range []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+			t.Run(fmt.Sprint(path, status), func(t *testing.T) {
+				t.Parallel()
+				d := newDeployment(t)
+				d.target("only", service).SetOverride(func(w http.ResponseWriter, r *http.Request) bool {
+					w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+					w.Header().Set("X-Response-Stamp", "stamp.only")
+					w.WriteHeader(status)
+					return true
+				})
+				d.configure("key-1")
+				v := d.start("vm-1", nil)
+				request := v.request(http.MethodPost, path, "x")
+				if service == "drafter" {
+					request = v.generation(path, 3, 1)
+				}
+				response, _ := v.do(request)
+				require.Equal(t, http.StatusBadGateway, response.StatusCode)
+			})
+		}
+	}
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -353,6 +353,9 @@
 	}
 	response.trial.Answered()
 	response.Close(false)
+	if promisesNotRun(response.StatusCode) {
+		return &attemptError{outcome: placement.Failed, cause: errors.Newf("the target answered with status %d and does not state that it did not run the call", response.StatusCode)}
+	}
 	buffered := &bufferedResponse{head: x.headOf(response), body: body}
 	if response.StatusCode >= http.StatusInternalServerError {
 		return &attemptError{outcome: placement.Failed, targetResponse: buffered, cause: errors.Newf("the target answered with status %d", response.StatusCode)}
@@ -365,6 +368,16 @@
 	return nil
 }
 
+// promisesNotRun reports whether callers take the status for a statement that the request has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // relayTargetFailure sends the caller the target's own error response.
 func (x *exchange) relayTargetFailure(failure *bufferedResponse, target string) {
 	x.writeBuffered(failure)
