forward: an engine that was asked to stop a generation says nothing of its end

Found by reading. The end of an unframed answer while its generation moves was recorded as one target's word that the stream has ended, though its engine may have stopped it for the last copy; the word of a second target would then have proved the end too early. A stated end still ends the stream, also while a move is in progress: it is whole. The tests of moves, takeovers and ends pass; the case needs two targets that fail at once and has no test of its own.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -178,6 +178,9 @@
 	s.stopWatchingSilence()
 	s.unregister()
 	hasMoved := s.awaitMove(ctx)
+	if err == nil && hasMoved && !response.End().IsStated() {
+		err = io.ErrUnexpectedEOF // its engine may have stopped the generation for the move
+	}
 	if err == nil {
 		err = s.complete(source, response)
 	}
