platform: an earlier answer is no statement on a later call

What callers saw: 'not run, try again' for a request that a target had run or was running.

Cause: a refusal (X-Not-Executed) or a 421 that names no attempt was believed on any connection. On a kept one it may be the answer to an earlier call, written once more; such a 421 also marked a sound target as leaving.

Change: an answer that names no attempt counts only if its connection carried no earlier request (upstream.IsFirstOfConnection), so a 421 of the process that now owns an address is still understood: it comes on a new connection.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -120,7 +120,9 @@
 type conn struct {
 	net.Conn
 	// relayed is set if the connection goes through another entry VM.
-	relayed     bool
+	relayed bool
+	// used is set once a request has been sent on the connection.
+	used        bool
 	input       *boundedInput
 	reader      *bufio.Reader
 	writer      *bufio.Writer
@@ -144,6 +146,8 @@
 		c.putUnused(address, connection)
 		return nil, &NotSentError{cause: err, Lapsed: true}
 	}
+	request = request.WithContext(context.WithValue(request.Context(), firstKey{}, !connection.used))
+	connection.used = true
 	stopCancel := context.AfterFunc(ctx, func() { connection.Close() })
 	response := &Response{client: c, address: address, conn: connection, stopCancel: stopCancel}
 	if err := response.send(request, body); err != nil {
@@ -164,6 +168,19 @@
 	return response, nil
 }
 
+// firstKey is the key of the context value that tells whether a request is the first one on its connection.
+type firstKey struct{}
+
+// IsFirstOfConnection reports whether nothing was sent on the connection before the request of the response, so that the
+// response cannot be one to an earlier request.
+func IsFirstOfConnection(response *http.Response) bool {
+	if response.Request == nil {
+		return false
+	}
+	first, _ := response.Request.Context().Value(firstKey{}).(bool)
+	return first
+}
+
 // send writes the request. A large body is written while the response is read, since a target may respond before it has
 // read all of it.
 func (r *Response) send(request *http.Request, body []byte) error {
