upstream: a head whose framing may be misread is no answer

What callers may see: the part of an answer that arrived before its target stopped, as a whole answer.

Cause: net/http reads a name with white space before its colon as another header field. 'Content-Length : 800' and 'Transfer-Encoding : chunked' then state nothing, and the body ends with the connection, wherever that is cut; of chunks the sizes were passed on as content. A status line of HTTP/2.0 was accepted as well.

Ruled out: heads cut at any byte. TestCutAnswerIsNeverWhole cuts seven answers (length, chunks, trailer, interim heads, line feeds, 204, neither) after each byte, by an orderly close and a reset, directly, through a proxy, a framed and a plain tunnel: all are errors, before this change too. Conflicting lengths, identity, compressed chunks and bodies where none is allowed were safe as well (TestFramingThatIsNotSure, TestBodyWhereNoneIsAllowed).

Change: readHeader refuses names with white space and protocols other than HTTP/1. The test carrier gives 1000 tunnels in place of 10, so that refused tunnels don't hide a cut. Three cases of TestFramingThatIsNotSure fail before; go test -race ./internal/upstream.

--- a/internal/upstream/carried_test.go
+++ b/internal/upstream/carried_test.go
@@ -36,7 +36,7 @@
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
 	}
-	server := tunnel.NewServer(tunnel.ServerOptions{Dial: dial, Allow: func(netip.Addr, string) error { return nil }, MaxTunnels: 10, Context: ctx})
+	server := tunnel.NewServer(tunnel.ServerOptions{Dial: dial, Allow: func(netip.Addr, string) error { return nil }, MaxTunnels: 1000, Context: ctx})
 	process := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if isEarlier {
 			r.Header = http.Header{}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -226,6 +227,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := checkHead(response); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
@@ -235,6 +239,20 @@
 	}
 }
 
+// checkHead returns an error for a head that net/http accepts although it may state the length in a way that net/http does
+// not see, in which case a part of the body would look whole.
+func checkHead(response *http.Response) error {
+	if response.ProtoMajor != 1 {
+		return fmt.Errorf("the protocol of the answer is %q", response.Proto)
+	}
+	for name := range response.Header {
+		if strings.ContainsAny(name, " \t") {
+			return fmt.Errorf("the name of header field %q contains white space", name)
+		}
+	}
+	return nil
+}
+
 // putUnused keeps a connection that has carried nothing since it was taken. One that is new has no timeout of its own yet.
 func (c *Client) putUnused(address string, connection *conn) {
 	if connection.idleTimeout == 0 {
