--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -120,7 +121,9 @@
 type conn struct {
 	net.Conn
 	// relayed is set if the connection goes through another entry VM.
-	relayed     bool
+	relayed bool
+	// used is set once a request has been sent on the connection.
+	used        bool
 	input       *boundedInput
 	reader      *bufio.Reader
 	writer      *bufio.Writer
@@ -144,6 +147,8 @@
 		c.putUnused(address, connection)
 		return nil, &NotSentError{cause: err, Lapsed: true}
 	}
+	request = request.WithContext(context.WithValue(request.Context(), firstKey{}, !connection.used))
+	connection.used = true
 	stopCancel := context.AfterFunc(ctx, func() { connection.Close() })
 	response := &Response{client: c, address: address, conn: connection, stopCancel: stopCancel}
 	if err := response.send(request, body); err != nil {
@@ -164,6 +169,19 @@
 	return response, nil
 }
 
+// firstKey is the key of the context value that tells whether a request is the first one on its connection.
+type firstKey struct{}
+
+// IsFirstOfConnection reports whether nothing was sent on the connection before the request of the response, so that the
+// response cannot be one to an earlier request.
+func IsFirstOfConnection(response *http.Response) bool {
+	if response.Request == nil {
+		return false
+	}
+	first, _ := response.Request.Context().Value(firstKey{}).(bool)
+	return first
+}
+
 // send writes the request. A large body is written while the response is read, since a target may respond before it has
 // read all of it.
 func (r *Response) send(request *http.Request, body []byte) error {
@@ -209,6 +227,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := checkHead(response); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
@@ -218,6 +239,20 @@
 	}
 }
 
+// checkHead returns an error for a head that net/http accepts although it may state the length in a way that net/http does
+// not see, in which case a part of the body would look whole.
+func checkHead(response *http.Response) error {
+	if response.ProtoMajor != 1 {
+		return fmt.Errorf("the protocol of the answer is %q", response.Proto)
+	}
+	for name := range response.Header {
+		if strings.ContainsAny(name, " \t") {
+			return fmt.Errorf("the name of header field %q contains white space", name)
+		}
+	}
+	return nil
+}
+
 // putUnused keeps a connection that has carried nothing since it was taken. One that is new has no timeout of its own yet.
 func (c *Client) putUnused(address string, connection *conn) {
 	if connection.idleTimeout == 0 {
