soak: targets with three framings that break off and go on wrongly; streams that end early and foreign bytes are violations

All targets of the soak answered in chunks and ended by resets of their links, so no run showed a stream whose end is that of its connection. Targets that leave or crash close in order first. The judge compares streams event by event with what their request's run sends. stream_ends_early (looks_complete before) counts whole events only, so one that ends inside its last event is found; foreign_bytes is new; looks_complete is now of plain answers, which were not judged; not_run_but_ran covers 408 and 421 too, and such answers of targets where a request may run once. stream_ends and sound_streams_broken in the report are figures, no violations.

--- a/internal/stand/soak/callers.go
+++ b/internal/stand/soak/callers.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -38,6 +37,8 @@
 	// events counts the received events out of expectedEvents; orderError describes the first out of order.
 	events, expectedEvents int
 	orderError             string
+	// foreign is the first text of a stream that is no event of the request, and body that of another answer.
+	foreign, body string
 	// firstAttempt is the id of the attempt that brought the first event of a stream that this call resumes; empty for
 	// others. resumedAfter is the last event that its caller had then.
 	firstAttempt string
@@ -201,26 +202,8 @@
 			_, c.err = io.Copy(io.Discard, response.Body)
 		}
 		c.complete = c.err == nil
+		c.body = text.String()
 		return
 	}
-	lines := bufio.NewScanner(response.Body)
-	for lines.Scan() {
-		if version, found := strings.CutPrefix(lines.Text(), "data: "+platformtest.VersionPrefix); found {
-			c.recordVersion(version)
-		}
-		eventID, found := strings.CutPrefix(lines.Text(), "id: ")
-		if !found {
-			continue
-		}
-		c.events++
-		if expected := c.resumedAfter + c.events; eventID != fmt.Sprint(expected) && c.orderError == "" {
-			c.orderError = fmt.Sprintf("event %s instead of %d", eventID, expected)
-		}
-		if c.events == disconnectAfter {
-			c.disconnected = true
-			return
-		}
-	}
-	c.err = lines.Err()
-	c.complete = c.err == nil
+	c.readEvents(response.Body, disconnectAfter)
 }
--- a/internal/stand/soak/faults.go
+++ b/internal/stand/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -40,6 +41,8 @@
 	limitChoices = 6
 	// rollGap is the time between two targets that are replaced when the software changes.
 	rollGap = 400 * time.Millisecond
+	// killTime is how long the ends of a target's connections take to reach the VMs before its link is cut.
+	killTime = 20 * time.Millisecond
 	// slowLinkDelay is the delay added to each read on a slow link.
 	slowLinkDelay = 80 * time.Millisecond
 )
@@ -52,6 +55,8 @@
 	"target_limits", "target_limits", "roll", "target_says_leaving", "target_says_leaving", "target_turns_away", "target_turns_away",
 	"part_crashes", "part_crashes", "part_crashes", "request_crashes", "request_crashes", "request_crashes", "target_cut_vms", "target_cut_vms", "target_cut_vms", "targets_brittle", "targets_brittle", "zone_evacuated", "zone_evacuated",
 	"target_cold_again", "target_cold_again", "target_cold_again",
+	breaksOff + string(platformtest.BreakClose), breaksOff + string(platformtest.BreakClose), breaksOff + string(platformtest.BreakInside),
+	breaksOff + string(platformtest.BreakInside), breaksOff + string(platformtest.BreakReset), continuesWrongly, continuesWrongly,
 }
 
 // injectFaults injects random faults, which may overlap, and returns when all have ended.
@@ -120,6 +125,8 @@
 		h.runColdAgain(slot, duration)
 	case "roll":
 		h.rollSoftware(subjectIndex)
+	case continuesWrongly:
+		h.continueWrongly(subjectIndex, duration)
 	case "target_cut_vms":
 		h.cutTargetPaths(subjectIndex, duration)
 	case "targets_brittle":
@@ -255,6 +262,12 @@
 	case "target_turns_away":
 		h.runTurnsAway(target, duration)
 	default:
+		if how, breaks := strings.CutPrefix(kind, breaksOff); breaks {
+			target.SetBreaks(breakEvery, platformtest.Break(how))
+			time.Sleep(duration)
+			target.SetBreaks(0, "")
+			return
+		}
 		h.runLinkFault(slot.link, kind, duration)
 	}
 }
@@ -270,6 +283,8 @@
 // startSuccessor ends the target, even while requests run there, and starts another one at the same address.
 func (h *harness) startSuccessor(slot *targetSlot, target *platformtest.Target, duration time.Duration) {
 	service := h.Service(target.ID)
+	target.Kill() // its connections end in order, as those of a killed process
+	time.Sleep(killTime)
 	slot.link.Cut()
 	h.Unregister(target.ID)
 	time.Sleep(min(duration, time.Second))
--- a/internal/stand/soak/harness.go
+++ b/internal/stand/soak/harness.go
@@ -88,6 +88,8 @@
 	brittleTimes    []brittleTime
 	evacuations     []evacuation
 	colds           []coldTime
+	// wrongContinuations holds the names of the wrong answers by which targets went on with calls, by call.
+	wrongContinuations map[string]string
 	// coldArrivals counts the requests that reached cold engines.
 	coldArrivals int
 	violations   []Violation
@@ -98,7 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &harness{options: options, Deployment: platformtest.NewDeployment(), crashes: make(map[crashCause][]time.Time), ports: ports, spawner: rig.NewSpawner()}, nil
+	return &harness{options: options, Deployment: platformtest.NewDeployment(), crashes: make(map[crashCause][]time.Time), wrongContinuations: make(map[string]string), ports: ports, spawner: rig.NewSpawner()}, nil
 }
 
 // start starts the stand-ins and all VMs and waits until the VMs are ready.
@@ -170,13 +172,15 @@
 
 // newTarget returns a new target for the slot.
 func (h *harness) newTarget(slot *targetSlot, service string) *platformtest.Target {
-	id := fmt.Sprintf("t-%d", h.targetCount.Add(1))
+	number := h.targetCount.Add(1)
+	id := fmt.Sprintf("t-%d", number)
 	target := platformtest.NewTarget(id, slot.link.Address, h.Cluster)
 	target.Version = fmt.Sprintf("v%d", h.version.Load())
 	if service == platformtest.PlainService {
 		target.Slots = plainSlots
 		target.SetRoom(plainSlots, plainQueue, plainWorkTime)
 	}
+	target.SetFraming(h.chooseFraming(number))
 	h.setCrashes(slot, target)
 	return target
 }
--- a/internal/stand/soak/judge.go
+++ b/internal/stand/soak/judge.go
@@ -106,10 +106,12 @@
 	vmFaulted := h.hasFault(c.vm, c.sentAt, c.endedAt, "vm_kill", "vm_freeze")
 	served := c.fromTarget && c.status < http.StatusMultipleChoices
 	add("ran_twice", c.nonIdempotent && starts > 1)
-	add("not_run_but_ran", !c.fromTarget && (c.status == http.StatusServiceUnavailable || c.status == http.StatusTooManyRequests) && len(runs) > 0)
+	add("not_run_but_ran", (!c.fromTarget || c.nonIdempotent) && notRunStatuses[c.status] && len(runs) > 0)
 	add("crossed_answer", c.mismatched)
 	add("events_out_of_order", c.orderError != "")
-	add("looks_complete", c.streaming && served && c.complete && !c.disconnected && c.lastEvent() < c.expectedEvents)
+	add("stream_ends_early", c.streaming && served && c.complete && !c.disconnected && c.lastEvent() < c.expectedEvents)
+	add("foreign_bytes", c.foreign != "")
+	add("looks_complete", !c.streaming && served && c.complete && !isBodyOfRun(c.body, runs))
 	add("too_many_events", c.lastEvent() > c.expectedEvents)
 	add("mixed_versions", len(c.versions) > 1)
 	add("unanswered", !vmFaulted && c.endedAt.Sub(c.sentAt) > c.deadline+h.options.Slack)
@@ -120,6 +122,16 @@
 	return violated
 }
 
+// notRunStatuses promise that the request has not run and will not.
+var notRunStatuses = map[int]bool{
+	http.StatusServiceUnavailable: true, http.StatusTooManyRequests: true, http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true,
+}
+
+// isBodyOfRun reports whether the body is the whole one of an answer to a plain request that one of the runs gave.
+func isBodyOfRun(body string, runs []platformtest.Run) bool {
+	return slices.ContainsFunc(runs, func(run platformtest.Run) bool { return body == platformtest.PlainText(http.MethodPost, run.Target) })
+}
+
 // gatewayStatuses are the statuses of responses that godwitcart itself produces.
 var gatewayStatuses = map[int]bool{
 	http.StatusUnauthorized: true, http.StatusNotFound: true, http.StatusServiceUnavailable: true, http.StatusBadGateway: true, http.StatusGatewayTimeout: true,
@@ -135,7 +147,7 @@
 // isAnswerLost reports whether the connection failed before or during the response although none of the targets that
 // ran the call was affected by a fault. A SIGTERM stop of the VM excuses this only at the end of the grace time.
 func (h *harness) isAnswerLost(c *call, runs []platformtest.Run) bool {
-	if c.err == nil || c.disconnected || c.timedOut || len(runs) == 0 || h.isGraceExpired(c.vm, c.endedAt) {
+	if c.err == nil || c.disconnected || c.timedOut || len(runs) == 0 || h.isGraceExpired(c.vm, c.endedAt) || c.isSoundButBroken(runs) {
 		return false
 	}
 	// Streams that run while their VM is cut off from all targets are lost with their connections, unless these live on.
@@ -147,7 +159,7 @@
 			return false
 		}
 	}
-	return !h.hasCarrierEnded(c)
+	return !h.hasCarrierEnded(c) && !h.wasContinuedWrongly(c)
 }
 
 // hasCarrierEnded reports whether the call reached a target through another VM that was killed or frozen meanwhile.
@@ -224,6 +236,7 @@
 		r.Falls += len(played.falls)
 	}
 	r.Resumed, r.Continued = resumed, continued
+	h.countStreamEnds(r)
 	r.ColdTimes, r.ColdArrivals = len(h.colds), h.coldArrivals
 	for _, f := range h.faults {
 		r.Faults[f.kind]++
--- a/internal/stand/soak/judge_test.go
+++ b/internal/stand/soak/judge_test.go
@@ -46,8 +46,18 @@
 		"refused but ran":       {refuse, []platformtest.Run{run}, nil, "not_run_but_ran"},
 		"mismatched":            {func(c *call) { c.mismatched = true }, []platformtest.Run{run}, nil, "crossed_answer"},
 		"out of order":          {func(c *call) { c.orderError = "event 4 instead of 3" }, []platformtest.Run{run}, nil, "events_out_of_order"},
-		"short":                 {func(c *call) { c.events = 4 }, []platformtest.Run{run}, nil, "looks_complete"},
+		"short":                 {func(c *call) { c.events = 4 }, []platformtest.Run{run}, nil, "stream_ends_early"},
 		"short, caller left":    {func(c *call) { c.events, c.disconnected = 4, true }, []platformtest.Run{run}, nil, ""},
+		"foreign bytes":         {func(c *call) { c.foreign = "<p>busy</p>" }, []platformtest.Run{run}, nil, "foreign_bytes"},
+		"plain":                 {plain("POST of t-1"), []platformtest.Run{run}, nil, ""},
+		"plain, cut":            {plain("POST of"), []platformtest.Run{run}, nil, "looks_complete"},
+		"plain, of no run":      {plain("POST of t-1"), nil, nil, "looks_complete"},
+		"refused by 429, ran":   {refuseBy(http.StatusTooManyRequests), []platformtest.Run{run}, nil, "not_run_but_ran"},
+		"refused by 408, ran":   {refuseBy(http.StatusRequestTimeout), []platformtest.Run{run}, nil, "not_run_but_ran"},
+		"refused by 421, ran":   {refuseBy(http.StatusMisdirectedRequest), []platformtest.Run{run}, nil, "not_run_but_ran"},
+		"refused by 408":        {refuseBy(http.StatusRequestTimeout), nil, nil, ""},
+		"sound but broken":      {breakWith(reset, 5), []platformtest.Run{unframedRun}, nil, ""},
+		"unframed, cut off":     {breakWith(reset, 4), []platformtest.Run{unframedRun}, nil, "answer_lost"},
 		"long":                  {func(c *call) { c.events = 6 }, []platformtest.Run{run}, nil, "too_many_events"},
 		"two versions":          {func(c *call) { c.versions = []string{"v1", "v2"} }, []platformtest.Run{run}, nil, "mixed_versions"},
 		"late":                  {func(c *call) { c.endedAt = at(30) }, []platformtest.Run{run}, nil, "unanswered"},
@@ -80,6 +90,22 @@
 	}
 }
 
+// unframedRun has ended with its connection.
+var unframedRun = platformtest.Run{Target: "t-1", ID: "c", Framing: platformtest.FramingNone, End: platformtest.EndWhole}
+
+func breakWith(err error, events int) func(*call) {
+	return func(c *call) { c.err, c.complete, c.events = err, false, events }
+}
+
+func plain(body string) func(*call) {
+	return func(c *call) { c.kind, c.streaming, c.body, c.events, c.expectedEvents = "lookup", false, body, 0, 0 }
+}
+
+// refuseBy refuses a call by an answer of a target.
+func refuseBy(status int) func(*call) {
+	return func(c *call) { c.status, c.events = status, 0 }
+}
+
 func refuse(c *call) {
 	c.status, c.fromTarget, c.events = http.StatusServiceUnavailable, false, 0
 }
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -56,6 +56,10 @@
 	// ColdTimes counts the times in which engines were cold, and ColdArrivals the requests that reached them then.
 	ColdTimes    int `json:"cold_times"`
 	ColdArrivals int `json:"cold_arrivals"`
+	// StreamEnds counts the streams by how their targets ended them, and SoundStreamsBroken those that callers saw as broken
+	// though a target without faults had ended them, with neither length nor chunks, after their last event.
+	StreamEnds         map[string]*StreamEnds `json:"stream_ends"`
+	SoundStreamsBroken int                    `json:"sound_streams_broken"`
 	// Violations counts violated guarantees by name; Examples describes the first of each.
 	Violations map[string]int `json:"violations"`
 	Examples   []Violation    `json:"examples,omitempty"`
