target: a refusal counts only for the call that it answers

Callers saw 503 "not run" for requests that a replica ran, and requests that may run once ran at two replicas. The replica wrote an earlier refusal once more on a kept connection, where net/http takes whatever arrives for the answer to the call that was sent last. A refusal named no attempt, so it was taken for evidence about that call.

Answers of targets name their attempt in Godwitcart-Attempt; one that names another is no answer. A refusal that names none, as those of earlier engines and services, counts only on a connection without an earlier call. Starts that may run once, resumes, orders and health checks take such a connection; for the others the outcome is unknown. A connection with a wrong answer is closed, since its later answers are shifted too. Redirects by engines are no longer followed.

Evidence: with a target that repeats its refusal, before: 8 of 10 cases of TestRepeatedRefusalIsTakenForAnotherCall got 503 in place of 502 (the other two have had connections of their own), both cases of TestRepeatedRefusalRunsRequestTwice two runs in place of one, and 4 of 4 calls of TestRepeatedRefusalEndsAnotherCall were ended by the refusal. All pass now, as do the tests of target, gateway and both stand-ins with -race.

Ruled out: a connection for each call needs no names, but costs each generation a round trip.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -18,7 +18,7 @@
 
 // Engines is the client for model engines.
 type Engines interface {
-	Start(ctx context.Context, address target.Address, generation enginewire.GenerationRequest) (*target.Stream, error)
+	Start(ctx context.Context, address target.Address, generation target.Generation) (*target.Stream, error)
 	Resume(ctx context.Context, address target.Address, attempt string, from int) (*target.Stream, error)
 	Cancel(ctx context.Context, address target.Address, attempt string) error
 }
--- a/internal/dispatch/generate.go
+++ b/internal/dispatch/generate.go
@@ -156,8 +156,8 @@
 	return &attemptError{state: state, target: binding.Address.Name, cause: err}
 }
 
-func (g *generation) engineRequest(binding Binding) enginewire.GenerationRequest {
-	return enginewire.GenerationRequest{
+func (g *generation) engineRequest(binding Binding) target.Generation {
+	generation := enginewire.GenerationRequest{
 		AttemptID: binding.Attempt,
 		RequestID: g.request.ID,
 		Model:     g.request.Variant.Model,
@@ -168,6 +168,7 @@
 		Seed:      g.request.Seed,
 		Priority:  g.request.Priority,
 	}
+	return target.Generation{GenerationRequest: generation, AtMostOnce: g.request.NonIdempotent}
 }
 
 // finalAttemptState returns the state of an attempt that ended with err.
--- a/internal/stand/engine/api.go
+++ b/internal/stand/engine/api.go
@@ -32,6 +32,7 @@
 		e.refuse(w, enginewire.RefusedBadRequest)
 		return
 	}
+	w.Header().Set(enginewire.HeaderAttempt, request.AttemptID)
 	_, refused := e.submit(request, time.Now())
 	if refused != "" {
 		e.refuse(w, refused)
@@ -46,6 +47,7 @@
 }
 
 func (e *Engine) getAttempt(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(enginewire.HeaderAttempt, r.PathValue("id"))
 	from, err := strconv.Atoi(r.URL.Query().Get("from"))
 	if err != nil || from < 0 {
 		e.refuse(w, enginewire.RefusedBadRequest)
@@ -60,6 +62,7 @@
 }
 
 func (e *Engine) deleteAttempt(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(enginewire.HeaderAttempt, r.PathValue("id"))
 	if !e.cancel(r.PathValue("id"), time.Now()) {
 		e.refuse(w, enginewire.RefusedUnknownAttempt)
 		return
--- a/internal/stand/service/service.go
+++ b/internal/stand/service/service.go
@@ -182,6 +182,9 @@
 }
 
 func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	if attempt := r.Header.Get(enginewire.HeaderAttempt); attempt != "" {
+		w.Header().Set(enginewire.HeaderAttempt, attempt)
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
 		s.refuse(w, enginewire.RefusedBadRequest)
--- a/internal/target/engine.go
+++ b/internal/target/engine.go
@@ -38,9 +38,18 @@
 	HostPort string
 }
 
+// Generation is one attempt of a generation request.
+type Generation struct {
+	enginewire.GenerationRequest
+	// AtMostOnce means that the attempt must not run twice.
+	AtMostOnce bool
+}
+
 // EngineClient calls model engines. It is safe for concurrent use.
 type EngineClient struct {
-	client   *http.Client
+	pooled *http.Transport
+	// unpooled opens a connection for each call, which thus receives no response to an earlier call.
+	unpooled *http.Transport
 	timeouts Timeouts
 }
 
@@ -55,7 +64,9 @@
 
 // NewEngineClient returns a client with the given timeouts.
 func NewEngineClient(timeouts Timeouts) *EngineClient {
-	return &EngineClient{client: &http.Client{Transport: newTransport(timeouts.Connect, timeouts.ResponseHeader)}, timeouts: timeouts}
+	unpooled := newTransport(timeouts.Connect, timeouts.ResponseHeader)
+	unpooled.DisableKeepAlives = true
+	return &EngineClient{pooled: newTransport(timeouts.Connect, timeouts.ResponseHeader), unpooled: unpooled, timeouts: timeouts}
 }
 
 func newTransport(connectTimeout, responseHeaderTimeout time.Duration) *http.Transport {
@@ -72,24 +83,38 @@
 	}
 }
 
+// engineCall is one HTTP call to an engine.
+type engineCall struct {
+	method string
+	path   string
+	body   []byte
+	// attempt is the attempt that the call is for; empty for calls that belong to none.
+	attempt string
+	// isUnpooled gives the call a connection of its own.
+	isUnpooled bool
+}
+
 // Start submits an attempt and returns its stream.
-func (c *EngineClient) Start(ctx context.Context, address Address, generation enginewire.GenerationRequest) (*Stream, error) {
-	body, err := json.Marshal(generation)
+func (c *EngineClient) Start(ctx context.Context, address Address, generation Generation) (*Stream, error) {
+	body, err := json.Marshal(generation.GenerationRequest)
 	if err != nil {
 		return nil, &NotSentError{Target: address.Name, cause: err}
 	}
-	return c.open(ctx, address, http.MethodPost, enginewire.PathCompletions, body)
+	return c.open(ctx, address, engineCall{
+		method: http.MethodPost, path: enginewire.PathCompletions, body: body,
+		attempt: generation.AttemptID, isUnpooled: generation.AtMostOnce,
+	})
 }
 
 // Resume reopens the stream of an attempt at the token with the index from.
 func (c *EngineClient) Resume(ctx context.Context, address Address, attempt string, from int) (*Stream, error) {
 	path := enginewire.PathAttempts + url.PathEscape(attempt) + "?from=" + strconv.Itoa(from)
-	return c.open(ctx, address, http.MethodGet, path, nil)
+	return c.open(ctx, address, engineCall{method: http.MethodGet, path: path, attempt: attempt, isUnpooled: true})
 }
 
-func (c *EngineClient) open(ctx context.Context, address Address, method, path string, body []byte) (*Stream, error) {
+func (c *EngineClient) open(ctx context.Context, address Address, call engineCall) (*Stream, error) {
 	streamCtx, cancel := context.WithCancelCause(ctx)
-	response, err := c.send(streamCtx, address, method, path, body)
+	response, err := c.send(streamCtx, address, call)
 	if err != nil {
 		cancel(context.Canceled)
 		return nil, err
@@ -98,27 +123,46 @@
 }
 
 // send makes one HTTP call. A status other than 2xx is returned as an error by decodeRefusal.
-func (c *EngineClient) send(ctx context.Context, address Address, method, path string, body []byte) (*http.Response, error) {
-	// The type of the reader is unknown to http.NewRequest, which therefore leaves GetBody unset. Without GetBody,
-	// the transport cannot resend the request on its own.
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address.HostPort+path, newSinglePassReader(body))
+func (c *EngineClient) send(ctx context.Context, address Address, call engineCall) (*http.Response, error) {
+	request, err := newEngineRequest(ctx, address, call)
 	if err != nil {
 		return nil, &NotSentError{Target: address.Name, cause: err}
 	}
-	request.ContentLength = int64(len(body))
-	request.Header.Set("Content-Type", "application/json")
-	setDeadline(ctx, request.Header)
-	response, err := c.client.Do(request)
+	response, used, err := roundTrip(c.transport(call), address.Name, request)
 	if err != nil {
-		return nil, classifyTransportError(address.Name, err)
+		return nil, err
 	}
-	if response.StatusCode/100 == 2 {
+	isRefusal := response.StatusCode/100 != 2
+	if !used.isAnswer(response, call.attempt, isRefusal) {
+		return nil, used.reject(address.Name, response)
+	}
+	if !isRefusal {
 		return response, nil
 	}
 	defer response.Body.Close()
 	return nil, decodeRefusal(address.Name, response)
 }
 
+func (c *EngineClient) transport(call engineCall) *http.Transport {
+	if call.isUnpooled {
+		return c.unpooled
+	}
+	return c.pooled
+}
+
+func newEngineRequest(ctx context.Context, address Address, call engineCall) (*http.Request, error) {
+	// The type of the reader is unknown to http.NewRequest, which therefore leaves GetBody unset. Without GetBody,
+	// the transport cannot resend the request on its own.
+	request, err := http.NewRequestWithContext(ctx, call.method, "http://"+address.HostPort+call.path, newSinglePassReader(call.body))
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = int64(len(call.body))
+	request.Header.Set("Content-Type", "application/json")
+	setDeadline(ctx, request.Header)
+	return request, nil
+}
+
 func newSinglePassReader(body []byte) io.Reader {
 	if body == nil {
 		return nil
@@ -145,13 +189,14 @@
 
 // Cancel cancels an attempt.
 func (c *EngineClient) Cancel(ctx context.Context, address Address, attempt string) error {
-	return c.call(ctx, address, http.MethodDelete, enginewire.PathAttempts+url.PathEscape(attempt), nil, nil)
+	call := engineCall{method: http.MethodDelete, path: enginewire.PathAttempts + url.PathEscape(attempt), attempt: attempt}
+	return c.call(ctx, address, call, nil)
 }
 
 // LoadReport reads the target's load report.
 func (c *EngineClient) LoadReport(ctx context.Context, address Address) (enginewire.LoadReport, error) {
 	var report enginewire.LoadReport
-	err := c.call(ctx, address, http.MethodGet, enginewire.PathLoad, nil, &report)
+	err := c.call(ctx, address, engineCall{method: http.MethodGet, path: enginewire.PathLoad}, &report)
 	return report, err
 }
 
@@ -159,7 +204,7 @@
 func (c *EngineClient) CacheEvents(ctx context.Context, address Address, after uint64) (enginewire.CacheEvents, error) {
 	var events enginewire.CacheEvents
 	path := enginewire.PathCacheEvents + "?after=" + strconv.FormatUint(after, 10)
-	err := c.call(ctx, address, http.MethodGet, path, nil, &events)
+	err := c.call(ctx, address, engineCall{method: http.MethodGet, path: path}, &events)
 	return events, err
 }
 
@@ -170,15 +215,16 @@
 	if err != nil {
 		return result, &NotSentError{Target: address.Name, cause: err}
 	}
-	err = c.call(ctx, address, http.MethodPost, enginewire.PathOrders, body, &result)
+	call := engineCall{method: http.MethodPost, path: enginewire.PathOrders, body: body, isUnpooled: true}
+	err = c.call(ctx, address, call, &result)
 	return result, err
 }
 
 // call makes one call with a timeout and decodes its response into result, unless result is nil.
-func (c *EngineClient) call(ctx context.Context, address Address, method, path string, body []byte, result any) error {
+func (c *EngineClient) call(ctx context.Context, address Address, call engineCall, result any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeouts.Connect+c.timeouts.ResponseHeader)
 	defer cancel()
-	response, err := c.send(ctx, address, method, path, body)
+	response, err := c.send(ctx, address, call)
 	if err != nil {
 		return err
 	}
--- a/internal/target/plain.go
+++ b/internal/target/plain.go
@@ -32,8 +32,8 @@
 // PlainClient calls plain services. It is safe for concurrent use.
 type PlainClient struct {
 	pooled *http.Transport
-	// unpooled opens a connection for each call. net/http resends a request on its own only if it failed on a reused
-	// connection.
+	// unpooled opens a connection for each call, which thus receives no response to an earlier call. net/http resends a
+	// request on its own only if it failed on a reused connection.
 	unpooled *http.Transport
 }
 
@@ -54,11 +54,14 @@
 	if err != nil {
 		return nil, &NotSentError{Target: address.Name, cause: err}
 	}
-	response, err := c.transport(call).RoundTrip(outbound)
+	response, used, err := roundTrip(c.transport(call), address.Name, outbound)
 	if err != nil {
-		return nil, classifyTransportError(address.Name, err)
+		return nil, err
 	}
 	kind := response.Header.Get(enginewire.HeaderRefused)
+	if !used.isAnswer(response, call.AttemptID, kind != "") {
+		return nil, used.reject(address.Name, response)
+	}
 	if kind == "" {
 		return response, nil
 	}
@@ -107,9 +110,11 @@
 // copyEndToEndHeaders copies all headers except hop-by-hop ones.
 func copyEndToEndHeaders(to, from http.Header) { maps.Copy(to, hopheader.Strip(from)) }
 
-// CopyResponseHeaders copies the end-to-end headers of a target's response to the caller's response.
+// CopyResponseHeaders copies the end-to-end headers of a target's response to the caller's response, except the id of the
+// attempt: the caller may itself be a service that copies headers to its response.
 func CopyResponseHeaders(to, from http.Header) {
 	copyEndToEndHeaders(to, from)
+	to.Del(enginewire.HeaderAttempt)
 }
 
 func retryAfterSeconds(header http.Header) float64 {
@@ -123,9 +128,10 @@
 // healthPath is the path of a plain service's health check.
 const healthPath = "/healthz"
 
-// CheckHealth calls the health check of a plain service. The error for a service that is leaving is a RefusedError.
+// CheckHealth calls the health check of a plain service. The error for a service that is leaving is a RefusedError. The
+// check has a connection of its own, on which a refusal can only be its response.
 func (c *PlainClient) CheckHealth(ctx context.Context, address Address) error {
-	response, err := c.Call(ctx, address, PlainCall{Method: http.MethodGet, Path: healthPath})
+	response, err := c.Call(ctx, address, PlainCall{Method: http.MethodGet, Path: healthPath, AtMostOnce: true})
 	if err != nil {
 		return err
 	}
--- a/internal/wire/enginewire/enginewire.go
+++ b/internal/wire/enginewire/enginewire.go
@@ -21,7 +21,8 @@
 
 // Headers of calls to targets and of their responses.
 const (
-	// HeaderAttempt is the attempt id of a call to a plain service.
+	// HeaderAttempt is the attempt id of a call to a plain service. In the response of any target it names the attempt that
+	// the response is for. A refusal without it is accepted only as the first response on its connection.
 	HeaderAttempt = "Godwitcart-Attempt"
 	// HeaderRequest is the request id of a call to any target.
 	HeaderRequest = "Godwitcart-Request"
