target: an attempt that its engine has seen may run

A request that may run once ran twice. Where a call reached its engine twice, the engine ran the first copy and refused the second as duplicate_attempt; if that answer arrived, it was taken for a refusal of the attempt, and the next engine ran the request too.

The kind says that the attempt is known, so it is the opposite of a refusal: Start now returns an unknown outcome, and the dispatcher reads the attempt's stream by its id. Tests of target and gateway pass with -race.

--- a/internal/target/connection.go
+++ b/internal/target/connection.go
@@ -37,11 +37,11 @@
 // isAnswer reports whether the response answers the call of the attempt, which is empty for calls that belong to none. A
 // target may repeat the response to an earlier call on the connection. A response that names no attempt is therefore not
 // accepted as a refusal after an earlier call.
-func (c *connection) isAnswer(response *http.Response, attempt string, isRefusal bool) bool {
+func (c *connection) isAnswer(response *http.Response, attempt string, refused bool) bool {
 	if named := response.Header.Get(enginewire.HeaderAttempt); named != "" {
 		return named == attempt
 	}
-	return !isRefusal || !c.isReused
+	return !refused || !c.isReused
 }
 
 // reject discards a response that does not answer the call. The connection is closed, because the responses that
--- a/internal/target/engine.go
+++ b/internal/target/engine.go
@@ -94,16 +94,21 @@
 	isUnpooled bool
 }
 
-// Start submits an attempt and returns its stream.
+// Start submits an attempt and returns its stream. The outcome is unknown if the engine refuses the attempt as one that it
+// has seen: the path to the engine may have delivered the call twice.
 func (c *EngineClient) Start(ctx context.Context, address Address, generation Generation) (*Stream, error) {
 	body, err := json.Marshal(generation.GenerationRequest)
 	if err != nil {
 		return nil, &NotSentError{Target: address.Name, cause: err}
 	}
-	return c.open(ctx, address, engineCall{
+	stream, err := c.open(ctx, address, engineCall{
 		method: http.MethodPost, path: enginewire.PathCompletions, body: body,
 		attempt: generation.AttemptID, isUnpooled: generation.AtMostOnce,
 	})
+	if isRefusal(err, enginewire.RefusedDuplicateAttempt) {
+		return nil, NewUnknownOutcomeError(address.Name, err)
+	}
+	return stream, err
 }
 
 // Resume reopens the stream of an attempt at the token with the index from.
@@ -132,11 +137,11 @@
 	if err != nil {
 		return nil, err
 	}
-	isRefusal := response.StatusCode/100 != 2
-	if !used.isAnswer(response, call.attempt, isRefusal) {
+	refused := response.StatusCode/100 != 2
+	if !used.isAnswer(response, call.attempt, refused) {
 		return nil, used.reject(address.Name, response)
 	}
-	if !isRefusal {
+	if !refused {
 		return response, nil
 	}
 	defer response.Body.Close()
--- a/internal/target/errors.go
+++ b/internal/target/errors.go
@@ -69,15 +69,14 @@
 }
 
 // IsUnknownAttempt reports whether the target refused because it does not know the attempt.
-func IsUnknownAttempt(err error) bool {
-	var refused *RefusedError
-	return errors.As(err, &refused) && refused.Refusal.Kind == enginewire.RefusedUnknownAttempt
-}
+func IsUnknownAttempt(err error) bool { return isRefusal(err, enginewire.RefusedUnknownAttempt) }
 
 // IsLeaving reports whether the target refused because it is leaving.
-func IsLeaving(err error) bool {
+func IsLeaving(err error) bool { return isRefusal(err, enginewire.RefusedLeaving) }
+
+func isRefusal(err error, kind enginewire.RefusalKind) bool {
 	var refused *RefusedError
-	return errors.As(err, &refused) && refused.Refusal.Kind == enginewire.RefusedLeaving
+	return errors.As(err, &refused) && refused.Refusal.Kind == kind
 }
 
 // classifyTransportError distinguishes a failed dial from a call that was interrupted.
