forward: the end of a generation that was asked to stop is not that of its stream

Cause: for the last copy the engine stops the generation and ends its response. Once a stop is asked for, the end of that response proves nothing, unless the engine says that it does not run the generation (404). A stated end during a takeover by the backup, which stops nothing, still ends the stream.

--- a/internal/entry/stream_end_test.go
+++ b/internal/entry/stream_end_test.go
@@ -343,8 +343,12 @@
 // TestStreamStoppedForItsLastCopyEndsAsComplete guards against a stream that looks whole since its engine stopped it for the last copy and the
 // answer to the call was lost.
 func TestStreamStoppedForItsLastCopyEndsAsComplete(t *testing.T) {
-	for _, framing := range framings {
-		t.Run(string(framing), func(t *testing.T) {
+	ends := map[string]func(*rawStream){"closes": closings["closes"], "ends its answer": (*rawStream).end}
+	for _, c := range []struct {
+		framing framing
+		end     string
+	}{{withLength, "closes"}, {inChunks, "closes"}, {unframed, "closes"}, {inChunks, "ends its answer"}} {
+		t.Run(string(c.framing)+"/"+c.end, func(t *testing.T) {
 			t.Parallel()
 			d := newDeployment(t)
 			stop := make(chan struct{})
@@ -361,10 +365,10 @@
 				case r.Header.Get("X-Token-Usage") == "":
 					return false
 				}
-				s := startRawStream(w, r, framing, len(eventTexts(1, endedEvents)))
+				s := startRawStream(w, r, c.framing, len(eventTexts(1, endedEvents)))
 				s.write(eventTexts(1, breakAfter))
 				<-stop
-				s.conn.Close()
+				ends[c.end](s)
 				return true
 			}, `{"transfer_handle":"h","created":6}`)
 			d.configure("key-1")
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -37,6 +37,8 @@
 	targetSentEvent bool
 	// firstOfTargetAt is when the current target sent its first event.
 	firstOfTargetAt time.Time
+	// stopRequested is set while the current target may have stopped the generation for its last copy.
+	stopRequested bool
 	// backup is the reservation at the engine that holds a copy of the generation's KV cache; nil for none.
 	backup *placement.Lease
 	// continuation is where the generation continues when the response of the current target ends.
@@ -150,6 +152,7 @@
 	response := next.response
 	s.mu.Lock()
 	s.targetSentEvent = false // the copy at a backup is usable only after this target's first event
+	s.stopRequested = false
 	s.mu.Unlock()
 	if response == nil {
 		var failure *attemptError
@@ -178,8 +181,8 @@
 	s.stopWatchingSilence()
 	s.unregister()
 	hasMoved := s.awaitMove(ctx)
-	if err == nil && hasMoved && !response.End().IsStated() {
-		err = io.ErrUnexpectedEOF // its engine may have stopped the generation for the move
+	if err == nil && (s.isStopRequested() || hasMoved && !response.End().IsStated()) {
+		err = io.ErrUnexpectedEOF
 	}
 	if err == nil {
 		err = s.complete(source, response)
@@ -235,6 +238,20 @@
 	return failure
 }
 
+// isStopRequested reports whether the current target may have stopped the generation, so that its end is not that of the
+// stream.
+func (s *stream) isStopRequested() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopRequested
+}
+
+func (s *stream) setStopRequested(requested bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopRequested = requested
+}
+
 // hasTargetSentEvent reports whether the current target has sent an event.
 func (s *stream) hasTargetSentEvent() bool {
 	s.mu.Lock()
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -14,44 +14,6 @@
 	"godwitcart/internal/roster"
 )
 
-// streamSet holds the running streams by the id of their current target.
-type streamSet struct {
-	mu       *sync.Mutex
-	byTarget map[string]map[*stream]struct{}
-}
-
-func newStreamSet() streamSet {
-	return streamSet{mu: &sync.Mutex{}, byTarget: make(map[string]map[*stream]struct{})}
-}
-
-func (s *streamSet) add(target string, added *stream) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.byTarget[target] == nil {
-		s.byTarget[target] = make(map[*stream]struct{})
-	}
-	s.byTarget[target][added] = struct{}{}
-}
-
-func (s *streamSet) remove(target string, removed *stream) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.byTarget[target], removed)
-	if len(s.byTarget[target]) == 0 {
-		delete(s.byTarget, target)
-	}
-}
-
-func (s *streamSet) ofTarget(target string) []*stream {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	streams := make([]*stream, 0, len(s.byTarget[target]))
-	for stream := range s.byTarget[target] {
-		streams = append(streams, stream)
-	}
-	return streams
-}
-
 // Evacuate moves the running generations off a target that is leaving or whose zone is in evacuation. It does not wait for them.
 func (f *Forwarder) Evacuate(leaving roster.Target) {
 	streams := f.streams.ofTarget(leaving.ID)
@@ -317,11 +279,22 @@
 			return result, err
 		}
 		if time.Since(startedAt) <= s.finalCopyLimit() || time.Since(noticedAt) > minNoticeTime {
-			return s.requestCopy(ctx, leaving, lease, true)
+			return s.requestLastCopy(ctx, leaving, lease)
 		}
 	}
 }
 
+// requestLastCopy asks the source to stop the generation and to copy the rest. Unless the source says that it does not run
+// the generation, the end of its response is no longer that of the stream.
+func (s *stream) requestLastCopy(ctx context.Context, source roster.Target, destination *placement.Lease) (CopyResult, error) {
+	s.setStopRequested(true)
+	result, err := s.requestCopy(ctx, source, destination, true)
+	if err == nil && result.Unknown {
+		s.setStopRequested(false)
+	}
+	return result, err
+}
+
 // requestCopy asks the source for a copy. The call counts against the source's request limit, but does not wait for it:
 // the generation would be lost.
 func (s *stream) requestCopy(ctx context.Context, source roster.Target, destination *placement.Lease, stop bool) (CopyResult, error) {
