delivery: whether an answer has begun may be asked by any goroutine

Callers saw nothing so far: a data race. A move or a takeover asks HasBegun (move, switchToBackup -> query, interruption) in a goroutine of its own while the relay sends the head. TestAnswerBeginsDuringAMove was reported by the race detector before. The head is written and read under the lock that guards LastEvent already.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -34,12 +34,11 @@
 	return mediaType
 }
 
-// Answer is the answer to one caller. Its methods are called by one goroutine, except LastEvent, which may be called by any.
+// Answer is the answer to one caller. Its methods are called by one goroutine, except HasBegun and LastEvent, which may be
+// called by any.
 type Answer struct {
-	w http.ResponseWriter
-	r *http.Request
-	// head is the head that the caller has; its status is zero until then.
-	head       Head
+	w          http.ResponseWriter
+	r          *http.Request
 	isComplete bool
 	// onBegin is called before the head is sent.
 	onBegin func()
@@ -54,6 +53,8 @@
 	closedBy string
 
 	mu sync.Mutex
+	// head is the head that the caller has; its status is zero until then. Only the goroutine of the answer writes it.
+	head Head
 	// lastEvent is the id of the last event that the caller has.
 	lastEvent string
 }
@@ -73,10 +74,14 @@
 }
 
 // HasBegun reports whether the caller has the head of the answer.
-func (a *Answer) HasBegun() bool { return a.head.Status != 0 }
+func (a *Answer) HasBegun() bool { return a.Status() != 0 }
 
 // Status returns the status of the answer, or zero before its head.
-func (a *Answer) Status() int { return a.head.Status }
+func (a *Answer) Status() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.head.Status
+}
 
 // CloseConnection makes the caller's connection end with the answer, unless it has begun.
 func (a *Answer) CloseConnection() { a.w.Header().Set("Connection", "close") }
@@ -125,10 +130,16 @@
 		header[name] = values
 	}
 	a.onBegin()
-	a.head = head
+	a.setHead(head)
 	a.w.WriteHeader(head.Status)
 }
 
+func (a *Answer) setHead(head Head) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.head = head
+}
+
 // Close must be the last call of the handler. Unless the answer is complete, it breaks the connection off and panics with
 // http.ErrAbortHandler, as net/http asks of a handler that gives up.
 func (a *Answer) Close() {
