forward: a target that had nothing to add to a stream has not crashed

Callers whose targets answer without a length and chunks lose targets: after a sound stream of that kind another target is asked for what follows, has nothing to send and closes. Since this counted as a crash: its lease failed and it was evidence against the request. Such an end is a crash only where the caller has no event yet, as it was before (isCutOff). Elsewhere it stays unproved and says nothing of the target.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -208,7 +208,8 @@
 }
 
 // complete ends the stream as complete if the end of the response proves that of the stream. A response that brought nothing
-// at all and ended with its connection counts as broken off: its target has crashed.
+// at all and ended with its connection counts as broken off: its target has crashed. One that was asked for what follows an
+// event may have had nothing to send.
 func (s *stream) complete(source *delivery.Source, response *answer) error {
 	err := source.Complete(response.End())
 	if err == nil {
@@ -216,7 +217,7 @@
 	}
 	s.metrics.unprovenEnds.Inc(1)
 	s.log("end of the stream not proved", "framing", response.Framing(), "end", response.End(), "events", s.events, "reason", err)
-	if response.End().IsUnstated() && !s.hasTargetSentEvent() {
+	if response.End().IsUnstated() && !s.hasTargetSentEvent() && s.caller.LastEvent() == "" {
 		return io.ErrUnexpectedEOF
 	}
 	return err
