delivery: a text that was dropped is no statement that nothing follows

Cause: an event without an id that cannot follow the last one is dropped, and the answer then counted as one without events, whose stated end proves that nothing follows. TestTextOfTheNextTargetProvesTheEnd and TestResumedStreamEndsAsCompleteThoughItsAnswerWasDropped failed before in all five cases. Such an answer proves nothing now: where an event was dropped, the last one of the source must be the caller's last.

--- a/internal/delivery/source.go
+++ b/internal/delivery/source.go
@@ -156,7 +156,7 @@
 	a := s.answer
 	isSecond := a.closedBy != "" && a.closedBy != s.target
 	switch {
-	case end.IsStated() && s.lastID == "" && s.sent == 0:
+	case end.IsStated() && s.lastID == "" && s.sent == 0 && !s.drops:
 		return isSecond || a.isResumed && !a.HasBegun()
 	case end.IsStated():
 		return s.sentLast()
--- a/internal/entry/unstated_end_test.go
+++ b/internal/entry/unstated_end_test.go
@@ -30,3 +30,39 @@
 	require.Equal(t, eventTexts(1, endedEvents), got.body)
 	require.Equal(t, before, crashes.Count(), "sound targets count as crashed")
 }
+
+// TestResumedStreamEndsAsCompleteThoughItsAnswerWasDropped guards against an empty success for a caller that resumes, whose target answered with
+// something that cannot follow its last event.
+func TestResumedStreamEndsAsCompleteThoughItsAnswerWasDropped(t *testing.T) {
+	for name, answer := range map[string]http.HandlerFunc{
+		"an error page as 200": plainAnswer(http.StatusOK, "text/html", "<h1>overloaded</h1>\n\n"),
+		"an event of JSON":     plainAnswer(http.StatusOK, "application/json", "{\"error\":\"lost\"}\n\n"),
+		"no events, only text": rawEvents("the run is lost\n\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			runs := &brokenRuns{next: answer}
+			runs.began.Store(true)
+			v := startBrokenRuns(t, runs)
+			request := v.generation("/checks/1", endedEvents, 1)
+			request.Header.Set("Last-Event-Id", strconv.Itoa(breakAfter))
+			got := v.receive(request)
+			require.False(t, got.status == http.StatusOK && got.err == nil && got.body == "", "an empty stream looks whole")
+		})
+	}
+}
+
+// TestTextOfTheNextTargetProvesTheEnd guards against a stream that looks whole since its target was killed and the next one answered with a text.
+func TestTextOfTheNextTargetProvesTheEnd(t *testing.T) {
+	for route, path := range streamRoutes {
+		t.Run(route, func(t *testing.T) {
+			t.Parallel()
+			runs := &brokenRuns{framing: unframed, closing: closings["closes"], sent: breakAfter, next: rawEvents("the run is lost\n\n")}
+			v := startBrokenRuns(t, runs)
+			got := v.receive(v.generation(path, endedEvents, 1))
+			require.Equal(t, eventTexts(1, breakAfter), got.body)
+			require.NotZero(t, runs.continued.Load())
+			require.Error(t, got.err, "the stream ends as complete in the middle")
+		})
+	}
+}
