delivery: a whole answer without events is passed on

Callers saw 502 for a stream without events whose target states its end, also with status 204; resumable ones ran at further targets before that (the new test counts the runs). Cause: since such an end proves something only to callers that resume. Answers without a length and chunks stay unproved. The caller has no part of an answer yet, so that nothing of another run can be missing: the length or the last chunk states that this is all of the target's answer. The rule for callers that resume is the same one. docs/design/answers.md has to follow: the row on callers that resume.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -43,8 +43,6 @@
 	// onBegin is called before the head is sent.
 	onBegin func()
 
-	// isResumed is set if the caller has received events of the stream before, in another answer.
-	isResumed bool
 	// events is the number of events in this answer; isConsecutive is set while their ids count up by one.
 	events        int
 	isConsecutive bool
@@ -68,10 +66,7 @@
 func (a *Answer) OnBegin(call func()) { a.onBegin = call }
 
 // Resume makes the answer one to a caller that has received the stream up to the event with the given id.
-func (a *Answer) Resume(lastEvent string) {
-	a.isResumed = lastEvent != ""
-	a.setLastEvent(lastEvent)
-}
+func (a *Answer) Resume(lastEvent string) { a.setLastEvent(lastEvent) }
 
 // HasBegun reports whether the caller has the head of the answer.
 func (a *Answer) HasBegun() bool { return a.Status() != 0 }
--- a/internal/delivery/source.go
+++ b/internal/delivery/source.go
@@ -150,14 +150,14 @@
 
 // proves reports whether the end of the source proves that of the stream. A stated end after the last event does. So does
 // the second of two targets that end after the same event, of which the first closed its connection in order; the second
-// one may have been asked for what follows that event, and then states that nothing does. A caller that resumes and has no
-// part of this answer yet takes the word of one target that nothing follows.
+// one may have been asked for what follows that event, and then states that nothing does. Where the caller has no part of this
+// answer yet, a stated end without events is a target's whole answer.
 func (s *Source) proves(end upstream.End) bool {
 	a := s.answer
 	isSecond := a.closedBy != "" && a.closedBy != s.target
 	switch {
 	case end.IsStated() && s.lastID == "" && s.sent == 0 && !s.drops:
-		return isSecond || a.isResumed && !a.HasBegun()
+		return isSecond || !a.HasBegun()
 	case end.IsStated():
 		return s.sentLast()
 	default:
--- a/internal/entry/unstated_end_test.go
+++ b/internal/entry/unstated_end_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/rcrowley/go-metrics"
@@ -66,3 +67,23 @@
 		})
 	}
 }
+
+// TestWholeAnswerWithoutEventsLooksBroken guards against a success without events that its target states to be whole and its caller gets as broken.
+func TestWholeAnswerWithoutEventsLooksBroken(t *testing.T) {
+	for route, path := range streamRoutes {
+		for name, answer := range map[string]http.HandlerFunc{
+			"length": emptyStream(withLength), "chunks": emptyStream(inChunks), "204": plainAnswer(http.StatusNoContent, "text/event-stream", ""),
+		} {
+			t.Run(strings.Join([]string{route, name}, "/"), func(t *testing.T) {
+				t.Parallel()
+				runs := &brokenRuns{next: answer}
+				runs.began.Store(true)
+				v := startBrokenRuns(t, runs)
+				got := v.receive(v.generation(path, endedEvents, 1))
+				require.NoError(t, got.err)
+				require.Equal(t, 2, got.status/100, "status %d: %s", got.status, got.body)
+				require.EqualValues(t, 1, runs.continued.Load())
+			})
+		}
+	}
+}
