forward: a stream that has ended keeps no places

Callers saw nothing at once; each case took a place or memory of a target off this VM's and its peers' accounts for good. Cause: a caller that leaves, or a deadline, ends the stream while a move or a takeover is in progress (awaitMove returns at ctx.Done). If that goroutine is the later one, restoreBackup or relocate reserves for a stream that has released everything.

--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -65,10 +65,24 @@
 	if err != nil {
 		return "" // no engine has spare memory; the generation runs without a backup
 	}
+	if !s.setBackup(backup) {
+		return ""
+	}
+	return backup.Target.Address
+}
+
+// setBackup sets the backup, unless the stream has ended: then it releases the reservation and returns false.
+func (s *stream) setBackup(backup *placement.Lease) bool {
 	s.mu.Lock()
-	s.backup = backup
+	isReleased := s.isReleased
+	if !isReleased {
+		s.backup = backup
+	}
 	s.mu.Unlock()
-	return backup.Target.Address
+	if isReleased {
+		backup.Done(placement.Canceled, time.Now())
+	}
+	return !isReleased
 }
 
 // releaseBackup releases the backup. The engine frees the copy on its own only if the generation completed at its
@@ -131,7 +145,5 @@
 	if !usable {
 		return
 	}
-	s.mu.Lock()
-	s.backup = backup
-	s.mu.Unlock()
+	s.setBackup(backup)
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -43,6 +43,8 @@
 	continuation *continuation
 	// moveDone is closed when the move in progress has ended; nil if there is none.
 	moveDone chan struct{}
+	// isReleased is set once the stream has ended; a move that is still in progress then reserves nothing for it.
+	isReleased bool
 }
 
 // continuation describes where a generation starts or continues.
@@ -341,13 +343,36 @@
 	s.watchSilence(lease)
 }
 
+// endRelocation ends a relocation, after which the generation continues as given; nil means that it stays. It releases what is of
+// no use to a stream that has ended in the meantime.
+func (s *stream) endRelocation(next *continuation) {
+	s.mu.Lock()
+	isReleased := s.isReleased
+	if !isReleased {
+		s.continuation = next
+	}
+	s.moveDone = nil
+	if next != nil && s.response != nil {
+		s.response.CloseConnection()
+	}
+	s.mu.Unlock()
+	if isReleased {
+		s.releaseContinuation(next)
+	}
+}
+
 // release frees the reservations, response and KV cache copies that the stream still holds.
 func (s *stream) release() {
 	s.mu.Lock()
 	next := s.continuation
-	s.continuation = nil
+	s.continuation, s.isReleased = nil, true
 	s.mu.Unlock()
 	s.releaseBackup(false)
+	s.releaseContinuation(next)
+}
+
+// releaseContinuation frees what a continuation holds that is not used; nil holds nothing.
+func (s *stream) releaseContinuation(next *continuation) {
 	if next == nil {
 		return
 	}
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -45,3 +45,27 @@
 	require.NoError(t, s.caller.WriteError(apierror.New(apierror.KindNotRun, "refused", "try again")))
 	<-moved
 }
+
+// TestEndedStreamKeepsPlaces guards against a place that is never freed: the caller leaves while a move or a takeover is in progress, which then
+// reserves a place for a stream that has ended.
+func TestEndedStreamKeepsPlaces(t *testing.T) {
+	engine := roster.Target{ID: "e1", Service: "drafter", Address: "127.0.0.1:1", Slots: 24}
+	t.Run("backup", func(t *testing.T) {
+		s, table := newTestStream(engine)
+		s.release()
+		s.restoreBackup(engine)
+		require.Empty(t, table.OwnLoads())
+	})
+	t.Run("move", func(t *testing.T) {
+		s, table := newTestStream(engine)
+		lease := table.ReserveLeaving(engine, s.query(), time.Now())
+		s.register(lease, &answer{})
+		s.relocate(engine, func() *continuation {
+			s.unregister()
+			lease.Done(placement.Canceled, time.Now())
+			s.release()
+			return &continuation{lease: table.ReserveLeaving(engine, s.query(), time.Now())}
+		})
+		require.Empty(t, table.OwnLoads())
+	})
+}
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -168,13 +168,7 @@
 	s.moveDone = moveDone
 	s.mu.Unlock()
 	next := way()
-	s.mu.Lock()
-	s.continuation = next
-	s.moveDone = nil
-	if next != nil && s.response != nil {
-		s.response.CloseConnection()
-	}
-	s.mu.Unlock()
+	s.endRelocation(next)
 	close(moveDone)
 }
 
