tunnel, upstream: a reset that a write was told of is no orderly end

What callers saw: an answer with neither length nor chunks, cut off by a reset, as a whole one.

Cause: Linux tells the error of a connection once. Where the goroutine that writes a long request gets it, the reader of the answer gets the end of the connection (io.EOF); the same in the VM that carries a tunnel, between its two copiers, which then states an orderly end. Also, a piece of a framed tunnel that had arrived in part counted as read, and the rest was taken for the next answer.

A tunnel that cannot write to its target waits for how the target ends. A framed connection with the rest of a piece to come is not used again.

TestResetOfTargetThatTakesNoMore and TestOrderlyEndOfTargetThatTakesNoMore held before as well.

--- a/internal/tunnel/frame.go
+++ b/internal/tunnel/frame.go
@@ -91,8 +91,8 @@
 	return errors.Mark(err, ErrCarrierLost)
 }
 
-// Buffered returns the number of bytes that were received and not read yet.
-func (c *framedConn) Buffered() int { return c.reader.Buffered() }
+// Buffered returns the number of bytes that were received, or are still to come in the current piece, and were not read yet.
+func (c *framedConn) Buffered() int { return max(c.left, c.reader.Buffered()) }
 
 // SyscallConn implements syscall.Conn.
 func (c *framedConn) SyscallConn() (syscall.RawConn, error) {
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -102,29 +102,34 @@
 	lingerTime = 2 * time.Second
 )
 
+// errWrite marks the errors of the destination of copyBytes.
+var errWrite = errors.New("the destination takes no bytes")
+
 // pipe copies between the user of a tunnel and the target until both are closed. copyAnswers copies what the target sends.
 func pipe(user, target net.Conn, copyAnswers func(user io.Writer, target io.Reader) error) {
 	defer user.Close()
 	defer target.Close()
 	answered := make(chan error, 1)
-	go func() { answered <- copyAnswers(user, target) }()
-	asked := make(chan struct{})
-	go func() {
-		defer close(asked)
-		_ = copyBytes(target, user) // however the user ends, the target has nobody to answer any more
-	}()
+	go func() { answered <- copyAnswers(user, ResetReader{target}) }()
+	asked := make(chan error, 1)
+	go func() { asked <- copyBytes(target, user) }()
+	var targetErr error
 	select {
-	case err := <-answered:
-		if err != nil {
-			reset(user)
-			return
-		}
-		closeWrite(user)
-		select {
-		case <-asked:
-		case <-time.After(lingerTime):
+	case targetErr = <-answered:
+	case err := <-asked:
+		if !errors.Is(err, errWrite) {
+			return // however the user ends, the target has nobody to answer any more
 		}
+		targetErr = <-answered // a target that takes no bytes may have answered
+	}
+	if targetErr != nil {
+		reset(user)
+		return
+	}
+	closeWrite(user)
+	select {
 	case <-asked:
+	case <-time.After(lingerTime):
 	}
 }
 
@@ -135,7 +140,7 @@
 		n, err := source.Read(buffer)
 		if n > 0 {
 			if _, err := destination.Write(buffer[:n]); err != nil {
-				return err
+				return errors.Mark(err, errWrite)
 			}
 		}
 		if err == io.EOF {
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -191,3 +192,76 @@
 	conns[1].Close()
 	require.Eventually(t, func() bool { return len(server.Users(target)) == 0 }, 10*time.Second, 5*time.Millisecond)
 }
+
+// flood writes to the connection until it takes no more for a moment.
+func flood(conn net.Conn) {
+	for part := make([]byte, 64<<10); ; {
+		_ = conn.SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
+		if _, err := conn.Write(part); err != nil {
+			_ = conn.SetWriteDeadline(time.Time{})
+			return
+		}
+	}
+}
+
+// TestResetThatAWriteHasSeenIsNoOrderlyEnd guards against a reset of which only the write is told, so that the read returns an
+// orderly end.
+func TestResetThatAWriteHasSeenIsNoOrderlyEnd(t *testing.T) {
+	reset := make(chan struct{})
+	target := listen(t, func(conn net.Conn) {
+		<-reset
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		conn.Close()
+	})
+	conn, err := dial(t.Context(), target)
+	require.NoError(t, err)
+	defer conn.Close()
+	flood(conn)
+	close(reset)
+	_, err = conn.Write(make([]byte, 16<<20))
+	require.Error(t, err)
+	_, err = tunnel.ResetReader{Conn: conn}.Read(make([]byte, 1))
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+}
+
+// TestOrderlyEndOfTargetThatTakesNoMore checks that the end of a target which has answered is none of a failed connection.
+func TestOrderlyEndOfTargetThatTakesNoMore(t *testing.T) {
+	target := listen(t, func(conn net.Conn) {
+		_, _ = conn.Read(make([]byte, 1))
+		_ = conn.(*net.TCPConn).CloseWrite()
+		time.Sleep(100 * time.Millisecond)
+		conn.Close()
+	})
+	conn, err := dial(t.Context(), target)
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = conn.Write([]byte("?"))
+	require.NoError(t, err)
+	_, err = tunnel.ResetReader{Conn: conn}.Read(make([]byte, 1))
+	require.Equal(t, io.EOF, err)
+}
+
+// TestResetOfTargetThatTakesNoMore checks that a plain tunnel which cannot write to its target does not end in order.
+func TestResetOfTargetThatTakesNoMore(t *testing.T) {
+	sent, reset := make(chan struct{}), make(chan struct{})
+	target := listen(t, func(conn net.Conn) {
+		_, _ = conn.Read(make([]byte, 1))
+		flood(conn) // the server waits for its user and reads no end of the target
+		close(sent)
+		<-reset
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		conn.Close()
+	})
+	via, _ := serve(t, tunnel.ServerOptions{})
+	conn, err := tunnel.Connect(t.Context(), dial, via, target)
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = conn.Write([]byte("?"))
+	require.NoError(t, err)
+	<-sent
+	flood(conn)
+	close(reset)
+	time.Sleep(100 * time.Millisecond) // the server notices the reset
+	_, err = io.Copy(io.Discard, conn)
+	require.Error(t, err)
+}
--- a/internal/upstream/carried_test.go
+++ b/internal/upstream/carried_test.go
@@ -1,6 +1,7 @@
 package upstream_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -170,3 +171,55 @@
 	}
 	require.EqualValues(t, 1, connections.Load())
 }
+
+// TestRestOfAFrameIsNoAnswer guards against the rest of a piece of bytes, which arrives late, being taken for the answer to the
+// next request.
+func TestRestOfAFrameIsNoAnswer(t *testing.T) {
+	const stale = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale"
+	dialCarrier := func(context.Context, string) (net.Conn, error) {
+		user, carrier := newPair(t)
+		go func() {
+			reader := bufio.NewReader(carrier)
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			write(carrier, "HTTP/1.1 200 OK\r\nGodwitcart-Tunnel: framed\r\n\r\n")
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			write(carrier, string([]byte{0, byte(len(okResponse) + len(stale))})+okResponse)
+			if _, err := http.ReadRequest(reader); err == nil {
+				write(carrier, stale)
+			}
+		}()
+		return user, nil
+	}
+	client := upstream.NewClient(upstream.Options{
+		Proxy: "127.0.0.1:1",
+		Relay: func(ctx context.Context, address string) (net.Conn, error) {
+			return tunnel.ConnectFramed(ctx, dialCarrier, "carrier", address)
+		},
+	})
+	for range 2 {
+		body, err := call(t, client, "127.0.0.1:2", false)
+		require.NoError(t, err)
+		require.Equal(t, "ok", body)
+	}
+}
+
+// newPair returns the two ends of a TCP connection.
+func newPair(t *testing.T) (net.Conn, net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	one, err := net.Dial("tcp4", listener.Addr().String())
+	require.NoError(t, err)
+	other, err := listener.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		one.Close()
+		other.Close()
+	})
+	return one, other
+}
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -195,6 +195,6 @@
 	if connection == nil {
 		return nil
 	}
-	input := &boundedInput{source: connection}
+	input := &boundedInput{source: tunnel.ResetReader{Conn: connection}}
 	return &conn{Conn: connection, relayed: relayed, input: input, reader: bufio.NewReaderSize(input, bufferSize), writer: bufio.NewWriterSize(connection, bufferSize)}
 }
