upstream: an unstated end is whole only while nothing speaks against it

What callers saw: the part of a plain answer that a target had sent when it was killed, as a whole answer.

Cause: an answer with neither length nor chunks ends with its connection, and the kernel ends those of a killed process in order.

Change: ReadWhole takes such an end for that of the answer only if the request was written completely and a new connection by the same way (direct, proxy, another VM) is accepted 20 ms later; a killed process closes its listener in the same go. Else the error is io.ErrUnexpectedEOF, like that of an answer that breaks off. The connection is kept for the next call that may use one. Read, ReadAll and End stay as they are. The answer to HEAD, which has no body, no longer counts as ending with its connection.

What it cannot tell: a target that ends its connection in the middle and lives, and one that is restarted at its address within 20 ms.

TestKilledTargetLeavesNoWholeAnswer (3 cases), TestUnreadRequestLeavesNoWholeAnswer and TestHeadOfAnswerEndsWithoutItsConnection fail before; go test ./internal/upstream, and the new tests with -race, three times.

--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -21,7 +22,9 @@
 // completely.
 type Response struct {
 	*http.Response
-	client     *Client
+	client *Client
+	// ctx is that of the request.
+	ctx        context.Context
 	address    string
 	conn       *conn
 	stopCancel func() bool
@@ -104,7 +107,7 @@
 // EndsWithConnection reports whether the response has neither a length nor chunks, so that its end is the end of the
 // connection.
 func (r *Response) EndsWithConnection() bool {
-	return r.ContentLength < 0 && !slices.Contains(r.TransferEncoding, "chunked")
+	return r.ContentLength < 0 && !slices.Contains(r.TransferEncoding, "chunked") && r.Request.Method != http.MethodHead
 }
 
 // Body is the body of a response that was read to an end that is taken for the end of the answer. Only ReadWhole makes one.
@@ -113,10 +116,17 @@
 // Bytes returns the content; it must not be changed.
 func (b Body) Bytes() []byte { return b.content }
 
-// ReadWhole is ReadAll for a body that is passed on as the target's whole answer.
+// ReadWhole is ReadAll for a body that is passed on as the target's whole answer. Where nothing states its end, it is whole only
+// if nothing speaks against that.
 func (r *Response) ReadWhole(limit int64) (Body, error) {
 	content, err := r.ReadAll(limit)
-	return Body{content: content}, err
+	if err == nil && r.end == Unstated {
+		err = r.checkUnstatedEnd()
+	}
+	if err != nil {
+		return Body{}, err
+	}
+	return Body{content: content}, nil
 }
 
 // ReadAll reads the complete body; one longer than limit bytes is an error. So is a body that does not fit in what all
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -150,7 +150,7 @@
 	request = request.WithContext(context.WithValue(request.Context(), firstKey{}, !connection.used))
 	connection.used = true
 	stopCancel := context.AfterFunc(ctx, func() { connection.Close() })
-	response := &Response{client: c, address: address, conn: connection, stopCancel: stopCancel}
+	response := &Response{client: c, ctx: ctx, address: address, conn: connection, stopCancel: stopCancel}
 	if err := response.send(request, body); err != nil {
 		response.abort()
 		return nil, &BrokenOffError{cause: err, Relayed: connection.relayed}
