gateway: an answer ends in order only if it is whole

Callers saw streams that failed after their head (generation lost, deadline, stop of the entry VM) end in order behind `event: error`: on the wire, and for clients that do not know the event, as complete. HTTP/1.0 callers also saw every plain answer end in order that its service had broken off, since there the end of the connection is that of the body and http.ErrAbortHandler closes it in order.

Cause: each handler held the http.ResponseWriter, and whoever returned normally had ended the answer. Package answer is now the only one that holds it. An answer ends in order after Complete or Whole; any other end, that of a panic included, breaks it off: no last chunk, a reset stream, or a reset connection where the answer has neither length nor chunks. Such a connection lingers for 0 s from the head on, so it is reset also when the process is killed, and below TLS, whose close would be in order. Handing over by `event: reconnect` still ends in order; error events are still sent.

--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"godwitcart/internal/apierror"
+	"godwitcart/internal/gateway/answer"
 	"godwitcart/internal/settings"
 	"godwitcart/internal/tlsconfig"
 )
@@ -84,7 +85,7 @@
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(security.PlainText)
-	server := &http.Server{Handler: handler, Protocols: protocols}
+	server := &http.Server{Handler: handler, Protocols: protocols, ConnContext: answer.WithConnection}
 	if security.TLS != nil {
 		reloader, err := tlsconfig.New(tlsFiles(security.TLS), d.logger)
 		if err != nil {
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -34,23 +34,23 @@
 	}}
 }
 
-// writeError sends an error response, unless the response has already started and carries the error itself.
+// writeError sends an error response, unless another response has begun.
 func writeError(x *exchange, err error) {
 	if errors.Is(err, errResponseStarted) {
 		return
 	}
 	typed := qualifyNotRun(x, apierror.FromError(err))
 	countError(typed.Kind)
-	header := x.w.Header()
-	header.Set("Content-Type", "application/json")
+	header := x.response.Header()
 	if typed.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(typed.RetryAfter.Seconds()))))
 	}
 	if !isSafeToRetry(x, typed.Kind) {
 		header.Set(HeaderShouldRetry, "false")
 	}
-	x.w.WriteHeader(typed.Kind.HTTPStatus())
-	_ = json.NewEncoder(x.w).Encode(newErrorBody(x.requestID, typed))
+	// Encoding cannot fail: the types have only plain fields.
+	text, _ := json.Marshal(newErrorBody(x.requestID, typed))
+	x.response.Whole(typed.Kind.HTTPStatus(), "application/json", append(text, '\n'))
 }
 
 // qualifyNotRun replaces KindNotRun by KindUnavailable when the request was rejected before its claim was looked up.
@@ -75,7 +75,7 @@
 	}
 }
 
-// errResponseStarted marks a failure of which the caller was informed within the response stream.
+// errResponseStarted marks a failure after the head of the response, which is broken off.
 var errResponseStarted = errors.New("the answer has begun")
 
 // maxEchoedBytes bounds how much of the caller's input an error message quotes.
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -71,7 +71,7 @@
 	if err := g.options.Dispatcher.Generate(ctx, r, record, sink); err != nil {
 		return err
 	}
-	return writeJSON(x.w, meta.fullResponse(sink.text.String(), sink.reason, sink.tokens))
+	return writeJSON(x, meta.fullResponse(sink.text.String(), sink.reason, sink.tokens))
 }
 
 // startRequest counts the request and adds it to the registry. The context that it returns ends when the caller
@@ -106,7 +106,7 @@
 	}
 	r.Variant.Model = cursor.Model
 	x.requestID = r.ID
-	x.w.Header().Set(HeaderRequestID, r.ID)
+	x.response.Header().Set(HeaderRequestID, r.ID)
 	ctx, record, end := g.startRequest(x, r)
 	defer end()
 	meta := responseMeta{
@@ -161,15 +161,14 @@
 	for _, name := range x.index.Models() {
 		list.Data = append(list.Data, modelEntry{ID: name, Object: "model", OwnedBy: "godwitcart"})
 	}
-	return writeJSON(x.w, list)
+	return writeJSON(x, list)
 }
 
-func writeJSON(w http.ResponseWriter, value any) error {
+func writeJSON(x *exchange, value any) error {
 	text, err := json.Marshal(value)
 	if err != nil {
 		return apierror.Wrap(err, apierror.KindInternal, "encode the answer", "report this")
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(append(text, '\n'))
+	x.response.Whole(http.StatusOK, "application/json", append(text, '\n'))
 	return nil
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -12,6 +12,7 @@
 
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/dispatch"
+	"godwitcart/internal/gateway/answer"
 	"godwitcart/internal/policy"
 	"godwitcart/internal/request"
 	"godwitcart/internal/target"
@@ -97,8 +98,8 @@
 
 // exchange is the state of one HTTP request and its response.
 type exchange struct {
-	w         http.ResponseWriter
 	r         *http.Request
+	response  *answer.Response
 	requestID string
 	index     *policy.Index
 	// account is the name of the caller's client account.
@@ -112,20 +113,22 @@
 // serve returns a handler that admits the request, authenticates the caller, calls handle and reports its error.
 func (g *Gateway) serve(handle func(*exchange) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		x := &exchange{w: w, r: r, requestID: rand.Text()}
-		w.Header().Set(HeaderRequestID, x.requestID)
+		x := &exchange{r: r, response: answer.New(w, r), requestID: rand.Text()}
+		x.response.Header().Set(HeaderRequestID, x.requestID)
 		if err := g.admit(x); err != nil {
 			writeError(x, err)
 			return
 		}
 		defer g.drain.requestDone()
-		err := g.authenticate(x)
-		if err == nil {
-			err = handle(x)
+		defer x.response.Reset()
+		if err := g.authenticate(x); err != nil {
+			writeError(x, err)
+			return
 		}
-		if err != nil {
+		if err := handle(x); err != nil {
 			writeError(x, err)
 		}
+		x.response.Close()
 	}
 }
 
@@ -133,7 +136,7 @@
 	if g.drain.admit() {
 		return nil
 	}
-	x.w.Header().Set("Connection", "close")
+	x.response.Header().Set("Connection", "close")
 	return apierror.New(apierror.KindNotRun, "this entry VM is shutting down; the request did not run",
 		"send it again; the balancer leads to another entry VM").WithRetryAfter(drainRetryAfter)
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -24,6 +24,7 @@
 	"godwitcart/internal/claim"
 	"godwitcart/internal/dispatch"
 	"godwitcart/internal/gateway"
+	"godwitcart/internal/gateway/answer"
 	"godwitcart/internal/object/objecttest"
 	"godwitcart/internal/policy"
 	"godwitcart/internal/request"
@@ -214,13 +215,24 @@
 		Policy: h.policy, Dispatcher: dispatcher, Registry: request.NewRegistry(), Sealer: h.sealer, MaxBodyBytes: 1 << 16,
 		DefaultDeadline: h.deadline,
 	})
-	server := httptest.NewServer(entryGateway)
+	server := newCallerServer(entryGateway)
 	h.t.Cleanup(server.Close)
 	h.entryVMs = append(h.entryVMs, server)
 	h.gateways = append(h.gateways, entryGateway)
 	h.claimManagers = append(h.claimManagers, claims)
 }
 
+// newCallerServer returns a started server that is configured as that of the daemon.
+func newCallerServer(handler http.Handler) *httptest.Server {
+	server := httptest.NewUnstartedServer(handler)
+	server.Config.ConnContext = answer.WithConnection
+	server.Config.Protocols = &http.Protocols{}
+	server.Config.Protocols.SetHTTP1(true)
+	server.Config.Protocols.SetUnencryptedHTTP2(true)
+	server.Start()
+	return server
+}
+
 // call is one request to an entry VM.
 type call struct {
 	entryVM int
--- a/internal/gateway/parse.go
+++ b/internal/gateway/parse.go
@@ -54,7 +54,7 @@
 // readBody reads and decodes the body of a generation request and returns it with a digest of its bytes, which
 // consists of their hash and their number.
 func (g *Gateway) readBody(x *exchange) (*generationBody, string, error) {
-	data, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, g.options.MaxBodyBytes))
+	data, err := io.ReadAll(x.response.LimitBody(g.options.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, "", apierror.Newf(apierror.KindTooLarge, "send a shorter prompt",
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/dispatch"
@@ -84,34 +85,23 @@
 	return forwarded
 }
 
-// writePlainResponse copies the service's response to the caller. If the body is cut off, it aborts the caller's
-// connection, so that the caller does not take the response for complete.
+// writePlainResponse copies the service's response to the caller. If the body is cut off, the response is not completed, so
+// that the caller does not take it for complete.
 func writePlainResponse(x *exchange, response *dispatch.PlainResponse) error {
-	target.CopyResponseHeaders(x.w.Header(), response.Header)
-	x.w.Header().Set(HeaderRequestID, x.requestID)
-	x.w.WriteHeader(response.StatusCode)
-	_, err := io.Copy(flushWriter{w: x.w, control: http.NewResponseController(x.w)}, response.Body)
+	target.CopyResponseHeaders(x.response.Header(), response.Header)
+	x.response.Header().Set(HeaderRequestID, x.requestID)
+	x.response.Begin(response.StatusCode)
+	_, err := io.Copy(x.response, response.Body)
+	if err == nil {
+		err = x.response.Complete()
+	}
 	response.Finish(err)
 	if err != nil {
-		panic(http.ErrAbortHandler)
+		return errors.Mark(err, errResponseStarted)
 	}
 	return nil
 }
 
-// flushWriter flushes after every write, for services that stream.
-type flushWriter struct {
-	w       io.Writer
-	control *http.ResponseController
-}
-
-func (f flushWriter) Write(data []byte) (int, error) {
-	count, err := f.w.Write(data)
-	if err != nil {
-		return count, err
-	}
-	return count, f.control.Flush()
-}
-
 // plainBody is the body of a plain call. It can be replayed for a retry when it is shorter than
 // maxReplayableBodyBytes.
 type plainBody struct {
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -67,7 +67,6 @@
 	cursor    *cursorpb.Cursor
 	resumable bool
 
-	control            *http.ResponseController
 	sealer             *request.StreamSealer
 	chunkPrefix        []byte
 	chunkSuffix        []byte
@@ -88,7 +87,6 @@
 func newStreamSink(g *Gateway, x *exchange, meta responseMeta, cursor *cursorpb.Cursor, resumable bool) *streamSink {
 	s := &streamSink{gateway: g, x: x, meta: meta, cursor: cursor, resumable: resumable}
 	s.tokenTimes = newTokenTimer(cursor.Class, time.Now())
-	s.control = http.NewResponseController(x.w)
 	s.chunkPrefix, s.chunkSuffix = meta.chunkTemplate()
 	s.encoder = json.NewEncoder(&s.buffer)
 	s.encoder.SetEscapeHTML(false)
@@ -169,7 +167,7 @@
 	}
 	s.buffer.Reset()
 	s.buffer.WriteString("event: reconnect\nretry: 0\ndata: {}\n\n")
-	if err := s.flush(); err != nil {
+	if err := s.flushLast(); err != nil {
 		return err
 	}
 	return errHandedOver
@@ -197,7 +195,7 @@
 		}
 	}
 	s.buffer.WriteString("data: [DONE]\n\n")
-	return s.flush()
+	return s.flushLast()
 }
 
 // appendData appends value as the data line of an event, with the empty line that ends the event.
@@ -217,18 +215,26 @@
 	return s.write(s.buffer.Bytes())
 }
 
+// flushLast writes the buffer to the caller and ends the response as complete.
+func (s *streamSink) flushLast() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.write(s.buffer.Bytes()); err != nil {
+		return err
+	}
+	return s.x.response.Complete()
+}
+
 // write sends data to the caller, after the response header if that was not sent yet. The caller holds mu.
 func (s *streamSink) write(data []byte) error {
 	s.sendHeader()
 	s.lastWriteAt = time.Now()
 	if s.lastWriteAt.Sub(s.writeDeadlineSetAt) > writeDeadlineInterval {
 		s.writeDeadlineSetAt = s.lastWriteAt
-		_ = s.control.SetWriteDeadline(s.lastWriteAt.Add(callerWriteTimeout))
-	}
-	if _, err := s.x.w.Write(data); err != nil {
-		return err
+		_ = s.x.response.SetWriteDeadline(s.lastWriteAt.Add(callerWriteTimeout))
 	}
-	return s.control.Flush()
+	_, err := s.x.response.Write(data)
+	return err
 }
 
 func (s *streamSink) sendHeader() {
@@ -236,20 +242,20 @@
 		return
 	}
 	s.headerSent = true
-	header := s.x.w.Header()
+	header := s.x.response.Header()
 	header.Set("Content-Type", "text/event-stream")
 	header.Set("Cache-Control", "no-cache")
-	s.x.w.WriteHeader(http.StatusOK)
+	s.x.response.Begin(http.StatusOK)
 }
 
 // reportError reports the failure of the stream, if err is not nil. Before the first write it returns err for an
 // ordinary error response. After that it sends an error event, unless the stream was handed over, and returns
-// errResponseStarted. stopKeepAlive must be called afterwards.
+// errResponseStarted: the response is broken off behind the event. stopKeepAlive must be called afterwards.
 func (s *streamSink) reportError(err error) error {
 	s.mu.Lock()
 	headerSent := s.headerSent
-	// An error response follows if no header was sent; the keep-alive timer must not start a stream before it.
-	s.closed = !headerSent
+	// The keep-alive timer must not start a stream before an error response, or write behind an error event.
+	s.closed = true
 	s.mu.Unlock()
 	if err == nil || !headerSent {
 		return err
