target: the end of a connection is that of an answer only if the service lives

Callers saw 200 with a short body, or none, framed as whole (by chunks, or as Content-Length: 0), where a plain service's process was killed in an answer with neither length nor chunks. The kernel ends the connections of a killed process in order, which net/http reports as the end of the body, and the gateway gave it an end of its own.

At such an end the service is now asked its health check on a new connection; any answer proves that it lives. Without one the body has broken off. An end that the service did not state is not stated to HTTP/1.x callers either: the answer ends with the connection, and is reset if it breaks off.

--- a/internal/gateway/broken_test.go
+++ b/internal/gateway/broken_test.go
@@ -27,6 +27,8 @@
 	body   string
 	// whole is false if the caller sees that the response broke off.
 	whole bool
+	// endsWithConnection is true if the body has neither a length nor chunks.
+	endsWithConnection bool
 }
 
 // read sends the call by the protocol and reads the response to its end. started is called after the head; a response that
@@ -47,7 +49,10 @@
 	defer response.Body.Close()
 	started()
 	body, err := io.ReadAll(response.Body)
-	return received{status: response.StatusCode, body: string(body), whole: err == nil}
+	return received{
+		status: response.StatusCode, body: string(body), whole: err == nil,
+		endsWithConnection: target.EndsWithConnection(response),
+	}
 }
 
 func (h *harness) sendHTTP1(protocol string, c call) (*http.Response, error) {
@@ -193,6 +198,9 @@
 				h.addRawService(way.answer, way.reset)
 				answer := h.read(protocol, call{path: "/services/counter-api/x", body: "1"}, func() {})
 				require.Equal(t, way.whole, answer.whole, answer.body)
+				if strings.HasPrefix(name, "neither") && protocol != "HTTP/2" {
+					require.True(t, answer.endsWithConnection, "the service did not state the end")
+				}
 			})
 		}
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -90,7 +90,11 @@
 func writePlainResponse(x *exchange, response *dispatch.PlainResponse) error {
 	target.CopyResponseHeaders(x.response.Header(), response.Header)
 	x.response.Header().Set(HeaderRequestID, x.requestID)
-	x.response.Begin(response.StatusCode)
+	if target.EndsWithConnection(response.Response) {
+		x.response.BeginUnstated(response.StatusCode)
+	} else {
+		x.response.Begin(response.StatusCode)
+	}
 	_, err := io.Copy(x.response, response.Body)
 	if err == nil {
 		err = x.response.Complete()
--- a/internal/target/plain.go
+++ b/internal/target/plain.go
@@ -35,6 +35,7 @@
 	// unpooled opens a connection for each call, which thus receives no response to an earlier call. net/http resends a
 	// request on its own only if it failed on a reused connection.
 	unpooled *http.Transport
+	timeouts Timeouts
 }
 
 // noResponseHeaderTimeout leaves only the request's deadline to bound the wait for a plain service's response.
@@ -44,7 +45,7 @@
 func NewPlainClient(timeouts Timeouts) *PlainClient {
 	unpooled := newTransport(timeouts.Connect, noResponseHeaderTimeout)
 	unpooled.DisableKeepAlives = true
-	return &PlainClient{pooled: newTransport(timeouts.Connect, noResponseHeaderTimeout), unpooled: unpooled}
+	return &PlainClient{pooled: newTransport(timeouts.Connect, noResponseHeaderTimeout), unpooled: unpooled, timeouts: timeouts}
 }
 
 // Call makes the call and returns the target's response, whatever its status, unless the target states that it
@@ -63,6 +64,9 @@
 		return nil, used.reject(address.Name, response)
 	}
 	if kind == "" {
+		if EndsWithConnection(response) {
+			response.Body = &unstatedBody{ReadCloser: response.Body, checkTarget: func() error { return c.checkAnswers(ctx, address) }}
+		}
 		return response, nil
 	}
 	response.Body.Close()
@@ -128,10 +132,15 @@
 // healthPath is the path of a plain service's health check.
 const healthPath = "/healthz"
 
-// CheckHealth calls the health check of a plain service. The error for a service that is leaving is a RefusedError. The
-// check has a connection of its own, on which a refusal can only be its response.
+// newHealthCheck returns the call that checks a target. It has a connection of its own, on which a refusal can only be its
+// response.
+func newHealthCheck() PlainCall {
+	return PlainCall{Method: http.MethodGet, Path: healthPath, AtMostOnce: true}
+}
+
+// CheckHealth calls the health check of a plain service. The error for a service that is leaving is a RefusedError.
 func (c *PlainClient) CheckHealth(ctx context.Context, address Address) error {
-	response, err := c.Call(ctx, address, PlainCall{Method: http.MethodGet, Path: healthPath, AtMostOnce: true})
+	response, err := c.Call(ctx, address, newHealthCheck())
 	if err != nil {
 		return err
 	}
