--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -193,7 +193,7 @@
 func (r *Response) CloseConnection() { r.conn.Conn.Close() }
 
 func (r *Response) isReusable() bool {
-	if r.end == (End{}) || r.Response.Close || r.conn.reader.Buffered() > 0 {
+	if r.end.kind == brokenOff || r.Response.Close || r.conn.reader.Buffered() > 0 {
 		return false
 	}
 	if r.writeResult != nil {
