forward: an engine that was asked in vain to stop a generation says nothing of its end

Needs two failures. Cause: ignores such an end only where the move has succeeded; where it failed, the end counted as the word of a first target. TestStreamStoppedForItsLastCopyIsNoWordOnItsEnd failed before. The stream records that its target was asked to stop. The error is one that proves nothing, so that it is no evidence of a crash either.

--- a/internal/entry/unstated_end_test.go
+++ b/internal/entry/unstated_end_test.go
@@ -1,10 +1,13 @@
 package entry_test
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
@@ -87,3 +90,48 @@
 		}
 	}
 }
+
+// TestStreamStoppedForItsLastCopyIsNoWordOnItsEnd guards against a stream that looks whole since its engine, which stopped it for a last copy that was
+// lost, counts as a witness that nothing follows, and its backup sends nothing.
+func TestStreamStoppedForItsLastCopyIsNoWordOnItsEnd(t *testing.T) {
+	d := newDeployment(t)
+	source, stop := make(chan string, 1), make(chan struct{})
+	var resumed atomic.Int64
+	for _, id := range []string{"e1", "e2"} {
+		d.wrappedTarget(id, "drafter", func(w http.ResponseWriter, r *http.Request) bool {
+			switch {
+			case r.URL.Path == "/v1/kv-move":
+				body, _ := io.ReadAll(r.Body)
+				if !strings.Contains(string(body), `"last":true`) {
+					return false
+				}
+				close(stop)
+				time.Sleep(20 * time.Millisecond)
+				panic(http.ErrAbortHandler)
+			case r.Header.Get("X-Token-Usage") == "":
+				return false
+			case r.Header.Get("Kv-From") == "":
+				s := startRawStream(w, r, unframed, 0)
+				s.write(eventTexts(1, breakAfter))
+				source <- id
+				<-stop
+				s.conn.Close()
+			case resumed.Add(1) <= 2:
+				w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+				respondNotRun(w) // the stream is then copied
+			default:
+				emptyStream(inChunks)(w, r)
+			}
+			return true
+		}, `{"transfer_handle":"h","created":6}`)
+	}
+	d.configure("key-1")
+	v := d.start("vm-1", nil)
+	response, err := v.client.Do(v.generation("/letters/1", endedEvents, 1))
+	require.NoError(t, err)
+	defer response.Body.Close()
+	require.True(t, d.MarkLeaving(<-source))
+	body, err := io.ReadAll(response.Body)
+	require.Equal(t, eventTexts(1, breakAfter), string(body))
+	require.Error(t, err, "the stream ends as complete in the middle")
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -35,6 +35,8 @@
 	response *answer
 	// targetSentEvent is true if the current target has sent an event.
 	targetSentEvent bool
+	// stopRequested is set once the current target was asked to stop the generation for its last copy.
+	stopRequested bool
 	// firstOfTargetAt is when the current target sent its first event.
 	firstOfTargetAt time.Time
 	// backup is the reservation at the engine that holds a copy of the generation's KV cache; nil for none.
@@ -180,8 +182,8 @@
 	s.stopWatchingSilence()
 	s.unregister()
 	hasMoved := s.awaitMove(ctx)
-	if err == nil && hasMoved && !response.End().IsStated() {
-		err = io.ErrUnexpectedEOF // its engine may have stopped the generation for the move
+	if err == nil && (hasMoved || s.wasAskedToStop()) && !response.End().IsStated() {
+		err = errStopped
 	}
 	if err == nil {
 		err = s.complete(source, response)
@@ -252,7 +254,7 @@
 func (s *stream) register(lease *placement.Lease, response *answer) {
 	s.mayHaveRun = true
 	s.mu.Lock()
-	s.lease, s.response = lease, response
+	s.lease, s.response, s.stopRequested = lease, response, false
 	s.mu.Unlock()
 	s.streams.add(lease.Target.ID, s)
 }
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -320,6 +320,9 @@
 // the generation would be lost.
 func (s *stream) requestCopy(ctx context.Context, source roster.Target, destination *placement.Lease, stop bool) (CopyResult, error) {
 	s.options.Limits.Take(source, time.Now())
+	if stop {
+		s.requestStop()
+	}
 	return s.options.Mover.Copy(ctx, source.Address, s.call.ID, destination.Target.Address, stop)
 }
 
