delivery: gaps are noticed where events are counted from zero

Cause: the numbers count as consecutive only if the first one is 1. TestStreamCountedFromZeroSkipsEvents failed before. Zero is a first number as well. A higher one is not: such ids may count tokens, of which an event has several.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -174,9 +174,10 @@
 
 // recordEvent records that the caller has received the event.
 func (a *Answer) recordEvent(id string) {
-	last, _ := number(a.lastEvent)
+	last, hasLast := number(a.lastEvent)
 	next, isNumber := number(id)
-	a.isConsecutive = isNumber && next == last+1 && (a.isConsecutive || a.events == 0)
+	isFirst := a.events == 0 && !hasLast
+	a.isConsecutive = isNumber && (isFirst && next <= 1 || next == last+1 && (a.isConsecutive || a.events == 0))
 	a.events++
 	a.closedBy = ""
 	if id != "" {
--- a/internal/entry/unstated_end_test.go
+++ b/internal/entry/unstated_end_test.go
@@ -135,3 +135,22 @@
 	require.Equal(t, eventTexts(1, breakAfter), string(body))
 	require.Error(t, err, "the stream ends as complete in the middle")
 }
+
+// TestStreamCountedFromZeroSkipsEvents guards against a gap that is not noticed where the numbers of events begin at zero.
+func TestStreamCountedFromZeroSkipsEvents(t *testing.T) {
+	runs := &brokenRuns{}
+	runs.began.Store(true)
+	runs.next = func(w http.ResponseWriter, r *http.Request) {
+		if runs.continued.Load() > 1 {
+			rawEvents(eventTexts(breakAfter+3, endedEvents))(w, r)
+			return
+		}
+		s := startRawStream(w, r, inChunks, 0)
+		s.write(eventTexts(0, breakAfter))
+		s.conn.Close()
+	}
+	v := startBrokenRuns(t, runs)
+	got := v.receive(v.generation("/checks/1", endedEvents, 1))
+	require.Equal(t, eventTexts(0, breakAfter), got.body)
+	require.Error(t, got.err, "the stream ends as complete after a gap")
+}
