delivery: comments are dropped whole

Callers saw an event that no run has made (MIXED) where a target sends more than 64 KiB of comments before its first event: the oldest bytes are dropped, and the rest of a comment may begin with a field. TestCommentsBecomeAnEvent failed before. What is held is dropped as a whole, and a comment that does not fit is not held.

--- a/internal/delivery/source.go
+++ b/internal/delivery/source.go
@@ -121,8 +121,12 @@
 	if s.sent > 0 {
 		return s.answer.send(s.head, raw)
 	}
-	s.comments = append(s.comments, raw...)
-	s.comments = s.comments[max(0, len(s.comments)-maxHeldComments):]
+	if len(s.comments)+len(raw) > maxHeldComments {
+		s.comments = s.comments[:0] // a part of a comment may look like an event
+	}
+	if len(raw) <= maxHeldComments {
+		s.comments = append(s.comments, raw...)
+	}
 	return nil
 }
 
--- a/internal/entry/unstated_end_test.go
+++ b/internal/entry/unstated_end_test.go
@@ -154,3 +154,14 @@
 	require.Equal(t, eventTexts(0, breakAfter), got.body)
 	require.Error(t, got.err, "the stream ends as complete after a gap")
 }
+
+// TestCommentsBecomeAnEvent guards against an event that no run has made: the rest of a comment, where more come than are held before the first event.
+func TestCommentsBecomeAnEvent(t *testing.T) {
+	comments := ":" + strings.Repeat("x", 40) + "\n\n:" + strings.Repeat("data: x", 10_000) + "\n\n"
+	runs := &brokenRuns{next: rawEvents(comments + eventTexts(1, endedEvents))}
+	runs.began.Store(true)
+	v := startBrokenRuns(t, runs)
+	got := v.receive(v.generation("/checks/1", endedEvents, 1))
+	require.NoError(t, got.err)
+	require.Equal(t, eventTexts(1, endedEvents), got.body)
+}
