forward: a whole stream ends at once, also during a takeover or a move

Callers had all events of a stream and not its end, and gave it up: the engine was silent for a moment, its backup was asked and did not answer, and the end of the engine's answer was held back until the backup answered or the deadline passed. TestEndOfAWholeStreamWaitsForATakeover failed before: no end within 5 s of the 8 s that the request had. An answer whose length or last chunk states the end needs no continuation, so only other ends wait. Its count of attempts is read meanwhile, so that it is atomic now.

--- a/internal/entry/unstated_end_test.go
+++ b/internal/entry/unstated_end_test.go
@@ -165,3 +165,34 @@
 	require.NoError(t, got.err)
 	require.Equal(t, eventTexts(1, endedEvents), got.body)
 }
+
+// TestEndOfAWholeStreamWaitsForATakeover guards against a caller that gives up a whole stream, whose end is held back until a backup answers that was
+// asked during a silence of the engine.
+func TestEndOfAWholeStreamWaitsForATakeover(t *testing.T) {
+	const events = 30
+	asked := make(chan struct{})
+	d := newDeployment(t)
+	for _, id := range []string{"e1", "e2"} {
+		d.target(id, "drafter").SetOverride(func(w http.ResponseWriter, r *http.Request) bool {
+			if r.Header.Get("Kv-From") != "" {
+				close(asked)
+				<-r.Context().Done() // it never answers
+				return true
+			}
+			s := startRawStream(w, r, inChunks, 0)
+			for number := 1; number <= events; number++ {
+				s.write(eventText(number))
+				time.Sleep(20 * time.Millisecond)
+			}
+			<-asked
+			s.end()
+			return true
+		})
+	}
+	d.configure("key-1")
+	v := d.start("vm-1", nil)
+	v.client.Timeout = 5 * time.Second // less than the time that the request has
+	got := v.receive(v.generation("/letters/1", events, 1))
+	require.NoError(t, got.err)
+	require.Equal(t, eventTexts(1, events), got.body)
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -117,7 +117,7 @@
 
 // place reserves a target for the next attempt, waiting for capacity if necessary.
 func (x *exchange) place(ctx context.Context) (*placement.Lease, error) {
-	if x.attempts > 0 {
+	if x.attempts.Load() > 0 {
 		if err := x.placedInTime(); err != nil {
 			return nil, err
 		}
@@ -181,12 +181,12 @@
 	if blocked != nil {
 		return nil, blocked
 	}
-	x.attempts++
+	x.attempts.Add(1)
 	attempt.Target = lease.Target
 	attempt.Account = x.account.Name
 	attempt.Priority = x.priority()
 	attempt.Remaining = time.Until(x.deadline)
-	x.log("sent", "target", lease.Target.ID, "zone", lease.Target.Zone, "version", lease.Target.Version, "attempt", x.attempts, "expected_ms", lease.ExpectedFirstEvent.Milliseconds(),
+	x.log("sent", "target", lease.Target.ID, "zone", lease.Target.Zone, "version", lease.Target.Version, "attempt", x.attempts.Load(), "expected_ms", lease.ExpectedFirstEvent.Milliseconds(),
 		"candidates", lease.CandidateCount, "prompt_tokens", x.call.Prompt.Tokens, "shared_parts", strings.Join(x.call.Prompt.SharedParts, ","), "from", attempt.From != nil, "backup", attempt.BackupAddress, "after_event", attempt.LastEventID, "resumes", x.call.Resumes, "limit", lease.Limit(time.Now()), "passed_over", lease.PassedOver(time.Now()))
 	request := x.options.Codec.NewRequest(x.call, attempt)
 	// An idle connection may turn out to be closed by the target; then it is unknown whether the call has run.
@@ -261,13 +261,13 @@
 		x.excluded = append(x.excluded, target)
 	}
 	x.mayHaveRun = x.mayHaveRun || !failure.notRun
-	if ctx.Err() != nil || failure.final || x.attempts >= maxAttempts || !x.mayRepeatAfterCrashes() {
+	if ctx.Err() != nil || failure.final || x.attempts.Load() >= maxAttempts || !x.mayRepeatAfterCrashes() {
 		return false
 	}
 	if failure.notSent || failure.outcome == placement.Unreachable {
 		return true
 	}
-	if !failure.notRun && (!x.isRepeatable() || x.attempts >= x.route.MaxAttempts) {
+	if !failure.notRun && (!x.isRepeatable() || x.attempts.Load() >= int64(x.route.MaxAttempts)) {
 		return false
 	}
 	if !x.options.Table.HasUsableTarget(x.boundQuery(), time.Now()) {
@@ -364,7 +364,7 @@
 	lease.Done(placement.Answered, time.Now())
 	x.durations.observe(x.route.Name, time.Since(x.sentAt))
 	x.writeBuffered(buffered)
-	x.log("request ended", "outcome", "answered", "status", response.StatusCode, "target", lease.Target.ID, "attempts", x.attempts)
+	x.log("request ended", "outcome", "answered", "status", response.StatusCode, "target", lease.Target.ID, "attempts", x.attempts.Load())
 	return nil
 }
 
@@ -381,7 +381,7 @@
 // relayTargetFailure sends the caller the target's own error response.
 func (x *exchange) relayTargetFailure(failure *bufferedResponse, target string) {
 	x.writeBuffered(failure)
-	x.log("request ended", "outcome", "failed by the target", "status", x.caller.Status(), "target", target, "attempts", x.attempts)
+	x.log("request ended", "outcome", "failed by the target", "status", x.caller.Status(), "target", target, "attempts", x.attempts.Load())
 }
 
 func (x *exchange) writeBuffered(buffered *bufferedResponse) {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"math/rand/v2"
@@ -106,7 +107,8 @@
 	// crashes counts the targets that crashed under the call.
 	crashes int
 
-	attempts int
+	// attempts may be read while a takeover that is no longer needed makes one more.
+	attempts atomic.Int64
 	excluded []string
 	// version is the software version at which a stream began, once versionFixed is set: from the first event on that
 	// its caller received, here or at another VM.
@@ -140,7 +142,7 @@
 		return
 	}
 	apiErr := apierror.FromError(err)
-	x.log("request ended", "outcome", string(apiErr.Kind), "reason", apiErr, "attempts", x.attempts)
+	x.log("request ended", "outcome", string(apiErr.Kind), "reason", apiErr, "attempts", x.attempts.Load())
 	x.metrics.recordError(x, apiErr.Kind)
 	if x.caller.HasBegun() {
 		return
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -181,8 +181,9 @@
 	err = s.relay(next.lease, response, source)
 	s.stopWatchingSilence()
 	s.unregister()
-	hasMoved := s.awaitMove(ctx)
-	if err == nil && (hasMoved || s.wasAskedToStop()) && !response.End().IsStated() {
+	// A whole answer needs no continuation.
+	hasMoved := !response.End().IsStated() && s.awaitMove(ctx)
+	if err == nil && (hasMoved || s.wasAskedToStop() && !response.End().IsStated()) {
 		err = errStopped
 	}
 	if err == nil {
@@ -190,14 +191,14 @@
 	}
 	response.Close(err != nil)
 	if err != nil {
-		return s.breakOff(ctx, next.lease, response, err, hasMoved)
+		return s.breakOff(ctx, next.lease, response, err, hasMoved || s.awaitMove(ctx))
 	}
 	response.trial.Done()
 	next.lease.Done(placement.Answered, time.Now())
 	s.releaseBackup(true)
 	s.options.Lengths.Observe(s.lengthKey(), s.events*tokensPerEvent)
 	s.durations.observe(s.route.Name, time.Since(s.sentAt))
-	s.log("request ended", "outcome", "answered", "status", response.StatusCode, "target", next.lease.Target.ID, "attempts", s.attempts, "events", s.events,
+	s.log("request ended", "outcome", "answered", "status", response.StatusCode, "target", next.lease.Target.ID, "attempts", s.attempts.Load(), "events", s.events,
 		"first_event_ms", s.firstEventDelay.Milliseconds(), "longest_gap_ms", s.longestGap.Milliseconds())
 	return nil
 }
