--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -154,7 +154,6 @@
 	response := next.response
 	s.mu.Lock()
 	s.targetSentEvent = false // the copy at a backup is usable only after this target's first event
-	s.stopRequested = false
 	s.mu.Unlock()
 	if response == nil {
 		var failure *attemptError
@@ -182,23 +181,24 @@
 	err = s.relay(next.lease, response, source)
 	s.stopWatchingSilence()
 	s.unregister()
-	hasMoved := s.awaitMove(ctx)
-	if err == nil && (s.isStopRequested() || hasMoved && !response.End().IsStated()) {
-		err = io.ErrUnexpectedEOF
+	// A whole answer needs no continuation. What its engine may have stopped is whole only if the engine denies that.
+	hasMoved := (s.wasAskedToStop() || !response.End().IsStated()) && s.awaitMove(ctx)
+	if err == nil && (hasMoved || s.wasAskedToStop()) {
+		err = errStopped
 	}
 	if err == nil {
 		err = s.complete(source, response)
 	}
 	response.Close(err != nil)
 	if err != nil {
-		return s.breakOff(ctx, next.lease, response, err, hasMoved)
+		return s.breakOff(ctx, next.lease, response, err, hasMoved || s.awaitMove(ctx))
 	}
 	response.trial.Done()
 	next.lease.Done(placement.Answered, time.Now())
 	s.releaseBackup(true)
 	s.options.Lengths.Observe(s.lengthKey(), s.events*tokensPerEvent)
 	s.durations.observe(s.route.Name, time.Since(s.sentAt))
-	s.log("request ended", "outcome", "answered", "status", response.StatusCode, "target", next.lease.Target.ID, "attempts", s.attempts, "events", s.events,
+	s.log("request ended", "outcome", "answered", "status", response.StatusCode, "target", next.lease.Target.ID, "attempts", s.attempts.Load(), "events", s.events,
 		"first_event_ms", s.firstEventDelay.Milliseconds(), "longest_gap_ms", s.longestGap.Milliseconds())
 	return nil
 }
@@ -241,20 +241,6 @@
 	return failure
 }
 
-// isStopRequested reports whether the current target may have stopped the generation, so that its end is not that of the
-// stream.
-func (s *stream) isStopRequested() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.stopRequested
-}
-
-func (s *stream) setStopRequested(requested bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.stopRequested = requested
-}
-
 // hasTargetSentEvent reports whether the current target has sent an event.
 func (s *stream) hasTargetSentEvent() bool {
 	s.mu.Lock()
@@ -269,7 +255,7 @@
 func (s *stream) register(lease *placement.Lease, response *answer) {
 	s.mayHaveRun = true
 	s.mu.Lock()
-	s.lease, s.response = lease, response
+	s.lease, s.response, s.stopRequested = lease, response, false
 	s.mu.Unlock()
 	s.streams.add(lease.Target.ID, s)
 }
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -278,17 +278,6 @@
 	}
 }
 
-// requestLastCopy asks the source to stop the generation and to copy the rest. Unless the source says that it does not run
-// the generation, the end of its response is no longer that of the stream.
-func (s *stream) requestLastCopy(ctx context.Context, source roster.Target, destination *placement.Lease) (CopyResult, error) {
-	s.setStopRequested(true)
-	result, err := s.requestCopy(ctx, source, destination, true)
-	if err == nil && result.Unknown {
-		s.setStopRequested(false)
-	}
-	return result, err
-}
-
 // requestCopy asks the source for a copy. The call counts against the source's request limit, but does not wait for it:
 // the generation would be lost.
 func (s *stream) requestCopy(ctx context.Context, source roster.Target, destination *placement.Lease, stop bool) (CopyResult, error) {
