--- a/internal/upstream/unstated_test.go
+++ b/internal/upstream/unstated_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -76,6 +77,36 @@
 	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
 }
 
+// TestResetThatTheRequestHasSeen guards against an answer without a length that looks whole since the writer of a long request
+// was told of the reset, and the reader of the answer was not.
+func TestResetThatTheRequestHasSeen(t *testing.T) {
+	reset := make(chan struct{})
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		write(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+		<-reset
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		conn.Close()
+	}()
+	request := newGetRequest()
+	request.Method = http.MethodPost
+	response, err := upstream.NewClient(upstream.Options{}).Do(t.Context(), listener.Addr().String(), request, make([]byte, 32<<20), true)
+	require.NoError(t, err)
+	defer response.Close(true)
+	_, err = io.ReadFull(response, make([]byte, len("part")))
+	require.NoError(t, err)
+	close(reset)
+	time.Sleep(100 * time.Millisecond) // the writer notices the reset
+	_, err = response.ReadAll(100)
+	require.Error(t, err)
+}
+
 // TestConnectionThatChecksAnEndIsUsed checks that the connection by which the end of an answer was checked serves the next call, and
 // that answers which state their end are not checked.
 func TestConnectionThatChecksAnEndIsUsed(t *testing.T) {
