request: an output ends only behind all tokens that arrived

Callers saw [DONE] and an orderly end although a part of the generation was missing: the engine, or what answered a resume in its place, sent a last event before a token that had already arrived behind a gap, one with a text (which was dropped), or one for a reason that the API does not define, such as "error".

The sequencer compared a last event with the next token to deliver only. It now compares it with the highest token that has arrived, when it arrives and when it is delivered, and takes no last event with a text or an undefined reason; the generation is then lost.

--- a/internal/request/sequencer.go
+++ b/internal/request/sequencer.go
@@ -12,17 +12,19 @@
 // events of other attempts.
 //
 // Invariant: the events that it returns belong to its attempt, have the indexes start, start+1, … without
-// a gap, and none follows the last event.
+// a gap, and none follows the last event. The last event is returned only if it is that of all tokens that arrived.
 type Sequencer struct {
-	attempt  string
-	next     int
+	attempt string
+	next    int
+	// end is the index behind the highest token that has arrived.
+	end      int
 	done     bool
 	buffered map[int]enginewire.TokenEvent
 }
 
 // NewSequencer returns a sequencer for an attempt whose next undelivered token has the index start.
 func NewSequencer(attempt string, start int) *Sequencer {
-	return &Sequencer{attempt: attempt, next: start}
+	return &Sequencer{attempt: attempt, next: start, end: start}
 }
 
 // Next returns the index of the next token to deliver.
@@ -32,31 +34,50 @@
 func (r *Sequencer) Done() bool { return r.done }
 
 // Accept adds an event and appends to ready the events that can now be delivered, in order.
-// An event of another attempt, or a last event with too low an index, is an error of kind generation_lost,
-// because a response must not mix the tokens of two generations.
+// An event of another attempt, or a last event that is malformed or has too low an index, is an error of kind
+// generation_lost, because a response must not mix the tokens of two generations or end without its last ones.
 func (r *Sequencer) Accept(event enginewire.TokenEvent, ready []enginewire.TokenEvent) ([]enginewire.TokenEvent, error) {
 	if event.AttemptID != r.attempt {
 		return ready, apierror.Newf(apierror.KindGenerationLost, "repeat the request",
 			"the target answered for attempt %q instead of %q", event.AttemptID, r.attempt)
 	}
-	if event.Preempted || r.done || event.Index < r.next {
-		return r.acceptWithoutNewToken(event, ready)
+	if event.Preempted || r.done {
+		return ready, nil
+	}
+	if err := r.checkLast(event); err != nil {
+		return ready, err
+	}
+	if event.FinishReason == "" {
+		r.end = max(r.end, event.Index+1)
+	}
+	if event.Index < r.next {
+		return ready, nil
 	}
 	if event.Index > r.next {
 		return ready, r.buffer(event)
 	}
 	ready = r.deliver(event, ready)
-	return r.deliverBuffered(ready), nil
+	return r.deliverBuffered(ready)
 }
 
-// acceptWithoutNewToken ignores events that carry no new token: preemption notices and duplicates.
-// A last event below the next index is an error: the target lost tokens that were already delivered.
-func (r *Sequencer) acceptWithoutNewToken(event enginewire.TokenEvent, ready []enginewire.TokenEvent) ([]enginewire.TokenEvent, error) {
-	if event.FinishReason != "" && !r.done {
-		return ready, apierror.Newf(apierror.KindGenerationLost, "repeat the request",
-			"the target ended at token %d after %d were delivered", event.Index, r.next)
+// checkLast returns an error if the event ends the output, but not that of the tokens that arrived: the target lost
+// tokens, or they are not those of one generation.
+func (r *Sequencer) checkLast(event enginewire.TokenEvent) error {
+	switch {
+	case event.FinishReason == "":
+		return nil
+	case event.Index < r.end:
+		return apierror.Newf(apierror.KindGenerationLost, "repeat the request",
+			"the target ended at token %d after token %d had arrived", event.Index, r.end-1)
+	case event.Text != "":
+		return apierror.Newf(apierror.KindGenerationLost, "repeat the request",
+			"the target ended at token %d with a text, which is no token", event.Index)
+	case !event.FinishReason.IsDefined():
+		return apierror.Newf(apierror.KindGenerationLost, "repeat the request",
+			"the target ended at token %d for the reason %q, which is not known", event.Index, event.FinishReason)
+	default:
+		return nil
 	}
-	return ready, nil
 }
 
 // buffer stores an event behind a gap. It fails with kind generation_lost when maxBufferedEvents are stored already.
@@ -83,14 +104,17 @@
 }
 
 // deliverBuffered appends the buffered events that follow the delivered ones without a gap.
-func (r *Sequencer) deliverBuffered(ready []enginewire.TokenEvent) []enginewire.TokenEvent {
+func (r *Sequencer) deliverBuffered(ready []enginewire.TokenEvent) ([]enginewire.TokenEvent, error) {
 	for !r.done {
 		event, found := r.buffered[r.next]
 		if !found {
-			return ready
+			return ready, nil
+		}
+		if err := r.checkLast(event); err != nil {
+			return ready, err
 		}
 		delete(r.buffered, r.next)
 		ready = r.deliver(event, ready)
 	}
-	return ready
+	return ready, nil
 }
--- a/internal/request/sequencer_test.go
+++ b/internal/request/sequencer_test.go
@@ -56,6 +56,8 @@
 		"another attempt":                            {AttemptID: "attempt-2", Index: 2, Text: "t"},
 		"last event before tokens that were sent":    lastEvent(1),
 		"last event of another attempt's generation": {AttemptID: "attempt-2", Index: 2, FinishReason: enginewire.FinishStop},
+		"last event with a text":                     {AttemptID: attempt, Index: 2, Text: "t", FinishReason: enginewire.FinishStop},
+		"last event for an unknown reason":           {AttemptID: attempt, Index: 2, FinishReason: "error"},
 	}
 	for name, event := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -67,6 +69,27 @@
 	}
 }
 
+// TestSequencerEndsBeforeTokenThatArrived guards against an output that ends as complete although a later token has arrived.
+func TestSequencerEndsBeforeTokenThatArrived(t *testing.T) {
+	for name, events := range map[string][]enginewire.TokenEvent{
+		"token first":    {token(1), lastEvent(0)},
+		"buffered last":  {lastEvent(1), token(2), token(0)},
+		"buffered token": {token(2), lastEvent(1), token(0)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sequencer := request.NewSequencer(attempt, 0)
+			var err error
+			for _, event := range events {
+				if _, err = sequencer.Accept(event, nil); err != nil {
+					break
+				}
+			}
+			require.Equal(t, apierror.KindGenerationLost, apierror.KindOf(err))
+			require.False(t, sequencer.Done())
+		})
+	}
+}
+
 func TestSequencerBoundsBufferedEvents(t *testing.T) {
 	sequencer := request.NewSequencer(attempt, 0)
 	var err error
--- a/internal/wire/enginewire/enginewire.go
+++ b/internal/wire/enginewire/enginewire.go
@@ -69,6 +69,11 @@
 	FinishCanceled FinishReason = "canceled"
 )
 
+// IsDefined reports whether the reason is one of those of this package.
+func (r FinishReason) IsDefined() bool {
+	return r == FinishStop || r == FinishLength || r == FinishCanceled
+}
+
 // Refusal is the body of every response with a status other than 2xx. It guarantees that the call did not run.
 type Refusal struct {
 	Kind              RefusalKind `json:"kind"`
