dispatch: a target whose streams end at once is asked again with a pause

A stream that broke off and whose target answered each resume with an empty 200 (or 204, a page, an end marker) was resumed without a pause until its deadline: the delay between tries held only for resumes that failed, and these succeed. The stream did not end as complete, but one such target took a processor and its own listener.

Streams that end without a new token are now reopened after 50 ms, twice that, up to 1 s; a token ends the series. Streams that are given up as idle are reopened at once, as before. Tests of gateway, request and target pass with -race.

--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -30,6 +30,8 @@
 	// given up after a short wait.
 	replaceable bool
 	isBound     bool
+	// emptyWait is the delay after the last stream that ended without a new token.
+	emptyWait time.Duration
 	// ready is the buffer of the events that can be delivered; it is reused.
 	ready []enginewire.TokenEvent
 }
@@ -49,11 +51,15 @@
 // follow relays the stream until the attempt ends, and reopens the stream when it breaks.
 func (f *follower) follow(ctx context.Context, stream *target.Stream) error {
 	for {
+		from := f.relay.Next()
 		err := f.read(stream)
 		stream.Close()
 		if err == nil || !isInterrupted(err) || ctx.Err() != nil {
 			return err
 		}
+		if f.relay.Next() == from && !target.IsIdle(err) && !f.pauseAfterEmptyStream(ctx) {
+			return err
+		}
 		stream, err = f.reopen(ctx, err)
 		if err != nil {
 			return err
@@ -62,6 +68,13 @@
 	}
 }
 
+// pauseAfterEmptyStream delays the next reopening, so that a target whose streams open and end at once is not asked
+// incessantly. It returns false if ctx has ended.
+func (f *follower) pauseAfterEmptyStream(ctx context.Context) bool {
+	f.emptyWait = min(max(2*f.emptyWait, firstResumeWait), maxResumeWait)
+	return pause.For(ctx, f.emptyWait)
+}
+
 // resume relays an attempt whose stream is not open because of cause.
 func (f *follower) resume(ctx context.Context, cause error) error {
 	stream, err := f.reopen(ctx, cause)
@@ -136,6 +149,7 @@
 	if event.FinishReason != "" {
 		return markCallerError(f.sink.Finish(event.FinishReason, event.Index))
 	}
+	f.emptyWait = 0
 	if f.record.State() != request.StateStreaming {
 		f.transition(request.StateStreaming, "tokens arrive")
 	}
--- a/internal/target/stream.go
+++ b/internal/target/stream.go
@@ -23,6 +23,9 @@
 // errIdleTimeout is the cause when a stream is canceled because no event arrived.
 var errIdleTimeout = errors.New("no event within the progress timeout")
 
+// IsIdle reports whether the stream was given up because no event arrived, while its target kept it open.
+func IsIdle(err error) bool { return errors.Is(err, errIdleTimeout) }
+
 // Stream reads the events of one attempt. It is not safe for concurrent use.
 type Stream struct {
 	target string
