gateway: a call whose answer breaks off before its body gets an error

Where a plain service's answer broke off between its head and the first byte of its body, callers saw their connection end without any answer: the head had been handed to net/http, which had sent nothing, and the answer was then broken off.

The head now follows the first byte of the body, or its end. net/http sent it no sooner before, since nothing flushed it. Without either the caller gets 502 outcome_unknown, or the error that follows from its deadline or a stop; PlainResponse.Finish returns it, so the claim and the record hold the same kind.

Evidence: TestBrokenPlainResponseEndsAsComplete, 6 cases (a length and chunks without body, HTTP/1.0, 1.1 and 2): no answer before, 502 now.

--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -85,7 +85,7 @@
 			}
 			if attempt.err == nil {
 				h.cancelOthers(attempt)
-				return h.run.newResponse(attempt), nil
+				return h.run.newResponse(h.ctx, attempt), nil
 			}
 			failed = h.run.endFailedAttempt(attempt)
 		}
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -31,13 +31,13 @@
 // PlainResponse is the response of a plain service. Finish must be called once its body has been read.
 type PlainResponse struct {
 	*http.Response
-	finish func(err error)
+	finish func(err error) error
 }
 
-// Finish closes the response; err is nil if the caller has received the complete body.
-func (r *PlainResponse) Finish(err error) {
+// Finish closes the response; err is nil if the caller has received the complete body. It returns the final error.
+func (r *PlainResponse) Finish(err error) error {
 	r.Response.Body.Close()
-	r.finish(err)
+	return r.finish(err)
 }
 
 // plainRun is the state of one call to a plain service while it is served.
@@ -178,11 +178,16 @@
 }
 
 // newResponse returns the response of the attempt, which is released when the response is finished.
-func (p *plainRun) newResponse(attempt *plainAttempt) *PlainResponse {
-	finish := func(err error) {
-		p.claim.finish(err, true, claim.Ending{Status: attempt.response.StatusCode})
+func (p *plainRun) newResponse(ctx context.Context, attempt *plainAttempt) *PlainResponse {
+	p.mayHaveRun = true
+	finish := func(err error) error {
 		attempt.release(Outcome{State: finalAttemptState(err), Err: err})
+		if err != nil {
+			err = p.finalError(ctx, err)
+		}
+		p.claim.finish(err, true, claim.Ending{Status: attempt.response.StatusCode})
 		recordStep(p.record, finalStep(err, p.record.State(), true))
+		return err
 	}
 	return &PlainResponse{Response: attempt.response, finish: finish}
 }
--- a/internal/gateway/broken_test.go
+++ b/internal/gateway/broken_test.go
@@ -197,6 +197,11 @@
 				h := newHarness(t)
 				h.addRawService(way.answer, way.reset)
 				answer := h.read(protocol, call{path: "/services/counter-api/x", body: "1"}, func() {})
+				if strings.HasSuffix(name, "without body") {
+					require.Equal(t, http.StatusBadGateway, answer.status)
+					require.Contains(t, answer.body, "outcome_unknown")
+					return
+				}
 				require.Equal(t, way.whole, answer.whole, answer.body)
 				if strings.HasPrefix(name, "neither") && protocol != "HTTP/2" {
 					require.True(t, answer.endsWithConnection, "the service did not state the end")
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"bytes"
 	"io"
 	"net/http"
@@ -9,7 +10,6 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/dispatch"
@@ -20,6 +20,9 @@
 // maxReplayableBodyBytes bounds the bodies of plain calls that are buffered for a retry.
 const maxReplayableBodyBytes = 64 << 10
 
+// copyBufferBytes is the size of the buffer through which a response is copied.
+const copyBufferBytes = 32 << 10
+
 // plainCall forwards a call to a plain service and copies its response to the caller. Unless the caller says
 // otherwise, the call runs at most once if the service requires it or the method is not idempotent.
 func (g *Gateway) plainCall(x *exchange) error {
@@ -86,8 +89,12 @@
 }
 
 // writePlainResponse copies the service's response to the caller. If the body is cut off, the response is not completed, so
-// that the caller does not take it for complete.
+// that the caller does not take it for complete; before its first byte, the caller gets an error response.
 func writePlainResponse(x *exchange, response *dispatch.PlainResponse) error {
+	body := bufio.NewReaderSize(response.Body, copyBufferBytes)
+	if _, err := body.Peek(1); err != nil && err != io.EOF {
+		return response.Finish(err)
+	}
 	target.CopyResponseHeaders(x.response.Header(), response.Header)
 	x.response.Header().Set(HeaderRequestID, x.requestID)
 	if target.EndsWithConnection(response.Response) {
@@ -95,15 +102,11 @@
 	} else {
 		x.response.Begin(response.StatusCode)
 	}
-	_, err := io.Copy(x.response, response.Body)
+	_, err := io.Copy(x.response, body)
 	if err == nil {
 		err = x.response.Complete()
 	}
-	response.Finish(err)
-	if err != nil {
-		return errors.Mark(err, errResponseStarted)
-	}
-	return nil
+	return response.Finish(err)
 }
 
 // plainBody is the body of a plain call. It can be replayed for a retry when it is shorter than
