--- a/internal/stand/soak/streams.go
+++ b/internal/stand/soak/streams.go
@@ -144,6 +144,13 @@
 // wasContinuedWrongly reports whether a target answered wrongly when it was to go on with the call's stream.
 func (h *harness) wasContinuedWrongly(c *call) bool { return h.wrongContinuations[c.id] != "" }
 
+// precedesEndRules reports whether the call's VM ran the build in production, and a target ended a stream of the call in a way
+// which that build need not know.
+func (h *harness) precedesEndRules(c *call, runs []platformtest.Run) bool {
+	return h.runsProduction(c.vm, c.sentAt) && (h.wasContinuedWrongly(c) ||
+		slices.ContainsFunc(runs, func(run platformtest.Run) bool { return run.Framing == platformtest.FramingNone }))
+}
+
 // StreamEnds counts streams by what their callers received: whole, ended as complete before the last event, or broken off.
 type StreamEnds struct {
 	Whole  int `json:"whole"`
--- a/internal/stand/soak/streams_test.go
+++ b/internal/stand/soak/streams_test.go
@@ -43,6 +43,34 @@
 	}
 }
 
+// TestEarlyEndsBindNewBuilds checks that VMs of the build in production are excused from early ends only where a target used
+// neither length nor chunks or went on wrongly.
+func TestEarlyEndsBindNewBuilds(t *testing.T) {
+	chunked := run
+	chunked.Framing = platformtest.FramingChunks
+	for name, test := range map[string]struct {
+		production, wrong bool
+		run               platformtest.Run
+		violated          bool
+	}{
+		"new build":                        {false, true, unframedRun, true},
+		"earlier build":                    {true, false, unframedRun, false},
+		"earlier build, in chunks":         {true, false, chunked, true},
+		"earlier build, wrong next target": {true, true, chunked, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := &harness{vms: threeVMs(), wrongContinuations: make(map[string]string)}
+			h.vms[0].builds = []buildPeriod{{from: at(0), isProduction: test.production}}
+			if test.wrong {
+				h.wrongContinuations["c"] = "json"
+			}
+			c := completeCall()
+			c.events--
+			require.Equal(t, test.violated, len(h.violatedGuarantees(c, []platformtest.Run{test.run})) > 0)
+		})
+	}
+}
+
 type failingReader struct{ err error }
 
 func (r failingReader) Read([]byte) (int, error) { return 0, r.err }
