--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -34,18 +34,15 @@
 	return mediaType
 }
 
-// Answer is the answer to one caller. Its methods are called by one goroutine, except LastEvent, which may be called by any.
+// Answer is the answer to one caller. Its methods are called by one goroutine, except HasBegun and LastEvent, which may be
+// called by any.
 type Answer struct {
-	w http.ResponseWriter
-	r *http.Request
-	// head is the head that the caller has; its status is zero until then.
-	head       Head
+	w          http.ResponseWriter
+	r          *http.Request
 	isComplete bool
 	// onBegin is called before the head is sent.
 	onBegin func()
 
-	// isResumed is set if the caller has received events of the stream before, in another answer.
-	isResumed bool
 	// events is the number of events in this answer; isConsecutive is set while their ids count up by one.
 	events        int
 	isConsecutive bool
@@ -54,6 +51,8 @@
 	closedBy string
 
 	mu sync.Mutex
+	// head is the head that the caller has; its status is zero until then. Only the goroutine of the answer writes it.
+	head Head
 	// lastEvent is the id of the last event that the caller has.
 	lastEvent string
 }
@@ -67,16 +66,17 @@
 func (a *Answer) OnBegin(call func()) { a.onBegin = call }
 
 // Resume makes the answer one to a caller that has received the stream up to the event with the given id.
-func (a *Answer) Resume(lastEvent string) {
-	a.isResumed = lastEvent != ""
-	a.setLastEvent(lastEvent)
-}
+func (a *Answer) Resume(lastEvent string) { a.setLastEvent(lastEvent) }
 
 // HasBegun reports whether the caller has the head of the answer.
-func (a *Answer) HasBegun() bool { return a.head.Status != 0 }
+func (a *Answer) HasBegun() bool { return a.Status() != 0 }
 
 // Status returns the status of the answer, or zero before its head.
-func (a *Answer) Status() int { return a.head.Status }
+func (a *Answer) Status() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.head.Status
+}
 
 // CloseConnection makes the caller's connection end with the answer, unless it has begun.
 func (a *Answer) CloseConnection() { a.w.Header().Set("Connection", "close") }
@@ -125,10 +125,16 @@
 		header[name] = values
 	}
 	a.onBegin()
-	a.head = head
+	a.setHead(head)
 	a.w.WriteHeader(head.Status)
 }
 
+func (a *Answer) setHead(head Head) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.head = head
+}
+
 // Close must be the last call of the handler. Unless the answer is complete, it breaks the connection off and panics with
 // http.ErrAbortHandler, as net/http asks of a handler that gives up.
 func (a *Answer) Close() {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -37,12 +37,16 @@
 	targetSentEvent bool
 	// firstOfTargetAt is when the current target sent its first event.
 	firstOfTargetAt time.Time
+	// stopRequested is set while the current target may have stopped the generation for its last copy.
+	stopRequested bool
 	// backup is the reservation at the engine that holds a copy of the generation's KV cache; nil for none.
 	backup *placement.Lease
 	// continuation is where the generation continues when the response of the current target ends.
 	continuation *continuation
 	// moveDone is closed when the move in progress has ended; nil if there is none.
 	moveDone chan struct{}
+	// isReleased is set once the stream has ended; a move that is still in progress then reserves nothing for it.
+	isReleased bool
 }
 
 // continuation describes where a generation starts or continues.
@@ -150,6 +154,7 @@
 	response := next.response
 	s.mu.Lock()
 	s.targetSentEvent = false // the copy at a backup is usable only after this target's first event
+	s.stopRequested = false
 	s.mu.Unlock()
 	if response == nil {
 		var failure *attemptError
@@ -178,8 +183,8 @@
 	s.stopWatchingSilence()
 	s.unregister()
 	hasMoved := s.awaitMove(ctx)
-	if err == nil && hasMoved && !response.End().IsStated() {
-		err = io.ErrUnexpectedEOF // its engine may have stopped the generation for the move
+	if err == nil && (s.isStopRequested() || hasMoved && !response.End().IsStated()) {
+		err = io.ErrUnexpectedEOF
 	}
 	if err == nil {
 		err = s.complete(source, response)
@@ -208,7 +213,8 @@
 }
 
 // complete ends the stream as complete if the end of the response proves that of the stream. A response that brought nothing
-// at all and ended with its connection counts as broken off: its target has crashed.
+// at all and ended with its connection counts as broken off: its target has crashed. One that was asked for what follows an
+// event may have had nothing to send.
 func (s *stream) complete(source *delivery.Source, response *answer) error {
 	err := source.Complete(response.End())
 	if err == nil {
@@ -216,7 +222,7 @@
 	}
 	s.metrics.unprovenEnds.Inc(1)
 	s.log("end of the stream not proved", "framing", response.Framing(), "end", response.End(), "events", s.events, "reason", err)
-	if response.End().IsUnstated() && !s.hasTargetSentEvent() {
+	if response.End().IsUnstated() && !s.hasTargetSentEvent() && s.caller.LastEvent() == "" {
 		return io.ErrUnexpectedEOF
 	}
 	return err
@@ -235,6 +241,20 @@
 	return failure
 }
 
+// isStopRequested reports whether the current target may have stopped the generation, so that its end is not that of the
+// stream.
+func (s *stream) isStopRequested() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopRequested
+}
+
+func (s *stream) setStopRequested(requested bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopRequested = requested
+}
+
 // hasTargetSentEvent reports whether the current target has sent an event.
 func (s *stream) hasTargetSentEvent() bool {
 	s.mu.Lock()
@@ -340,13 +360,36 @@
 	s.watchSilence(lease)
 }
 
+// endRelocation ends a relocation, after which the generation continues as given; nil means that it stays. It releases what is of
+// no use to a stream that has ended in the meantime.
+func (s *stream) endRelocation(next *continuation) {
+	s.mu.Lock()
+	isReleased := s.isReleased
+	if !isReleased {
+		s.continuation = next
+	}
+	s.moveDone = nil
+	if next != nil && s.response != nil {
+		s.response.CloseConnection()
+	}
+	s.mu.Unlock()
+	if isReleased {
+		s.releaseContinuation(next)
+	}
+}
+
 // release frees the reservations, response and KV cache copies that the stream still holds.
 func (s *stream) release() {
 	s.mu.Lock()
 	next := s.continuation
-	s.continuation = nil
+	s.continuation, s.isReleased = nil, true
 	s.mu.Unlock()
 	s.releaseBackup(false)
+	s.releaseContinuation(next)
+}
+
+// releaseContinuation frees what a continuation holds that is not used; nil holds nothing.
+func (s *stream) releaseContinuation(next *continuation) {
 	if next == nil {
 		return
 	}
