--- a/internal/gateway/answer/answer_test.go
+++ b/internal/gateway/answer/answer_test.go
@@ -78,8 +78,7 @@
 	return string(body), err
 }
 
-// TestIncompleteResponseEndsAsComplete guards against responses whose handler gave up, and whose end looks like that of a complete
-// one, in each framing.
+// The handler gives up in each way and framing.
 func TestIncompleteResponseEndsAsComplete(t *testing.T) {
 	for beginName, begin := range begins {
 		for endName, handler := range handlers {
@@ -111,7 +110,7 @@
 	}
 }
 
-// TestNothingFollowsCompleteResponse guards against a second response, or further parts, behind the end of a response.
+// A second response, or further parts, must not follow the end of a response.
 func TestNothingFollowsCompleteResponse(t *testing.T) {
 	recorder := httptest.NewRecorder()
 	a := New(recorder, httptest.NewRequestWithContext(context.Background(), http.MethodGet, "/", nil))
@@ -126,8 +125,7 @@
 	require.Equal(t, "whole", recorder.Body.String())
 }
 
-// TestHandlerWithoutResponseIsAborted guards against a handler that returns without a response, which the server would
-// complete as an empty one with status 200.
+// The server would complete it as an empty response with status 200.
 func TestHandlerWithoutResponseIsAborted(t *testing.T) {
 	a := New(httptest.NewRecorder(), httptest.NewRequestWithContext(context.Background(), http.MethodGet, "/", nil))
 	require.PanicsWithValue(t, http.ErrAbortHandler, a.Close)
--- a/internal/gateway/answer/killed_test.go
+++ b/internal/gateway/answer/killed_test.go
@@ -14,7 +14,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// childVariable makes TestKilledProcess serve one response without end, in the child process that it kills.
+// childVariable makes TestKilledProcessEndsResponseAsComplete serve one response without end, in the child process that it kills.
 const childVariable = "GODWITCART_TEST_CHILD"
 
 func serveWithoutEnd() {
@@ -30,13 +30,12 @@
 	select {}
 }
 
-// TestKilledProcess guards against responses to HTTP/1.0 callers that end as complete when the entry VM's process is killed:
-// the kernel closes its connections in order unless they are to be reset.
-func TestKilledProcess(t *testing.T) {
+// The kernel closes the connections of a killed process in order unless they are to be reset.
+func TestKilledProcessEndsResponseAsComplete(t *testing.T) {
 	if os.Getenv(childVariable) != "" {
 		serveWithoutEnd()
 	}
-	child := exec.CommandContext(t.Context(), os.Args[0], "-test.run=^TestKilledProcess$")
+	child := exec.CommandContext(t.Context(), os.Args[0], "-test.run=^TestKilledProcessEndsResponseAsComplete$")
 	child.Env = append(os.Environ(), childVariable+"=1")
 	output, err := child.StdoutPipe()
 	require.NoError(t, err)
--- a/internal/gateway/broken_test.go
+++ b/internal/gateway/broken_test.go
@@ -97,8 +97,7 @@
 	h.gateways[0].Drain(ended)
 }
 
-// TestFailedStreamEndsAsComplete guards against streams that fail after their head and whose end looks on the wire like that of a
-// complete one.
+// Each stream fails after its head; its end on the wire must not be that of a complete one.
 func TestFailedStreamEndsAsComplete(t *testing.T) {
 	ways := map[string]struct {
 		header map[string]string
@@ -125,7 +124,7 @@
 	}
 }
 
-// TestCompleteStreamEndsAsBroken guards against streams that are complete, or handed over, and whose end looks broken off.
+// Streams that are complete or handed over end in order.
 func TestCompleteStreamEndsAsBroken(t *testing.T) {
 	for _, protocol := range protocols {
 		t.Run(protocol, func(t *testing.T) {
@@ -172,8 +171,7 @@
 	}
 }
 
-// TestBrokenPlainResponseEndsAsComplete guards against responses of plain services that break off and whose end looks on the
-// caller's wire like that of a complete one.
+// The end of each response on the caller's wire must tell whether it is whole, in each framing.
 func TestBrokenPlainResponseEndsAsComplete(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
 	ways := map[string]struct {
--- a/internal/gateway/duplicate_test.go
+++ b/internal/gateway/duplicate_test.go
@@ -14,8 +14,7 @@
 	"godwitcart/internal/wire/enginewire"
 )
 
-// TestDuplicatedSubmissionRunsAtSecondTarget guards against a request that may run once and ran twice, because the path to its
-// engine delivered the submission twice and the answer to the second copy was taken for a refusal of the attempt.
+// The path to the engine delivers the submission twice; the answer is that to the second copy.
 func TestDuplicatedSubmissionRunsAtSecondTarget(t *testing.T) {
 	h := newHarness(t)
 	handler := h.engines[0].Handler()
--- a/internal/gateway/killed_test.go
+++ b/internal/gateway/killed_test.go
@@ -52,8 +52,7 @@
 	}
 }
 
-// TestKilledServiceEndsAsComplete guards against responses of plain services that end as complete when the service's process
-// is killed: the kernel closes its connections in order.
+// The kernel closes the connections of a killed process in order.
 func TestKilledServiceEndsAsComplete(t *testing.T) {
 	if answer, isChild := os.LookupEnv(childAnswer); isChild {
 		answerWithoutEnd(answer)
--- a/internal/gateway/repeated_test.go
+++ b/internal/gateway/repeated_test.go
@@ -87,8 +87,7 @@
 	return strings.TrimPrefix(request.URL.Path, enginewire.PathAttempts)
 }
 
-// TestRepeatedRefusalIsTakenForAnotherCall guards against a caller who is told "not run" of a call that runs, because its
-// target wrote the refusal of an earlier call once more on a kept connection.
+// The target runs a call and writes the refusal of an earlier one once more on the kept connection.
 func TestRepeatedRefusalIsTakenForAnotherCall(t *testing.T) {
 	calls := map[string]call{
 		"generation":             {path: "/v1/completions", body: `{"model":"sheet","prompt":"len=8"}`},
@@ -120,8 +119,7 @@
 	}
 }
 
-// TestRepeatedRefusalRunsRequestTwice guards against a request that may run once and ran at a second target after the
-// first, which ran it, had repeated an earlier refusal.
+// The first target runs the request and repeats an earlier refusal; the second is sound.
 func TestRepeatedRefusalRunsRequestTwice(t *testing.T) {
 	for _, namesAttempt := range []bool{true, false} {
 		t.Run(fmt.Sprintf("named=%v", namesAttempt), func(t *testing.T) {
--- a/internal/gateway/resumed_test.go
+++ b/internal/gateway/resumed_test.go
@@ -72,8 +72,7 @@
 	}
 }
 
-// TestAnswerToResumeEndsStreamAsComplete guards against streams that broke off after three tokens and that end as complete, or hold
-// something else than tokens, by what the target answers when the stream is resumed.
+// The stream broke off after three tokens; none of the answers to its resume is the rest of it.
 func TestAnswerToResumeEndsStreamAsComplete(t *testing.T) {
 	scripts := map[string]http.HandlerFunc{
 		"error":            textScript(500, "Content-Type", "text/plain", "data: LEAK\n\n"),
@@ -109,7 +108,7 @@
 	}
 }
 
-// TestRepeatedTokensAfterResume guards against streams in which tokens come twice because the target resumes too early.
+// The target resumes from the first token and sends each one twice.
 func TestRepeatedTokensAfterResume(t *testing.T) {
 	h := newHarness(t)
 	h.addScriptedEngine(eventsScript(func(attempt string) string {
@@ -123,8 +122,7 @@
 	requireCompleteGeneration(t, joinTokens(t, events), 5)
 }
 
-// TestEmptyAnswersToResumeAreRepeatedWithoutPause guards against a target that is asked again without a pause, until the
-// deadline, because each of its answers to a resume is opened and holds nothing.
+// Each answer to a resume opens and holds nothing.
 func TestEmptyAnswersToResumeAreRepeatedWithoutPause(t *testing.T) {
 	h := newHarness(t)
 	engine := h.addScriptedEngine(textScript(200, "Content-Type", "text/event-stream", ""))
--- a/internal/request/sequencer_test.go
+++ b/internal/request/sequencer_test.go
@@ -69,7 +69,7 @@
 	}
 }
 
-// TestSequencerEndsBeforeTokenThatArrived guards against an output that ends as complete although a later token has arrived.
+// The last event names an end before a token that arrives earlier or later.
 func TestSequencerEndsBeforeTokenThatArrived(t *testing.T) {
 	for name, events := range map[string][]enginewire.TokenEvent{
 		"token first":    {token(1), lastEvent(0)},
--- a/internal/target/repeated_test.go
+++ b/internal/target/repeated_test.go
@@ -61,8 +61,7 @@
 	}
 }
 
-// TestRepeatedRefusalEndsAnotherCall guards against streams that are given up, orders that are sent again and services
-// that are taken to be leaving, because a target wrote an earlier refusal once more on a kept connection.
+// Streams would be given up, orders sent again, and services taken to be leaving.
 func TestRepeatedRefusalEndsAnotherCall(t *testing.T) {
 	timeouts := Timeouts{Connect: time.Second, ResponseHeader: time.Second, Progress: time.Second, TokenGap: time.Second}
 	engines, services := NewEngineClient(timeouts), NewPlainClient(timeouts)
