--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -190,7 +190,7 @@
 		"candidates", lease.CandidateCount, "prompt_tokens", x.call.Prompt.Tokens, "shared_parts", strings.Join(x.call.Prompt.SharedParts, ","), "from", attempt.From != nil, "backup", attempt.BackupAddress, "after_event", attempt.LastEventID, "resumes", x.call.Resumes, "limit", lease.Limit(time.Now()), "passed_over", lease.PassedOver(time.Now()))
 	request := x.options.Codec.NewRequest(x.call, attempt)
 	// An idle connection may turn out to be closed by the target; then it is unknown whether the call has run.
-	freshConnection := !x.route.Idempotent && !x.route.Resumable
+	freshConnection := !x.isRepeatable()
 	sentAt := time.Now()
 	if x.sentAt.IsZero() {
 		x.sentAt = sentAt
