forward: a whole stream that moved at its end is not given up

Callers would have lost a whole stream: its engine had stated the end when the last copy was asked for, the copy succeeded, and the engine it moved to had nothing to add. A stated end counts as one word now where the copy succeeded, and the next engine's stated end without events is the second. TestWholeStreamThatMovedAtItsEndLooksBroken failed before. attempt is split into shorter functions, without a change.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -46,9 +46,9 @@
 	// events is the number of events in this answer; isConsecutive is set while their ids count up by one.
 	events        int
 	isConsecutive bool
-	// closedBy names the target that closed an answer without a length and chunks in order after the last event; empty for
-	// none.
-	closedBy string
+	// endedBy names the target whose answer ended in order after the last event, though that proves nothing by itself; empty
+	// for none.
+	endedBy string
 
 	mu sync.Mutex
 	// head is the head that the caller has; its status is zero until then. Only the goroutine of the answer writes it.
@@ -179,7 +179,7 @@
 	isFirst := a.events == 0 && !hasLast
 	a.isConsecutive = isNumber && (isFirst && next <= 1 || next == last+1 && (a.isConsecutive || a.events == 0))
 	a.events++
-	a.closedBy = ""
+	a.endedBy = ""
 	if id != "" {
 		a.setLastEvent(id)
 	}
--- a/internal/delivery/source.go
+++ b/internal/delivery/source.go
@@ -135,8 +135,8 @@
 func (s *Source) Complete(end upstream.End) error {
 	a := s.answer
 	if !s.proves(end) {
-		if end.IsUnstated() && s.sentLast() {
-			a.closedBy = s.target
+		if end.IsUnstated() {
+			s.RecordEnd()
 		}
 		return errors.Mark(errors.Newf("the answer ended (%s) after %d new events", end, s.sent), ErrNotWhole)
 	}
@@ -147,18 +147,26 @@
 	return nil
 }
 
+// RecordEnd records that the body of the source has ended in order where that alone proves nothing. The end of another
+// source after the same event then proves the end of the stream.
+func (s *Source) RecordEnd() {
+	if s.sentLast() {
+		s.answer.endedBy = s.target
+	}
+}
+
 // sentLast reports whether the last event that the caller has is also the last one that the source has sent.
 func (s *Source) sentLast() bool {
 	return (s.sent > 0 || s.lastID != "") && s.lastID == s.answer.LastEvent()
 }
 
 // proves reports whether the end of the source proves that of the stream. A stated end after the last event does. So does
-// the second of two targets that end after the same event, of which the first closed its connection in order; the second
+// the second of two targets that end after the same event, of which the first ended in order (RecordEnd); the second
 // one may have been asked for what follows that event, and then states that nothing does. Where the caller has no part of this
 // answer yet, a stated end without events is a target's whole answer.
 func (s *Source) proves(end upstream.End) bool {
 	a := s.answer
-	isSecond := a.closedBy != "" && a.closedBy != s.target
+	isSecond := a.endedBy != "" && a.endedBy != s.target
 	switch {
 	case end.IsStated() && s.lastID == "" && s.sent == 0 && !s.drops:
 		return isSecond || !a.HasBegun()
--- a/internal/entry/stream_end_test.go
+++ b/internal/entry/stream_end_test.go
@@ -424,3 +424,40 @@
 		require.Error(t, err, "the stream ends as complete after %q", body)
 	}
 }
+
+// TestWholeStreamThatMovedAtItsEndLooksBroken guards against a whole stream that is given up since its engine was asked to stop it right after its end.
+func TestWholeStreamThatMovedAtItsEndLooksBroken(t *testing.T) {
+	d := newDeployment(t)
+	stop := make(chan struct{})
+	d.wrappedTarget("e1", "drafter", func(w http.ResponseWriter, r *http.Request) bool {
+		if r.URL.Path == "/v1/kv-move" {
+			body, _ := io.ReadAll(r.Body)
+			if strings.Contains(string(body), `"last":true`) {
+				close(stop)
+			}
+			return false
+		}
+		if r.Header.Get("X-Token-Usage") == "" {
+			return false
+		}
+		s := startRawStream(w, r, inChunks, 0)
+		s.write(eventTexts(1, endedEvents))
+		<-stop
+		s.end()
+		return true
+	}, `{"transfer_handle":"h","created":10}`)
+	d.configure("key-1")
+	v := d.start("vm-1", nil)
+	request := v.generation("/letters/1", endedEvents, 1)
+	request.Header.Set("X-Token-Usage", "9000,9000") // a usage that leaves no memory for backups
+	response, err := v.client.Do(request)
+	require.NoError(t, err)
+	d.target("e2", "drafter").SetOverride(func(w http.ResponseWriter, r *http.Request) bool {
+		continuesWhole(w, r)
+		return true
+	})
+	require.True(t, d.MarkLeaving("e1"))
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Equal(t, eventTexts(1, endedEvents), string(body))
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -149,21 +149,30 @@
 	return s.continuation != nil
 }
 
-// attempt runs the generation at one target until its response ends; nil means that the stream is complete.
-func (s *stream) attempt(ctx context.Context, next *continuation) *attemptError {
-	response := next.response
+// open sends the call to the target of the continuation, unless that has been done.
+func (s *stream) open(ctx context.Context, next *continuation) (*answer, *attemptError) {
 	s.mu.Lock()
 	s.targetSentEvent = false // the copy at a backup is usable only after this target's first event
 	s.mu.Unlock()
-	if response == nil {
-		var failure *attemptError
-		attempt := Attempt{LastEventID: s.caller.LastEvent(), From: next.from, BackupAddress: s.reserveBackup(next.lease)}
-		if response, failure = s.sendAttempt(ctx, next.lease, attempt); failure != nil {
-			next.lease.Done(failure.outcome, time.Now())
-			s.releaseBackup(false)
-			return failure
-		}
-	} else {
+	if next.response != nil {
+		return next.response, nil
+	}
+	attempt := Attempt{LastEventID: s.caller.LastEvent(), From: next.from, BackupAddress: s.reserveBackup(next.lease)}
+	response, failure := s.sendAttempt(ctx, next.lease, attempt)
+	if failure != nil {
+		next.lease.Done(failure.outcome, time.Now())
+		s.releaseBackup(false)
+	}
+	return response, failure
+}
+
+// attempt runs the generation at one target until its response ends; nil means that the stream is complete.
+func (s *stream) attempt(ctx context.Context, next *continuation) *attemptError {
+	response, failure := s.open(ctx, next)
+	if failure != nil {
+		return failure
+	}
+	if next.cancel != nil {
 		defer next.cancel()
 	}
 	source, err := s.caller.From(next.lease.Target.ID, s.headOf(response))
@@ -185,6 +194,9 @@
 	hasMoved := (s.wasAskedToStop() || !response.End().IsStated()) && s.awaitMove(ctx)
 	if err == nil && (hasMoved || s.wasAskedToStop()) {
 		err = errStopped
+		if hasMoved && response.End().IsStated() {
+			source.RecordEnd() // the generation may have been complete before the engine could stop it
+		}
 	}
 	if err == nil {
 		err = s.complete(source, response)
@@ -193,14 +205,19 @@
 	if err != nil {
 		return s.breakOff(ctx, next.lease, response, err, hasMoved || s.awaitMove(ctx))
 	}
+	s.recordWhole(next.lease, response)
+	return nil
+}
+
+// recordWhole releases what a whole stream has held, and records how it went.
+func (s *stream) recordWhole(lease *placement.Lease, response *answer) {
 	response.trial.Done()
-	next.lease.Done(placement.Answered, time.Now())
+	lease.Done(placement.Answered, time.Now())
 	s.releaseBackup(true)
 	s.options.Lengths.Observe(s.lengthKey(), s.events*tokensPerEvent)
 	s.durations.observe(s.route.Name, time.Since(s.sentAt))
-	s.log("request ended", "outcome", "answered", "status", response.StatusCode, "target", next.lease.Target.ID, "attempts", s.attempts.Load(), "events", s.events,
+	s.log("request ended", "outcome", "answered", "status", response.StatusCode, "target", lease.Target.ID, "attempts", s.attempts.Load(), "events", s.events,
 		"first_event_ms", s.firstEventDelay.Milliseconds(), "longest_gap_ms", s.longestGap.Milliseconds())
-	return nil
 }
 
 // rejectContinuation gives up a response that is none to a stream that the caller has begun to receive.
