forward: a run that may have ended whole is not asked for at its backup

The engine is asked first, by a call for a copy: if it is there and does not run the generation (404), the stream ends as broken. An engine that is gone, or cannot tell, leaves the run to its backup, as TestStreamWithoutALengthIsLostWithItsEngine checks. TestStreamEndsAsCompleteThoughItsRunBrokeOff asks for this now where the target lives (it went on before; the engine says that the run has ended); the engines of TestCarriedStreamEndsAsCompleteWithItsCarrier cannot tell, and TestUnframedStreamWithoutEventsLooksComplete uses a resumable route, each with the same results as before. Also: an engine that has stopped a generation gets 50 ms to end its response before it is closed.

--- a/internal/entry/stream_end_test.go
+++ b/internal/entry/stream_end_test.go
@@ -207,6 +207,11 @@
 						got := v.receive(request)
 						got.requireWholeOrBroken(t, after)
 						require.Equal(t, http.StatusOK, got.status, got.body)
+						if route == "runs once" && framing == unframed && closing == "closes" {
+							require.Error(t, got.err) // the target lives and says that the run has ended
+							require.Zero(t, runs.continued.Load(), "the request may run twice")
+							return
+						}
 						require.NoError(t, got.err, "another target goes on with the stream")
 						require.EqualValues(t, 1, runs.continued.Load())
 					})
@@ -216,6 +221,36 @@
 	}
 }
 
+// TestStreamWithoutALengthIsLostWithItsEngine guards against a stream that is given up though its engine was killed and a copy of its memory exists.
+func TestStreamWithoutALengthIsLostWithItsEngine(t *testing.T) {
+	d := newDeployment(t)
+	var began atomic.Bool
+	for _, id := range []string{"e1", "e2"} {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		target := d.AddVersion(id, listener.Addr().String(), "drafter", zone, "v1")
+		server := &http.Server{Handler: target}
+		go server.Serve(listener)
+		t.Cleanup(func() { server.Close() })
+		target.SetOverride(func(w http.ResponseWriter, r *http.Request) bool {
+			if began.Swap(true) {
+				continuesWhole(w, r)
+				return true
+			}
+			s := startRawStream(w, r, unframed, 0)
+			s.write(eventTexts(1, breakAfter))
+			server.Close()
+			s.conn.Close()
+			return true
+		})
+	}
+	d.configure("key-1")
+	v := d.start("vm-1", nil)
+	got := v.receive(v.generation("/letters/1", endedEvents, 1))
+	require.NoError(t, got.err)
+	require.Equal(t, eventTexts(1, endedEvents), got.body)
+}
+
 // TestStreamEndsAsCompleteThoughItsRunSentNothing guards against a stream that looks whole though its target, here or for a caller that resumes,
 // ended the connection before any event.
 func TestStreamEndsAsCompleteThoughItsRunSentNothing(t *testing.T) {
--- a/internal/forward/release.go
+++ b/internal/forward/release.go
@@ -6,6 +6,32 @@
 	"godwitcart/internal/placement"
 )
 
+// stoppedEndTime is how long an engine that has stopped a generation gets to end its response. A stated end tells that the
+// generation was complete before.
+const stoppedEndTime = 50 * time.Millisecond
+
+// endRelocation ends a relocation, after which the generation continues as given; nil means that it stays. It releases what is of
+// no use to a stream that has ended in the meantime.
+func (s *stream) endRelocation(next *continuation) {
+	s.mu.Lock()
+	isReleased := s.isReleased
+	if !isReleased {
+		s.continuation = next
+	}
+	s.moveDone = nil
+	switch {
+	case next == nil || s.response == nil:
+	case s.stopRequested:
+		time.AfterFunc(stoppedEndTime, s.response.CloseConnection)
+	default:
+		s.response.CloseConnection()
+	}
+	s.mu.Unlock()
+	if isReleased {
+		s.releaseContinuation(next)
+	}
+}
+
 // release frees the reservations, response and KV cache copies that the stream still holds.
 func (s *stream) release() {
 	s.mu.Lock()
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -123,7 +123,7 @@
 
 // prepareContinuation reports whether the stream can continue after the failure of its target, and prepares it.
 func (s *stream) prepareContinuation(ctx context.Context, failure *attemptError, previous *continuation) bool {
-	if failure.outcome == placement.Moved || !failure.notRun && s.continueFromBackup() {
+	if failure.outcome == placement.Moved || !failure.notRun && !s.mayHaveEnded(ctx, failure) && s.continueFromBackup() {
 		return true
 	}
 	if previous.from != nil && failure.notRun && !s.isRepeatable() {
@@ -362,21 +362,3 @@
 	s.lastEventAt = now
 	s.watchSilence(lease)
 }
-
-// endRelocation ends a relocation, after which the generation continues as given; nil means that it stays. It releases what is of
-// no use to a stream that has ended in the meantime.
-func (s *stream) endRelocation(next *continuation) {
-	s.mu.Lock()
-	isReleased := s.isReleased
-	if !isReleased {
-		s.continuation = next
-	}
-	s.moveDone = nil
-	if next != nil && s.response != nil {
-		s.response.CloseConnection()
-	}
-	s.mu.Unlock()
-	if isReleased {
-		s.releaseContinuation(next)
-	}
-}
