soak: all broken streams that their targets ended in order are excused alike

Trace and rule: docs/design/answers.md. The caller must still have all events, and the figure sound_streams_broken counts them.

--- a/internal/stand/soak/streams.go
+++ b/internal/stand/soak/streams.go
@@ -131,14 +131,12 @@
 	}
 }
 
-// isSoundButBroken reports whether the caller has all events of a stream that its last run ended in order, with neither length
-// nor chunks, and sees it as broken. A target that breaks off ends its connection in the same way.
+// isSoundButBroken reports whether the caller has all events of a stream that one of its runs ended in order, with neither
+// length nor chunks, and sees it as broken. A target that breaks off ends its connection in the same way.
 func (c *call) isSoundButBroken(runs []platformtest.Run) bool {
-	if !c.streaming || c.err == nil || c.lastEvent() != c.expectedEvents || len(runs) == 0 {
-		return false
-	}
-	last := runs[len(runs)-1]
-	return last.Framing == platformtest.FramingNone && last.End == platformtest.EndWhole
+	return c.streaming && c.err != nil && c.lastEvent() == c.expectedEvents && slices.ContainsFunc(runs, func(run platformtest.Run) bool {
+		return run.Framing == platformtest.FramingNone && run.End == platformtest.EndWhole
+	})
 }
 
 // wasContinuedWrongly reports whether a target answered wrongly when it was to go on with the call's stream.
