--- a/review/second/main.go
+++ b/review/second/main.go
@@ -16,11 +16,11 @@
 
 // cases holds what each case does. A case returns the breaks of its rule that it has seen.
 var cases = map[string]func(w *world, trouble bool) ([]string, error){
-	"memory":  playMemory,
-	"nocopy":  playNoCopy,
-	"twice":   playTwice,
-	"term":    playTerm,
-	"restore": playRestore,
+	"memory":   playMemory,
+	"nocopy":   playNoCopy,
+	"restore":  playRestore,
+	"twice":    playTwice,
+	"unframed": playUnframed,
 }
 
 func main() {
--- a/review/second/replica.go
+++ b/review/second/replica.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -37,12 +38,14 @@
 	slowFor int
 	// failing is the share of requests that fail, in hundredths, and failed counts towards it.
 	failing, failed int
-	leaving         bool
-	unlists         bool
-	seq             int
-	runs            []*run
-	stop            context.CancelFunc
-	end             func()
+	// unframed is the share of streams that are answers without a length.
+	unframed float64
+	leaving  bool
+	unlists  bool
+	seq      int
+	runs     []*run
+	stop     context.CancelFunc
+	end      func()
 }
 
 // run is one run of a client attempt at a replica.
@@ -145,6 +148,50 @@
 	time.AfterFunc(period, func() { set(0) })
 }
 
+// sendUnframed makes a share of the streams answers without a length for a time.
+func (r *replica) sendUnframed(share float64, period time.Duration) {
+	set := func(value float64) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.unframed = value
+	}
+	set(share)
+	time.AfterFunc(period, func() { set(0) })
+}
+
+// isUnframed reports whether the next stream has no length.
+func (r *replica) isUnframed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return rand.Float64() < r.unframed
+}
+
+// streamUnframed sends all events in an answer that ends with its channel.
+func (r *replica) streamUnframed(w http.ResponseWriter, current *run) {
+	header := w.Header().Clone()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("X-Weight-Versions", "1")
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		current.end = err.Error()
+		return
+	}
+	defer conn.Close()
+	fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\n")
+	header.Write(buffered)
+	fmt.Fprintf(buffered, "\r\n")
+	for next := 1; next <= r.events; next++ {
+		time.Sleep(r.scaled(r.step))
+		current.made = next
+		fmt.Fprintf(buffered, "id: %d\ndata: %s event %d\n\n", next, current.attempt, next)
+		if err := buffered.Flush(); err != nil {
+			current.end = err.Error()
+			return
+		}
+	}
+	current.end = "complete, and ends with its channel"
+}
+
 // fails reports whether the next request fails, evenly spread.
 func (r *replica) fails() bool {
 	r.mu.Lock()
@@ -228,9 +275,12 @@
 	r.mu.Unlock()
 	r.w.note("%s runs %s, sent through %s, from event %d, memory from %q, backup at %q", r.id, attempt, entry, next, from, request.Header.Get("X-Kv-Backup"))
 	header.Set("X-Response-Stamp", fmt.Sprintf("%s.%s.%d", r.id, attempt, next))
-	if r.events > 0 {
+	switch {
+	case r.events > 0 && next == 1 && r.isUnframed():
+		r.streamUnframed(w, current)
+	case r.events > 0:
 		r.stream(w, request, current, next)
-	} else {
+	default:
 		r.plain(w, request, current)
 	}
 	r.mu.Lock()
