--- a/review/second/main.go
+++ b/review/second/main.go
@@ -39,6 +39,7 @@
 		return exitCannotRun
 	}
 	defer w.close()
+	w.endEarly()
 	w.note("case %s, trouble %t", name, trouble)
 	breaks, err := cases[name](w, trouble)
 	if err != nil {
--- a/review/second/replica.go
+++ b/review/second/replica.go
@@ -79,7 +79,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
-	w.ended = append(w.ended, cancel)
+	w.atEnd(cancel)
 	r.beat()
 	go func() {
 		ticker := time.NewTicker(heartbeat)
--- a/review/second/world.go
+++ b/review/second/world.go
@@ -8,7 +8,9 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -25,6 +27,7 @@
 	file   *os.File
 	vms    []*vm
 	ended  []func()
+	closed sync.Once
 }
 
 func newWorld(path string) (*world, error) {
@@ -49,19 +52,51 @@
 	fmt.Fprintf(w.record, format+"\n", values...)
 }
 
-// close ends all that the case has started.
+// close ends all that the case has started, and waits until the processes are gone.
 func (w *world) close() {
-	for _, v := range w.vms {
-		v.end()
-	}
-	for _, end := range w.ended {
-		end()
-	}
+	w.closed.Do(func() {
+		w.mu.Lock()
+		vms, ended := slices.Clone(w.vms), slices.Clone(w.ended)
+		w.mu.Unlock()
+		for _, v := range vms {
+			v.end()
+		}
+		for _, end := range ended {
+			end()
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.record.Flush()
+		w.file.Close()
+		os.RemoveAll(w.folder)
+	})
+}
+
+// caseTime bounds a case; the longest takes about 70 s.
+const caseTime = 115 * time.Second
+
+// endEarly ends the case when it is interrupted or takes too long. If the kernel ends it, the kernel ends its processes too
+// (Pdeathsig).
+func (w *world) endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		select {
+		case received := <-signals:
+			w.note("ended by signal %v", received)
+		case <-time.After(caseTime):
+			w.note("ended after %v", caseTime)
+		}
+		w.close()
+		os.Exit(exitCannotRun)
+	}()
+}
+
+// atEnd calls end when the case ends.
+func (w *world) atEnd(end func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.record.Flush()
-	w.file.Close()
-	os.RemoveAll(w.folder)
+	w.ended = append(w.ended, end)
 }
 
 // serve starts an HTTP server on a free port of the address and returns its host:port and what ends it.
@@ -73,7 +108,7 @@
 	server := &http.Server{Handler: handler}
 	go server.Serve(listener)
 	end = func() { server.Close() }
-	w.ended = append(w.ended, end)
+	w.atEnd(end)
 	return listener.Addr().String(), end, nil
 }
 
@@ -176,7 +211,9 @@
 		if err := v.start(true); err != nil {
 			return err
 		}
+		w.mu.Lock()
 		w.vms = append(w.vms, v)
+		w.mu.Unlock()
 	}
 	for _, v := range w.vms {
 		if err := v.awaitReady(15 * time.Second); err != nil {
