forward: one way to leave a run, which asks its engine to stop

Callers saw nothing.

Cause: all ways off a run but the move closed the connection and took that for the end of the run. PROTOCOL.md promises it of most replicas only.

Change: stream.leave asks the engine to stop the run (the last copy of a move), in the background, until it answers, refuses connections or 5 s have passed. A silent source is stopped before its backup is asked, with a wait of an eighth of the route's gap at most; a leaving one when the backup has answered, after 150 ms at the latest.

Tests: TestLeftRunsStop, TestRunOfWrongContinuationStops, TestRunOfGoneCallerStops failed before (overlaps of 1.6 to 2.9 s). Test targets and a third of the soak's targets ignore closes; the soak judges runs_overlap and caller_gone_but_runs.

TestSilentEngine and TestBackupThatAnswersLateRunsBesideItsSource counted closed connections to tell that the source had ended its run. That no longer comes first; they now ask for the end of the run itself, which is stricter.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -55,6 +55,8 @@
 	minDrainTime = 2500 * time.Millisecond
 	// graceMargin is left before the platform's SIGKILL for responses that are being sent.
 	graceMargin = 400 * time.Millisecond
+	// leaveTime is the part of graceMargin in which targets are asked to stop what was cut off.
+	leaveTime = 200 * time.Millisecond
 	// maxReadingTime is how long a shutdown waits for requests that are being read.
 	maxReadingTime = time.Second
 	// maxRecordWait is how long after its start a VM waits for the record of the targets' software versions before it takes
@@ -375,6 +377,17 @@
 		e.logger.Warn("grace period expired: aborting the requests in progress", "cut_off", remaining)
 	}
 	callerServer.Close()
+	e.awaitLeftRuns(ctx)
+}
+
+// awaitLeftRuns waits, for up to leaveTime, until the targets of the streams that were cut off know that they are not wanted.
+func (e *Entry) awaitLeftRuns(ctx context.Context) {
+	end := time.Now().Add(leaveTime)
+	for e.activeRequests.Load()+e.forwarder.LeavingRuns() > 0 && time.Now().Before(end) {
+		if !pause.For(ctx, drainPollInterval) {
+			return
+		}
+	}
 }
 
 // finishReading closes idle connections and waits until the requests that are just being read on the others are answered,
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -78,7 +78,7 @@
 	require.Len(t, runs, 2)
 	require.True(t, runs[1].Continued)
 	require.Equal(t, 30, runs[1].After)
-	require.Eventually(t, func() bool { return d.Cluster.DisconnectCount() == 1 }, waitTimeout, pollInterval, "the silent engine still works on the request")
+	d.requireNoOverlap(request.Header.Get("X-Attempt-Id"))
 }
 
 // TestSilenceWhileBackupCannotBeReached guards against a stream that is given up after a silence of its engine since no connection to
@@ -164,10 +164,7 @@
 // TestBackupThatAnswersLateRunsBesideItsSource guards against two engines that work on one generation: the backup begins to
 // run at once, its answer takes long, and the silent source was kept until then.
 func TestBackupThatAnswersLateRunsBesideItsSource(t *testing.T) {
-	const (
-		answerDelay  = 1200 * time.Millisecond
-		overlapBound = 400 * time.Millisecond // the users' rule on one request at two replicas
-	)
+	const answerDelay = 1200 * time.Millisecond
 	d := newDeployment(t)
 	continued := make(chan time.Time, 1)
 	for _, id := range []string{"e1", "e2"} {
@@ -191,8 +188,9 @@
 		response.Body.Close()
 	}()
 	began := <-continued
-	require.Eventually(t, func() bool { return d.Cluster.DisconnectCount() == 1 }, waitTimeout, pollInterval)
-	require.Less(t, time.Since(began), overlapBound, "the source still works on the request")
+	source := func() platformtest.Run { return d.Cluster.Runs(request.Header.Get("X-Attempt-Id"))[0] }
+	require.Eventually(t, func() bool { return !source().EndedAt.IsZero() }, waitTimeout, pollInterval)
+	require.Less(t, source().EndedAt.Sub(began), overlapBound, "the source still works on the request")
 }
 
 // TestMoveBeforeFirstEvent guards against telling the caller that the request did not run after an engine left while
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -66,6 +66,8 @@
 	streams   streamSet
 	durations *routeDurations
 	metrics   *requestMetrics
+	// leaving counts the runs that are being left.
+	leaving *atomic.Int64
 	// unanswered ends when requests without an answer are given up.
 	unanswered    context.Context
 	endUnanswered context.CancelFunc
@@ -73,7 +75,7 @@
 
 // New returns a Forwarder.
 func New(options Options) *Forwarder {
-	f := &Forwarder{options: options, streams: newStreamSet(), durations: newRouteDurations(), metrics: newRequestMetrics()}
+	f := &Forwarder{options: options, streams: newStreamSet(), durations: newRouteDurations(), metrics: newRequestMetrics(), leaving: &atomic.Int64{}}
 	f.unanswered, f.endUnanswered = context.WithCancel(context.Background())
 	return f
 }
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"strings"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -19,6 +20,8 @@
 	responses, callerDisconnects metrics.Counter
 	moves, movesFailed           metrics.Counter
 	backupSwitches               metrics.Counter
+	// runsLeft counts the runs that were left, by what became known of them.
+	runsLeft map[leaveOutcome]metrics.Counter
 	// unprovenEnds counts responses that ended without proof that their stream had.
 	unprovenEnds             metrics.Counter
 	responseTime, firstEvent metrics.Histogram
@@ -31,7 +34,12 @@
 	histogram := func(name string) metrics.Histogram {
 		return metrics.GetOrRegisterHistogram("forward."+name, nil, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 	}
+	runsLeft := make(map[leaveOutcome]metrics.Counter)
+	for _, outcome := range []leaveOutcome{leftStopped, leftAbsent, leftUnreachable, leftUnanswered, leftUnasked} {
+		runsLeft[outcome] = counter("runs_left." + strings.ReplaceAll(string(outcome), " ", "_"))
+	}
 	return &requestMetrics{
+		runsLeft:  runsLeft,
 		responses: counter("answers"), callerDisconnects: counter("callers_left"),
 		moves: counter("moves"), movesFailed: counter("moves_failed"), backupSwitches: counter("from_backup"), unprovenEnds: counter("unproven_ends"),
 		responseTime: histogram("answer_nanoseconds"), firstEvent: histogram("first_event_nanoseconds"),
@@ -45,6 +53,8 @@
 	m.responseTime.Update(int64(time.Since(x.arrivedAt)))
 }
 
+func (m *requestMetrics) recordLeft(outcome leaveOutcome) { m.runsLeft[outcome].Inc(1) }
+
 func (m *requestMetrics) recordDisconnect(*exchange) { m.callerDisconnects.Inc(1) }
 
 func (m *requestMetrics) recordError(_ *exchange, kind apierror.Kind) {
--- a/internal/forward/release.go
+++ b/internal/forward/release.go
@@ -38,6 +38,7 @@
 	next := s.continuation
 	s.continuation, s.isReleased = nil, true
 	s.mu.Unlock()
+	s.freeUnused(s.takeLeft())
 	s.releaseBackup(false)
 	s.releaseContinuation(next)
 }
@@ -51,6 +52,7 @@
 	if next.response != nil {
 		next.response.Close(true)
 		next.cancel()
+		s.leaveUnused(next.lease.Target)
 	} else if next.from != nil {
 		go s.freeMemory(*next.from)
 	}
--- a/internal/forward/shutdown.go
+++ b/internal/forward/shutdown.go
@@ -33,6 +33,9 @@
 // called when FinalAnswerTime is left until requests are aborted.
 func (f *Forwarder) EndUnanswered() { f.endUnanswered() }
 
+// LeavingRuns returns the number of runs whose targets are still to learn that they are not wanted any more.
+func (f *Forwarder) LeavingRuns() int64 { return f.leaving.Load() }
+
 // watchShutdown makes the request end with errStopping at the end of a graceful shutdown, unless its answer has begun.
 func (x *exchange) watchShutdown(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -38,7 +38,7 @@
 	if s.silenceTimer == nil {
 		target := lease.Target
 		s.silenceTimer = time.AfterFunc(limit, func() {
-			s.relocate(target, func() *continuation { return s.switchToBackup(target, movedOffSilent) })
+			s.relocate(target, func() *continuation { return s.switchToBackup(target, movedOffSilent, true) })
 		})
 		return
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -13,6 +13,8 @@
 	"godwitcart/internal/delivery"
 	"godwitcart/internal/eventstream"
 	"godwitcart/internal/placement"
+	"godwitcart/internal/roster"
+	"godwitcart/internal/upstream"
 )
 
 // stream is one streamed response. Its generation may move to other targets while it runs.
@@ -45,6 +47,11 @@
 	continuation *continuation
 	// moveDone is closed when the move in progress has ended; nil if there is none.
 	moveDone chan struct{}
+	// ended is closed when the current target's response has ended; endStated tells whether its length or last chunk stated that.
+	ended     chan struct{}
+	endStated bool
+	// left is the run that was left last, while its memory may be needed; nil for none.
+	left *departure
 	// isReleased is set once the stream has ended; a move that is still in progress then reserves nothing for it.
 	isReleased bool
 }
@@ -85,7 +92,9 @@
 			x.relayTargetFailure(failure.targetResponse, next.lease.Target.ID)
 			return nil
 		}
-		if ctx.Err() == nil && s.prepareContinuation(ctx, failure, next) {
+		wasAskedToStop := s.wasAskedToStop()
+		left := s.leaveFailed(ctx, failure, next.lease.Target)
+		if ctx.Err() == nil && s.prepareContinuation(ctx, failure, next, left, wasAskedToStop) {
 			continue
 		}
 		return s.interruptedError(ctx, failure)
@@ -121,15 +130,41 @@
 	return &continuation{lease: lease}, nil
 }
 
-// prepareContinuation reports whether the stream can continue after the failure of its target, and prepares it.
-func (s *stream) prepareContinuation(ctx context.Context, failure *attemptError, previous *continuation) bool {
-	if failure.outcome == placement.Moved || !failure.notRun && !s.mayHaveEnded(ctx, failure) && s.continueFromBackup() {
+// prepareContinuation reports whether the stream can continue after the failure of its target, and prepares it. left is the run
+// of that target, which has to stop before the next one begins; nil if it does not work any more.
+func (s *stream) prepareContinuation(ctx context.Context, failure *attemptError, previous *continuation, left *departure, wasAskedToStop bool) bool {
+	if failure.outcome == placement.Moved {
 		return true
 	}
+	if !failure.notRun && s.hasUsableBackup() && !s.mayHaveEnded(ctx, failure, left, wasAskedToStop) {
+		s.awaitLeft(left, nil)
+		if s.continueFromBackup() {
+			return true
+		}
+	}
 	if previous.from != nil && failure.notRun && !s.isRepeatable() {
-		return false // the KV cache is lost, and starting from the prompt would run the call twice
+		return s.continueFromStopped(previous.lease.Target) // starting from the prompt would run the call twice
+	}
+	if !s.prepareRetry(ctx, failure, previous.lease.Target.ID) {
+		return false
 	}
-	return s.prepareRetry(ctx, failure, previous.lease.Target.ID)
+	s.awaitLeft(left, nil)
+	return true
+}
+
+// continueFromStopped prepares to continue from the memory of a run that was stopped, after the engine with its copy has refused.
+func (s *stream) continueFromStopped(refused roster.Target) bool {
+	s.mu.Lock()
+	left := s.left
+	s.mu.Unlock()
+	if left == nil {
+		return false
+	}
+	next := s.continueStopped(left.source, refused)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.continuation = next
+	return next != nil
 }
 
 // awaitMove waits for a move in progress and reports whether there is a continuation.
@@ -189,7 +224,7 @@
 	s.register(next.lease, response)
 	err = s.relay(next.lease, response, source)
 	s.stopWatchingSilence()
-	s.unregister()
+	s.unregister(response.End())
 	// A whole answer needs no continuation. What its engine may have stopped is whole only if the engine denies that.
 	hasMoved := (s.wasAskedToStop() || !response.End().IsStated()) && s.awaitMove(ctx)
 	if err == nil && (hasMoved || s.wasAskedToStop()) {
@@ -273,19 +308,36 @@
 	s.mayHaveRun = true
 	s.mu.Lock()
 	s.lease, s.response, s.stopRequested = lease, response, false
+	s.ended = make(chan struct{})
 	s.mu.Unlock()
+	s.freeUnused(s.takeLeft())
 	s.streams.add(lease.Target.ID, s)
 }
 
 // unregister hides the stream from evacuations once its target's response has ended.
-func (s *stream) unregister() {
+func (s *stream) unregister(end upstream.End) {
 	s.mu.Lock()
 	id := s.lease.Target.ID
-	s.response = nil
+	s.response, s.endStated = nil, end.IsStated()
+	close(s.ended)
 	s.mu.Unlock()
 	s.streams.remove(id, s)
 }
 
+// responseEnded returns a channel that is closed when the current target's response has ended.
+func (s *stream) responseEnded() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ended
+}
+
+// hasStatedEnd reports whether the response that has ended last stated its end.
+func (s *stream) hasStatedEnd() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endStated
+}
+
 // relay forwards events as they arrive, until the target's response ends.
 func (s *stream) relay(lease *placement.Lease, response *answer, source *delivery.Source) error {
 	events := eventstream.NewReader(response)
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -34,7 +34,7 @@
 		case s.route.Resumable: // resumed after its last event once the target stops; most complete before that
 		case s.hasUsableBackup():
 			switching.Go(func() {
-				s.relocate(leaving, func() *continuation { return s.switchToBackup(leaving, movedOffLeaving) })
+				s.relocate(leaving, func() *continuation { return s.switchToBackup(leaving, movedOffLeaving, false) })
 				if s.isServedBy(leaving) {
 					toMove <- s
 				}
@@ -110,7 +110,7 @@
 		return // resumed after its last event once the target stops; most complete before that
 	}
 	s.relocate(leaving, func() *continuation {
-		next := s.switchToBackup(leaving, movedOffLeaving)
+		next := s.switchToBackup(leaving, movedOffLeaving, false)
 		if engine := s.service.Engine; next == nil && engine != nil && engine.SupportsMoves {
 			next = s.move(leaving, noticedAt, blocked)
 		}
@@ -135,9 +135,11 @@
 }
 
 // switchToBackup continues the generation at its backup, and returns nil if there is none or it refuses, for example
-// because it had no capacity for the copy. The source keeps running until the backup has responded, so a refusal costs
-// nothing; events that both send are deduplicated by their numbers. A switch is logged with the given message.
-func (s *stream) switchToBackup(source roster.Target, message string) *continuation {
+// because it had no capacity for the copy. A switch is logged with the given message.
+//
+// With stopFirst, the source is left before the backup is asked. Otherwise it works on until the backup has responded, for up
+// to maxOverlap, so that a refusal costs nothing; events that both send are deduplicated by their numbers.
+func (s *stream) switchToBackup(source roster.Target, message string, stopFirst bool) *continuation {
 	if !s.awaitBackup() {
 		return nil
 	}
@@ -145,12 +147,78 @@
 	if !found {
 		return nil
 	}
+	if stopFirst && s.endsBeforeSwitch(source, next) {
+		next.lease.Done(placement.Canceled, time.Now())
+		s.restoreBackup(next.lease.Target)
+		return nil
+	}
+	if !s.sendToBackup(next, source) {
+		return s.continueStopped(source, next.lease.Target)
+	}
+	s.leaveOnce(source, next.lease.Target.Address)
+	s.metrics.backupSwitches.Inc(1)
+	s.log(message, "target", source.ID, "way", "backup", "destination", next.lease.Target.ID)
+	return next
+}
+
+// endsBeforeSwitch leaves the source of a stream that is to go on elsewhere. It reports whether the stream has ended at the source
+// before it could be stopped.
+func (s *stream) endsBeforeSwitch(source roster.Target, next *continuation) bool {
+	left := s.leaveOnce(source, next.lease.Target.Address)
+	ended := s.responseEnded()
+	s.awaitLeft(left, ended)
+	return s.hasEndedWhole(left, ended)
+}
+
+// hasEndedWhole reports whether the response of a source that was to be left may be the whole one: the source says that it does
+// not run the generation, and its response has ended or does so now.
+func (s *stream) hasEndedWhole(left *departure, ended <-chan struct{}) bool {
+	select {
+	case <-ended:
+		return s.hasStatedEnd() && left.awaitAnswer(s.ctx, askTimeout) && left.isAbsent()
+	default:
+	}
+	if !left.isAbsent() {
+		return false
+	}
+	select {
+	case <-ended:
+		return true
+	case <-time.After(s.stopWait()):
+		return false
+	}
+}
+
+// continueStopped returns where a generation goes on whose backup, given by refused, does not take it: from the memory of its
+// source if that was left and has stopped it. It returns nil if it goes on at its source or nowhere.
+func (s *stream) continueStopped(source, refused roster.Target) *continuation {
+	left := s.leftFrom(source)
+	if left == nil {
+		return nil
+	}
+	select {
+	case <-left.done:
+	case <-s.ctx.Done():
+		return nil
+	}
+	if left.outcome != leftStopped || left.result.KVCache.Handle == "" {
+		return nil
+	}
+	s.takeLeft() // its memory is not to be freed
+	return s.resumeAfterRefusal(source, refused, left.result.KVCache)
+}
+
+// sendToBackup sends the call to the backup and reports whether it goes on with the generation. If not, it releases what the
+// continuation holds.
+func (s *stream) sendToBackup(next *continuation, source roster.Target) bool {
 	ctx, cancel := context.WithDeadline(s.ctx, s.deadline)
 	next.cancel = cancel
 	var overlapEnds *time.Timer
 	attempt := Attempt{LastEventID: s.caller.LastEvent(), From: next.from, BackupAddress: s.reserveBackup(next.lease)}
 	// While a connection is being made, the source is the only engine that works on the generation.
-	attempt.Sending = func() { overlapEnds = time.AfterFunc(maxOverlap, func() { s.leaveSource(source) }) }
+	attempt.Sending = func() {
+		overlapEnds = time.AfterFunc(maxOverlap, func() { s.leaveSource(source, next.lease.Target.Address) })
+	}
 	response, failure := s.sendAttempt(ctx, next.lease, attempt)
 	if overlapEnds != nil {
 		overlapEnds.Stop()
@@ -159,26 +227,31 @@
 		response.Close(true)
 		failure = &attemptError{outcome: placement.Failed, cause: errors.Newf("the backup answered with status %d", response.StatusCode)}
 	}
-	if failure != nil {
-		cancel()
-		next.lease.Done(failure.outcome, time.Now())
-		s.releaseBackup(false)
-		s.restoreBackup(next.lease.Target)
-		s.recordMoveFailure(source, next.lease.Target.ID, failure, "way", "backup")
-		return nil
+	if failure == nil {
+		next.response = response
+		return true
 	}
-	s.metrics.backupSwitches.Inc(1)
-	s.log(message, "target", source.ID, "way", "backup", "destination", next.lease.Target.ID)
-	next.response = response
-	return next
+	cancel()
+	if !failure.notRun {
+		s.leaveUnused(next.lease.Target)
+	}
+	next.lease.Done(failure.outcome, time.Now())
+	s.releaseBackup(false)
+	s.restoreBackup(next.lease.Target)
+	s.recordMoveFailure(source, next.lease.Target.ID, failure, "way", "backup")
+	return false
 }
 
-// leaveSource closes the connection to the source if it still serves the stream. The backup has not answered in time and
-// may be running the generation already.
-func (s *stream) leaveSource(source roster.Target) {
+// leaveSource leaves the source if it still serves the stream, and closes its connection. The backup has not answered in time
+// and may be running the generation already.
+func (s *stream) leaveSource(source roster.Target, backup string) {
+	if !s.isServedBy(source) {
+		return
+	}
+	s.leaveOnce(source, backup)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.response != nil && s.lease.Target.SameIncarnation(source) {
+	if s.response != nil {
 		s.response.CloseConnection()
 	}
 }
@@ -194,8 +267,9 @@
 	// specified as about two seconds.
 	minNoticeTime = 1300 * time.Millisecond
 	// maxOverlap is how long the source is kept after the call was sent to the backup. A backup that refuses does so at
-	// once; one that runs the generation may answer late, and two engines must not work on it for long.
-	maxOverlap = 250 * time.Millisecond
+	// once; one that runs the generation may answer late, and two engines must not work on it for more than 400 ms. The
+	// rest of these is left for stopping the source.
+	maxOverlap = 150 * time.Millisecond
 	// moveTimeout bounds a move. Engines in a planned replacement keep running for longer than minNoticeTime.
 	moveTimeout = 6 * time.Second
 	// evacuationMoveShare is the part of the bound of an evacuation in which generations move. The rest is left for the
@@ -268,21 +342,21 @@
 func (s *stream) copyTo(ctx context.Context, leaving roster.Target, lease *placement.Lease, noticedAt time.Time) (CopyResult, error) {
 	for {
 		startedAt := time.Now()
-		result, err := s.requestCopy(ctx, leaving, lease, false)
+		result, err := s.requestCopy(ctx, leaving, lease.Target.Address, false)
 		if err != nil || result.Refused || result.Unknown {
 			return result, err
 		}
 		if time.Since(startedAt) <= s.finalCopyLimit() || time.Since(noticedAt) > minNoticeTime {
-			return s.requestLastCopy(ctx, leaving, lease)
+			return s.requestLastCopy(ctx, leaving, lease.Target.Address)
 		}
 	}
 }
 
 // requestCopy asks the source for a copy. The call counts against the source's request limit, but does not wait for it:
 // the generation would be lost.
-func (s *stream) requestCopy(ctx context.Context, source roster.Target, destination *placement.Lease, stop bool) (CopyResult, error) {
+func (s *stream) requestCopy(ctx context.Context, source roster.Target, destination string, stop bool) (CopyResult, error) {
 	s.options.Limits.Take(source, time.Now())
-	return s.options.Mover.Copy(ctx, source.Address, s.call.ID, destination.Target.Address, stop)
+	return s.options.Mover.Copy(ctx, source.Address, s.call.ID, destination, stop)
 }
 
 // finalCopyLimit returns the duration up to which a copy is fast enough for the generation to be stopped.
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -114,6 +114,8 @@
 	Refused bool
 	// Unknown is true if the source is not running the generation.
 	Unknown bool
+	// InProgress is true if the source is still serving an earlier call for the generation, and did nothing.
+	InProgress bool
 }
 
 // Mover copies running generations between engines.
--- a/internal/stand/soak/harness.go
+++ b/internal/stand/soak/harness.go
@@ -181,6 +181,7 @@
 		target.SetRoom(plainSlots, plainQueue, plainWorkTime)
 	}
 	target.SetFraming(h.chooseFraming(number))
+	target.SetIgnoresCloses(h.ignoresCloses(number))
 	h.setCrashes(slot, target)
 	return target
 }
--- a/internal/stand/soak/judge.go
+++ b/internal/stand/soak/judge.go
@@ -119,6 +119,9 @@
 	add("bad_answer", c.status != 0 && !c.fromTarget && !gatewayStatuses[c.status])
 	add("revoked_key_served", served && c.apiKey.revoked && c.sentAt.Sub(c.apiKey.revokedAt) > revocationBound+h.options.Slack)
 	add("valid_key_denied", (c.status == http.StatusUnauthorized || c.status == http.StatusNotFound) && h.wasKeyValid(c))
+	now := time.Now()
+	add("runs_overlap", c.streaming && h.overlaps(c, runs, now))
+	add("caller_gone_but_runs", c.streaming && h.worksForNobody(c, runs, now))
 	add("answer_lost", !vmFaulted && h.isAnswerLost(c, runs))
 	return violated
 }
--- a/internal/stand/soak/judge_test.go
+++ b/internal/stand/soak/judge_test.go
@@ -26,7 +26,19 @@
 	}
 }
 
-var run = platformtest.Run{Target: "t-1", ID: "c"}
+var run = platformtest.Run{Target: "t-1", ID: "c", EndedAt: at(12)}
+
+// endedRun is run with its end.
+func endedRun(at time.Time) platformtest.Run {
+	ended := run
+	ended.EndedAt = at
+	return ended
+}
+
+// overlapping returns a run that ends at the given time and one that goes on elsewhere from second 11 on.
+func overlapping(ended time.Time) []platformtest.Run {
+	return []platformtest.Run{endedRun(ended), {Target: "t-2", ID: "c", Continued: true, BegunAt: at(11), EndedAt: at(12)}}
+}
 
 // TestEachViolationIsDetected checks that each violated guarantee is reported, and that a correct response violates
 // none.
@@ -58,6 +70,12 @@
 		"refused by 408":        {refuseBy(http.StatusRequestTimeout), nil, nil, ""},
 		"sound but broken":      {breakWith(reset, 5), []platformtest.Run{unframedRun}, nil, ""},
 		"unframed, cut off":     {breakWith(reset, 4), []platformtest.Run{unframedRun}, nil, "answer_lost"},
+		"overlap":               {func(*call) {}, overlapping(at(12.5)), nil, "runs_overlap"},
+		"short overlap":         {func(*call) {}, overlapping(at(11.8)), nil, ""},
+		"overlap, source cut":   {func(*call) {}, overlapping(at(12.5)), []fault{{"target_cut", "t-1", at(10), at(11)}}, ""},
+		"runs for nobody":       {func(c *call) { c.disconnected = true }, []platformtest.Run{endedRun(at(14))}, nil, "caller_gone_but_runs"},
+		"runs a little longer":  {func(c *call) { c.disconnected = true }, []platformtest.Run{endedRun(at(12.9))}, nil, ""},
+		"VM gone":               {func(c *call) { c.disconnected = true }, []platformtest.Run{endedRun(at(14))}, []fault{{"vm_kill", "vm-1", at(11), at(12)}}, ""},
 		"long":                  {func(c *call) { c.events = 6 }, []platformtest.Run{run}, nil, "too_many_events"},
 		"two versions":          {func(c *call) { c.versions = []string{"v1", "v2"} }, []platformtest.Run{run}, nil, "mixed_versions"},
 		"late":                  {func(c *call) { c.endedAt = at(30) }, []platformtest.Run{run}, nil, "unanswered"},
