membudget: one bound for the bytes that a VM holds and has not passed on

Cause: events, heads and bodies had bounds of their own, the same on all VMs and none over all, and a buffer that grows holds its old and its new block.

Change: internal/membudget, a quarter of limits.memory_mb for bodies of requests, heads, events and bodies of answers, and the platform's answers. The first 16 KiB of each are free. An answer that needs more than is left takes it from the one that holds most; a request is refused before its body is read (503, not run) and never given up. Bodies are read in parts that are used again.

Ruled out on the way: giving the memory of an answer back when it is given up, and not when its reader has ended: bodies still took 42 to 60 MB.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -89,7 +89,9 @@
 }
 
 // WriteWhole writes a target's whole answer.
-func (a *Answer) WriteWhole(head Head, body upstream.Body) error { return a.write(head, body.Bytes()) }
+func (a *Answer) WriteWhole(head Head, body upstream.Body) error {
+	return a.write(head, body.Parts()...)
+}
 
 // WriteError writes an error of this VM.
 func (a *Answer) WriteError(failure *apierror.Error) error {
@@ -100,16 +102,22 @@
 	return a.write(Head{Status: failure.Kind.HTTPStatus(), Header: header}, []byte(failure.Message+"; "+failure.Remedy+"\n"))
 }
 
-func (a *Answer) write(head Head, body []byte) error {
+func (a *Answer) write(head Head, parts ...[]byte) error {
 	if a.HasBegun() {
 		return ErrBegun
 	}
+	length := 0
+	for _, part := range parts {
+		length += len(part)
+	}
 	if a.r.Method != http.MethodHead && hasBody(head.Status) {
-		a.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		a.w.Header().Set("Content-Length", strconv.Itoa(length))
 	}
 	a.begin(head)
-	if _, err := a.w.Write(body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
-		return err
+	for _, part := range parts {
+		if _, err := a.w.Write(part); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+			return err
+		}
 	}
 	a.isComplete = true
 	return nil
--- a/internal/delivery/source.go
+++ b/internal/delivery/source.go
@@ -20,7 +20,7 @@
 const eventStreamType = "text/event-stream"
 
 // maxHeldComments bounds the bytes of comments that are held before the first event.
-const maxHeldComments = 64 << 10
+const maxHeldComments = 4 << 10
 
 // Source is the answer of one target to a run of a stream, or to a part of it.
 type Source struct {
@@ -107,10 +107,15 @@
 
 // Send passes the event on, after the head and the comments that were held.
 func (s *Source) Send(next NextEvent) error {
-	if err := s.answer.send(s.head, append(s.comments, next.raw...)); err != nil {
+	if len(s.comments) > 0 {
+		if err := s.answer.send(s.head, s.comments); err != nil {
+			return err
+		}
+		s.comments = nil
+	}
+	if err := s.answer.send(s.head, next.raw); err != nil {
 		return err
 	}
-	s.comments = s.comments[:0]
 	s.sent++
 	s.answer.recordEvent(next.id)
 	return nil
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"godwitcart/internal/forward"
 	"godwitcart/internal/inforce"
 	"godwitcart/internal/lengths"
+	"godwitcart/internal/membudget"
 	"godwitcart/internal/origin"
 	"godwitcart/internal/pause"
 	"godwitcart/internal/placement"
@@ -41,6 +42,9 @@
 	// heapShare is the share of the memory limit that is set as the Go runtime's soft limit, above which it collects
 	// garbage more often.
 	heapShare = 0.6
+	// heldShare is the share of the memory limit that bytes of requests and answers may take which are not passed on yet.
+	// The heap may be twice as large as what it holds, and the kernel's buffers count as well.
+	heldShare = 0.25
 	// callerConnectionShare is the share of the file descriptors that callers' connections may use.
 	callerConnectionShare = 0.5
 	// usableBudgetShare is the share of the retry budget that is used; the rest covers VMs that are not known yet.
@@ -78,11 +82,13 @@
 	store     *platform.Store
 	client    *upstream.Client
 	trail     *trail.Recorder
-	limits    *targetlimit.Ledger
-	cold      *targetlimit.ColdTargets
-	origins   *origin.Registry
-	versions  *versions.Registry
-	poison    *poison.Registry
+	// memory bounds what requests and answers hold together.
+	memory   *membudget.Budget
+	limits   *targetlimit.Ledger
+	cold     *targetlimit.ColdTargets
+	origins  *origin.Registry
+	versions *versions.Registry
+	poison   *poison.Registry
 	// evacuations is nil if the settings set no bound for evacuations, and evacuationFollower, which reads them, too.
 	evacuations        *evacuation.Registry
 	evacuationFollower *evacuation.Follower
@@ -102,10 +108,10 @@
 
 // New returns an Entry. It opens no listeners and makes no calls; Run does.
 func New(s *settings.Deployment, logger *log.Logger) *Entry {
-	e := &Entry{logger: logger, startedAt: time.Now(), shutdownStarted: make(chan struct{}), trail: trail.New()}
+	e := &Entry{logger: logger, startedAt: time.Now(), shutdownStarted: make(chan struct{}), trail: trail.New(), memory: membudget.New(membudget.DefaultLimit)}
 	e.client = e.newClient(s)
 	e.settings.Store(s)
-	e.store = platform.NewStore(s.Platform.Address, platform.ShortWatchWait)
+	e.store = platform.NewStore(s.Platform.Address, platform.ShortWatchWait).WithMemory(e.memory)
 	e.cold = e.newColdTargets(s)
 	e.limits = targetlimit.NewLedger(targetlimit.Options{VM: s.VM.Name, Logger: logger, Changed: e.sendDigestNow, Transmit: e.transmitPermit, PermitAvailable: e.retryWaiting, Capacity: e.capacityOf, Cold: e.cold})
 	e.table = placement.NewTable(placement.Options{Self: placement.Sender{VM: s.VM.Name, Zone: s.VM.Zone}, OnLoadChange: e.sendDigestNow, Limits: e.limits, Seed: nameSeed(s.VM.Name)})
@@ -123,7 +129,7 @@
 	e.forwarder = forward.New(forward.Options{
 		Codec: platform.Codec{}, Mover: platform.NewMover(e.client), Poller: e.poller, Table: e.table, Client: e.client,
 		Budget: e.budget, Lengths: lengths.NewEstimator(0), Limits: e.limits, Origins: e.origins, Versions: e.versions, Poison: e.poison, Logger: logger, Trail: e.trail, Zone: s.VM.Zone, Stopping: e.stopping, ShutdownStarted: e.shutdownStarted, TargetLeaving: e.recordLeaving, TargetPaused: e.sharePause,
-		MaxConfigurationAge: s.Bounds.ConfigurationDelay(), EvacuateWithin: s.Bounds.EvacuationDelay(),
+		MaxConfigurationAge: s.Bounds.ConfigurationDelay(), EvacuateWithin: s.Bounds.EvacuationDelay(), Memory: e.memory,
 	})
 	e.follower = roster.NewFollower(roster.Options{
 		Store: e.store, Relaxed: e.store.WithStaleReads(platform.ShortWatchWait), Prefix: platform.TargetsPrefix, Decode: platform.DecodeTarget, Listener: e, Logger: logger,
@@ -230,9 +236,13 @@
 }
 
 func (e *Entry) applyLimits() {
-	if limit := e.settings.Load().Limits.MemoryMB; limit > 0 {
-		debug.SetMemoryLimit(int64(float64(limit) * heapShare * (1 << 20)))
+	limit := e.settings.Load().Limits.MemoryMB
+	if limit == 0 {
+		e.memory.SetLimit(membudget.DefaultLimit)
+		return
 	}
+	debug.SetMemoryLimit(int64(float64(limit) * heapShare * (1 << 20)))
+	e.memory.SetLimit(int64(float64(limit) * heldShare * (1 << 20)))
 }
 
 // Run serves until a graceful shutdown is complete or stopCtx ends, and then returns nil. It returns an error if a
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -26,7 +26,7 @@
 
 // newClient returns the client for targets. It reaches them through other VMs where the exchange with them is on.
 func (e *Entry) newClient(s *settings.Deployment) *upstream.Client {
-	options := upstream.Options{Proxy: s.Targets.Proxy, WayChanged: e.logWay}
+	options := upstream.Options{Proxy: s.Targets.Proxy, WayChanged: e.logWay, Budget: e.memory}
 	if s.Peers.Port != 0 {
 		options.LocalAddress = net.ParseIP(s.VM.Address)
 		dialer := relay.NewDialer(relay.Options{Peers: e.relayPeers, ZoneOf: e.zoneOfTarget, Dial: e.dialPeer})
--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -17,31 +17,78 @@
 	Raw []byte
 }
 
+// Holder accounts for the memory that events take until they are passed on.
+type Holder interface {
+	// Grow accounts for more bytes. Its error ends the reading.
+	Grow(bytes int) error
+	Shrink(bytes int)
+}
+
 // Reader reads events from a stream. It never returns an incomplete event.
 type Reader struct {
-	input *bufio.Reader
-	raw   []byte
+	input  *bufio.Reader
+	holder Holder
+	raw    []byte
 }
 
 // bufferSize is large enough for a typical event.
 const bufferSize = 4 << 10
 
-// maxEventBytes bounds the size of one event.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds the size of one event.
+	maxEventBytes = 1 << 20
+	// maxKeptBytes is the largest buffer that is kept for the next event.
+	maxKeptBytes = 16 << 10
+)
 
 // NewReader returns a Reader for the stream.
-func NewReader(stream io.Reader) *Reader {
-	return &Reader{input: bufio.NewReaderSize(stream, bufferSize)}
+func NewReader(stream io.Reader, holder Holder) *Reader {
+	return &Reader{input: bufio.NewReaderSize(stream, bufferSize), holder: holder}
+}
+
+// append adds a part to the event. While the buffer grows, the old one and the new one are held.
+func (r *Reader) append(part []byte) error {
+	if needed := len(r.raw) + len(part); needed > cap(r.raw) {
+		size := max(2*cap(r.raw), bufferSize) // a part is no longer than bufferSize
+		if err := r.holder.Grow(size); err != nil {
+			return err
+		}
+		grown := append(takeBuffer(size), r.raw...)
+		r.release()
+		r.raw = grown
+	}
+	r.raw = append(r.raw, part...)
+	return nil
+}
+
+// reset forgets the last event, and its buffer if that is larger than usual.
+func (r *Reader) reset() {
+	if cap(r.raw) > maxKeptBytes {
+		r.release()
+	}
+	r.raw = r.raw[:0]
+}
+
+// release gives the buffer of the last event back.
+func (r *Reader) release() {
+	r.holder.Shrink(cap(r.raw))
+	putBuffer(r.raw)
+	r.raw = nil
 }
 
+// Close ends the use of the reader and of the last event.
+func (r *Reader) Close() { r.release() }
+
 // Next returns the next event. It returns io.EOF if the stream ended after a complete event, io.ErrUnexpectedEOF if it
 // ended within one, bufio.ErrTooLong for an event that is too long, and the underlying reader's error otherwise.
 func (r *Reader) Next() (Event, error) {
 	event := Event{}
-	r.raw = r.raw[:0]
+	r.reset()
 	for {
 		line, err := r.input.ReadSlice('\n')
-		r.raw = append(r.raw, line...)
+		if holdErr := r.append(line); holdErr != nil {
+			return Event{}, holdErr
+		}
 		if err == bufio.ErrBufferFull {
 			if len(r.raw) > maxEventBytes {
 				return Event{}, bufio.ErrTooLong
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -1,6 +1,7 @@
 package eventstream_test
 
 import (
+	"errors"
 	"io"
 	"strings"
 	"testing"
@@ -12,7 +13,7 @@
 )
 
 func readAll(stream io.Reader) (events []eventstream.Event, err error) {
-	reader := eventstream.NewReader(stream)
+	reader := eventstream.NewReader(stream, freeMemory{})
 	for {
 		event, err := reader.Next()
 		if err != nil {
@@ -69,7 +70,7 @@
 
 func BenchmarkNext(b *testing.B) {
 	event := "id: 17\ndata: " + strings.Repeat("x", 350) + "\n\n"
-	reader := eventstream.NewReader(&repeatingReader{text: event})
+	reader := eventstream.NewReader(&repeatingReader{text: event}, freeMemory{})
 	b.ReportAllocs()
 	for b.Loop() {
 		if _, err := reader.Next(); err != nil {
@@ -90,3 +91,44 @@
 	e.offset = (e.offset + n) % len(e.text)
 	return n, nil
 }
+
+// freeMemory is a Holder without a bound.
+type freeMemory struct{}
+
+func (freeMemory) Grow(int) error { return nil }
+
+func (freeMemory) Shrink(int) {}
+
+// countingMemory is a Holder that refuses beyond a bound.
+type countingMemory struct{ held, most, bound int }
+
+func (m *countingMemory) Grow(bytes int) error {
+	if m.held+bytes > m.bound {
+		return errors.New("no memory")
+	}
+	m.held += bytes
+	m.most = max(m.most, m.held)
+	return nil
+}
+
+func (m *countingMemory) Shrink(bytes int) { m.held -= bytes }
+
+// TestLargeEventsAreAccountedFor guards against events whose memory nobody counts, and against a buffer that is held for the rest
+// of the stream after one large event.
+func TestLargeEventsAreAccountedFor(t *testing.T) {
+	large := "data: " + strings.Repeat("x", 300<<10) + "\n\n"
+	memory := &countingMemory{bound: 2 << 20}
+	reader := eventstream.NewReader(strings.NewReader(large+"data: a\n\n"), memory)
+	event, err := reader.Next()
+	require.NoError(t, err)
+	require.Len(t, event.Raw, len(large))
+	require.GreaterOrEqual(t, memory.held, len(large))
+	event, err = reader.Next()
+	require.NoError(t, err)
+	require.Equal(t, "data: a\n\n", string(event.Raw))
+	require.LessOrEqual(t, memory.held, 16<<10)
+	reader.Close()
+	require.Zero(t, memory.held)
+	_, err = eventstream.NewReader(strings.NewReader(large), &countingMemory{bound: 100 << 10}).Next()
+	require.ErrorContains(t, err, "no memory")
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -351,6 +351,7 @@
 		response.Close(true)
 		return x.endTrial(response.ctx, response.trial, lease.Target, x.classifyError(ctx, errors.Wrap(err, "the target's answer was cut off")), response.IsRelayed())
 	}
+	x.bodies = append(x.bodies, body)
 	response.trial.Answered()
 	response.Close(false)
 	if promisesNotRun(response.StatusCode) {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -12,11 +12,13 @@
 	"math/rand/v2"
 
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/delivery"
 	"godwitcart/internal/inforce"
 	"godwitcart/internal/lengths"
+	"godwitcart/internal/membudget"
 	"godwitcart/internal/placement"
 	"godwitcart/internal/poison"
 	"godwitcart/internal/policy"
@@ -58,6 +60,8 @@
 	MaxConfigurationAge time.Duration
 	// EvacuateWithin is the time in which a zone in evacuation gets its last request; zero means that no zones are evacuated.
 	EvacuateWithin time.Duration
+	// Memory bounds what requests and answers hold together; nil stands for a budget of the Forwarder's own.
+	Memory *membudget.Budget
 }
 
 // Forwarder is the HTTP handler for callers' requests. It is safe for concurrent use.
@@ -75,6 +79,9 @@
 
 // New returns a Forwarder.
 func New(options Options) *Forwarder {
+	if options.Memory == nil {
+		options.Memory = membudget.New(membudget.DefaultLimit)
+	}
 	f := &Forwarder{options: options, streams: newStreamSet(), durations: newRouteDurations(), metrics: newRequestMetrics(), leaving: &atomic.Int64{}}
 	f.unanswered, f.endUnanswered = context.WithCancel(context.Background())
 	return f
@@ -85,6 +92,8 @@
 	maxBufferedBytes = 8 << 20
 	// defaultBodyBytes bounds a request's body if the configuration sets no limit.
 	defaultBodyBytes = 4 << 20
+	// memoryRetryAfter is the Retry-After of a request for whose body there is no memory; other VMs may have some.
+	memoryRetryAfter = time.Second
 	// staleRetryAfter is the Retry-After of a request refused because the configuration is stale.
 	staleRetryAfter = 700 * time.Millisecond
 	// startRetryAfter is the Retry-After before the first configuration has been read.
@@ -120,11 +129,15 @@
 	mayHaveRun bool
 	// sentAt is when the call was first sent to a target.
 	sentAt time.Time
+	// held is what the request holds in memory, and bodies are those of answers that were read whole.
+	held   *membudget.Holding
+	bodies []upstream.Body
 }
 
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{Forwarder: f, caller: delivery.New(w, r), arrivedAt: time.Now()}
+	x := &exchange{Forwarder: f, caller: delivery.New(w, r), arrivedAt: time.Now(), held: f.options.Memory.Request()}
+	defer x.releaseMemory()
 	if _, stopping := f.options.Stopping(); stopping {
 		x.caller.CloseConnection()
 	}
@@ -252,16 +265,54 @@
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, apierror.Wrap(err, apierror.KindBadRequest, "the body broke off", "send the request again")
+	if r.ContentLength > 0 {
+		return x.readSizedBody(r)
+	}
+	return x.readUnsizedBody(r, limit)
+}
+
+// readSizedBody reads a body whose length is known. It is refused before it is read if there is no memory for it.
+func (x *exchange) readSizedBody(r *http.Request) ([]byte, error) {
+	if err := x.held.Grow(r.ContentLength); err != nil {
+		return nil, noMemoryError(err)
+	}
+	body := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, body); err != nil {
+		return nil, bodyBrokenError(err)
 	}
-	if int64(len(body)) > limit {
+	return body, nil
+}
+
+// readUnsizedBody reads a body of unknown length.
+func (x *exchange) readUnsizedBody(r *http.Request, limit int64) ([]byte, error) {
+	body, err := membudget.ReadAll(r.Body, x.held, limit)
+	switch {
+	case errors.Is(err, membudget.ErrTooLong):
 		return nil, bodyTooLargeError(limit)
+	case errors.Is(err, membudget.ErrNoRoom):
+		return nil, noMemoryError(err)
+	case err != nil:
+		return nil, bodyBrokenError(err)
 	}
 	return body, nil
 }
 
+// releaseMemory ends what the request has held.
+func (x *exchange) releaseMemory() {
+	x.held.Release()
+	for _, body := range x.bodies {
+		body.Release()
+	}
+}
+
+func bodyBrokenError(cause error) error {
+	return apierror.Wrap(cause, apierror.KindBadRequest, "the body broke off", "send the request again")
+}
+
+func noMemoryError(cause error) error {
+	return apierror.Wrap(cause, apierror.KindNotRun, "this VM has no memory left for the body", "come back after the time given, on a new connection").WithRetryAfter(memoryRetryAfter)
+}
+
 func bodyTooLargeError(limit int64) error {
 	return apierror.Newf(apierror.KindTooLarge, "send less", "the body is larger than %d bytes", limit)
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -340,7 +340,8 @@
 
 // relay forwards events as they arrive, until the target's response ends.
 func (s *stream) relay(lease *placement.Lease, response *answer, source *delivery.Source) error {
-	events := eventstream.NewReader(response)
+	events := eventstream.NewReader(response, response)
+	defer events.Close()
 	for {
 		event, err := events.Next()
 		if err == io.EOF {
--- a/internal/target/engine.go
+++ b/internal/target/engine.go
@@ -60,6 +60,8 @@
 	// connectionBufferBytes is small, because a stream occupies the buffers of its connection until it ends and
 	// the event of one token takes a few hundred bytes.
 	connectionBufferBytes = 1 << 10
+	// maxHeadBytes bounds the head of an answer; net/http would take 10 MB.
+	maxHeadBytes = 64 << 10
 )
 
 // NewEngineClient returns a client with the given timeouts.
@@ -80,6 +82,8 @@
 		DisableCompression:    true,
 		ReadBufferSize:        connectionBufferBytes,
 		WriteBufferSize:       connectionBufferBytes,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/internal/upstream/bound.go
+++ b/internal/upstream/bound.go
@@ -15,11 +15,15 @@
 	source    io.Reader
 	bounded   bool
 	remaining int
+	// grow is called with the number of bytes read while there is a limit. Its error ends the input.
+	grow func(bytes int) error
 }
 
-func (b *boundedInput) limit(bytes int) { b.bounded, b.remaining = true, bytes }
+func (b *boundedInput) limit(bytes int, grow func(int) error) {
+	b.bounded, b.remaining, b.grow = true, bytes, grow
+}
 
-func (b *boundedInput) unlimit() { b.bounded = false }
+func (b *boundedInput) unlimit() { b.bounded, b.grow = false, nil }
 
 // Read implements io.Reader.
 func (b *boundedInput) Read(p []byte) (int, error) {
@@ -31,5 +35,8 @@
 	}
 	n, err := b.source.Read(p[:min(len(p), b.remaining)])
 	b.remaining -= n
+	if growErr := b.grow(n); growErr != nil {
+		return n, growErr
+	}
 	return n, err
 }
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"godwitcart/internal/membudget"
 	"godwitcart/internal/tunnel"
 )
 
@@ -29,7 +30,9 @@
 	conn       *conn
 	stopCancel func() bool
 	// end is how the body has ended.
-	end         End
+	end End
+	// holding is what the answer holds in memory, until Close.
+	holding     *membudget.Holding
 	writeResult chan error
 	closeOnce   sync.Once
 }
@@ -119,10 +122,22 @@
 }
 
 // Body is the body of a response that was read to an end that is taken for the end of the answer. Only ReadWhole makes one.
-type Body struct{ content []byte }
+type Body struct {
+	parts   [][]byte
+	holding *membudget.Holding
+}
+
+// Parts returns the content in parts; they must not be changed.
+func (b Body) Parts() [][]byte { return b.parts }
 
-// Bytes returns the content; it must not be changed.
-func (b Body) Bytes() []byte { return b.content }
+// Release records that the content is not held any more; it must not be used afterwards. It is called once.
+func (b Body) Release() {
+	if b.holding == nil {
+		return
+	}
+	b.holding.Release()
+	releaseParts(b.parts)
+}
 
 // Framing names how the response tells the end of its body, for log lines.
 func (r *Response) Framing() string {
@@ -136,47 +151,88 @@
 	}
 }
 
-// ReadWhole is ReadAll for a body that is passed on as the target's whole answer. Where nothing states its end, it is whole only
-// if nothing speaks against that.
+// ReadWhole reads a body that is passed on as the target's whole answer, up to limit bytes. Where nothing states its end, it is
+// whole only if nothing speaks against that. The body counts as held until its Release.
 func (r *Response) ReadWhole(limit int64) (Body, error) {
-	content, err := r.ReadAll(limit)
-	if err == nil && r.end.IsUnstated() {
-		err = r.checkUnstatedEnd()
-	}
+	parts, err := r.readParts(limit)
 	if err != nil {
 		return Body{}, err
 	}
-	return Body{content: content}, nil
+	if r.end.IsUnstated() {
+		if err := r.checkUnstatedEnd(); err != nil {
+			releaseParts(parts)
+			return Body{}, err
+		}
+	}
+	holding := r.holding
+	holding.Pin()
+	r.holding = r.client.options.Budget.Answer(r.CloseConnection)
+	return Body{parts: parts, holding: holding}, nil
 }
 
-// ReadAll reads the complete body; one longer than limit bytes is an error. So is a body that does not fit in what all
-// responses of the client may occupy while they are read; the first readChunkBytes always fit.
+// ReadAll reads the complete body; one longer than limit bytes is an error.
 func (r *Response) ReadAll(limit int64) ([]byte, error) {
-	reserved := int64(0)
-	defer func() { r.client.buffered.Add(-reserved) }()
-	var body bytes.Buffer
-	for {
-		reserved += readChunkBytes
-		if r.client.buffered.Add(readChunkBytes) > maxBufferedBytes && reserved > readChunkBytes {
-			return nil, fmt.Errorf("the answers that are being read take more than %d bytes", maxBufferedBytes)
+	parts, err := r.readParts(limit)
+	if err != nil {
+		return nil, err
+	}
+	defer releaseParts(parts)
+	return bytes.Join(parts, nil), nil
+}
+
+// partPool holds the buffers of parts of bodies. Without it, the garbage of answers that are given up would exceed what is held.
+var partPool = sync.Pool{New: func() any { return new([readChunkBytes]byte) }}
+
+func releaseParts(parts [][]byte) {
+	for _, part := range parts {
+		partPool.Put((*[readChunkBytes]byte)(part[:readChunkBytes]))
+	}
+}
+
+// readParts reads the complete body in parts, which are never copied into larger ones: a body that grows would be held twice. A
+// body is an error if it is longer than limit bytes or exceeds the budget of all answers.
+func (r *Response) readParts(limit int64) (parts [][]byte, err error) {
+	defer func() {
+		if err != nil {
+			releaseParts(parts)
+			parts = nil
 		}
-		_, err := io.CopyN(&body, r, readChunkBytes)
-		if int64(body.Len()) > limit {
-			return nil, fmt.Errorf("the answer is longer than %d bytes", limit)
+	}()
+	for length := int64(0); ; {
+		if err := r.Grow(readChunkBytes); err != nil {
+			return parts, err
 		}
-		if err == io.EOF {
-			return body.Bytes(), nil
+		part := partPool.Get().(*[readChunkBytes]byte)
+		n, err := io.ReadFull(r, part[:])
+		parts = append(parts, part[:n])
+		if length += int64(n); length > limit {
+			return parts, fmt.Errorf("the answer is longer than %d bytes", limit)
+		}
+		if err == io.EOF || err == io.ErrUnexpectedEOF && r.end.kind != brokenOff {
+			return parts, nil
 		}
 		if err != nil {
-			return nil, err
+			return parts, err
 		}
 	}
 }
 
+// Grow records that the answer holds more bytes which are not passed on yet. The error is membudget.ErrExceeded if it holds too much.
+func (r *Response) Grow(bytes int) error { return r.holding.Grow(int64(bytes)) }
+
+// Shrink records that bytes are not held any more.
+func (r *Response) Shrink(bytes int) { r.holding.Shrink(int64(bytes)) }
+
+// parsedHeadFactor is about how many times the bytes of a head its parsed fields take, with the text itself.
+const parsedHeadFactor = 3
+
+func (r *Response) growHead(bytes int) error { return r.Grow(parsedHeadFactor * bytes) }
+
 // Close ends the request. The connection is returned to the pool if the response was read completely and discard is
 // false.
 func (r *Response) Close(discard bool) {
 	r.closeOnce.Do(func() {
+		r.holding.Release()
 		stopped := r.stopCancel()
 		if !stopped || discard || !r.isReusable() {
 			r.conn.Conn.Close()
--- a/internal/upstream/unstated_test.go
+++ b/internal/upstream/unstated_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -25,7 +26,7 @@
 	require.NoError(t, err)
 	defer response.Close(true)
 	whole, err := response.ReadWhole(1000)
-	return string(whole.Bytes()), err
+	return string(bytes.Join(whole.Parts(), nil)), err
 }
 
 // TestKilledTargetLeavesNoWholeAnswer guards against an answer without a length whose target was killed: the kernel ends the
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -14,12 +14,13 @@
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"godwitcart/internal/membudget"
 )
 
 const (
@@ -39,10 +40,10 @@
 	bufferSize = 4 << 10
 	// maxHeadBytes bounds the status line and header of a response, interim responses included.
 	maxHeadBytes = 64 << 10
-	// maxBufferedBytes bounds what the bodies that are read to their ends occupy together, in steps of readChunkBytes.
-	// Targets may send bytes without end to many requests at once.
-	maxBufferedBytes = 32 << 20
-	readChunkBytes   = 16 << 10
+	// defaultBudgetBytes bounds what answers hold together where the options name no budget.
+	defaultBudgetBytes = 32 << 20
+	// readChunkBytes is the size of the parts in which bodies are read.
+	readChunkBytes = 16 << 10
 	// asyncWriteBytes is the size above which a body is written while the response is read.
 	asyncWriteBytes = 8 << 10
 )
@@ -84,6 +85,8 @@
 	WayChanged func(address string, relayed bool)
 	// LocalAddress is the IP address that connections are made from; nil for any.
 	LocalAddress net.IP
+	// Budget bounds what the answers hold that are not passed on yet; nil stands for one of the client's own.
+	Budget *membudget.Budget
 }
 
 // Client sends requests to targets and pools idle connections. It is safe for concurrent use.
@@ -92,8 +95,6 @@
 	dialer   net.Dialer
 	connects connectTimer
 	paths    *paths
-	// buffered is the number of bytes reserved for bodies that are being read.
-	buffered atomic.Int64
 	mu       sync.Mutex
 	idle     map[string][]*conn
 }
@@ -104,6 +105,9 @@
 	if options.LocalAddress != nil {
 		localAddress = &net.TCPAddr{IP: options.LocalAddress}
 	}
+	if options.Budget == nil {
+		options.Budget = membudget.New(defaultBudgetBytes)
+	}
 	return &Client{
 		options: options,
 		paths:   newPaths(),
@@ -151,11 +155,12 @@
 	connection.used = true
 	stopCancel := context.AfterFunc(ctx, func() { connection.Close() })
 	response := &Response{client: c, ctx: ctx, address: address, conn: connection, stopCancel: stopCancel}
+	response.holding = c.options.Budget.Answer(response.CloseConnection)
 	if err := response.send(request, body); err != nil {
 		response.abort()
 		return nil, &BrokenOffError{cause: err, Relayed: connection.relayed}
 	}
-	connection.input.limit(maxHeadBytes)
+	connection.input.limit(maxHeadBytes, response.growHead)
 	httpResponse, err := readHeader(connection.reader, request)
 	connection.input.unlimit()
 	if err != nil {
