forward: a body that arrives late in a stop is refused as not run

What callers saw: in a planned stop, a request whose body came slowly was sent to a target just before the VM ended. Plain requests got 502 (may have run), streams were cut in the middle; neither could be repeated.

Cause: whether an answer will be complete in time was asked at the head of the request and before later attempts, not after the body. A body that was not whole at the end got no answer.

Change: it is asked again after the body, and a body that is not whole 250 ms before the end is not read any further: 503, not run.

Test: TestBodyThatArrivesLateInAStop, three cases; before, plain got 502 after a run, the stream broke off, the body that was not whole got no answer.

--- a/internal/entry/shutdown_test.go
+++ b/internal/entry/shutdown_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -221,3 +222,42 @@
 		})
 	}
 }
+
+// TestBodyThatArrivesLateInAStop guards against a request that is passed on shortly before the VM ends, because its body arrived
+// slowly after its head had been accepted: it has run, and its caller gets no answer of its target.
+func TestBodyThatArrivesLateInAStop(t *testing.T) {
+	cases := map[string]struct {
+		path  string
+		after time.Duration // of a grace time of 4 s
+	}{"plain": {"/lookup/1", 3 * time.Second}, "stream": {"/letters/1", 3 * time.Second}, "not whole": {"/lookup/1", 5 * time.Second}}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			path := test.path
+			d := newDeployment(t)
+			d.target("e1", platformtest.EngineService)
+			d.target("p1", platformtest.PlainService).SetOverride(func(http.ResponseWriter, *http.Request) bool {
+				time.Sleep(2 * time.Second)
+				return false
+			})
+			d.configure("key-1")
+			v := d.start("vm-1", nil)
+			request := v.generation(path, 400, 10)
+			if path == "/lookup/1" {
+				request = v.request(http.MethodPost, path, "")
+			}
+			body, rest := io.Pipe()
+			request.Body, request.ContentLength = body, -1
+			v.entry.Shutdown()
+			go func() {
+				fmt.Fprint(rest, "first")
+				time.Sleep(test.after)
+				fmt.Fprint(rest, "last")
+				rest.Close()
+			}()
+			response, _ := v.do(request)
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			require.Empty(t, d.Cluster.Runs(request.Header.Get("X-Attempt-Id")), "the request ran, and its answer is lost")
+		})
+	}
+}
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -129,6 +129,8 @@
 	mayHaveRun bool
 	// sentAt is when the call was first sent to a target.
 	sentAt time.Time
+	// readInterrupted is set if this VM has ended the reading of the body, which net/http takes for the end of the connection.
+	readInterrupted bool
 	// held is what the request holds in memory, and bodies are those of answers that were read whole.
 	held   *membudget.Holding
 	bodies []upstream.Body
@@ -141,7 +143,7 @@
 	if _, stopping := f.options.Stopping(); stopping {
 		x.caller.CloseConnection()
 	}
-	x.finish(r, x.serve(r))
+	x.finish(r, x.serve(w, r))
 	x.caller.Close()
 }
 
@@ -151,7 +153,7 @@
 		x.metrics.recordResponse(x)
 		return
 	}
-	if r.Context().Err() != nil {
+	if r.Context().Err() != nil && !x.readInterrupted {
 		x.log("request ended", "outcome", "caller left")
 		x.metrics.recordDisconnect(x)
 		return
@@ -168,7 +170,7 @@
 }
 
 // serve serves the request or returns the error for the caller.
-func (x *exchange) serve(r *http.Request) error {
+func (x *exchange) serve(w http.ResponseWriter, r *http.Request) error {
 	call, err := x.options.Codec.ParseCall(r)
 	if err != nil {
 		return err
@@ -177,7 +179,7 @@
 	if err := x.admit(); err != nil {
 		return err
 	}
-	if call.Body, err = x.readBody(r); err != nil {
+	if err := x.readBodyInTime(w, r); err != nil {
 		return err
 	}
 	x.features = featuresOf(x.service.Name, x.account.Name, call)
--- a/internal/forward/shutdown.go
+++ b/internal/forward/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -57,6 +58,24 @@
 	return x.stoppingError(stop)
 }
 
+// readBodyInTime reads the body of the request. During a shutdown, a body that arrives too late for the answer is refused: the
+// request has not been sent to a target.
+func (x *exchange) readBodyInTime(w http.ResponseWriter, r *http.Request) (err error) {
+	stopWatching := context.AfterFunc(x.unanswered, func() {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now()) // without it, the body ends with the connection
+	})
+	defer stopWatching()
+	x.call.Body, err = x.readBody(r)
+	if err == nil {
+		return x.refuseIfStopping()
+	}
+	if x.readInterrupted = x.unanswered.Err() != nil; !x.readInterrupted {
+		return err
+	}
+	stop, _ := x.options.Stopping()
+	return x.stoppingError(stop)
+}
+
 func (x *exchange) stoppingError(stop Stop) error {
 	x.caller.CloseConnection()
 	return apierror.Newf(apierror.KindNotRun, "send it again on a new connection",
