--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 # must not depend on how busy the machine is.
 processes: build
 	./scripts/demo
-	./scripts/soak --seed 7 --seconds 12 --slack 30s || grep "^soak in CI: scripts/soak --seed 7 " KNOWN-RED.txt
+	./scripts/soak-ci
 
 lint:
 	./scripts/lint
--- a/cmd/godwitstand/soak.go
+++ b/cmd/godwitstand/soak.go
@@ -19,10 +19,11 @@
 	Slack      time.Duration `default:"800ms" help:"Added to the bounds in time that are checked; above 3s requests without an answer are not judged."`
 	Binaries   string        `default:"bin" type:"existingdir" help:"Directory of the programs."`
 	Production string        `name:"production-binaries" type:"existingdir" help:"Directory of the build with which the VMs start before they are replaced one after the other; scripts/soak --production makes it."`
+	Known      []string      `help:"Violations, by name, that are printed and do not make the run fail."`
 	Out        string        `help:"Directory for logs and settings; without it they are kept only when a promise was violated."`
 }
 
-// Run prints a soak.Report as one JSON line. It returns an error when the report lists a violation.
+// Run prints a soak.Report as one JSON line. It returns an error when the report lists a violation that is not known.
 func (c *soakCommand) Run(ctx context.Context) error {
 	if c.Seconds <= 0 || c.VMs <= 0 || c.Engines <= 0 || c.Plain <= 0 || c.Callers <= 0 {
 		return errors.New("--seconds, --vms, --engines, --plain and --callers must be above zero")
@@ -38,5 +39,5 @@
 	if err != nil {
 		return errors.Wrap(err, "the run failed; logs are in "+directory)
 	}
-	return reportResult(report, report.Clean(), c.Out, directory)
+	return reportResult(report, report.CleanBut(c.Known), c.Out, directory)
 }
--- a/internal/stand/soak/soak.go
+++ b/internal/stand/soak/soak.go
@@ -11,6 +11,7 @@
 	"context"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,8 +66,15 @@
 	Examples   []Violation    `json:"examples,omitempty"`
 }
 
-// Clean reports whether no guarantee was violated.
-func (r *Report) Clean() bool { return len(r.Violations) == 0 }
+// CleanBut reports whether no guarantee was violated but those that are known to be.
+func (r *Report) CleanBut(known []string) bool {
+	for guarantee := range r.Violations {
+		if !slices.Contains(known, guarantee) {
+			return false
+		}
+	}
+	return true
+}
 
 const (
 	// recoveryTimeout bounds the time in which a VM must serve again after the last fault.
