forward: keep engines that are slow within the gap, do not ask a refusing backup again

Cause: a stream left an engine that was slow, but in time for its route (half of the longest gap counted as silence), for a backup of which nothing shows that it holds a copy; a backup that had refused was asked again at each silence, and kept as the backup of the next run.

Change: silence begins at 0.7 of the route's longest gap. A backup that has refused or failed holds no further copy of that stream.

Tests, red before: TestEngineThatIsSlowWithinTheGapIsKept (left at 100 of 180 ms), TestRefusingBackupIsNotAskedAgain (the stream was lost in the end).

--- a/internal/entry/leave_test.go
+++ b/internal/entry/leave_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -205,3 +207,61 @@
 		})
 	}
 }
+
+// TestRefusingBackupIsNotAskedAgain guards against a run-once stream that is sent again and again to an engine without a copy of
+// it: each time, an engine that fails requests may run it again.
+func TestRefusingBackupIsNotAskedAgain(t *testing.T) {
+	const events = 400
+	d := newDeployment(t)
+	var asked atomic.Int64
+	targets := make(map[string]*platformtest.Target)
+	for _, id := range []string{"e1", "e2"} {
+		targets[id] = d.target(id, platformtest.EngineService)
+		targets[id].SetOverride(func(w http.ResponseWriter, r *http.Request) bool {
+			attempt := r.Header.Get("X-Attempt-Id")
+			isBackup := r.Header.Get("Kv-From") != "" && strings.HasSuffix(r.Header.Get("Kv-From"), "/"+attempt)
+			if isBackup {
+				asked.Add(1)
+				w.Header().Set("X-Attempt-Id", attempt)
+				respondNotRun(w)
+			}
+			return isBackup
+		})
+	}
+	d.configure("key-1")
+	v := d.start("vm-1", nil)
+	request := v.generation("/letters/1", events, 10)
+	response, err := v.client.Do(request)
+	require.NoError(t, err)
+	readEvents(t, response, events, func(number int) {
+		for _, target := range targets {
+			target.SetSlowness(map[bool]int{true: 40}[number%100 == 60 || number%100 == 61])
+		}
+	})
+	require.EqualValues(t, 1, asked.Load(), "requests to the engine without a copy")
+	for _, run := range d.Cluster.Runs(request.Header.Get("X-Attempt-Id"))[1:] {
+		require.True(t, run.Continued, "the generation ran again")
+	}
+}
+
+// TestEngineThatIsSlowWithinTheGapIsKept guards against streams that leave engines which are slow, but in time for their routes.
+func TestEngineThatIsSlowWithinTheGapIsKept(t *testing.T) {
+	const events = 120
+	d := newDeployment(t)
+	for _, id := range []string{"e1", "e2"} {
+		d.target(id, platformtest.EngineService)
+	}
+	d.configure("key-1")
+	v := d.start("vm-1", nil)
+	request := v.generation("/letters/1", events, 20)
+	response, err := v.client.Do(request)
+	require.NoError(t, err)
+	readEvents(t, response, events, func(number int) {
+		if number == 60 {
+			for _, target := range d.Targets() {
+				target.SetSlowness(5) // 100 ms between events, of 180 allowed
+			}
+		}
+	})
+	require.Len(t, d.Cluster.Runs(request.Header.Get("X-Attempt-Id")), 1, "the stream left its engine")
+}
--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -60,7 +60,7 @@
 	query := s.transferQuery(lease.Target)
 	query.Copy = true
 	query.Zone = s.options.Zone
-	query.Excluded = append(slices.Clone(s.excluded), lease.Target.ID)
+	query.Excluded = append(append(slices.Clone(s.excluded), lease.Target.ID), s.excludedBackups()...)
 	backup, err := s.options.Table.Pick(query, time.Now())
 	if err != nil {
 		return "" // no engine has spare memory; the generation runs without a backup
@@ -71,6 +71,20 @@
 	return backup.Target.Address
 }
 
+// excludeBackup keeps the engine from holding another copy of the generation. One that refuses to go on has none, since it has no
+// room for it or the source cannot reach it, and one that fails the request without a copy runs it again.
+func (s *stream) excludeBackup(target roster.Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unfitBackups = append(s.unfitBackups, target.ID)
+}
+
+func (s *stream) excludedBackups() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.unfitBackups)
+}
+
 // setBackup sets the backup, unless the stream has ended: then it releases the reservation and returns false.
 func (s *stream) setBackup(backup *placement.Lease) bool {
 	s.mu.Lock()
@@ -136,8 +150,8 @@
 	return &continuation{lease: lease, from: &KVCacheRef{Address: backup.Target.Address, Handle: s.call.ID}}, true
 }
 
-// restoreBackup reserves the engine that refused to continue the generation as its backup again, since the source
-// still sends the KV cache there.
+// restoreBackup reserves the engine again that was not asked to continue the generation after all, since the source still
+// sends the KV cache there.
 func (s *stream) restoreBackup(target roster.Target) {
 	query := s.transferQuery(target)
 	query.Copy = true
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -9,9 +9,10 @@
 const (
 	// minGapSamples is the number of gaps after which their mean and deviation are used.
 	minGapSamples = 8
-	// silenceShare is the share of the route's maximum gap up to which a silence is never an interruption. The rest
-	// of the gap is left for the start at the backup. Routes without a maximum gap use defaultSilence.
-	silenceShare   = 0.5
+	// silenceShare is the share of the route's maximum gap up to which a silence is never an interruption: an engine that
+	// is slow within the gap is not left. The rest is left for stopping it and for the start at the backup. Routes without
+	// a maximum gap use defaultSilence.
+	silenceShare   = 0.7
 	defaultSilence = 100 * time.Millisecond
 )
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -43,6 +43,8 @@
 	stopRequested bool
 	// backup is the reservation at the engine that holds a copy of the generation's KV cache; nil for none.
 	backup *placement.Lease
+	// unfitBackups are the engines that have refused or failed to continue the generation.
+	unfitBackups []string
 	// continuation is where the generation continues when the response of the current target ends.
 	continuation *continuation
 	// moveDone is closed when the move in progress has ended; nil if there is none.
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -237,7 +237,11 @@
 	}
 	next.lease.Done(failure.outcome, time.Now())
 	s.releaseBackup(false)
-	s.restoreBackup(next.lease.Target)
+	if failure.notSent || failure.outcome == placement.Unreachable {
+		s.restoreBackup(next.lease.Target)
+	} else {
+		s.excludeBackup(next.lease.Target)
+	}
 	s.recordMoveFailure(source, next.lease.Target.ID, failure, "way", "backup")
 	return false
 }
