peer: a dial that its caller cancelled says nothing of the peer

Cause, traced by the review: connect counted a dial that its caller cancelled as a failed one, and began the backoff. Change: it does not. A deadline that passes still counts, since the peer has not answered in that time.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcwire"
@@ -95,6 +96,9 @@
 		return c.unavailable(net.ErrClosed, "could not be reached a moment ago")
 	}
 	conn, err := c.dial(ctx, c.address)
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		return c.unavailable(err, "was not dialed to the end") // its caller gave up, which says nothing of the peer
+	}
 	if err != nil {
 		c.backoff = min(max(2*c.backoff, minBackoff), maxBackoff)
 		c.nextDialAt = time.Now().Add(c.backoff)
