forward: a moved stream goes on from its source when the destination does not take it

Cause: the source keeps the memory of a run that it has stopped, and the handle can be used until it has been; only a refused copy went on from there. Change: a continuation after a move knows its source, and goes on as after a refused copy: at the source, or elsewhere with the memory read from it.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -62,6 +62,8 @@
 type continuation struct {
 	lease *placement.Lease
 	from  *KVCacheRef
+	// source is the engine that was stopped for a move and keeps the memory; nil if the generation was not moved.
+	source *roster.Target
 	// response is the target's response if the call has been sent already, and cancel aborts it.
 	response *answer
 	cancel   context.CancelFunc
@@ -145,7 +147,7 @@
 		}
 	}
 	if previous.from != nil && failure.notRun && !s.isRepeatable() {
-		return s.continueFromStopped(previous.lease.Target) // starting from the prompt would run the call twice
+		return s.continueFromStopped(previous) // starting from the prompt would run the call twice
 	}
 	if !s.prepareRetry(ctx, failure, previous.lease.Target.ID) {
 		return false
@@ -154,15 +156,19 @@
 	return true
 }
 
-// continueFromStopped prepares to continue from the memory of a run that was stopped, after the engine with its copy has refused.
-func (s *stream) continueFromStopped(refused roster.Target) bool {
+// continueFromStopped prepares to continue from the memory of a run that was stopped, after the engine with its copy has refused or
+// could not be reached.
+func (s *stream) continueFromStopped(previous *continuation) bool {
 	s.mu.Lock()
 	left := s.left
 	s.mu.Unlock()
-	if left == nil {
-		return false
+	var next *continuation
+	switch {
+	case previous.source != nil:
+		next = s.resumeAfterRefusal(*previous.source, previous.lease.Target, *previous.from)
+	case left != nil:
+		next = s.continueStopped(left.source, previous.lease.Target)
 	}
-	next := s.continueStopped(left.source, refused)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.continuation = next
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -321,7 +321,7 @@
 		if err == nil && !result.Refused && !result.Unknown {
 			s.metrics.moves.Inc(1)
 			s.log(movedOffLeaving, "target", leaving.ID, "way", "move", "destination", lease.Target.ID, "told_ms", time.Since(noticedAt).Milliseconds())
-			return &continuation{lease: lease, from: &result.KVCache}
+			return &continuation{lease: lease, from: &result.KVCache, source: &leaving}
 		}
 		lease.Done(placement.Canceled, time.Now())
 		s.recordMoveFailure(leaving, lease.Target.ID, err, "refused", result.Refused, "unknown", result.Unknown)
