placement: copies of stopped runs go to no cold or limited target

Cause: OtherTarget, which names where the copy of a run that is stopped goes, did not ask what moves and backups ask: whether the target takes transfers. Change: it does.

--- a/internal/placement/other.go
+++ b/internal/placement/other.go
@@ -7,7 +7,7 @@
 )
 
 // OtherTarget returns the target of the service that holds the fewest tokens, apart from the given one, and reports whether
-// there is one that takes work. It reserves nothing there.
+// there is one that takes work and copies. It reserves nothing there.
 func (t *Table) OtherTarget(service string, excluded roster.Target, now time.Time) (roster.Target, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -17,7 +17,7 @@
 	}
 	var best *target
 	for _, candidate := range s.targets {
-		if candidate.ID == excluded.ID || !candidate.canTakeWork(now) {
+		if candidate.ID == excluded.ID || !candidate.canTakeWork(now) || t.takesNoTransfers(candidate, now) {
 			continue
 		}
 		if best == nil || candidate.memoryTokens() < best.memoryTokens() {
