forward: what became of a left run is recorded once it is known

Cause, found by reading the diff: a run whose engine could not be reached at first and was stopped later was logged as unreachable, and a stream whose backup then refused did not go on from its memory. A refusal without a handle, which may be that of a busy server, counted as stopped. Change: the last answer counts; such a refusal is asked again. Tests of leaving, moves and backups pass; none shows this case.

--- a/internal/forward/leave.go
+++ b/internal/forward/leave.go
@@ -46,7 +46,7 @@
 // notice would work on beside the next one, so the engine is also asked to stop it.
 type departure struct {
 	source roster.Target
-	// settled is closed once outcome is set; it may be set before the engine has been asked for the last time.
+	// settled is closed when outcome is set: at the engine's answer, or before it once a connection could not be made.
 	settled chan struct{}
 	outcome leaveOutcome
 	// done is closed when the engine is not asked any more. result is its answer.
@@ -116,16 +116,18 @@
 	go func() {
 		defer s.leaving.Add(-1)
 		startedAt := time.Now()
-		s.stopRun(left, destination)
+		outcome := s.stopRun(left, destination)
+		left.settle(outcome)
 		close(left.done)
-		s.metrics.recordLeft(left.outcome)
-		s.log("run left", "target", source.ID, "outcome", string(left.outcome), "asked_ms", time.Since(startedAt).Milliseconds())
+		s.metrics.recordLeft(outcome)
+		s.log("run left", "target", source.ID, "outcome", string(outcome), "asked_ms", time.Since(startedAt).Milliseconds())
 	}()
 	return left
 }
 
-// stopRun asks the source to stop the run until it answers, refuses connections, or maxStopTime has passed.
-func (s *stream) stopRun(left *departure, destination string) {
+// stopRun asks the source to stop the run until it answers, refuses connections, or maxStopTime has passed. It returns what has
+// become of the run.
+func (s *stream) stopRun(left *departure, destination string) leaveOutcome {
 	ctx, cancel := context.WithTimeout(context.Background(), min(maxStopTime, time.Until(s.deadline)))
 	defer cancel()
 	failed := leftUnanswered
@@ -133,13 +135,13 @@
 		result, err := s.requestLastCopy(ctx, left.source, destination)
 		var notSent *upstream.NotSentError
 		switch {
-		case err == nil && !result.InProgress:
+		case err == nil && result.Unknown:
+			return leftAbsent
+		case err == nil && (!result.Refused && !result.InProgress || result.KVCache.Handle != ""):
 			left.result = result
-			left.settle(map[bool]leaveOutcome{true: leftAbsent, false: leftStopped}[result.Unknown])
-			return
+			return leftStopped
 		case errors.Is(err, syscall.ECONNREFUSED):
-			left.settle(leftUnreachable) // no process is there that could run it
-			return
+			return leftUnreachable // no process is there that could run it
 		case errors.As(err, &notSent):
 			failed = leftUnreachable
 			left.settle(failed) // a connection that comes later still brings the call
@@ -147,11 +149,10 @@
 			failed = leftUnanswered
 		}
 		if !pause.For(ctx, wait) {
-			left.settle(failed)
-			return
+			return failed
 		}
 	}
-	left.settle(leftUnasked)
+	return leftUnasked
 }
 
 // mayAskToStop reports whether the engine takes calls to stop a run. Engines of a zone in evacuation get none after its time.
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -201,7 +201,7 @@
 	case <-s.ctx.Done():
 		return nil
 	}
-	if left.outcome != leftStopped || left.result.KVCache.Handle == "" {
+	if left.result.KVCache.Handle == "" {
 		return nil
 	}
 	s.takeLeft() // its memory is not to be freed
