forward: engines get time to notice a closed connection before they are asked to stop

Cause, found by reading the diff: where a leaving engine's stream has gone on at its backup, the call that stops the run came before its connection was closed, and so copied the memory of each stream over the link by which others have to move away. leaveSource could close the connection of the next engine. Change: where the connection is closed and nothing waits, the call comes 50 ms after it; the check of the engine and the closing are one step again. Tests of leaving, moves and backups pass; no test shows the delayed moves.

--- a/internal/forward/leave.go
+++ b/internal/forward/leave.go
@@ -37,6 +37,9 @@
 	defaultStopWait = 25 * time.Millisecond
 	// maxStopTime bounds how long an engine is asked to stop a run. One that is paused reads the call when it goes on.
 	maxStopTime = 5 * time.Second
+	// closeNoticeTime is how long an engine gets to notice that a connection was closed before it is asked to stop the run. A
+	// call makes a copy of a run that still works, which delays the moves of others off the engine.
+	closeNoticeTime = 50 * time.Millisecond
 	// firstStopRetry and maxStopRetry bound the wait between two calls.
 	firstStopRetry = 20 * time.Millisecond
 	maxStopRetry   = time.Second
@@ -76,9 +79,9 @@
 
 // leave leaves the run of the generation at the source: it asks the source to stop it, with the destination for the copy that
 // such a call makes. All ways off a run go through it, except for runs that are known to have ended. It does not wait, and the
-// source is asked even if the stream has ended.
-func (s *stream) leave(source roster.Target, destination string) *departure {
-	left := s.startLeaving(source, destination)
+// source is asked even if the stream has ended; it is asked after the delay.
+func (s *stream) leave(source roster.Target, destination string, delay time.Duration) *departure {
+	left := s.startLeaving(source, destination, delay)
 	s.mu.Lock()
 	previous := s.left
 	s.left = left
@@ -98,23 +101,24 @@
 }
 
 // leaveOnce is leave for a run that may have been left already.
-func (s *stream) leaveOnce(source roster.Target, destination string) *departure {
+func (s *stream) leaveOnce(source roster.Target, destination string, delay time.Duration) *departure {
 	if left := s.leftFrom(source); left != nil {
 		return left
 	}
-	return s.leave(source, destination)
+	return s.leave(source, destination, delay)
 }
 
-// leaveUnused leaves a run at a target that was to continue the generation and does not.
+// leaveUnused leaves a run at a target that was to continue the generation and does not; its connection has been closed.
 func (s *stream) leaveUnused(target roster.Target) {
-	s.freeUnused(s.startLeaving(target, s.stopDestination(target)))
+	s.freeUnused(s.startLeaving(target, s.stopDestination(target), closeNoticeTime))
 }
 
-func (s *stream) startLeaving(source roster.Target, destination string) *departure {
+func (s *stream) startLeaving(source roster.Target, destination string, delay time.Duration) *departure {
 	left := &departure{source: source, settled: make(chan struct{}), done: make(chan struct{})}
 	s.leaving.Add(1)
 	go func() {
 		defer s.leaving.Add(-1)
+		time.Sleep(delay)
 		startedAt := time.Now()
 		outcome := s.stopRun(left, destination)
 		left.settle(outcome)
@@ -170,7 +174,10 @@
 	if failure.notRun || failure.targetResponse != nil || failure.outcome == placement.Moved || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return nil
 	}
-	return s.leaveOnce(source, s.stopDestination(source))
+	if ctx.Err() != nil { // nothing waits for the end of the run
+		return s.leaveOnce(source, s.stopDestination(source), closeNoticeTime)
+	}
+	return s.leaveOnce(source, s.stopDestination(source), 0)
 }
 
 // stopDestination returns where the copy of a run that is stopped goes: to its backup, or to any other engine.
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -155,7 +155,7 @@
 	if !s.sendToBackup(next, source) {
 		return s.continueStopped(source, next.lease.Target)
 	}
-	s.leaveOnce(source, next.lease.Target.Address)
+	s.leaveOnce(source, next.lease.Target.Address, closeNoticeTime) // its connection is closed as soon as this returns
 	s.metrics.backupSwitches.Inc(1)
 	s.log(message, "target", source.ID, "way", "backup", "destination", next.lease.Target.ID)
 	return next
@@ -164,7 +164,7 @@
 // endsBeforeSwitch leaves the source of a stream that is to go on elsewhere. It reports whether the stream has ended at the source
 // before it could be stopped.
 func (s *stream) endsBeforeSwitch(source roster.Target, next *continuation) bool {
-	left := s.leaveOnce(source, next.lease.Target.Address)
+	left := s.leaveOnce(source, next.lease.Target.Address, 0)
 	ended := s.responseEnded()
 	s.awaitLeft(left, ended)
 	return s.hasEndedWhole(left, ended)
@@ -249,15 +249,15 @@
 // leaveSource leaves the source if it still serves the stream, and closes its connection. The backup has not answered in time
 // and may be running the generation already.
 func (s *stream) leaveSource(source roster.Target, backup string) {
-	if !s.isServedBy(source) {
-		return
-	}
-	s.leaveOnce(source, backup)
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.response != nil {
+	isServed := s.response != nil && s.lease.Target.SameIncarnation(source)
+	if isServed {
 		s.response.CloseConnection()
 	}
+	s.mu.Unlock()
+	if isServed {
+		s.leaveOnce(source, backup, closeNoticeTime)
+	}
 }
 
 // Messages of the log lines on streams that continue at another target.
