delivery: a target that sends nothing but comments is given up

Cause: comments were bounded while they are held, not while they are passed on, so that one target takes the processor of the VM. Change: 256 KiB of comments between two events end the answer.

--- a/internal/delivery/source.go
+++ b/internal/delivery/source.go
@@ -22,6 +22,13 @@
 // maxHeldComments bounds the bytes of comments that are held before the first event.
 const maxHeldComments = 4 << 10
 
+// maxComments bounds the bytes of comments between two events. A target that sends more has lost its way, and would keep this VM
+// busy until the deadline.
+const maxComments = 256 << 10
+
+// ErrTooManyComments is the error of a source that sends comments without end.
+var ErrTooManyComments = errors.Newf("more than %d bytes of comments without an event", maxComments)
+
 // Source is the answer of one target to a run of a stream, or to a part of it.
 type Source struct {
 	answer *Answer
@@ -32,8 +39,9 @@
 	// drops is set while the last event was one that the caller had already, and lastID is the id of the last one with an id.
 	drops  bool
 	lastID string
-	// comments are held until the first event: they are nothing that a run has made.
-	comments []byte
+	// comments are held until the first event: they are nothing that a run has made. commentBytes counts them since the last event.
+	comments     []byte
+	commentBytes int
 }
 
 // NextEvent is an event that follows the last one that the caller has. Only Source.Admit makes one.
@@ -117,12 +125,16 @@
 		return err
 	}
 	s.sent++
+	s.commentBytes = 0
 	s.answer.recordEvent(next.id)
 	return nil
 }
 
-// SendComment passes a comment on, or holds it until the first event.
+// SendComment passes a comment on, or holds it until the first event. The error is ErrTooManyComments if there are too many.
 func (s *Source) SendComment(raw []byte) error {
+	if s.commentBytes += len(raw); s.commentBytes > maxComments {
+		return ErrTooManyComments
+	}
 	if s.sent > 0 {
 		return s.answer.send(s.head, raw)
 	}
