--- a/internal/delivery/source.go
+++ b/internal/delivery/source.go
@@ -22,8 +22,8 @@
 // maxHeldComments bounds the bytes of comments that are held before the first event.
 const maxHeldComments = 4 << 10
 
-// maxComments bounds the bytes of comments between two events. A target that sends more has lost its way, and would keep this VM
-// busy until the deadline.
+// maxComments bounds the bytes of comments between two events. A target that sends nothing else would keep this VM busy until
+// the deadline.
 const maxComments = 256 << 10
 
 // ErrTooManyComments is the error of a source that sends comments without end.
--- /dev/null
+++ b/internal/forward/switch.go
@@ -0,0 +1,137 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"godwitcart/internal/placement"
+	"godwitcart/internal/roster"
+)
+
+// switchToBackup continues the generation at its backup, and returns nil if there is none or it refuses, for example
+// because it had no capacity for the copy. A switch is logged with the given message.
+//
+// With stopFirst, the source is left before the backup is asked. Otherwise it works on until the backup has responded, for up
+// to maxOverlap, so that a refusal costs nothing; events that both send are deduplicated by their numbers.
+func (s *stream) switchToBackup(source roster.Target, message string, stopFirst bool) *continuation {
+	if !s.awaitBackup() {
+		return nil
+	}
+	next, found := s.claimBackup()
+	if !found {
+		return nil
+	}
+	if stopFirst && s.endsBeforeSwitch(source, next) {
+		next.lease.Done(placement.Canceled, time.Now())
+		s.restoreBackup(next.lease.Target)
+		return nil
+	}
+	if !s.sendToBackup(next, source) {
+		return s.continueStopped(source, next.lease.Target)
+	}
+	s.leaveOnce(source, next.lease.Target.Address, closeNoticeTime) // its connection is closed as soon as this returns
+	s.metrics.backupSwitches.Inc(1)
+	s.log(message, "target", source.ID, "way", "backup", "destination", next.lease.Target.ID)
+	return next
+}
+
+// endsBeforeSwitch leaves the source of a stream that is to go on elsewhere. It reports whether the stream has ended at the source
+// before it could be stopped.
+func (s *stream) endsBeforeSwitch(source roster.Target, next *continuation) bool {
+	left := s.leaveOnce(source, next.lease.Target.Address, 0)
+	ended := s.responseEnded()
+	s.awaitLeft(left, ended)
+	return s.hasEndedWhole(left, ended)
+}
+
+// hasEndedWhole reports whether the response of a source that was to be left may be the whole one: the source says that it does
+// not run the generation, and its response has ended or does so now.
+func (s *stream) hasEndedWhole(left *departure, ended <-chan struct{}) bool {
+	select {
+	case <-ended:
+		return s.hasStatedEnd() && left.awaitAnswer(s.ctx, askTimeout) && left.isAbsent()
+	default:
+	}
+	if !left.isAbsent() {
+		return false
+	}
+	select {
+	case <-ended:
+		return true
+	case <-time.After(s.stopWait()):
+		return false
+	}
+}
+
+// continueStopped returns where a generation goes on whose backup, given by refused, does not take it: from the memory of its
+// source if that was left and has stopped it. It returns nil if it goes on at its source or nowhere.
+func (s *stream) continueStopped(source, refused roster.Target) *continuation {
+	left := s.leftFrom(source)
+	if left == nil {
+		return nil
+	}
+	select {
+	case <-left.done:
+	case <-s.ctx.Done():
+		return nil
+	}
+	if left.result.KVCache.Handle == "" {
+		return nil
+	}
+	s.takeLeft() // its memory is not to be freed
+	return s.resumeAfterRefusal(source, refused, left.result.KVCache)
+}
+
+// sendToBackup sends the call to the backup and reports whether it goes on with the generation. If not, it releases what the
+// continuation holds.
+func (s *stream) sendToBackup(next *continuation, source roster.Target) bool {
+	ctx, cancel := context.WithDeadline(s.ctx, s.deadline)
+	next.cancel = cancel
+	var overlapEnds *time.Timer
+	attempt := Attempt{LastEventID: s.caller.LastEvent(), From: next.from, BackupAddress: s.reserveBackup(next.lease)}
+	// While a connection is being made, the source is the only engine that works on the generation.
+	attempt.Sending = func() {
+		overlapEnds = time.AfterFunc(maxOverlap, func() { s.leaveSource(source, next.lease.Target.Address) })
+	}
+	response, failure := s.sendAttempt(ctx, next.lease, attempt)
+	if overlapEnds != nil {
+		overlapEnds.Stop()
+	}
+	if failure == nil && response.StatusCode/100 != 2 {
+		response.Close(true)
+		failure = &attemptError{outcome: placement.Failed, cause: errors.Newf("the backup answered with status %d", response.StatusCode)}
+	}
+	if failure == nil {
+		next.response = response
+		return true
+	}
+	cancel()
+	if !failure.notRun {
+		s.leaveUnused(next.lease.Target)
+	}
+	next.lease.Done(failure.outcome, time.Now())
+	s.releaseBackup(false)
+	if failure.notSent || failure.outcome == placement.Unreachable {
+		s.restoreBackup(next.lease.Target)
+	} else {
+		s.excludeBackup(next.lease.Target)
+	}
+	s.recordMoveFailure(source, next.lease.Target.ID, failure, "way", "backup")
+	return false
+}
+
+// leaveSource leaves the source if it still serves the stream, and closes its connection. The backup has not answered in time
+// and may be running the generation already.
+func (s *stream) leaveSource(source roster.Target, backup string) {
+	s.mu.Lock()
+	isServed := s.response != nil && s.lease.Target.SameIncarnation(source)
+	if isServed {
+		s.response.CloseConnection()
+	}
+	s.mu.Unlock()
+	if isServed {
+		s.leaveOnce(source, backup, closeNoticeTime)
+	}
+}
