dispatch: a caller's broken body is no failure of the target

Cause: a long body is passed on while it arrives; an error of reading it came back as that of the target, and a few of them opened the target's circuit. Evidence: a dump of the goroutines showed 78 calls waiting for a place and none in progress. Ruled out: places that were not released.

Change: errors of reading a caller's body are marked as the caller's, as those of writing to it are.

--- a/internal/dispatch/follow.go
+++ b/internal/dispatch/follow.go
@@ -14,7 +14,7 @@
 	"godwitcart/internal/wire/enginewire"
 )
 
-// errCallerDisconnected marks errors of writing to the sink.
+// errCallerDisconnected marks errors of writing to the sink and of reading a body.
 var errCallerDisconnected = errors.New("the caller's connection is closed")
 
 // follower relays the tokens of one attempt and resumes it if its stream breaks or stalls.
@@ -251,5 +251,5 @@
 		"discard what was received and send the request again").WithRetryAfter(retryAfterFailure)
 }
 
-// IsCallerDisconnected reports whether an attempt ended because writing to its caller failed.
+// IsCallerDisconnected reports whether an attempt ended because writing to its caller or reading its body failed.
 func IsCallerDisconnected(err error) bool { return errors.Is(err, errCallerDisconnected) }
--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"slices"
@@ -64,6 +65,9 @@
 	call := h.run.call
 	call.AttemptID = attempt.binding.Attempt
 	call.Body, _ = h.run.body.Open()
+	if _, isBuffered := call.Body.(*bytes.Reader); !isBuffered && call.Body != nil {
+		call.Body = callerBody{call.Body}
+	}
 	attempt.response, attempt.err = h.run.options.Plain.Call(ctx, attempt.binding.Address, call)
 	h.results <- attempt
 }
--- a/internal/dispatch/plain.go
+++ b/internal/dispatch/plain.go
@@ -213,3 +213,15 @@
 			"send it again").WithRetryAfter(retryAfterFailure)
 	}
 }
+
+// callerBody is the body of a call while it is sent. Its errors are the caller's: they say nothing of the target.
+type callerBody struct{ io.Reader }
+
+// Read implements io.Reader.
+func (b callerBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != nil && err != io.EOF {
+		err = errors.Mark(err, errCallerDisconnected)
+	}
+	return n, err
+}
