ingress: clients pay for what they hold, from accept on

Cause, one for all shapes: the account of memory began with the body. net/http parses a head before any code of ours runs, into a map of some thirty times the size of short lines, and nobody paid for that, for connections, or for time in which nothing came. The limits of the configuration were not read, and a limit of connections made those who came later wait.

Change: a guard stands between each listener and net/http. It reads heads without keeping them, counts their lines, and gives them on when they are whole, within max_header_bytes and paid for. Connections, heads and bodies of a client are one holding in the budget. Under pressure the client with the most bytes, weighed by the seconds since its last one, is closed or refused (503, not run, Retry-After); one with a whole request is not, while it takes its answer. header_timeout_ms and idle_timeout_ms hold. Where all places of a listener are taken, the connection that has been longest without progress makes room. Every refusal has a counter and a log line with its cause.

Weighed: a reader of heads of our own (docs/design/memory.md). The guard leaves all code behind it as it is. Ruled out: a cap on lines (16 KiB hold 4,000). Tried and dropped: giving up clients that make progress for others of the same size; TestBodiesBeyondTheMemoryAreRefused then lost 1 to 4 of 40 requests.

What is charged for a head is at least what its parsed form takes (TestHeadsAreChargedTheirCost: 487 KB live of 880 KB charged for 15 KiB of short lines).

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -8,7 +8,6 @@
 
 import (
 	"mime"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -16,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"godwitcart/internal/apierror"
+	"godwitcart/internal/netconn"
 	"godwitcart/internal/upstream"
 )
 
@@ -162,7 +162,7 @@
 	if err != nil {
 		return
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp := netconn.TCP(conn); tcp != nil {
 		_ = tcp.SetLinger(0) // an error means that it is closed already
 	}
 	_ = conn.Close()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,15 +5,11 @@
 import (
 	"context"
 	"hash/fnv"
-	"net"
 	"net/http"
-	"runtime/debug"
 	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/cockroachdb/errors"
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"godwitcart/internal/evacuation"
@@ -34,26 +30,25 @@
 	"godwitcart/internal/tunnel"
 	"godwitcart/internal/upstream"
 	"godwitcart/internal/versions"
+	"godwitcart/internal/vmlimits"
 	"godwitcart/platform"
 )
 
 const (
-	// heapShare is the share of the memory limit that is set as the Go runtime's soft limit, above which it collects
-	// garbage more often.
-	heapShare = 0.6
-	// heldShare is the share of the memory limit that bytes of requests and answers may take which are not passed on yet.
-	// The heap may be twice as large as what it holds, garbage that one collection leaves included, and the kernel's buffers
-	// count as well.
-	heldShare = 0.2
-	// callerConnectionShare is the share of the file descriptors that callers' connections may use.
-	callerConnectionShare = 0.5
+	// callerConnectionShare is the share of the file descriptors that callers' connections may use, and operatorConnectionShare
+	// that of the listeners for the platform and for metrics each, with minOperatorConnections at least. Other VMs have
+	// tunnelShare, and the rest is for connections to targets.
+	callerConnectionShare   = 0.5
+	operatorConnectionShare = 0.05
+	minOperatorConnections  = 16
 	// usableBudgetShare is the share of the retry budget that is used; the rest covers VMs that are not known yet.
 	usableBudgetShare = 0.7
-	// headerTimeout and idleTimeout exceed the limits that configurations set for callers, so that no caller within
-	// its limits is disconnected.
+	// headerTimeout, idleTimeout and maxHeaderBytes hold for listeners and limits of which the configuration says nothing.
 	headerTimeout  = 15 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
+	// noHeaderBytes is the limit of net/http, which is never met: package ingress has the one in force.
+	noHeaderBytes = 1 << 30
 	// minDrainTime is the minimum time between SIGTERM and the exit, since the load balancer polls readiness only at
 	// intervals.
 	minDrainTime = 2500 * time.Millisecond
@@ -235,15 +230,7 @@
 	e.logger.Info("settings reloaded", "memory_mb", s.Limits.MemoryMB, "retry_slack", s.Bounds.RetrySlack)
 }
 
-func (e *Entry) applyLimits() {
-	limit := e.settings.Load().Limits.MemoryMB
-	if limit == 0 {
-		e.memory.SetLimit(membudget.DefaultLimit)
-		return
-	}
-	debug.SetMemoryLimit(int64(float64(limit) * heapShare * (1 << 20)))
-	e.memory.SetLimit(int64(float64(limit) * heldShare * (1 << 20)))
-}
+func (e *Entry) applyLimits() { vmlimits.ApplyMemory(e.settings.Load().Limits.MemoryMB, e.memory) }
 
 // Run serves until a graceful shutdown is complete or stopCtx ends, and then returns nil. It returns an error if a
 // listener cannot be opened or a part of the VM fails before.
@@ -256,15 +243,21 @@
 	if err := e.startFleet(ctx, group); err != nil {
 		return err
 	}
-	callerServer, err := e.startServer(ctx, group, s.Callers.Listen, http.HandlerFunc(e.serveCaller), e.maxCallerConnections(), e.countConnection)
+	callerServer, err := e.startServer(ctx, group, server{
+		name: "callers", address: s.Callers.Listen, handler: http.HandlerFunc(e.serveCaller), maxConnections: e.connections(callerConnectionShare),
+		limits: e.callerLimits, connState: e.countConnection,
+	})
 	if err != nil {
 		return err
 	}
-	if _, err := e.startServer(ctx, group, s.Readiness.Listen, http.HandlerFunc(e.serveReady), 0, nil); err != nil {
-		return err
-	}
-	if _, err := e.startServer(ctx, group, s.Metrics.Listen, e.operatorsHandler(), 0, nil); err != nil {
-		return err
+	for _, internal := range []server{
+		{name: "readiness", address: s.Readiness.Listen, handler: http.HandlerFunc(e.serveReady)},
+		{name: "metrics", address: s.Metrics.Listen, handler: e.operatorsHandler()},
+	} {
+		internal.maxConnections = max(minOperatorConnections, e.connections(operatorConnectionShare))
+		if _, err := e.startServer(ctx, group, internal); err != nil {
+			return err
+		}
 	}
 	group.Go(func() error { return e.poller.Run(ctx) })
 	group.Go(func() error { return e.poison.Run(ctx) })
@@ -290,46 +283,6 @@
 	return err
 }
 
-// maxCallerConnections returns the maximum number of concurrent connections of callers; further ones wait to be
-// accepted. The remaining file descriptors are for connections to targets.
-func (e *Entry) maxCallerConnections() int {
-	return int(callerConnectionShare * float64(e.settings.Load().Limits.OpenFiles))
-}
-
-// startServer opens the listener and starts a server that is closed when ctx ends. It accepts up to maxConnections
-// concurrent connections; zero means no limit. connState is called when the state of a connection changes; it may be nil.
-func (e *Entry) startServer(ctx context.Context, group *errgroup.Group, address string, handler http.Handler, maxConnections int, connState func(net.Conn, http.ConnState)) (*http.Server, error) {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", address)
-	if err != nil {
-		return nil, errors.Wrapf(err, "listen on %s", address)
-	}
-	if maxConnections > 0 {
-		listener = netutil.LimitListener(listener, maxConnections)
-	}
-	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: connState,
-		ErrorLog: e.logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
-	}
-	group.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
-	context.AfterFunc(ctx, func() { server.Close() })
-	return server, nil
-}
-
-// countConnection keeps callerConnections.
-func (e *Entry) countConnection(_ net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		e.callerConnections.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		e.callerConnections.Add(-1)
-	}
-}
-
 func (e *Entry) serveCaller(w http.ResponseWriter, r *http.Request) {
 	e.activeRequests.Add(1)
 	defer e.activeRequests.Add(-1)
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -18,10 +18,10 @@
 
 const (
 	// tunnelShare is the share of the file descriptors that tunnels of other VMs may use, and tunnelDescriptors what each
-	// takes. Without a limit on descriptors there are defaultMaxTunnels.
+	// takes. tunnelHeadroom is the number of connections beyond that, which learn that all tunnels are in use.
 	tunnelShare       = 0.2
 	tunnelDescriptors = 2
-	defaultMaxTunnels = 512
+	tunnelHeadroom    = 16
 )
 
 // newClient returns the client for targets. It reaches them through other VMs where the exchange with them is on.
@@ -67,12 +67,11 @@
 
 // startTunnels serves tunnels to targets for other entry VMs.
 func (e *Entry) startTunnels(ctx context.Context, group *errgroup.Group, address string) error {
-	maxTunnels := int(tunnelShare * float64(e.settings.Load().Limits.OpenFiles) / tunnelDescriptors)
-	if maxTunnels == 0 {
-		maxTunnels = defaultMaxTunnels
-	}
+	maxTunnels := e.connections(tunnelShare / tunnelDescriptors)
 	e.tunnels = tunnel.NewServer(tunnel.ServerOptions{Dial: e.client.DialDirect, Allow: e.allowTunnel, MaxTunnels: maxTunnels, Context: ctx})
-	_, err := e.startServer(ctx, group, address, http.HandlerFunc(e.tunnels.ServeHTTP), 0, nil)
+	_, err := e.startServer(ctx, group, server{
+		name: "tunnels", address: address, handler: http.HandlerFunc(e.tunnels.ServeHTTP), maxConnections: maxTunnels + tunnelHeadroom,
+	})
 	return err
 }
 
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -17,6 +17,7 @@
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/delivery"
 	"godwitcart/internal/inforce"
+	"godwitcart/internal/ingress"
 	"godwitcart/internal/lengths"
 	"godwitcart/internal/membudget"
 	"godwitcart/internal/placement"
@@ -132,13 +133,15 @@
 	// readInterrupted is set if this VM has ended the reading of the body, which net/http takes for the end of the connection.
 	readInterrupted bool
 	// held is what the request holds in memory, and bodies are those of answers that were read whole.
-	held   *membudget.Holding
-	bodies []upstream.Body
+	held *membudget.Holding
+	// bodyBytes is the part of held that is the body.
+	bodyBytes int64
+	bodies    []upstream.Body
 }
 
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{Forwarder: f, caller: delivery.New(w, r), arrivedAt: time.Now(), held: f.options.Memory.Request()}
+	x := &exchange{Forwarder: f, caller: delivery.New(w, r), arrivedAt: time.Now(), held: f.holdingOf(r)}
 	defer x.releaseMemory()
 	if _, stopping := f.options.Stopping(); stopping {
 		x.caller.CloseConnection()
@@ -147,6 +150,15 @@
 	x.caller.Close()
 }
 
+// holdingOf returns the holding of the request's client, which outlives the request, or one of the request's own if its
+// connection has none.
+func (f *Forwarder) holdingOf(r *http.Request) *membudget.Holding {
+	if holding := ingress.Holding(r); holding != nil {
+		return holding
+	}
+	return f.options.Memory.Request()
+}
+
 // finish records how the request has ended, and writes the error unless the caller has a part of an answer.
 func (x *exchange) finish(r *http.Request, err error) {
 	if err == nil {
@@ -278,6 +290,7 @@
 	if err := x.held.Grow(r.ContentLength); err != nil {
 		return nil, noMemoryError(err)
 	}
+	x.bodyBytes = r.ContentLength
 	body := make([]byte, r.ContentLength)
 	if _, err := io.ReadFull(r.Body, body); err != nil {
 		return nil, bodyBrokenError(err)
@@ -288,6 +301,7 @@
 // readUnsizedBody reads a body of unknown length.
 func (x *exchange) readUnsizedBody(r *http.Request, limit int64) ([]byte, error) {
 	body, err := membudget.ReadAll(r.Body, x.held, limit)
+	x.bodyBytes = int64(cap(body))
 	switch {
 	case errors.Is(err, membudget.ErrTooLong):
 		return nil, bodyTooLargeError(limit)
@@ -301,7 +315,7 @@
 
 // releaseMemory ends what the request has held.
 func (x *exchange) releaseMemory() {
-	x.held.Release()
+	x.held.Shrink(x.bodyBytes)
 	for _, body := range x.bodies {
 		body.Release()
 	}
--- a/internal/gateway/answer/answer.go
+++ b/internal/gateway/answer/answer.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"godwitcart/internal/netconn"
 )
 
 type connectionKey struct{}
@@ -104,11 +106,7 @@
 // tcpConnection returns the caller's TCP connection, or nil if it is not known.
 func tcpConnection(ctx context.Context) *net.TCPConn {
 	conn, _ := ctx.Value(connectionKey{}).(net.Conn)
-	if secured, isSecured := conn.(interface{ NetConn() net.Conn }); isSecured {
-		conn = secured.NetConn()
-	}
-	tcp, _ := conn.(*net.TCPConn)
-	return tcp
+	return netconn.TCP(conn)
 }
 
 // setLinger sets how the connection of an unframed response is closed: with 0 it is reset, also by the kernel when this
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -1,9 +1,9 @@
-// Package membudget bounds the bytes that a process holds for others and has not passed on yet: bodies of requests, and
-// heads, events and bodies of answers.
+// Package membudget bounds the bytes that a process holds for others: connections, heads and bodies of clients, and heads,
+// events and bodies of answers that are not passed on yet.
 //
-// Invariants: what all requests and answers hold together stays within the limit, apart from a few KiB that each may always
-// hold. When an answer needs more than is left, the one that holds most is given up. Requests are admitted or refused as a
-// whole, and never given up: their callers have been promised an answer.
+// Invariants: what all clients and answers hold together stays within the limit, apart from a few KiB that each answer may
+// always hold. When a client needs more than is left, the one that holds most, or has held it longest without progress, is given
+// XX
 package membudget
 
 import (
@@ -14,40 +14,52 @@
 )
 
 const (
-	// FreeBytes is what each holding may have whatever the others hold: enough for a usual event or answer.
+	// FreeBytes is what each answer may hold whatever the others hold: enough for a usual event or answer. Clients pay for it
+	// with their requests.
 	FreeBytes = 16 << 10
 	// DefaultLimit applies where no memory limit is set, in bytes.
 	DefaultLimit = 64 << 20
-	// settleTime bounds the wait for an answer that was given up. Its reader ends when its connection is closed, unless its
-	// caller does not take the bytes.
+	// settleTime bounds the wait for a client or an answer that was given up. Its reader ends when its connection is closed,
+	// unless its caller does not take the bytes.
 	settleTime = 100 * time.Millisecond
-	// requestShare is the part of the limit that requests may hold. The rest is left for answers, without which the
-	// requests would not end.
-	requestShare = 0.75
+	// clientShare is the part of the limit that clients may hold. The rest is left for answers, without which the requests
+	// would not end. ordinaryShare is the part for clients that hold up to ordinaryBytes each, so that whole requests of the
+	// largest size do not keep out all others.
+	clientShare   = 0.75
+	ordinaryShare = 0.85
+	ordinaryBytes = 96 << 10
+	// progressTime is the time since its last byte up to which a client makes progress; a lost packet is sent again within it.
+	// Such a client is given up only for one that would hold up to ordinaryBytes and less than a progressShare of it: otherwise
+	// clients would take the memory off each other in turn, and none of their requests would become whole.
+	progressTime  = time.Second
+	progressShare = 0.25
+	// maxProgressChecks bounds how many clients are asked whether they have made progress before one is given up.
+	maxProgressChecks = 32
 )
 
 // ErrExceeded is the error of a holding that is given up because it holds most while the budget is used up.
 var ErrExceeded = errors.New("the answer holds more memory than any other one, and the memory for answers is used up")
 
-// ErrNoRoom is the error of a request for which there is no memory left.
-var ErrNoRoom = errors.New("the requests in progress hold all the memory there is for them")
+// ErrNoRoom is the error of a client for which there is no memory left.
+var ErrNoRoom = errors.New("the clients in progress hold all the memory there is for them")
 
 // Budget is safe for concurrent use.
 type Budget struct {
-	mu       sync.Mutex
-	limit    int64
-	requests int64
-	answers  int64
-	// givenUp is the part of answers that is held by some that were given up and have not released it yet.
-	givenUp  int64
-	holdings map[*Holding]struct{}
+	mu    sync.Mutex
+	limit int64
+	// clients and answers are the bytes that count for them. The part of those that were given up and have not released it yet is
+	// in leavingClients and leavingAnswers.
+	clients, leavingClients int64
+	answers, leavingAnswers int64
+	// candidates are the holdings that can be given up.
+	candidates map[*Holding]struct{}
 	// released is closed and replaced when memory is released.
 	released chan struct{}
 }
 
 // New returns a budget of that many bytes.
 func New(limit int64) *Budget {
-	return &Budget{limit: limit, holdings: make(map[*Holding]struct{}), released: make(chan struct{})}
+	return &Budget{limit: limit, candidates: make(map[*Holding]struct{}), released: make(chan struct{})}
 }
 
 // SetLimit changes the number of bytes. What is held stays.
@@ -57,19 +69,32 @@
 	b.limit = limit
 }
 
-// Used returns the number of bytes that are held beyond FreeBytes of each holding.
+// Used returns the number of bytes that count: all of clients, and those of answers beyond FreeBytes each.
 func (b *Budget) Used() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.requests + b.answers
+	return b.clients + b.answers
 }
 
-// Holding is what is held for one request or answer. Its methods may be called by any goroutine.
+// Waiter is the client of a holding.
+type Waiter interface {
+	// LastProgress is when bytes of the client were last read or taken by it.
+	LastProgress() time.Time
+	// IsStuck reports whether the client has not taken its answer for so long that its request counts as not whole.
+	IsStuck() bool
+	// HasUnread reports whether bytes of the client have arrived that nobody has read yet. They count as progress from then on.
+	HasUnread() bool
+	// GiveUp ends the connection. It must not block.
+	GiveUp()
+}
+
+// Holding is what is held for one client or answer. Its methods may be called by any goroutine.
 type Holding struct {
 	budget *Budget
-	// giveUp is called when an answer is given up for others; nil for a request.
+	// waiter is that of a client, and nil for an answer. giveUp is called when an answer is given up for others.
+	waiter Waiter
 	giveUp func()
-	// isPinned is set once the answer is whole, so that it is not given up any more.
+	// isPinned is set while the holding may not be given up: an answer or a request that is whole.
 	isPinned bool
 	held     int64
 	// isOver is set once the holding was released or given up.
@@ -79,18 +104,27 @@
 // Answer returns an empty holding for an answer. giveUp is called once if others need its memory; it must not block.
 func (b *Budget) Answer(giveUp func()) *Holding { return &Holding{budget: b, giveUp: giveUp} }
 
-// Request returns an empty holding for a request.
-func (b *Budget) Request() *Holding { return &Holding{budget: b} }
+// Client returns an empty holding for a client. The waiter is asked while the request of the client is not whole.
+func (b *Budget) Client(waiter Waiter) *Holding { return &Holding{budget: b, waiter: waiter} }
+
+// Request returns an empty holding for a request that is never given up.
+func (b *Budget) Request() *Holding {
+	return &Holding{budget: b, waiter: nobody{}, isPinned: true}
+}
+
+// nobody is the Waiter of a holding that is always pinned.
+type nobody struct{}
+
+func (nobody) LastProgress() time.Time { return time.Time{} }
+func (nobody) IsStuck() bool           { return false }
+func (nobody) HasUnread() bool         { return false }
+func (nobody) GiveUp()                 {}
 
-// Grow adds bytes to the holding. The error is ErrNoRoom for a request and ErrExceeded for an answer; nothing is added then. It
-// waits, for up to settleTime, until answers that are given up for it have released what they hold.
+// Grow adds bytes to the holding. The error is ErrNoRoom for a client and ErrExceeded for an answer; nothing is added then. It
+// waits, for up to settleTime, until those that are given up for it have released what they hold.
 func (h *Holding) Grow(bytes int64) error {
 	for end := time.Now().Add(settleTime); ; {
-		giveUp, released, err := h.tryGrow(bytes, time.Now().After(end))
-		if giveUp != nil {
-			giveUp.giveUp()
-			continue
-		}
+		released, err := h.GrowNow(bytes, time.Now().After(end))
 		if released == nil {
 			return err
 		}
@@ -101,109 +135,250 @@
 	}
 }
 
-// tryGrow is one try of Grow. It returns an answer that is to be given up first, or a channel that is closed when memory has been
-// released, if that is to be awaited. With force, it does not wait for answers that have been given up.
-func (h *Holding) tryGrow(bytes int64, force bool) (giveUp *Holding, released <-chan struct{}, err error) {
+// GrowNow is Grow without a wait: where others have been given up for it and have not released their memory yet, it returns a
+// channel that is closed when some is released. With force, it counts on what they will release.
+func (h *Holding) GrowNow(bytes int64, force bool) (<-chan struct{}, error) {
+	for {
+		victim, released, err := h.tryGrow(bytes, force)
+		if victim == nil {
+			return released, err
+		}
+		if victim.waiter != nil {
+			victim.waiter.GiveUp()
+		} else {
+			victim.giveUp()
+		}
+	}
+}
+
+// tryGrow is one try of GrowNow. It returns a holding that is to be given up first, if there is one.
+func (h *Holding) tryGrow(bytes int64, force bool) (victim *Holding, released <-chan struct{}, err error) {
 	b := h.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	added := charged(h.held+bytes) - charged(h.held)
+	if h.wasGivenUp {
+		return nil, nil, h.refusal()
+	}
+	added := h.charged(h.held+bytes) - h.charged(h.held)
 	switch {
-	case h.wasGivenUp:
-		return nil, nil, ErrExceeded
 	case added <= 0:
-	case h.giveUp == nil:
-		if float64(b.requests+added) > requestShare*float64(b.limit) || b.requests+b.answers+added > b.limit {
-			return nil, nil, ErrNoRoom
+	case b.exceeds(h, bytes, added, b.leavingClients, b.leavingAnswers):
+		victim := b.victim(h, h.held+bytes)
+		if victim == nil {
+			return nil, nil, h.refusal()
 		}
-	case b.requests+b.answers-b.givenUp+added > b.limit:
-		largest := b.largest(h)
-		if largest == nil || largest.held <= h.held+bytes {
-			return nil, nil, ErrExceeded
-		}
-		largest.wasGivenUp = true
-		b.givenUp += charged(largest.held)
-		delete(b.holdings, largest)
-		return largest, nil, nil
-	case b.requests+b.answers+added > b.limit && !force:
+		b.markGivenUp(victim)
+		return victim, nil, nil
+	case !force && b.exceeds(h, bytes, added, 0, 0):
 		return nil, b.released, nil
 	}
 	h.held += bytes
 	b.charge(h, added)
-	if h.held > FreeBytes && !h.isOver {
-		b.holdings[h] = struct{}{}
-	}
+	b.updateCandidate(h)
 	return nil, nil, nil
 }
 
-// largest returns the answer that holds most, apart from the given one; nil if there is none.
-func (b *Budget) largest(apartFrom *Holding) *Holding {
+// refusal is the error of a holding that cannot grow.
+func (h *Holding) refusal() error {
+	if h.waiter != nil {
+		return ErrNoRoom
+	}
+	return ErrExceeded
+}
+
+// exceeds reports whether the limits are exceeded if the holding grows, without what is about to be released.
+func (b *Budget) exceeds(h *Holding, bytes, added, leavingClients, leavingAnswers int64) bool {
+	clients, answers := b.clients-leavingClients, b.answers-leavingAnswers
+	if clients+answers+added > b.limit {
+		return true
+	}
+	if h.waiter == nil {
+		return false
+	}
+	share := clientShare
+	if h.held+bytes <= ordinaryBytes {
+		share = ordinaryShare
+	}
+	return float64(clients+added) > share*float64(b.limit)
+}
+
+// victim returns the holding that is given up for one that would hold that many bytes; nil if that is the one to refuse. Clients
+// and answers each take from their own kind first, and from the other while that has more than the part that is left for it.
+func (b *Budget) victim(asking *Holding, bytes int64) *Holding {
+	if asking.waiter == nil {
+		if largest := b.largestAnswer(asking, bytes); largest != nil {
+			return largest
+		}
+		return b.waitingClient(asking, bytes)
+	}
+	if client := b.waitingClient(asking, bytes); client != nil {
+		return client
+	}
+	if float64(b.answers-b.leavingAnswers) > (1-ordinaryShare)*float64(b.limit) {
+		return b.largestAnswer(asking, bytes)
+	}
+	return nil
+}
+
+// waitingClient returns the client that is given up for a holding that would hold that many bytes; nil if there is none.
+func (b *Budget) waitingClient(asking *Holding, bytes int64) *Holding {
+	now := time.Now()
+	for range maxProgressChecks {
+		client := b.heaviestClient(asking, bytes, now)
+		if client == nil || !client.waiter.LastProgress().Before(now) || !client.waiter.HasUnread() {
+			return client
+		}
+	}
+	return b.heaviestClient(asking, bytes, now)
+}
+
+// heaviestClient returns the client with the most weight, if that is more than the given number of bytes.
+func (b *Budget) heaviestClient(apartFrom *Holding, bytes int64, now time.Time) *Holding {
+	var heaviest *Holding
+	weight := float64(bytes)
+	for h := range b.candidates {
+		if h == apartFrom || h.waiter == nil {
+			continue
+		}
+		if own := h.weight(now, bytes); own > weight {
+			heaviest, weight = h, own
+		}
+	}
+	return heaviest
+}
+
+// weight is how much speaks for giving a client up for one that would hold that many bytes: its own bytes, times the seconds for
+// which it has made no progress.
+func (h *Holding) weight(now time.Time, bytes int64) float64 {
+	if h.isPinned && !h.waiter.IsStuck() {
+		return 0
+	}
+	waited := now.Sub(h.waiter.LastProgress())
+	switch {
+	case waited >= progressTime:
+		return float64(h.held) * (1 + waited.Seconds())
+	case bytes <= ordinaryBytes:
+		return progressShare * float64(h.held)
+	default:
+		return 0
+	}
+}
+
+// largestAnswer returns the answer that holds most, if it holds more than that many bytes.
+func (b *Budget) largestAnswer(apartFrom *Holding, bytes int64) *Holding {
 	var largest *Holding
-	for h := range b.holdings {
-		if h != apartFrom && h.giveUp != nil && !h.isPinned && (largest == nil || h.held > largest.held) {
-			largest = h
+	for h := range b.candidates {
+		if h != apartFrom && h.waiter == nil && h.held > bytes {
+			largest, bytes = h, h.held
 		}
 	}
 	return largest
 }
 
+func (b *Budget) markGivenUp(h *Holding) {
+	h.wasGivenUp = true
+	if h.waiter != nil {
+		b.leavingClients += h.held
+	} else {
+		b.leavingAnswers += h.charged(h.held)
+	}
+	delete(b.candidates, h)
+}
+
+// updateCandidate keeps candidates.
+func (b *Budget) updateCandidate(h *Holding) {
+	isFixed := h.isPinned && h.waiter == nil
+	if h.isOver || isFixed || h.wasGivenUp || h.charged(h.held) == 0 {
+		delete(b.candidates, h)
+		return
+	}
+	b.candidates[h] = struct{}{}
+}
+
 // charged returns how much of a holding counts.
-func charged(held int64) int64 { return max(0, held-FreeBytes) }
+func (h *Holding) charged(held int64) int64 {
+	if h.waiter != nil {
+		return held
+	}
+	return max(0, held-FreeBytes)
+}
 
 func (b *Budget) charge(h *Holding, bytes int64) {
-	if h.giveUp == nil {
-		b.requests += bytes
-	} else {
+	switch {
+	case h.waiter != nil && h.wasGivenUp:
+		b.leavingClients += bytes
+		b.clients += bytes
+	case h.waiter != nil:
+		b.clients += bytes
+	case h.wasGivenUp:
+		b.leavingAnswers += bytes
+		b.answers += bytes
+	default:
 		b.answers += bytes
 	}
 }
 
+// Held returns the number of bytes that are held.
+func (h *Holding) Held() int64 {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	return h.held
+}
+
 // Shrink takes bytes off the holding.
 func (h *Holding) Shrink(bytes int64) {
-	b := h.budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
 	if h.isOver {
 		return
 	}
 	h.shrink(min(bytes, h.held))
 }
 
+// ShrinkTo takes off what is held beyond that many bytes.
+func (h *Holding) ShrinkTo(bytes int64) {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	if h.isOver || h.held <= bytes {
+		return
+	}
+	h.shrink(h.held - bytes)
+}
+
 // shrink requires the lock.
 func (h *Holding) shrink(bytes int64) {
 	b := h.budget
-	freed := charged(h.held) - charged(h.held-bytes)
+	freed := h.charged(h.held) - h.charged(h.held-bytes)
 	b.charge(h, -freed)
-	if h.wasGivenUp {
-		b.givenUp -= freed
-	}
 	h.held -= bytes
+	b.updateCandidate(h)
 	if freed > 0 {
 		close(b.released)
 		b.released = make(chan struct{})
 	}
 }
 
-// Pin keeps an answer from being given up.
-func (h *Holding) Pin() {
+// Pin keeps a holding from being given up, until Unpin.
+func (h *Holding) Pin() { h.setPinned(true) }
+
+// Unpin makes it possible to give the holding up.
+func (h *Holding) Unpin() { h.setPinned(false) }
+
+func (h *Holding) setPinned(isPinned bool) {
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
-	h.isPinned = true
+	h.isPinned = isPinned
+	h.budget.updateCandidate(h)
 }
 
 // Release ends the holding. Later calls have no effect.
 func (h *Holding) Release() {
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
-	h.end()
-}
-
-// end requires the lock.
-func (h *Holding) end() {
 	if h.isOver {
 		return
 	}
 	h.shrink(h.held)
 	h.isOver = true
-	delete(h.budget.holdings, h)
+	h.budget.updateCandidate(h)
 }
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -4,6 +4,7 @@
 	"sync"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -75,14 +76,19 @@
 		b := membudget.New(limit)
 		held := make(map[*membudget.Holding]int64)
 		given := make(map[*membudget.Holding]bool)
+		answers := make(map[*membudget.Holding]bool)
 		var holdings []*membudget.Holding
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			switch rapid.IntRange(0, 3).Draw(t, "step") {
 			case 0:
 				var h *membudget.Holding
-				if rapid.Bool().Draw(t, "answer") {
+				switch rapid.IntRange(0, 2).Draw(t, "kind") {
+				case 0:
 					h = b.Answer(func() { given[h] = true; h.Release() })
-				} else {
+					answers[h] = true
+				case 1:
+					h = b.Client(&waiter{giveUp: func() { given[h] = true; h.Release() }})
+				default:
 					h = b.Request()
 				}
 				holdings = append(holdings, h)
@@ -110,7 +116,10 @@
 					delete(held, h)
 					continue
 				}
-				sum += max(0, bytes-membudget.FreeBytes)
+				if answers[h] {
+					bytes = max(0, bytes-membudget.FreeBytes)
+				}
+				sum += bytes
 			}
 			if sum != b.Used() || sum > limit {
 				t.Fatalf("%d bytes are used, %d held, %d allowed", b.Used(), sum, limit)
@@ -119,6 +128,111 @@
 	})
 }
 
+// waiter is a client that has been without progress for the given time.
+type waiter struct {
+	silent    time.Duration
+	hasUnread bool
+	isStuck   bool
+	givenUp   bool
+	giveUp    func()
+}
+
+func (w *waiter) LastProgress() time.Time { return time.Now().Add(-w.silent) }
+
+func (w *waiter) IsStuck() bool { return w.isStuck }
+
+func (w *waiter) HasUnread() bool {
+	if w.hasUnread {
+		w.silent = 0
+	}
+	return w.hasUnread
+}
+
+func (w *waiter) GiveUp() {
+	w.givenUp = true
+	w.giveUp()
+}
+
+// client returns a holding of that many bytes, which is released when it is given up.
+func client(t *testing.T, b *membudget.Budget, w *waiter, bytes int64) *membudget.Holding {
+	t.Helper()
+	h := b.Client(w)
+	w.giveUp = h.Release
+	require.NoError(t, h.Grow(bytes))
+	return h
+}
+
+// TestClientsWithoutProgressMakeRoom guards against clients that hold all memory for requests which never become whole, while
+// ordinary ones are refused.
+func TestClientsWithoutProgressMakeRoom(t *testing.T) {
+	b := membudget.New(1 << 20)
+	stalled, unread, recent := &waiter{silent: time.Minute}, &waiter{silent: time.Minute, hasUnread: true}, &waiter{}
+	client(t, b, stalled, 200<<10)
+	client(t, b, unread, 200<<10)
+	client(t, b, recent, 200<<10)
+	whole := &waiter{silent: time.Hour}
+	client(t, b, whole, 150<<10).Pin()
+	require.NoError(t, b.Client(&waiter{}).Grow(100<<10))
+	require.True(t, stalled.givenUp)
+	require.False(t, unread.givenUp, "its bytes have arrived")
+	require.False(t, recent.givenUp)
+	require.False(t, whole.givenUp, "a whole request is never given up")
+}
+
+// TestClientsThatTakeNoAnswerMakeRoom guards against clients that hold memory with whole requests whose answers they do not take.
+func TestClientsThatTakeNoAnswerMakeRoom(t *testing.T) {
+	b := membudget.New(1 << 20)
+	whole, stuck := &waiter{silent: time.Minute}, &waiter{silent: time.Minute, isStuck: true}
+	client(t, b, whole, 300<<10).Pin()
+	client(t, b, stuck, 300<<10).Pin()
+	require.NoError(t, b.Client(&waiter{}).Grow(300<<10))
+	require.True(t, stuck.givenUp)
+	require.False(t, whole.givenUp)
+}
+
+// TestAnswersMakeRoomForClients guards against answers without end that take the memory of small requests.
+func TestAnswersMakeRoomForClients(t *testing.T) {
+	b := membudget.New(1 << 20)
+	var endless []*membudget.Holding
+	for range 4 {
+		var answer *membudget.Holding
+		answer = b.Answer(func() { answer.Release() })
+		require.NoError(t, answer.Grow(256<<10))
+		endless = append(endless, answer)
+	}
+	require.NoError(t, b.Client(&waiter{}).Grow(64<<10))
+	require.NoError(t, b.Client(&waiter{}).Grow(64<<10))
+	for _, answer := range endless {
+		answer.Release()
+	}
+}
+
+// TestLargestClientIsRefused guards against sound clients that are given up because another one sends more and more.
+func TestLargestClientIsRefused(t *testing.T) {
+	b := membudget.New(1 << 20)
+	sound := &waiter{silent: time.Second}
+	client(t, b, sound, 64<<10)
+	growing := b.Client(&waiter{})
+	for growing.Grow(64<<10) == nil {
+	}
+	require.False(t, sound.givenUp)
+	require.ErrorIs(t, growing.Grow(64<<10), membudget.ErrNoRoom)
+	require.GreaterOrEqual(t, growing.Held(), int64(640<<10))
+}
+
+// TestWholeRequestsLeaveRoomForOrdinaryOnes guards against large whole requests that keep out all others.
+func TestWholeRequestsLeaveRoomForOrdinaryOnes(t *testing.T) {
+	b := membudget.New(4 << 20)
+	for {
+		large := b.Client(&waiter{})
+		if large.Grow(512<<10) != nil {
+			break
+		}
+		large.Pin()
+	}
+	require.NoError(t, b.Client(&waiter{}).Grow(64<<10))
+}
+
 // TestConcurrentHoldings is for the race detector.
 func TestConcurrentHoldings(t *testing.T) {
 	b := membudget.New(1 << 20)
--- a/internal/policy/route.go
+++ b/internal/policy/route.go
@@ -83,6 +83,11 @@
 type CallerLimits struct {
 	// MaxBodyBytes is the maximum size of a request body; zero means the default.
 	MaxBodyBytes int64
+	// MaxHeaderBytes is the maximum size of the header of a request; zero means the default.
+	MaxHeaderBytes int
+	// HeaderTimeout is how long a client may take to send a header, and IdleTimeout how long its connection may be open without
+	// a request; zero means the default.
+	HeaderTimeout, IdleTimeout time.Duration
 }
 
 // KeyDigest is the SHA-256 digest of an API key.
--- a/internal/tunnel/reset.go
+++ b/internal/tunnel/reset.go
@@ -6,6 +6,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"godwitcart/internal/netconn"
 )
 
 // tcpClosed is the state of a connection that was reset (TCP_CLOSE of Linux). One that the other side has ended in order is in
@@ -27,8 +29,8 @@
 
 // wasReset reports whether the connection is known to be reset.
 func wasReset(conn net.Conn) bool {
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
+	tcp := netconn.TCP(conn)
+	if tcp == nil {
 		return false
 	}
 	raw, err := tcp.SyscallConn()
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"godwitcart/internal/netconn"
 )
 
 // Dial opens a connection to host:port.
@@ -154,13 +156,13 @@
 
 // reset makes closing the connection abort it.
 func reset(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp := netconn.TCP(conn); tcp != nil {
 		_ = tcp.SetLinger(0) // an error means that it is closed already
 	}
 }
 
 func closeWrite(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp := netconn.TCP(conn); tcp != nil {
 		_ = tcp.CloseWrite() // as above
 	}
 }
