daemon: the listeners of own mode are guarded, with a memory setting

It had no setting for its memory at all; bodies, messages of peers and HTTP/2 windows were bounded one by one, and nothing bounded connections or pauses of bodies.

Where a listener has TLS, its handshakes are now completed first, each within the time for a head and paid for; HTTP/1 is guarded inside. Messages of peers count from their first byte until the process writes. A body may pause for 10 s, 2 s while calls wait for a place at a target.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -143,6 +143,24 @@
 	}
 }
 
+// HasWaiting reports whether requests wait for a place at a target.
+func (c *Controller) HasWaiting() bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	for _, q := range c.queues {
+		if q.hasWaiting() {
+			return true
+		}
+	}
+	return false
+}
+
+func (q *serviceQueue) hasWaiting() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.waiterCount > 0
+}
+
 // Rows returns the waiting requests of all services.
 func (c *Controller) Rows() []WaitingRow {
 	now := c.options.Now()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"godwitcart/internal/gateway"
 	"godwitcart/internal/lengths"
 	"godwitcart/internal/membership"
+	"godwitcart/internal/membudget"
 	"godwitcart/internal/object"
 	"godwitcart/internal/pause"
 	"godwitcart/internal/peer"
@@ -30,6 +31,7 @@
 	"godwitcart/internal/settings"
 	"godwitcart/internal/target"
 	"godwitcart/internal/tlsconfig"
+	"godwitcart/internal/vmlimits"
 )
 
 // resumeWindow bounds how long an interrupted attempt is looked up at its target in order to resume it.
@@ -65,6 +67,8 @@
 	engines       *target.EngineClient
 	plain         *target.PlainClient
 	gateway       *gateway.Gateway
+	// memory bounds what clients hold.
+	memory *membudget.Budget
 
 	// firstListAt is when the platform's list of VMs was first known, in Unix nanoseconds; 0 before that.
 	firstListAt atomic.Int64
@@ -89,7 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{settings: s, logger: logger, incarnation: rand.Text(), shutdown: make(chan struct{}), listening: make(chan struct{})}
+	d := &Daemon{settings: s, logger: logger, incarnation: rand.Text(), shutdown: make(chan struct{}), listening: make(chan struct{}), memory: membudget.New(membudget.DefaultLimit)}
 	d.store = object.NewClient(object.Options{BaseURL: s.Platform.URL, Timeout: s.Platform.Timeout})
 	d.lister = &lister{baseURL: s.Platform.URL}
 	d.buildTargets()
@@ -129,7 +133,7 @@
 	})
 	d.gateway = gateway.New(gateway.Options{
 		Policy: d.configuration, Dispatcher: dispatcher, Registry: d.registry, Sealer: sealer,
-		MaxBodyBytes: d.settings.Callers.MaxBodyBytes, DefaultDeadline: d.settings.Timeouts.Request,
+		MaxBodyBytes: d.settings.Callers.MaxBodyBytes, DefaultDeadline: d.settings.Timeouts.Request, Memory: d.memory,
 	})
 }
 
@@ -146,6 +150,7 @@
 func (d *Daemon) Run(parent context.Context) error {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
+	vmlimits.ApplyMemory(d.settings.Limits.MemoryMB, d.memory)
 	servers, err := d.openListeners()
 	if err != nil {
 		return err
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -10,6 +10,7 @@
 
 	"godwitcart/internal/admission"
 	"godwitcart/internal/apierror"
+	"godwitcart/internal/ingress"
 	"godwitcart/internal/membership"
 	"godwitcart/internal/peer"
 	"godwitcart/internal/peer/peerpb"
@@ -105,7 +106,10 @@
 	if err != nil {
 		return err
 	}
-	err = server.Serve(ctx, listener)
+	err = server.Serve(ctx, ingress.NewListener(listener, ingress.Options{
+		Name: "peers", Budget: d.memory, MaxConnections: d.connections(peerConnectionShare), IsRaw: true, Logger: d.logger,
+		Limits: staticLimits(defaultLimits),
+	}))
 	if ctx.Err() != nil {
 		return nil
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -13,6 +13,8 @@
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/dispatch"
 	"godwitcart/internal/gateway/answer"
+	"godwitcart/internal/ingress"
+	"godwitcart/internal/membudget"
 	"godwitcart/internal/policy"
 	"godwitcart/internal/request"
 	"godwitcart/internal/target"
@@ -67,6 +69,8 @@
 	// DefaultDeadline is the time limit of requests for which neither the caller nor the class sets one; zero means
 	// ten minutes.
 	DefaultDeadline time.Duration
+	// Memory bounds the bodies of clients whose connections are not guarded; nil stands for a budget of the Gateway's own.
+	Memory *membudget.Budget
 }
 
 // Gateway is the HTTP handler of the API. It is safe for concurrent use.
@@ -78,6 +82,9 @@
 
 func New(options Options) *Gateway {
 	options.DefaultDeadline = cmp.Or(options.DefaultDeadline, defaultDeadline)
+	if options.Memory == nil {
+		options.Memory = membudget.New(membudget.DefaultLimit)
+	}
 	g := &Gateway{options: options, mux: http.NewServeMux()}
 	g.drain.handOver = make(chan struct{})
 	g.drain.cutOff, g.drain.endUnfinished = context.WithCancel(context.Background())
@@ -106,6 +113,9 @@
 	account string
 	// nonIdempotent is set once the headers and the configuration show that the request must run at most once.
 	nonIdempotent bool
+	// held is what the request's client holds, and bodyBytes the part of it that is the body.
+	held      *membudget.Holding
+	bodyBytes int64
 	// dispatched is set once the dispatcher has the request; its errors take earlier duplicates into account.
 	dispatched bool
 }
@@ -113,7 +123,11 @@
 // serve returns a handler that admits the request, authenticates the caller, calls handle and reports its error.
 func (g *Gateway) serve(handle func(*exchange) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		x := &exchange{r: r, response: answer.New(w, r), requestID: rand.Text()}
+		x := &exchange{r: r, response: answer.New(w, r), requestID: rand.Text(), held: ingress.Holding(r)}
+		if x.held == nil {
+			x.held = g.options.Memory.Request()
+		}
+		defer func() { x.held.Shrink(x.bodyBytes) }()
 		x.response.Header().Set(HeaderRequestID, x.requestID)
 		if err := g.admit(x); err != nil {
 			writeError(x, err)
@@ -132,6 +146,23 @@
 	}
 }
 
+// hold records bytes of the body. It fails with KindNotRun if there is no memory for them.
+func (x *exchange) hold(bytes int64) error {
+	if err := x.held.Grow(bytes); err != nil {
+		return noMemoryError(err)
+	}
+	x.bodyBytes += bytes
+	return nil
+}
+
+func noMemoryError(cause error) error {
+	return apierror.Wrap(cause, apierror.KindNotRun, "this entry VM has no memory left for the body; the request did not run",
+		"send it again after the time given, on a new connection").WithRetryAfter(memoryRetryAfter)
+}
+
+// memoryRetryAfter is the Retry-After of a request for whose body there is no memory; other VMs may have some.
+const memoryRetryAfter = time.Second
+
 func (g *Gateway) admit(x *exchange) error {
 	if g.drain.admit() {
 		return nil
--- a/internal/gateway/parse.go
+++ b/internal/gateway/parse.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -13,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"godwitcart/internal/apierror"
+	"godwitcart/internal/membudget"
 	"godwitcart/internal/policy"
 	"godwitcart/internal/request"
 	"godwitcart/internal/wire/enginewire"
@@ -54,8 +54,12 @@
 // readBody reads and decodes the body of a generation request and returns it with a digest of its bytes, which
 // consists of their hash and their number.
 func (g *Gateway) readBody(x *exchange) (*generationBody, string, error) {
-	data, err := io.ReadAll(x.response.LimitBody(g.options.MaxBodyBytes))
+	data, err := membudget.ReadAll(x.response.LimitBody(g.options.MaxBodyBytes), x.held, g.options.MaxBodyBytes)
+	x.bodyBytes = int64(cap(data))
 	var tooLarge *http.MaxBytesError
+	if errors.Is(err, membudget.ErrNoRoom) {
+		return nil, "", noMemoryError(err)
+	}
 	if errors.As(err, &tooLarge) {
 		return nil, "", apierror.Newf(apierror.KindTooLarge, "send a shorter prompt",
 			"the body exceeds %d bytes", tooLarge.Limit)
@@ -63,6 +67,9 @@
 	if err != nil {
 		return nil, "", badRequest("the body could not be read", "send the request again")
 	}
+	if err := x.hold(int64(len(data))); err != nil { // the decoded body
+		return nil, "", err
+	}
 	body := &generationBody{}
 	if err := json.Unmarshal(data, body); err != nil {
 		return nil, "", badRequest("the body is not the expected JSON: "+truncate(err.Error()), "correct the named field")
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -38,6 +38,9 @@
 	if err != nil {
 		return err
 	}
+	if err := x.hold(maxReplayableBodyBytes + copyBufferBytes); err != nil {
+		return err
+	}
 	body, err := readPlainBody(x.r)
 	if err != nil {
 		return err
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -19,8 +19,6 @@
 const (
 	// maxMessageBytes bounds one message. The largest content, a configuration, has at most 1 MB.
 	maxMessageBytes = 4 << 20
-	// maxConnections bounds the concurrent connections of peers.
-	maxConnections = 2048
 	// serverIdleTimeout is the time after which a connection without a call is closed. It is longer than the
 	// client's idleTimeout, so that the client closes first.
 	serverIdleTimeout = 2 * time.Minute
@@ -60,11 +58,11 @@
 
 // Serve accepts connections on the listener until ctx ends, and then closes it.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
-	limited := &boundedListener{Listener: listener, traffic: s.options.Traffic, slots: make(chan struct{}, maxConnections)}
+	counted := &countingListener{Listener: listener, traffic: s.options.Traffic}
 	if s.options.TLS == nil {
-		return s.drpc.Serve(ctx, limited)
+		return s.drpc.Serve(ctx, counted)
 	}
-	return s.drpc.Serve(ctx, tls.NewListener(limited, s.options.TLS))
+	return s.drpc.Serve(ctx, tls.NewListener(counted, s.options.TLS))
 }
 
 // countingHandler counts the calls served.
@@ -79,27 +77,17 @@
 	return h.handler.HandleRPC(stream, rpc)
 }
 
-// boundedListener counts the bytes of its connections and closes new ones while all slots are taken.
-type boundedListener struct {
+// countingListener counts the bytes of its connections.
+type countingListener struct {
 	net.Listener
 	traffic *Traffic
-	slots   chan struct{}
 }
 
 // Accept implements net.Listener.
-func (l *boundedListener) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		select {
-		case l.slots <- struct{}{}:
-			return &boundedConn{countingConn: countingConn{Conn: conn, traffic: l.traffic}, release: l.release}, nil
-		default:
-			conn.Close()
-		}
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
 	}
+	return &countingConn{Conn: conn, traffic: l.traffic}, nil
 }
-
-func (l *boundedListener) release() { <-l.slots }
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"sync"
 	"sync/atomic"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -69,16 +68,3 @@
 	c.traffic.sentBytes.Add(int64(n))
 	return n, err
 }
-
-// boundedConn releases its slot in the listener when it is closed.
-type boundedConn struct {
-	countingConn
-	once    sync.Once
-	release func()
-}
-
-// Close implements net.Conn.
-func (c *boundedConn) Close() error {
-	c.once.Do(c.release)
-	return c.countingConn.Close()
-}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -38,6 +38,7 @@
 	c.checkPlatform(s.Platform)
 	c.checkCursorKeys(s)
 	c.checkDurations(s)
+	c.checkResources(s.Limits)
 	c.requireOneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.requireOneOf("log.format", s.Log.Format, "text", "json")
 	return c.problems
@@ -52,6 +53,12 @@
 	c.problems = append(c.problems, Problem{Key: key, Message: message, Remedy: remedy})
 }
 
+func (c *checker) checkResources(limits ResourceLimits) {
+	if limits.MemoryMB < 0 || limits.OpenFiles < 0 {
+		c.report("limits.memory_mb", "a limit is negative", "write the memory in MB and the number of descriptors, or 0 for the bounds of the environment")
+	}
+}
+
 func (c *checker) checkVM(vm VM) {
 	c.requirePresent("vm.name", vm.Name, "set it to the VM's name in the platform's list")
 	c.requirePresent("vm.zone", vm.Zone, "set it to the VM's availability zone")
@@ -155,7 +162,7 @@
 		key   string
 		value time.Duration
 	}{
-		{"callers.read_header_timeout", s.Callers.ReadHeaderTimeout},
+		{"callers.read_header_timeout", s.Callers.ReadHeaderTimeout}, {"callers.read_body_pause", s.Callers.ReadBodyPause},
 		{"callers.idle_timeout", s.Callers.IdleTimeout},
 		{"peers.call_timeout", s.Peers.CallTimeout},
 		{"platform.timeout", s.Platform.Timeout},
--- a/internal/settings/deployment.go
+++ b/internal/settings/deployment.go
@@ -62,9 +62,9 @@
 
 // ResourceLimits are the resources of the VM that the process may use.
 type ResourceLimits struct {
-	// MemoryMB bounds the memory of the process, in MB; zero means no bound.
+	// MemoryMB bounds the memory of the process, in MB; zero means that of GOMEMLIMIT, or no bound.
 	MemoryMB int `yaml:"memory_mb"`
-	// OpenFiles bounds the number of open file descriptors; zero means no bound.
+	// OpenFiles bounds the number of open file descriptors; zero means the bound of the kernel.
 	OpenFiles int `yaml:"open_files"`
 }
 
@@ -180,6 +180,7 @@
 	if s.Bounds.ColdOverage < 1 || s.Bounds.ColdSlack < 0 {
 		report("bounds.cold_overage", "cold targets would get less than they take", "write an overage of 1 or more and a slack of 0 or more")
 	}
+	c.checkResources(s.Limits)
 	c.checkTokens("operators.tokens", s.Operators.Tokens)
 	return c.problems
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,7 +23,9 @@
 	ConfigurationSeed string   `yaml:"configuration_seed,omitempty"`
 	Drain             Drain    `yaml:"drain"`
 	Timeouts          Timeouts `yaml:"timeouts"`
-	Log               Log      `yaml:"log"`
+	// Limits are what the VM grants the process.
+	Limits ResourceLimits `yaml:"limits"`
+	Log    Log            `yaml:"log"`
 }
 
 // VM identifies the VM on which the process runs.
@@ -64,6 +66,8 @@
 	MaxHeaderBytes int `yaml:"max_header_bytes"`
 	// ReadHeaderTimeout bounds how long a caller may take to send its header.
 	ReadHeaderTimeout time.Duration `yaml:"read_header_timeout"`
+	// ReadBodyPause bounds how long a caller may send nothing of a body that has not ended.
+	ReadBodyPause time.Duration `yaml:"read_body_pause"`
 	// IdleTimeout is how long a connection may be idle between two requests before it is closed.
 	IdleTimeout time.Duration `yaml:"idle_timeout"`
 }
@@ -156,6 +160,7 @@
 	DefaultMaxBodyBytes      = 4 << 20
 	DefaultMaxHeaderBytes    = 64 << 10
 	DefaultReadHeaderTimeout = 5 * time.Second
+	DefaultReadBodyPause     = 10 * time.Second
 	DefaultIdleTimeout       = 2 * time.Minute
 	DefaultCallTimeout       = time.Second
 	DefaultPlatformTimeout   = 2 * time.Second
@@ -178,6 +183,7 @@
 			MaxBodyBytes:      DefaultMaxBodyBytes,
 			MaxHeaderBytes:    DefaultMaxHeaderBytes,
 			ReadHeaderTimeout: DefaultReadHeaderTimeout,
+			ReadBodyPause:     DefaultReadBodyPause,
 			IdleTimeout:       DefaultIdleTimeout,
 		},
 		Peers:    Peers{CallTimeout: DefaultCallTimeout},
