forward: a body is waited for until the request's deadline

What callers saw: a request whose body stopped short of its end was open for as long as its caller liked (with X-Deadline-Ms: 1000 still after 6 s), and held its place and its memory.

Cause: the deadline applied from the end of the body on. Now reading ends with it, and the request is refused as not run, on a connection that ends; it was not sent to a target.

TestBodyThatIsNotThereByTheDeadlineIsRefused (a length, chunks): before, no answer came within 20 s; now 503.

--- a/internal/forward/shutdown.go
+++ b/internal/forward/shutdown.go
@@ -58,22 +58,28 @@
 	return x.stoppingError(stop)
 }
 
-// readBodyInTime reads the body of the request. During a shutdown, a body that arrives too late for the answer is refused: the
-// request has not been sent to a target.
+// readBodyInTime reads the body of the request. One that is not there by the request's deadline, or during a shutdown too late for
+// the answer, is refused: the request has not been sent to a target.
 func (x *exchange) readBodyInTime(w http.ResponseWriter, r *http.Request) (err error) {
-	stopWatching := context.AfterFunc(x.unanswered, func() {
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now()) // without it, the body ends with the connection
-	})
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(x.deadline) // without it, the body ends with the connection
+	stopWatching := context.AfterFunc(x.unanswered, func() { _ = control.SetReadDeadline(time.Now()) })
 	defer stopWatching()
 	x.call.Body, err = x.readBody(r)
 	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
 		return x.refuseIfStopping()
 	}
-	if x.readInterrupted = x.unanswered.Err() != nil; !x.readInterrupted {
-		return err
+	if x.unanswered.Err() != nil {
+		x.readInterrupted = true
+		stop, _ := x.options.Stopping()
+		return x.stoppingError(stop)
 	}
-	stop, _ := x.options.Stopping()
-	return x.stoppingError(stop)
+	if x.readInterrupted = !time.Now().Before(x.deadline); x.readInterrupted {
+		x.caller.CloseConnection()
+		return apierror.New(apierror.KindNotRun, "the body of the request was not there by its deadline", "send it with more time, on a new connection")
+	}
+	return err
 }
 
 func (x *exchange) stoppingError(stop Stop) error {
