httpstatus: an answer with a status that HTTP does not have is none

Cause: net/http takes any three characters that read as a number, and readHeader skipped all that is under 200 as interim.

Change: answers need three digits from 100 to 599; others are broken off. Answers to CONNECT, the list of VMs and operators' calls take 200 only already.

--- a/internal/object/client.go
+++ b/internal/object/client.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
+	"godwitcart/internal/httpstatus"
 	"godwitcart/internal/wire/platformwire"
 )
 
@@ -67,7 +68,7 @@
 func NewClient(options Options) *Client {
 	options.BaseURL = strings.TrimSuffix(options.BaseURL, "/")
 	if options.HTTPClient == nil {
-		options.HTTPClient = &http.Client{Transport: newTransport()}
+		options.HTTPClient = &http.Client{Transport: httpstatus.Transport(newTransport())}
 	}
 	options.Timeout = cmp.Or(options.Timeout, DefaultTimeout)
 	options.WatchWait = cmp.Or(options.WatchWait, DefaultWatchWait)
--- a/internal/target/connection.go
+++ b/internal/target/connection.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"godwitcart/internal/httpstatus"
 	"godwitcart/internal/wire/enginewire"
 )
 
@@ -31,6 +32,11 @@
 	if err != nil {
 		return nil, nil, classifyTransportError(name, err)
 	}
+	if err := httpstatus.Check(response); err != nil {
+		used.Close()
+		response.Body.Close()
+		return nil, nil, &UnknownOutcomeError{Target: name, cause: err}
+	}
 	return response, used, nil
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -20,6 +20,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"godwitcart/internal/httpstatus"
 	"godwitcart/internal/membudget"
 )
 
@@ -235,6 +236,9 @@
 		if err := checkHead(response); err != nil {
 			return nil, err
 		}
+		if err := httpstatus.Check(response); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
