ingress: a pause after an error of accepting under TLS

Where the process had no descriptors left, the loop that accepts for the TLS listener took the processor until some were free. Found by reading; it now waits 20 ms, as net/http does for its own.

--- a/internal/ingress/tls.go
+++ b/internal/ingress/tls.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"time"
 )
 
 // TLSListener completes the TLS handshakes of a Listener's connections, each within the time for a head. HTTP/2 connections
@@ -43,10 +44,14 @@
 	return l.Listener.Close()
 }
 
+// acceptPause is the wait after an error of accepting that may go away, such as a lack of descriptors.
+const acceptPause = 20 * time.Millisecond
+
 func (l *TLSListener) accept() {
 	for {
 		conn, err := l.Listener.Accept()
 		if isTemporary(err) {
+			time.Sleep(acceptPause)
 			continue
 		}
 		if err != nil {
