--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -27,7 +26,6 @@
 type guarded struct {
 	address string
 	budget  *membudget.Budget
-	log     *bytes.Buffer
 }
 
 // serve starts a server that echoes bodies, with the limits and a budget of that many bytes. A request to /hold is in service
