ingress: heads are scanned by lines, deadlines set when they change

Processor time only: the guard read heads byte by byte and set the read deadline of the connection for each call of net/http's, also where it stayed the same; a body that was read with its head got a deadline of its own.

--- a/internal/forward/shutdown.go
+++ b/internal/forward/shutdown.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"godwitcart/internal/apierror"
+	"godwitcart/internal/ingress"
 	"godwitcart/internal/placement"
 )
 
@@ -62,12 +63,17 @@
 // the answer, is refused: the request has not been sent to a target.
 func (x *exchange) readBodyInTime(w http.ResponseWriter, r *http.Request) (err error) {
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(x.deadline) // without it, the body ends with the connection
+	isWhole := ingress.IsWhole(r)
+	if !isWhole {
+		_ = control.SetReadDeadline(x.deadline) // without it, the body ends with the connection
+	}
 	stopWatching := context.AfterFunc(x.unanswered, func() { _ = control.SetReadDeadline(time.Now()) })
 	defer stopWatching()
 	x.call.Body, err = x.readBody(r)
 	if err == nil {
-		_ = control.SetReadDeadline(time.Time{})
+		if !isWhole {
+			_ = control.SetReadDeadline(time.Time{})
+		}
 		return x.refuseIfStopping()
 	}
 	if x.unanswered.Err() != nil {
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -62,6 +62,8 @@
 	// wanted is the read deadline that the user of the connection has set, and own that of the limits; zero for none.
 	wanted, own time.Time
 	ownCause    cause
+	// applied is the deadline of the connection underneath.
+	applied time.Time
 }
 
 func newConn(c *client, inner net.Conn, isRaw bool) *Conn {
@@ -91,7 +93,7 @@
 	if err := closer.CloseWrite(); err != nil {
 		return err
 	}
-	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
 	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
 	return nil
 }
@@ -477,6 +479,10 @@
 	if !c.own.IsZero() && (deadline.IsZero() || c.own.Before(deadline)) {
 		deadline = c.own
 	}
+	if deadline.Equal(c.applied) {
+		return nil
+	}
+	c.applied = deadline
 	return c.Conn.SetReadDeadline(deadline)
 }
 
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -47,6 +47,12 @@
 	return nil
 }
 
+// IsWhole reports whether all bytes of the request are known to have been read from its connection.
+func IsWhole(r *http.Request) bool {
+	c, guarded := r.Context().Value(clientKey{}).(*client)
+	return guarded && c.isWhole()
+}
+
 // ConnState is the ConnState of servers: it closes a connection on which a request is awaited before the body of the last one has
 // ended, because heads that follow would not be paid for.
 func ConnState(conn net.Conn, state http.ConnState) {
--- a/internal/ingress/head.go
+++ b/internal/ingress/head.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"strconv"
+	"strings"
 )
 
 // framing is how a head says where the body ends.
@@ -26,7 +27,7 @@
 // maxWordBytes bounds the part of a line that is kept while it is read: longer names and values are none that frame a body.
 const maxWordBytes = 64
 
-// scanner reads a head byte by byte as net/http will, without keeping it: it counts lines and bytes and finds the fields that
+// scanner reads a head as net/http will, without keeping it: it counts lines and bytes and finds the fields that
 // frame the body. The zero value begins a head.
 type scanner struct {
 	// lines is the number of lines that have ended; firstLine and fields are the bytes of the first line and of the others.
@@ -47,6 +48,12 @@
 	isChunked, isBroken  bool
 }
 
+// The fields that frame a body.
+const (
+	fieldLength = "Content-Length"
+	fieldCoding = "Transfer-Encoding"
+)
+
 // version11 ends the first line of requests that may have a coded body.
 const version11 = "HTTP/1.1"
 
@@ -58,43 +65,71 @@
 
 // scan reads a part of the head. It returns the number of bytes up to the end of the head, and false if the head goes on.
 func (s *scanner) scan(part []byte) (int, bool) {
-	for i, b := range part {
-		if !s.hasBegun() && (b == '\r' || b == '\n') && s.emptyLines < maxEmptyLines {
-			s.emptyLines++
-			continue
-		}
-		if s.lines == 0 {
-			s.firstLine++
-		} else {
-			s.fields++
-		}
-		if b != '\n' {
-			s.keep(b)
-			continue
+	read := s.skipEmptyLines(part)
+	for read < len(part) {
+		end := bytes.IndexByte(part[read:], '\n')
+		if end < 0 {
+			s.keep(part[read:])
+			s.count(len(part) - read)
+			return len(part), false
 		}
-		if s.endLine() {
-			return i + 1, true
+		line := part[read : read+end]
+		read += end + 1
+		s.count(end + 1)
+		if s.endLine(line) {
+			return read, true
 		}
 	}
-	return len(part), false
+	return read, false
+}
+
+// skipEmptyLines returns the number of bytes of line ends before the head.
+func (s *scanner) skipEmptyLines(part []byte) int {
+	skipped := 0
+	for !s.hasBegun() && skipped < len(part) && (part[skipped] == '\r' || part[skipped] == '\n') && s.emptyLines < maxEmptyLines {
+		s.emptyLines++
+		skipped++
+	}
+	return skipped
+}
+
+// count adds bytes to the first line or to the fields.
+func (s *scanner) count(bytes int) {
+	if s.lines == 0 {
+		s.firstLine += bytes
+	} else {
+		s.fields += bytes
+	}
 }
 
-// keep adds a byte to the line.
-func (s *scanner) keep(b byte) {
+// keep adds a part to the line.
+func (s *scanner) keep(part []byte) {
 	if s.lineBytes < len(s.line) {
-		s.line[s.lineBytes] = b
+		copy(s.line[s.lineBytes:], part)
 	}
-	s.lineBytes++
-	if s.lines == 0 && b != '\r' {
-		copy(s.version[:], s.version[1:])
-		s.version[len(s.version)-1] = b
+	s.lineBytes += len(part)
+	if s.lines == 0 {
+		s.noteVersion(part)
 	}
 }
 
-// endLine ends a line, and reports whether it ends the head.
-func (s *scanner) endLine() bool {
-	line := bytes.TrimSuffix(s.line[:min(s.lineBytes, len(s.line))], []byte{'\r'})
-	isCut := s.lineBytes > len(s.line)
+// noteVersion keeps the end of the first line.
+func (s *scanner) noteVersion(part []byte) {
+	part = bytes.TrimSuffix(part, []byte{'\r'})
+	tail := append(s.version[:len(s.version):len(s.version)], part[max(0, len(part)-len(s.version)):]...)
+	copy(s.version[:], tail[len(tail)-len(s.version):])
+}
+
+// endLine ends a line with its last part, and reports whether it ends the head.
+func (s *scanner) endLine(part []byte) bool {
+	line, isCut := part, false
+	if s.lineBytes > 0 {
+		s.keep(part)
+		line, isCut = s.line[:min(s.lineBytes, len(s.line))], s.lineBytes > len(s.line)
+	} else if s.lines == 0 {
+		s.noteVersion(part)
+	}
+	line = bytes.TrimSuffix(line, []byte{'\r'})
 	s.lineBytes = 0
 	s.lines++
 	switch {
@@ -121,10 +156,13 @@
 		return
 	}
 	name, value, _ := bytes.Cut(line, []byte{':'})
-	value = bytes.Trim(value, " \t")
-	isLength := bytes.EqualFold(name, []byte("Content-Length"))
-	isCoding := bytes.EqualFold(name, []byte("Transfer-Encoding"))
+	isLength := len(name) == len(fieldLength) && strings.EqualFold(string(name), fieldLength)
+	isCoding := len(name) == len(fieldCoding) && strings.EqualFold(string(name), fieldCoding)
 	s.isFolded = isLength || isCoding
+	if !s.isFolded {
+		return
+	}
+	value = bytes.Trim(value, " \t")
 	switch {
 	case s.isFolded && isCut:
 		s.isBroken = true
