--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -1,35 +1,19 @@
 package ingress
 
 import (
-	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 const (
 	// headBuffer is the size of the first buffer of a head that does not come in one piece.
 	headBuffer = 4 << 10
-	// unreadTime is how long bytes that have arrived are waited for after a deadline: a process that was held up reads them late.
-	unreadTime = 50 * time.Millisecond
-	// lingerTime and lingerBytes bound what is read after the answer to a request that was not read.
-	lingerTime  = 500 * time.Millisecond
-	lingerBytes = 8 << 20
 	// rawFactor is how many times the bytes of a message its buffers take while they grow.
 	rawFactor = 2
-	// retryAfterSeconds is the Retry-After of a request for whose head there is no memory.
-	retryAfterSeconds = 1
 )
 
-// errRefused is the end of a connection whose request was refused or did not come in time. net/http answers most other errors
-// by itself.
-var errRefused = os.ErrDeadlineExceeded
-
 // phase is what a connection reads next.
 type phase int
 
@@ -83,21 +67,6 @@
 	return c.Conn.Close()
 }
 
-// CloseWrite ends the sending side and reads what the client still sends, for a while: unread bytes would reset the connection
-// when it is closed, and the client might not get its answer. net/http calls it after an answer to a body that was not read.
-func (c *Conn) CloseWrite() error {
-	closer, canClose := c.Conn.(interface{ CloseWrite() error })
-	if !canClose {
-		return nil
-	}
-	if err := closer.CloseWrite(); err != nil {
-		return err
-	}
-	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
-	return nil
-}
-
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	if c.countsRaw {
@@ -244,15 +213,6 @@
 	return 0, errRefused
 }
 
-// checkSize refuses a head beyond the limit.
-func (c *Conn) checkSize() error {
-	limit := c.client.listener.options.Limits().HeadBytes
-	if c.head.fields <= limit && c.head.firstLine <= limit {
-		return nil
-	}
-	return c.refuse(refusedHead, http.StatusRequestHeaderFieldsTooLarge, fmt.Sprintf("the head is larger than %d bytes; send less", limit))
-}
-
 // admit pays for the request with the head that was read.
 func (c *Conn) admit() error {
 	c.clearOwnDeadline()
@@ -322,33 +282,6 @@
 	return accepted, nil
 }
 
-// pauseCheck is how often the bound on the pauses of a body is looked at, which depends on whether others wait.
-const pauseCheck = 500 * time.Millisecond
-
-// readPaused is readInner for a part of a body, within the bound on its pauses.
-func (c *Conn) readPaused(p []byte) (int, error) {
-	listener := c.client.listener
-	if listener.bodyPause() == 0 {
-		return c.readInner(p)
-	}
-	defer c.clearOwnDeadline()
-	for begun := time.Now(); ; {
-		c.extendOwnDeadline(closedLateBody, pauseCheck)
-		n, err := c.Conn.Read(p)
-		if n > 0 {
-			c.client.recordProgress()
-			return n, nil
-		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.isOwnDeadline() {
-			return 0, err
-		}
-		if time.Since(begun) >= listener.bodyPause() && !hasInput(c.client.raw) {
-			listener.report.count(closedLateBody, "", c.client.holding.Held(), time.Since(c.client.LastProgress()))
-			return 0, errRefused
-		}
-	}
-}
-
 func (c *Conn) readRaw(p []byte) (int, error) {
 	if len(c.pending) > 0 {
 		n := copy(p, c.pending)
@@ -394,101 +327,3 @@
 	}
 	c.pending = c.pending[:copy(c.pending, c.pending[n:])]
 }
-
-// readInner reads from the client. Where the time that the limits give is over, it closes the connection.
-func (c *Conn) readInner(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isOwnDeadline() && hasInput(c.client.raw) {
-		c.extendOwnDeadline(c.ownCause, unreadTime)
-		n, err = c.Conn.Read(p)
-	}
-	if n > 0 {
-		c.client.recordProgress()
-		return n, nil
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.isOwnDeadline() {
-		c.client.listener.report.count(c.ownCause, "", c.client.holding.Held(), time.Since(c.client.LastProgress()))
-		return 0, errRefused
-	}
-	return 0, err
-}
-
-func (c *Conn) refuseForMemory() error {
-	return c.refuse(refusedForMemory, http.StatusServiceUnavailable, "this VM has no memory left for the request; come back after the time given, on a new connection")
-}
-
-// refuse answers a request that was not passed on, and ends the connection.
-func (c *Conn) refuse(cause cause, status int, message string) error {
-	c.client.listener.report.count(cause, "", c.client.holding.Held(), 0)
-	c.client.holding.Shrink(int64(cap(c.pending)))
-	c.pending, c.deliverable, c.scanned = nil, 0, 0
-	retryAfter := ""
-	if status == http.StatusServiceUnavailable {
-		retryAfter = fmt.Sprintf("Retry-After: %d\r\n", retryAfterSeconds)
-	}
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(lingerTime))
-	_, err := fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\n%sContent-Length: %d\r\nConnection: close\r\n\r\n%s\n",
-		status, http.StatusText(status), retryAfter, len(message)+1, message)
-	if err == nil {
-		_ = c.CloseWrite() // an error means that the connection is closed already
-	}
-	return errRefused
-}
-
-// SetReadDeadline implements net.Conn.
-func (c *Conn) SetReadDeadline(deadline time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.wanted = deadline
-	return c.applyDeadline()
-}
-
-// SetDeadline implements net.Conn.
-func (c *Conn) SetDeadline(deadline time.Time) error {
-	return errors.CombineErrors(c.SetReadDeadline(deadline), c.Conn.SetWriteDeadline(deadline))
-}
-
-// setOwnDeadline sets the time that the limits give, unless it runs already for the same cause.
-func (c *Conn) setOwnDeadline(cause cause, after time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.ownCause == cause && !c.own.IsZero() {
-		return
-	}
-	c.own, c.ownCause = time.Now().Add(after), cause
-	_ = c.applyDeadline() // an error means that the connection is closed, which the next read says, too
-}
-
-func (c *Conn) extendOwnDeadline(cause cause, after time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.own, c.ownCause = time.Now().Add(after), cause
-	_ = c.applyDeadline() // as above
-}
-
-func (c *Conn) clearOwnDeadline() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.own = time.Time{}
-	_ = c.applyDeadline() // as above
-}
-
-// applyDeadline requires the lock.
-func (c *Conn) applyDeadline() error {
-	deadline := c.wanted
-	if !c.own.IsZero() && (deadline.IsZero() || c.own.Before(deadline)) {
-		deadline = c.own
-	}
-	if deadline.Equal(c.applied) {
-		return nil
-	}
-	c.applied = deadline
-	return c.Conn.SetReadDeadline(deadline)
-}
-
-// isOwnDeadline reports whether the time that the limits give is over.
-func (c *Conn) isOwnDeadline() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.own.IsZero() && !time.Now().Before(c.own) && (c.wanted.IsZero() || !c.wanted.Before(c.own))
-}
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -3,7 +3,9 @@
 //
 // Invariants: what all clients and answers hold together stays within the limit, apart from a few KiB that each answer may
 // always hold. When a client needs more than is left, the one that holds most, or has held it longest without progress, is given
-// XX
+// up, or is refused if it is the one that asks. A client whose request is whole is not given up while it takes its answer. When an
+// answer needs more than is left, the answer that holds most is given up. Clients and answers each have a part of the limit that
+// the others cannot take.
 package membudget
 
 import (
