--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -4,11 +4,8 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"godwitcart/internal/membudget"
 	"godwitcart/internal/netconn"
 )
@@ -139,19 +136,5 @@
 // hasInput reports whether the kernel holds bytes of the connection that were not read.
 func hasInput(conn net.Conn) bool {
 	tcp := netconn.TCP(conn)
-	if tcp == nil {
-		return false
-	}
-	var descriptor syscall.RawConn
-	descriptor, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	hasInput := false
-	err = descriptor.Control(func(fd uintptr) {
-		var first [1]byte
-		n, _, err := unix.Recvfrom(int(fd), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		hasInput = err == nil && n > 0
-	})
-	return err == nil && hasInput
+	return tcp != nil && netconn.HasInput(tcp)
 }
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -279,11 +279,8 @@
 
 func (b *Budget) markGivenUp(h *Holding) {
 	h.wasGivenUp = true
-	if h.waiter != nil {
-		b.leavingClients += h.held
-	} else {
-		b.leavingAnswers += h.charged(h.held)
-	}
+	_, leaving := b.sums(h)
+	*leaving += h.charged(h.held)
 	delete(b.candidates, h)
 }
 
@@ -305,18 +302,19 @@
 	return max(0, held-FreeBytes)
 }
 
+// sums returns what all holdings of the same kind count for, and the part of those that were given up.
+func (b *Budget) sums(h *Holding) (total, leaving *int64) {
+	if h.waiter != nil {
+		return &b.clients, &b.leavingClients
+	}
+	return &b.answers, &b.leavingAnswers
+}
+
 func (b *Budget) charge(h *Holding, bytes int64) {
-	switch {
-	case h.waiter != nil && h.wasGivenUp:
-		b.leavingClients += bytes
-		b.clients += bytes
-	case h.waiter != nil:
-		b.clients += bytes
-	case h.wasGivenUp:
-		b.leavingAnswers += bytes
-		b.answers += bytes
-	default:
-		b.answers += bytes
+	total, leaving := b.sums(h)
+	*total += bytes
+	if h.wasGivenUp {
+		*leaving += bytes
 	}
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -18,10 +18,10 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 
 	"godwitcart/internal/httpstatus"
 	"godwitcart/internal/membudget"
+	"godwitcart/internal/netconn"
 )
 
 const (
@@ -340,18 +340,5 @@
 		return false
 	}
 	descriptor, ok := connection.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := descriptor.SyscallConn()
-	if err != nil {
-		return false
-	}
-	empty := false
-	err = raw.Control(func(fd uintptr) {
-		var peekBuffer [1]byte
-		_, _, err := unix.Recvfrom(int(fd), peekBuffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		empty = err == unix.EAGAIN
-	})
-	return err == nil && empty
+	return ok && netconn.IsQuiet(descriptor)
 }
