Play review case 11 with two tenants, and take ports that nothing else uses

Change: the sound clients are those of another tenant; ports are below those of outgoing connections and are tried on all addresses.

--- a/review/third/stalled.go
+++ b/review/third/slow.go
@@ -22,7 +22,7 @@
 const unreadTime = 4 * time.Second
 
 // slowCase: as many clients as two engines have slots ask for streams, and read them slowly. Without trouble they read as fast as they
-// can. After the time of these requests is over, sound clients ask for two kinds of request at all VMs.
+// can. After the time of these requests is over, sound clients of another tenant ask for two kinds of request at all VMs.
 func slowCase() {
 	const (
 		slots       = 8
@@ -38,7 +38,7 @@
 	model := plainService("lm")
 	model["engine"] = map[string]any{"slots": slots, "kv_capacity": 34172, "kv_bytes": 163840, "link_mbps": 24000, "moves": false, "backups": false}
 	w.store.put("config", "main", configSpec(3, []map[string]any{letter, routeSpec("lookup", "/lookup/", "unsafe", "counter", 3000, 300, 1)},
-		[]map[string]any{model, plainService("counter")}, map[string][]string{"t1": {"key-1"}}))
+		[]map[string]any{model, plainService("counter")}, map[string][]string{"slow": {"key-1"}, "sound": {"key-2"}}))
 	var active atomic.Int64
 	for i := range replicas {
 		r := w.newReplica("lm", fmt.Sprintf("i-lm-%d", i), "a")
@@ -52,7 +52,7 @@
 		method: http.MethodPost, path: "/letter/x", key: "key-1", body: "prompt", deadlineMS: int(routeTime.Milliseconds()),
 		header: map[string]string{"X-Model": "m", "X-Token-Usage": "1000,2216", "X-Prefix-Hash": "5c1e07a2:400,e4402b7d:600"},
 	}
-	lookup := request{method: http.MethodPost, path: "/lookup/x", key: "key-1", body: "sku", deadlineMS: 3000}
+	lookup := request{method: http.MethodPost, path: "/lookup/x", key: "key-2", body: "sku", deadlineMS: 3000}
 
 	stop := make(chan struct{})
 	var readers sync.WaitGroup
@@ -64,6 +64,7 @@
 	time.Sleep(routeTime + settleTime)
 	w.log("the time of these requests has been over for %v or more; %d streams run at the engines", settleTime, active.Load())
 
+	generation.key = "key-2" // another tenant
 	var served, asked [2]atomic.Int64
 	var clients sync.WaitGroup
 	for i, end := 0, time.Now().Add(playTime); time.Now().Before(end); i++ {
--- a/review/third/vm.go
+++ b/review/third/vm.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -34,14 +37,36 @@
   retry_slack: 56
 `
 
-// freePort returns a port that is free on the address.
-func freePort(ip string) int {
-	listener, err := net.Listen("tcp4", ip+":0")
+// The ports that the stand-ins give to VMs are below those that the kernel gives to outgoing connections.
+const (
+	firstPort = 20000
+	portCount = 12000
+)
+
+// freePort returns a port that is free on all of the addresses.
+func freePort(ips ...string) int {
+	for range 100 {
+		port := firstPort + rand.IntN(portCount)
+		if !slices.ContainsFunc(ips, func(ip string) bool { return !isFree(ip, port) }) {
+			return port
+		}
+	}
+	fatal("no free port on %v", ips)
+	return 0
+}
+
+func isFree(ip string, port int) bool {
+	address := net.JoinHostPort(ip, strconv.Itoa(port))
+	listener, err := net.Listen("tcp4", address)
 	if err != nil {
-		fatal("port: %v", err)
+		return false
 	}
 	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).Port
+	packets, err := net.ListenPacket("udp4", address)
+	if err != nil {
+		return false
+	}
+	return packets.Close() == nil
 }
 
 func (v *vm) writeSettings() {
--- a/review/third/world.go
+++ b/review/third/world.go
@@ -60,9 +60,13 @@
 	w := &world{store: newStore(), folder: folder, record: record, begun: time.Now()}
 	current = w
 	block := 1 + os.Getpid()%250
-	peers := strconv.Itoa(freePort(fmt.Sprintf("127.0.%d.1", block)))
+	var ips []string
+	for i := range zones {
+		ips = append(ips, fmt.Sprintf("127.0.%d.%d", block, i+1))
+	}
+	peers := strconv.Itoa(freePort(ips...))
 	for i, zone := range zones {
-		ip := fmt.Sprintf("127.0.%d.%d", block, i+1)
+		ip := ips[i]
 		name := fmt.Sprintf("edge-%s-%d", zone, i+1)
 		w.vms = append(w.vms, &vm{
 			name: name, zone: zone, ip: ip, folder: folder, peersPort: peers, bounds: defaultBounds, memoryMB: 134,
