Add review case 14: whole streams are broken off after a call to stop them failed

Cause: a stream counts as stopped from the moment at which its engine is to be asked, also where the call is reset, so that its stated end counts for nothing. Change: a script case with engines that are full for 5.5 s; the case of whole streams without a length goes, since review case 8 shows it.

--- a/review/third/main.go
+++ b/review/third/main.go
@@ -10,7 +10,7 @@
 var cases = map[string]func(){
 	"silent-channels": silentCase,
 	"lost-machines":   loadsCase,
-	"unframed":        unframedCase,
+	"crowded-engines": crowdedCase,
 	"slow-readers":    slowCase,
 }
 
