Add review case 14: streams of an engine that leaves are closed before their backup refuses

Cause: the connection to the source is closed 150 ms after the backup was asked, whether or not it has answered. Stand-ins of engines forget a run that was dropped.

--- a/review/third/crowded.go
+++ b/review/third/crowded.go
@@ -102,6 +102,8 @@
 	work    *streamWork
 	// preempted is how long a run that is preempted stands still.
 	preempted time.Duration
+	// refuseTime is how long the engine takes to refuse a request that goes on from a copy.
+	refuseTime time.Duration
 
 	mu      sync.Mutex
 	crowded bool
@@ -189,6 +191,7 @@
 		reply(rw, http.StatusOK, map[string]any{})
 	case q.Header.Get("Kv-From") != "":
 		e.replica.world.log("%s has no copy of %s and does not run it", e.replica.id, q.Header.Get("X-Attempt-Id"))
+		time.Sleep(e.refuseTime)
 		rw.Header().Set("X-Not-Executed", "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
 	default:
@@ -218,6 +221,9 @@
 		e.mu.Unlock()
 		select {
 		case <-q.Context().Done():
+			e.mu.Lock()
+			delete(e.stop, attempt)
+			e.mu.Unlock()
 			e.replica.world.log("%s drops %s at event %d: its channel has ended", e.replica.id, attempt, id)
 			return
 		case <-stop:
--- a/review/third/main.go
+++ b/review/third/main.go
@@ -11,6 +11,7 @@
 	"silent-channels": silentCase,
 	"lost-machines":   loadsCase,
 	"crowded-engines": crowdedCase,
+	"leaving-engine":  leavingCase,
 	"slow-readers":    slowCase,
 }
 
