--- a/review/third/loads.go
+++ b/review/third/loads.go
@@ -27,11 +27,11 @@
 		[]map[string]any{model, plainService("counter")}, map[string][]string{"t1": {"key-1"}}))
 	var active atomic.Int64
 	work := &streamWork{events: 150, gap: 200 * time.Millisecond,
-		begun: func(string, bool) { active.Add(1) }, ended: func(string, bool) { active.Add(-1) }}
+		begun: func() { active.Add(1) }, ended: func() { active.Add(-1) }}
 	for i := range replicas {
 		r := w.newReplica("lm", fmt.Sprintf("i-lm-%d", i), "a")
 		r.slots = slots
-		r.work = work.serve(r.id)
+		r.work = work.serve
 		r.register("ready")
 		w.newReplica("counter", fmt.Sprintf("i-counter-%d", i), "a").register("ready")
 	}
--- a/review/third/replica.go
+++ b/review/third/replica.go
@@ -80,15 +80,3 @@
 	}
 	fmt.Fprintf(rw, "answer to %s by %s\n", attempt, r.id)
 }
-
-func (r *replica) ran(attempt string) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	count := 0
-	for _, one := range r.runs {
-		if one.attempt == attempt {
-			count++
-		}
-	}
-	return count
-}
--- a/review/third/silent.go
+++ b/review/third/silent.go
@@ -42,7 +42,7 @@
 		for i, zone := range []string{"a", "b", "c"} {
 			r := w.newReplica(service, fmt.Sprintf("i-%s-%d", service, i), zone)
 			if strings.HasPrefix(service, "lm") {
-				r.work = (&streamWork{events: 4, gap: 20 * time.Millisecond}).serve(r.id)
+				r.work = (&streamWork{events: 4, gap: 20 * time.Millisecond}).serve
 			}
 			r.register("ready")
 			all = append(all, r)
@@ -53,9 +53,9 @@
 	}
 	var ways []*proxy
 	for _, v := range w.vms {
-		p := newProxy(v.way.address)
+		p := newProxy(v.store)
 		ways = append(ways, p)
-		v.way.address = p.address()
+		v.store = p.address()
 	}
 	w.start()
 	w.resumeStreams(models)
--- a/review/third/store.go
+++ b/review/third/store.go
@@ -76,13 +76,6 @@
 	return written
 }
 
-// remove removes an object.
-func (s *store) remove(kind, name string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.delete(kind, name)
-}
-
 // delete requires the lock.
 func (s *store) delete(kind, name string) bool {
 	old, found := s.objects[kind][name]
@@ -103,63 +96,20 @@
 	s.changed = make(chan struct{})
 }
 
-// way is the store as one VM reaches it.
-type way struct {
-	store *store
-	name  string
-	mu    sync.Mutex
-	// mode is "" (served), "busy" (503) or "silent" (no answer).
-	mode     string
-	address  string
-	server   *http.Server
-	listener net.Listener
-}
-
-func (s *store) newWay(name, address string) *way {
-	listener, err := net.Listen("tcp4", address)
+// listen serves the store to one VM on an address of its own, which it returns.
+func (s *store) listen() string {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		fatal("store: %v", err)
 	}
-	w := &way{store: s, name: name, listener: listener, address: listener.Addr().String()}
-	w.server = &http.Server{Handler: w}
-	go w.server.Serve(listener)
-	return w
-}
-
-func (w *way) set(mode string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.mode = mode
-}
-
-func (w *way) isSilent() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.mode == "silent"
+	go http.Serve(listener, s)
+	return listener.Addr().String()
 }
 
 // ServeHTTP implements http.Handler.
-func (w *way) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	w.mu.Lock()
-	mode := w.mode
-	w.mu.Unlock()
-	switch mode {
-	case "busy":
-		rw.WriteHeader(http.StatusServiceUnavailable)
-		return
-	case "silent":
-		for w.isSilent() {
-			select {
-			case <-r.Context().Done():
-				return
-			case <-time.After(20 * time.Millisecond):
-			}
-		}
-		panic(http.ErrAbortHandler)
-	}
+func (s *store) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/v1/objects/"), "/")
 	query := r.URL.Query()
-	s := w.store
 	switch {
 	case r.Method == http.MethodGet && query.Get("watch") != "":
 		s.serveWatch(rw, r, kind)
--- a/review/third/vm.go
+++ b/review/third/vm.go
@@ -19,10 +19,11 @@
 type vm struct {
 	name, zone, ip             string
 	frontend, ready, peersPort string
-	way                        *way
-	folder                     string
-	bounds                     string
-	memoryMB                   int
+	// store is the address of the platform's store.
+	store    string
+	folder   string
+	bounds   string
+	memoryMB int
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -88,7 +89,7 @@
 limits:
   memory_mb: %d
   open_files: 4100
-%s`, v.name, v.zone, v.ip, v.frontend, v.ready, v.ip, freePort(v.ip), v.peersPort, v.way.address, v.memoryMB, v.bounds)
+%s`, v.name, v.zone, v.ip, v.frontend, v.ready, v.ip, freePort(v.ip), v.peersPort, v.store, v.memoryMB, v.bounds)
 	if err := os.WriteFile(v.settingsFile(), []byte(text), 0o600); err != nil {
 		fatal("settings: %v", err)
 	}
@@ -129,18 +130,6 @@
 	}
 }
 
-func (v *vm) hasExited() bool {
-	v.mu.Lock()
-	exited := v.exited
-	v.mu.Unlock()
-	select {
-	case <-exited:
-		return true
-	default:
-		return false
-	}
-}
-
 func (v *vm) kill() {
 	v.signal(syscall.SIGKILL)
 	<-v.exited
--- a/review/third/world.go
+++ b/review/third/world.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -59,6 +61,7 @@
 	}
 	w := &world{store: newStore(), folder: folder, record: record, begun: time.Now()}
 	current = w
+	w.endOnSignal()
 	block := 1 + os.Getpid()%250
 	var ips []string
 	for i := range zones {
@@ -71,12 +74,21 @@
 		w.vms = append(w.vms, &vm{
 			name: name, zone: zone, ip: ip, folder: folder, peersPort: peers, bounds: defaultBounds, memoryMB: 134,
 			frontend: fmt.Sprintf("%s:%d", ip, freePort(ip)), ready: fmt.Sprintf("%s:%d", ip, freePort(ip)),
-			way: w.store.newWay(name, "127.0.0.1:0"),
+			store: w.store.listen(),
 		})
 	}
 	return w
 }
 
+// endOnSignal ends the case as one that could not run when it is told to stop.
+func (w *world) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		fatal("signal: %v", <-signals)
+	}()
+}
+
 // start starts all VMs and waits until they are ready.
 func (w *world) start() {
 	for _, v := range w.vms {
