--- a/review/third/slow.go
+++ b/review/third/slow.go
@@ -12,28 +12,28 @@
 	"time"
 )
 
-// The largest stream of plsgc: pieces and bytes of a piece.
+// A long stream of plsgc: the most pieces, each of the mean size.
 const (
-	mostPieces     = 554
-	mostPieceBytes = 2200
+	mostPieces = 554
+	pieceBytes = 370
 )
 
 // unreadTime is how long an answer of a replica may remain unread until the replica cuts it off.
 const unreadTime = 4 * time.Second
 
-// slowCase: as many clients as two engines have slots ask for streams, and read them slowly. Without trouble they read as fast as they
-// can. After the time of these requests is over, sound clients of another tenant ask for two kinds of request at all VMs.
+// slowCase: as many clients as two engines have slots ask for streams, and read them slowly, until their time budget is over. Without
+// trouble they read as fast as they can. Meanwhile sound clients of another tenant ask for two kinds of request at all VMs.
 func slowCase() {
 	const (
 		slots       = 8
 		replicas    = 2
-		routeTime   = 6 * time.Second
-		settleTime  = 5 * time.Second
-		playTime    = 40 * time.Second
-		bytesPerSec = 10
+		routeTime   = 39 * time.Second
+		settleTime  = 4 * time.Second
+		playTime    = 28 * time.Second
+		bytesPerSec = 100
 	)
 	w := newWorld("a", "b", "c")
-	letter := routeSpec("letter", "/letter/", "streaming", "lm", int(routeTime.Milliseconds()), 1500, 1)
+	letter := routeSpec("letter", "/letter/", "streaming", "lm", int(routeTime.Milliseconds()), 1800, 1)
 	letter["session_affinity"] = true
 	model := plainService("lm")
 	model["engine"] = map[string]any{"slots": slots, "kv_capacity": 34172, "kv_bytes": 163840, "link_mbps": 24000, "moves": false, "backups": false}
@@ -43,7 +43,7 @@
 	for i := range replicas {
 		r := w.newReplica("lm", fmt.Sprintf("i-lm-%d", i), "a")
 		r.slots = slots
-		r.work = func(rw http.ResponseWriter, q *http.Request) { serveLargeStream(w, r.id, &active, rw, q) }
+		r.work = func(rw http.ResponseWriter, q *http.Request) { serveLongStream(w, r.id, &active, rw, q) }
 		r.register("ready")
 		w.newReplica("counter", fmt.Sprintf("i-counter-%d", i), "a").register("ready")
 	}
@@ -54,15 +54,14 @@
 	}
 	lookup := request{method: http.MethodPost, path: "/lookup/x", key: "key-2", body: "sku", deadlineMS: 3000}
 
-	stop := make(chan struct{})
 	var readers sync.WaitGroup
 	for i := range slots * replicas {
 		v := w.vms[i%len(w.vms)]
-		readers.Go(func() { w.readStream(v, generation, hasTrouble(), bytesPerSec, stop) })
+		readers.Go(func() { w.readStream(v, generation, hasTrouble(), bytesPerSec) })
 		time.Sleep(100 * time.Millisecond)
 	}
-	time.Sleep(routeTime + settleTime)
-	w.log("the time of these requests has been over for %v or more; %d streams run at the engines", settleTime, active.Load())
+	time.Sleep(settleTime)
+	w.log("%d streams run at the engines", active.Load())
 
 	generation.key = "key-2" // another tenant
 	var served, asked [2]atomic.Int64
@@ -84,19 +83,18 @@
 		time.Sleep(time.Second)
 	}
 	clients.Wait()
-	close(stop)
 	readers.Wait()
 	w.finishStarved(served[0].Load(), asked[0].Load(), served[1].Load(), asked[1].Load())
 }
 
-// serveLargeStream answers with the largest stream. It cuts the answer off if that remains unread.
-func serveLargeStream(w *world, id string, active *atomic.Int64, rw http.ResponseWriter, q *http.Request) {
+// serveLongStream answers with a long stream. It cuts the answer off if that remains unread.
+func serveLongStream(w *world, id string, active *atomic.Int64, rw http.ResponseWriter, q *http.Request) {
 	active.Add(1)
 	defer active.Add(-1)
 	attempt := q.Header.Get("X-Attempt-Id")
 	rw.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(rw)
-	piece := strings.Repeat("x", mostPieceBytes)
+	piece := strings.Repeat("x", pieceBytes)
 	for n := 1; n <= mostPieces; n++ {
 		_ = control.SetWriteDeadline(time.Now().Add(unreadTime))
 		_, err := fmt.Fprintf(rw, "id: %d\ndata: %s\n\n", n, piece)
@@ -112,9 +110,9 @@
 	w.log("%s has sent the whole stream of %s", id, attempt)
 }
 
-// readStream reads a stream on a channel with small buffers, as on a link between machines: slowly until stop is closed, or as fast as
-// it can.
-func (w *world) readStream(v *vm, q request, isSlow bool, bytesPerSec int, stop <-chan struct{}) {
+// readStream reads a stream on a channel with small buffers, as on a link between machines: slowly until the client's time budget is
+// over, or as fast as it can.
+func (w *world) readStream(v *vm, q request, isSlow bool, bytesPerSec int) {
 	const segmentBytes, bufferBytes = 1460, 4096
 	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
@@ -134,23 +132,21 @@
 		return
 	}
 	if !isSlow {
-		n, err := io.Copy(io.Discard, io.LimitReader(conn, int64(mostPieces*mostPieceBytes)))
+		n, err := io.Copy(io.Discard, io.LimitReader(conn, int64(mostPieces*pieceBytes)))
 		w.log("stream %s at %s: its client has read %d bytes: %v", attempt, v.name, n, err)
 		return
 	}
 	read, buffer := 0, make([]byte, bytesPerSec)
-	for {
+	var longestWait time.Duration
+	for leaveAt := time.Now().Add(time.Duration(q.deadlineMS) * time.Millisecond); time.Now().Before(leaveAt); time.Sleep(time.Second) {
+		begun := time.Now()
 		n, err := conn.Read(buffer)
+		longestWait = max(longestWait, time.Since(begun))
 		read += n
 		if err != nil {
 			w.log("stream %s at %s has ended for its slow client after %d bytes: %v", attempt, v.name, read, err)
 			return
 		}
-		select {
-		case <-stop:
-			w.log("stream %s at %s has not ended for its slow client, which has read %d bytes", attempt, v.name, read)
-			return
-		case <-time.After(time.Second):
-		}
 	}
+	w.log("the slow client of stream %s at %s leaves at the end of its time, with %d bytes; it never waited longer than %v for the next one", attempt, v.name, read, longestWait.Round(time.Millisecond))
 }
