forward, entry: the log tells who ended a stream, and what a stop cut off

What callers saw: streams closed without a whole answer, of which the logs say only "the target's stream was interrupted". Change: "attempt ended" names the end of the answer and whether the engine was asked to stop; "run left" names the calls, the last failure and whether memory was kept; a stop names the requests whose answers were not written when it closed their connections. No decision is changed.

--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net/http"
+	"strings"
 	"time"
 
 	"godwitcart/internal/forward"
@@ -11,7 +11,7 @@
 
 // drain waits for the requests in progress and for the load balancer to stop routing callers to this VM, then closes
 // the callers' server. It waits for at least minDrainTime and at most the grace period, and returns early if ctx ends.
-func (e *Entry) drain(ctx context.Context, callerServer *http.Server) {
+func (e *Entry) drain(ctx context.Context, callerServer *runningServer) {
 	drainStartedAt := time.Now()
 	finalAnswers := time.AfterFunc(e.gracePeriod()-forward.FinalAnswerTime, e.forwarder.EndUnanswered)
 	defer finalAnswers.Stop()
@@ -28,6 +28,10 @@
 	if remaining > 0 {
 		e.logger.Warn("grace period expired: aborting the requests in progress", "cut_off", remaining)
 	}
+	if unanswered := callerServer.listener.Unanswered(); len(unanswered) > 0 {
+		e.logger.Warn("connections closed before their answers were written", "requests", strings.Join(unanswered, ","), "in_service", remaining,
+			"since_stop_ms", time.Since(drainStartedAt).Milliseconds())
+	}
 	callerServer.Close()
 	e.awaitLeftRuns(ctx)
 }
@@ -44,7 +48,7 @@
 
 // finishReading closes idle connections and waits until the requests that are just being read on the others are answered,
 // within the grace period. They do not count as active yet, and http.Server.Shutdown would drop them unanswered.
-func (e *Entry) finishReading(ctx context.Context, callerServer *http.Server, drainStartedAt time.Time) {
+func (e *Entry) finishReading(ctx context.Context, callerServer *runningServer, drainStartedAt time.Time) {
 	callerServer.SetKeepAlivesEnabled(false)
 	startedAt := time.Now()
 	for e.callerConnections.Load() > 0 && time.Since(drainStartedAt) < e.gracePeriod() {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -27,8 +27,14 @@
 	connState func(net.Conn, http.ConnState)
 }
 
+// runningServer is a server that has been started.
+type runningServer struct {
+	*http.Server
+	listener *ingress.Listener
+}
+
 // startServer opens the listener and starts a server that is closed when ctx ends.
-func (e *Entry) startServer(ctx context.Context, group *errgroup.Group, s server) (*http.Server, error) {
+func (e *Entry) startServer(ctx context.Context, group *errgroup.Group, s server) (*runningServer, error) {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", s.address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", s.address)
@@ -48,7 +54,7 @@
 		return nil
 	})
 	context.AfterFunc(ctx, func() { httpServer.Close() })
-	return httpServer, nil
+	return &runningServer{Server: httpServer, listener: guarded}, nil
 }
 
 func (s server) stateChanged(conn net.Conn, state http.ConnState) {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -27,6 +27,8 @@
 	cause   error
 	// targetResponse is the target's own error response; nil if there is none.
 	targetResponse *bufferedResponse
+	// answerEnd describes the end of an answer that had begun, for the log; empty for none.
+	answerEnd string
 }
 
 // bufferedResponse is a complete response of a target.
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -188,6 +188,7 @@
 		return err
 	}
 	x.call = call
+	ingress.SetRequestID(r, call.ID)
 	if err := x.admit(); err != nil {
 		return err
 	}
--- a/internal/forward/leave.go
+++ b/internal/forward/leave.go
@@ -55,6 +55,9 @@
 	// done is closed when the engine is not asked any more. result is its answer.
 	done   chan struct{}
 	result CopyResult
+	// calls counts the calls to the engine, and lastFailure is what the last one without an answer failed with; for the log.
+	calls       int
+	lastFailure error
 }
 
 // settle sets the outcome unless there is one.
@@ -124,7 +127,8 @@
 		left.settle(outcome)
 		close(left.done)
 		s.metrics.recordLeft(outcome)
-		s.log("run left", "target", source.ID, "outcome", string(outcome), "asked_ms", time.Since(startedAt).Milliseconds())
+		s.log("run left", "target", source.ID, "outcome", string(outcome), "asked_ms", time.Since(startedAt).Milliseconds(), "calls", left.calls,
+			"memory_kept", left.result.KVCache.Handle != "", "last_failure", left.lastFailure)
 	}()
 	return left
 }
@@ -137,6 +141,10 @@
 	failed := leftUnanswered
 	for wait := firstStopRetry; s.mayAskToStop(left.source, destination); wait = min(2*wait, maxStopRetry) {
 		result, err := s.requestLastCopy(ctx, left.source, destination)
+		left.calls++
+		if err != nil {
+			left.lastFailure = err
+		}
 		var notSent *upstream.NotSentError
 		switch {
 		case err == nil && result.Unknown:
--- a/internal/forward/release.go
+++ b/internal/forward/release.go
@@ -6,6 +6,12 @@
 	"godwitcart/internal/placement"
 )
 
+// Why this VM closes the connection to an engine whose answer is in progress, for the log.
+const (
+	closedForNext    = "another engine has answered"
+	closedForOverlap = "the backup has not answered in time"
+)
+
 // stoppedEndTime is how long an engine that has stopped a generation gets to end its response. A stated end tells that the
 // generation was complete before.
 const stoppedEndTime = 50 * time.Millisecond
@@ -22,9 +28,10 @@
 	switch {
 	case next == nil || s.response == nil:
 	case s.stopRequested:
-		time.AfterFunc(stoppedEndTime, s.response.CloseConnection)
+		response := s.response
+		time.AfterFunc(stoppedEndTime, func() { response.CloseConnection(closedForNext) })
 	default:
-		s.response.CloseConnection()
+		s.response.CloseConnection(closedForNext)
 	}
 	s.mu.Unlock()
 	if isReleased {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -91,7 +91,8 @@
 		if failure == nil {
 			return nil
 		}
-		x.log("attempt ended", "target", next.lease.Target.ID, "not_run", failure.notRun, "events", s.events, "reason", failure)
+		x.log("attempt ended", "target", next.lease.Target.ID, "not_run", failure.notRun, "events", s.events, "answer_end", failure.answerEnd,
+			"asked_to_stop", s.wasAskedToStop(), "reason", failure)
 		if failure.targetResponse != nil && !x.caller.HasBegun() {
 			x.relayTargetFailure(failure.targetResponse, next.lease.Target.ID)
 			return nil
@@ -239,10 +240,19 @@
 	case response.End().IsUnstated() && errors.Is(cause, delivery.ErrNotWhole):
 		failure.outcome = placement.Canceled // sound targets end answers in this way, too
 	}
+	failure.answerEnd = describeEnd(response)
 	lease.Done(failure.outcome, time.Now())
 	return failure
 }
 
+// describeEnd tells how an answer has ended and, if this VM closed its connection, why.
+func describeEnd(response *answer) string {
+	if reason := response.CloseReason(); reason != "" {
+		return "closed by this VM: " + reason
+	}
+	return "by the target: " + response.End().String()
+}
+
 // hasTargetSentEvent reports whether the current target has sent an event.
 func (s *stream) hasTargetSentEvent() bool {
 	s.mu.Lock()
--- a/internal/forward/switch.go
+++ b/internal/forward/switch.go
@@ -128,7 +128,7 @@
 	s.mu.Lock()
 	isServed := s.response != nil && s.lease.Target.SameIncarnation(source)
 	if isServed {
-		s.response.CloseConnection()
+		s.response.CloseConnection(closedForOverlap)
 	}
 	s.mu.Unlock()
 	if isServed {
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -49,6 +49,8 @@
 	mu sync.Mutex
 	// whole is the number of whole requests in progress; HTTP/2 may have several.
 	whole int
+	// requestID names the request that was read last; empty if it has no id.
+	requestID string
 }
 
 // started is the origin of client.progress.
@@ -109,6 +111,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.whole++
+	c.requestID = ""
 	c.holding.Pin()
 }
 
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,6 +36,8 @@
 	holding     *membudget.Holding
 	writeResult chan error
 	closeOnce   sync.Once
+	// closeReason is why this process has closed the connection while the answer was in progress.
+	closeReason atomic.Pointer[string]
 }
 
 // IsCarrierLost reports whether the error is the end of a connection through another entry VM that says nothing of the target.
@@ -166,7 +169,7 @@
 	}
 	holding := r.holding
 	holding.Pin()
-	r.holding = r.client.options.Budget.Answer(r.CloseConnection)
+	r.holding = r.client.options.Budget.Answer(r.closeForMemory)
 	return Body{parts: parts, holding: holding}, nil
 }
 
@@ -244,9 +247,28 @@
 
 func (r *Response) abort() { r.Close(true) }
 
-// CloseConnection closes the connection immediately, so that a read in progress fails. It may be called from any
-// goroutine.
-func (r *Response) CloseConnection() { r.conn.Conn.Close() }
+// CloseConnection closes the connection immediately, so that a read in progress fails. The reason is for the log; the first
+// one stays. It may be called from any goroutine.
+func (r *Response) CloseConnection(reason string) {
+	r.closeReason.CompareAndSwap(nil, &reason)
+	r.conn.Conn.Close()
+}
+
+// CloseReason returns why this process has closed the connection with the answer in progress, or "" if it has not.
+func (r *Response) CloseReason() string {
+	if reason := r.closeReason.Load(); reason != nil {
+		return *reason
+	}
+	return ""
+}
+
+// The reasons for which the client itself closes a connection.
+const (
+	closedForMemory = "memory is short"
+	closedByContext = "the request has ended"
+)
+
+func (r *Response) closeForMemory() { r.CloseConnection(closedForMemory) }
 
 func (r *Response) isReusable() bool {
 	if r.end.kind == brokenOff || r.Response.Close || r.conn.reader.Buffered() > 0 {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -154,9 +154,9 @@
 	}
 	request = request.WithContext(context.WithValue(request.Context(), firstKey{}, !connection.used))
 	connection.used = true
-	stopCancel := context.AfterFunc(ctx, func() { connection.Close() })
-	response := &Response{client: c, ctx: ctx, address: address, conn: connection, stopCancel: stopCancel}
-	response.holding = c.options.Budget.Answer(response.CloseConnection)
+	response := &Response{client: c, ctx: ctx, address: address, conn: connection}
+	response.stopCancel = context.AfterFunc(ctx, func() { response.CloseConnection(closedByContext) })
+	response.holding = c.options.Budget.Answer(response.closeForMemory)
 	if err := response.send(request, body); err != nil {
 		response.abort()
 		return nil, &BrokenOffError{cause: err, Relayed: connection.relayed}
