forward: a backup that is late is given up, and not the source that works

Cause: the connection to the source was closed 150 ms after the call had been sent to the backup, whether or not the backup had answered. A crowded backup refuses later, and there was no run left to go on with. The class: time was taken for an answer. Change: the source keeps its connection until the backup has answered. Two engines must not work on a generation for more than 400 ms, so 150 ms after the call was sent the backup is given up and asked to stop if the source has sent an event since, or its events wait for the caller. While the source sends nothing, the wait goes on: the connection costs nothing. A target that may still be asked to stop a run takes no other run of the same stream: the given-up backup had stopped the generation that was moved there next. A source whose backup refuses is asked no more, and does not count as left. Why it works: only an answer or an end closes a working source; the bound on overlap is kept at the engine that has said nothing.

--- /dev/null
+++ b/internal/entry/given_up_test.go
@@ -0,0 +1,123 @@
+package entry_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitcart/platform/platformtest"
+)
+
+// requireWhole requires that the answers to the requests are whole streams of the given number of events.
+func (v *vm) requireWhole(requests []*http.Request, events int) {
+	v.t.Helper()
+	var callers sync.WaitGroup
+	var mu sync.Mutex
+	var broken []string
+	for _, request := range requests {
+		callers.Go(func() {
+			if err := v.readWhole(request, events); err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				broken = append(broken, fmt.Sprintf("%s: %v", request.Header.Get("X-Attempt-Id"), err))
+			}
+		})
+	}
+	callers.Wait()
+	require.Empty(v.t, broken, "of %d streams", len(requests))
+}
+
+func (v *vm) readWhole(request *http.Request, events int) error {
+	response, err := v.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return fmt.Errorf("broken off after %d events: %w", strings.Count(string(body), "id: "), err)
+	}
+	for number := 1; number <= events; number++ {
+		if strings.Count(string(body), fmt.Sprintf("id: %d\n", number)) != 1 {
+			return fmt.Errorf("event %d is missing or comes twice", number)
+		}
+	}
+	return nil
+}
+
+func isForBackup(r *http.Request) bool {
+	return strings.HasSuffix(r.Header.Get("Kv-From"), "/"+r.Header.Get("X-Attempt-Id"))
+}
+
+func refuseRun(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+	respondNotRun(w)
+}
+
+// TestStreamOfLeavingEngineEndsBeforeItsBackupRefuses guards against a leaving engine that is given up, though it works, before its backup has answered.
+func TestStreamOfLeavingEngineEndsBeforeItsBackupRefuses(t *testing.T) {
+	const (
+		streams = 16
+		events  = 200
+	)
+	for _, delay := range []int{20, 100, 200, 300, 600, 1500} {
+		t.Run(fmt.Sprint(delay, " ms"), func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			for number := range 4 {
+				target := d.target(fmt.Sprint("e", number), platformtest.EngineService)
+				target.SetRefuseCopies(true)
+				target.SetOverride(func(w http.ResponseWriter, r *http.Request) bool {
+					if isForBackup(r) {
+						time.Sleep(time.Duration(delay) * time.Millisecond)
+						refuseRun(w, r)
+						return true
+					}
+					return false
+				})
+			}
+			d.configure("key-1")
+			v := d.start("vm-1", nil)
+			time.AfterFunc(800*time.Millisecond, func() { d.MarkLeaving("e0") })
+			var requests []*http.Request
+			for range streams {
+				requests = append(requests, v.generation("/letters/1", events, 10))
+			}
+			v.requireWhole(requests, events)
+		})
+	}
+}
+
+// TestStreamOfLeavingEngineIsLostWhenItsBackupTakesLong guards against streams that end since their backup begins late or not at all.
+func TestStreamOfLeavingEngineIsLostWhenItsBackupTakesLong(t *testing.T) {
+	const events = 200
+	for _, delay := range []int{100, 200, 300, 600} {
+		t.Run(fmt.Sprint(delay, " ms"), func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			for number := range 4 {
+				target := d.target(fmt.Sprint("e", number), platformtest.EngineService)
+				target.SetOverride(func(_ http.ResponseWriter, r *http.Request) bool {
+					if isForBackup(r) {
+						time.Sleep(time.Duration(delay) * time.Millisecond)
+					}
+					return false
+				})
+			}
+			d.configure("key-1")
+			v := d.start("vm-1", nil)
+			time.AfterFunc(800*time.Millisecond, func() { d.MarkLeaving("e0") })
+			var requests []*http.Request
+			for range 16 {
+				requests = append(requests, v.generation("/letters/1", events, 10))
+			}
+			v.requireWhole(requests, events)
+		})
+	}
+}
--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -61,6 +61,7 @@
 	query.Copy = true
 	query.Zone = s.options.Zone
 	query.Excluded = append(append(slices.Clone(s.excluded), lease.Target.ID), s.excludedBackups()...)
+	query.Excluded = append(query.Excluded, s.targetsBeingLeft()...)
 	backup, err := s.options.Table.Pick(query, time.Now())
 	if err != nil {
 		return "" // no engine has spare memory; the generation runs without a backup
--- /dev/null
+++ b/internal/forward/handover.go
@@ -0,0 +1,75 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxOverlap is how long a backup may take to answer while the source still works. A backup that refuses usually does so at once, but
+// a crowded one may be late, and one that answers late may be running the generation already: two engines must not work on it for
+// more than 400 ms. The rest of these is left for stopping the backup.
+const maxOverlap = 150 * time.Millisecond
+
+// errSourceWorks is why a backup is given up that has not answered within maxOverlap.
+var errSourceWorks = errors.New("the backup has not answered in time, and the source still works")
+
+// handover is a call to the backup of a stream whose source has not been given up.
+//
+// Invariant: while neither engine has said what becomes of the generation, it is the backup that is given up and not the source, as
+// long as the source sends events. A source that sends nothing costs nothing to keep, and may be all that is left if the backup
+// refuses.
+type handover struct {
+	// cancel ends the call to the backup.
+	cancel context.CancelFunc
+	// sourceSent is set once the source has sent an event since the call was sent.
+	sourceSent bool
+	// isOver is set maxOverlap after the call was sent, and isGivenUp when the call was canceled for that.
+	isOver, isGivenUp bool
+}
+
+// beginHandover starts the time that the backup has. It is called when the call is sent: while a connection is being made, the
+// source is the only engine that works on the generation.
+func (s *stream) beginHandover(h *handover) {
+	s.mu.Lock()
+	s.handover = h
+	s.mu.Unlock()
+	time.AfterFunc(maxOverlap, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		h.isOver = true
+		s.giveUpBackup()
+	})
+}
+
+// endHandover ends the time that the backup has, and reports whether it was given up.
+func (s *stream) endHandover() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.handover
+	s.handover = nil
+	return h != nil && h.isGivenUp
+}
+
+// sourceSentEvent records an event of the source during a handover. It requires mu.
+func (s *stream) sourceSentEvent() {
+	if s.handover == nil {
+		return
+	}
+	s.handover.sourceSent = true
+	s.giveUpBackup()
+}
+
+// giveUpBackup gives the backup up if its time is over and the source works: it has sent an event, or its events wait for the caller.
+// A source that may have been stopped is not relied on. It requires mu.
+func (s *stream) giveUpBackup() {
+	h := s.handover
+	if h == nil || !h.isOver || h.isGivenUp || s.stopRequested || s.response == nil {
+		return
+	}
+	if h.sourceSent || s.isSending {
+		h.isGivenUp = true
+		h.cancel()
+	}
+}
--- a/internal/forward/leave.go
+++ b/internal/forward/leave.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"godwitcart/internal/delivery"
-	"godwitcart/internal/pause"
 	"godwitcart/internal/placement"
 	"godwitcart/internal/roster"
 	"godwitcart/internal/upstream"
@@ -25,6 +26,8 @@
 	leftUnreachable leaveOutcome = "unreachable"
 	// leftUnanswered means that the engine can be reached and does not answer.
 	leftUnanswered leaveOutcome = "unanswered"
+	// leftKept means that the engine has not answered and is asked no more, since the generation stays there.
+	leftKept leaveOutcome = "kept"
 	// leftUnasked means that the engine cannot or must not be asked; its connection is closed, and no more can be done.
 	leftUnasked leaveOutcome = "not asked"
 )
@@ -52,6 +55,9 @@
 	// settled is closed when outcome is set: at the engine's answer, or before it once a connection could not be made.
 	settled chan struct{}
 	outcome leaveOutcome
+	// kept is closed when the generation stays at the engine, which then gets no further call.
+	kept     chan struct{}
+	keepOnce sync.Once
 	// done is closed when the engine is not asked any more. result is its answer.
 	done   chan struct{}
 	result CopyResult
@@ -60,6 +66,32 @@
 	lastFailure error
 }
 
+// keepRun keeps the engine from being asked again: the generation stays there. A call that is under way may still stop it.
+func (d *departure) keepRun() { d.keepOnce.Do(func() { close(d.kept) }) }
+
+// isKept reports whether the generation stays at the engine.
+func (d *departure) isKept() bool {
+	select {
+	case <-d.kept:
+		return true
+	default:
+		return false
+	}
+}
+
+// pauseUnlessKept waits before the next call. It returns false if there is to be none.
+func (d *departure) pauseUnlessKept(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-d.kept:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // settle sets the outcome unless there is one.
 func (d *departure) settle(outcome leaveOutcome) {
 	select {
@@ -117,10 +149,14 @@
 }
 
 func (s *stream) startLeaving(source roster.Target, destination string, delay time.Duration) *departure {
-	left := &departure{source: source, settled: make(chan struct{}), done: make(chan struct{})}
+	left := &departure{source: source, settled: make(chan struct{}), kept: make(chan struct{}), done: make(chan struct{})}
 	s.leaving.Add(1)
+	s.mu.Lock()
+	s.departures = append(s.departures, left)
+	s.mu.Unlock()
 	go func() {
 		defer s.leaving.Add(-1)
+		defer s.endDeparture(left)
 		time.Sleep(delay)
 		startedAt := time.Now()
 		outcome := s.stopRun(left, destination)
@@ -133,6 +169,23 @@
 	return left
 }
 
+func (s *stream) endDeparture(left *departure) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.departures = slices.DeleteFunc(s.departures, func(other *departure) bool { return other == left })
+}
+
+// targetsBeingLeft returns the targets that may still be asked to stop a run of the generation, and would stop another run, too.
+func (s *stream) targetsBeingLeft() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ids := make([]string, len(s.departures))
+	for i, left := range s.departures {
+		ids[i] = left.source.ID
+	}
+	return ids
+}
+
 // stopRun asks the source to stop the run until it answers, refuses connections, or maxStopTime has passed. It returns what has
 // become of the run.
 func (s *stream) stopRun(left *departure, destination string) leaveOutcome {
@@ -160,7 +213,10 @@
 		default:
 			failed = leftUnanswered
 		}
-		if !pause.For(ctx, wait) {
+		if !left.pauseUnlessKept(ctx, wait) {
+			if left.isKept() {
+				return leftKept
+			}
 			return failed
 		}
 	}
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -35,7 +35,7 @@
 		return metrics.GetOrRegisterHistogram("forward."+name, nil, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 	}
 	runsLeft := make(map[leaveOutcome]metrics.Counter)
-	for _, outcome := range []leaveOutcome{leftStopped, leftAbsent, leftUnreachable, leftUnanswered, leftUnasked} {
+	for _, outcome := range []leaveOutcome{leftStopped, leftAbsent, leftUnreachable, leftUnanswered, leftKept, leftUnasked} {
 		runsLeft[outcome] = counter("runs_left." + strings.ReplaceAll(string(outcome), " ", "_"))
 	}
 	return &requestMetrics{
--- a/internal/forward/release.go
+++ b/internal/forward/release.go
@@ -6,11 +6,8 @@
 	"godwitcart/internal/placement"
 )
 
-// Why this VM closes the connection to an engine whose answer is in progress, for the log.
-const (
-	closedForNext    = "another engine has answered"
-	closedForOverlap = "the backup has not answered in time"
-)
+// closedForNext is why this VM closes the connection to an engine whose answer is in progress, for the log.
+const closedForNext = "another engine has answered"
 
 // stoppedEndTime is how long an engine that has stopped a generation gets to end its response. A stated end tells that the
 // generation was complete before.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -52,8 +52,13 @@
 	// ended is closed when the current target's response has ended; endStated tells whether its length or last chunk stated that.
 	ended     chan struct{}
 	endStated bool
+	// handover is the call to the backup that is in progress; nil for none. isSending is set while an event waits for the caller.
+	handover  *handover
+	isSending bool
 	// left is the run that was left last, while its memory may be needed; nil for none.
 	left *departure
+	// departures are those whose engines may still be asked to stop a run of the generation.
+	departures []*departure
 	// isReleased is set once the stream has ended; a move that is still in progress then reserves nothing for it.
 	isReleased bool
 }
@@ -329,12 +334,25 @@
 			s.fixVersion(lease)
 		}
 		s.recordEvent(lease)
-		if err := source.Send(next); err != nil {
+		if err := s.sendEvent(source, next); err != nil {
 			return err
 		}
 	}
 }
 
+// sendEvent passes an event on to the caller.
+func (s *stream) sendEvent(source *delivery.Source, next delivery.NextEvent) error {
+	s.setSending(true)
+	defer s.setSending(false)
+	return source.Send(next)
+}
+
+func (s *stream) setSending(isSending bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isSending = isSending
+}
+
 // recordEvent updates the metrics, the lease and the log for an event.
 func (s *stream) recordEvent(lease *placement.Lease) {
 	now := time.Now()
@@ -351,6 +369,7 @@
 	s.mu.Lock()
 	isFirstOfTarget := !s.targetSentEvent
 	s.targetSentEvent = true
+	s.sourceSentEvent()
 	if isFirstOfTarget {
 		s.firstOfTargetAt = now
 	}
--- a/internal/forward/switch.go
+++ b/internal/forward/switch.go
@@ -13,8 +13,9 @@
 // switchToBackup continues the generation at its backup, and returns nil if there is none or it refuses, for example
 // because it had no capacity for the copy. A switch is logged with the given message.
 //
-// With stopFirst, the source is left before the backup is asked. Otherwise it works on until the backup has responded, for up
-// to maxOverlap, so that a refusal costs nothing; events that both send are deduplicated by their numbers.
+// With stopFirst, the source is asked to stop before the backup is asked. Otherwise it works on until the backup has responded. In
+// both cases the source keeps its connection until then, so that a refusal costs nothing, however late it comes; events that both
+// send are deduplicated by their numbers. See handover for how long both may work.
 func (s *stream) switchToBackup(source roster.Target, message string, stopFirst bool) *continuation {
 	if !s.awaitBackup() {
 		return nil
@@ -66,21 +67,25 @@
 }
 
 // continueStopped returns where a generation goes on whose backup, given by refused, does not take it: from the memory of its
-// source if that was left and has stopped it. It returns nil if it goes on at its source or nowhere.
+// source if that was asked to stop it and has done so. It returns nil if it goes on at its source, which is asked no more, or
+// nowhere.
 func (s *stream) continueStopped(source, refused roster.Target) *continuation {
 	left := s.leftFrom(source)
 	if left == nil {
 		return nil
 	}
+	if s.isServedBy(source) {
+		left.keepRun()
+	}
 	select {
 	case <-left.done:
 	case <-s.ctx.Done():
 		return nil
 	}
+	s.takeLeft() // its memory is not to be freed, and a source at which the generation stays has not been left
 	if left.result.KVCache.Handle == "" {
 		return nil
 	}
-	s.takeLeft() // its memory is not to be freed
 	return s.resumeAfterRefusal(source, refused, left.result.KVCache)
 }
 
@@ -89,20 +94,26 @@
 func (s *stream) sendToBackup(next *continuation, source roster.Target) bool {
 	ctx, cancel := context.WithDeadline(s.ctx, s.deadline)
 	next.cancel = cancel
-	var overlapEnds *time.Timer
+	h := &handover{cancel: cancel}
 	attempt := Attempt{LastEventID: s.caller.LastEvent(), From: next.from, BackupAddress: s.reserveBackup(next.lease)}
 	// While a connection is being made, the source is the only engine that works on the generation.
-	attempt.Sending = func() {
-		overlapEnds = time.AfterFunc(maxOverlap, func() { s.leaveSource(source, next.lease.Target.Address) })
-	}
+	attempt.Sending = func() { s.beginHandover(h) }
 	response, failure := s.sendAttempt(ctx, next.lease, attempt)
-	if overlapEnds != nil {
-		overlapEnds.Stop()
-	}
-	if failure == nil && response.StatusCode/100 != 2 {
+	isGivenUp := s.endHandover()
+	switch {
+	case failure != nil:
+	case isGivenUp:
+		response.trial.Done()
+		response.Close(true)
+		failure = &attemptError{outcome: placement.Canceled, cause: errSourceWorks}
+	case response.StatusCode/100 != 2:
+		response.trial.Done()
 		response.Close(true)
 		failure = &attemptError{outcome: placement.Failed, cause: errors.Newf("the backup answered with status %d", response.StatusCode)}
 	}
+	if isGivenUp {
+		failure.cause = errSourceWorks
+	}
 	if failure == nil {
 		next.response = response
 		return true
@@ -121,17 +132,3 @@
 	s.recordMoveFailure(source, next.lease.Target.ID, failure, "way", "backup")
 	return false
 }
-
-// leaveSource leaves the source if it still serves the stream, and closes its connection. The backup has not answered in time
-// and may be running the generation already.
-func (s *stream) leaveSource(source roster.Target, backup string) {
-	s.mu.Lock()
-	isServed := s.response != nil && s.lease.Target.SameIncarnation(source)
-	if isServed {
-		s.response.CloseConnection(closedForOverlap)
-	}
-	s.mu.Unlock()
-	if isServed {
-		s.leaveOnce(source, backup, closeNoticeTime)
-	}
-}
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -142,10 +142,6 @@
 	// minNoticeTime is the time for which an engine is sure to keep running after its notice. The notice time is
 	// specified as about two seconds.
 	minNoticeTime = 1300 * time.Millisecond
-	// maxOverlap is how long the source is kept after the call was sent to the backup. A backup that refuses does so at
-	// once; one that runs the generation may answer late, and two engines must not work on it for more than 400 ms. The
-	// rest of these is left for stopping the source.
-	maxOverlap = 150 * time.Millisecond
 	// moveTimeout bounds a move. Engines in a planned replacement keep running for longer than minNoticeTime.
 	moveTimeout = 6 * time.Second
 	// evacuationMoveShare is the part of the bound of an evacuation in which generations move. The rest is left for the
@@ -178,7 +174,7 @@
 	excluded := []string{leaving.ID}
 	for ctx.Err() == nil && s.isServedBy(leaving) {
 		query := s.transferQuery(leaving)
-		query.Excluded = excluded
+		query.Excluded = append(slices.Clone(excluded), s.targetsBeingLeft()...)
 		query.Zone = leaving.Zone
 		query.Move = true
 		lease, err := s.options.Table.Pick(query, time.Now())
@@ -266,7 +262,7 @@
 		return s.resumeAtSource(source, cache)
 	}
 	query := s.transferQuery(source)
-	query.Excluded = []string{source.ID, refused.ID}
+	query.Excluded = append([]string{source.ID, refused.ID}, s.targetsBeingLeft()...)
 	query.Move = true
 	lease, err := s.options.Table.Pick(query, time.Now())
 	if err != nil {
