forward: a caller that reads slowly does not make its engine look silent

Cause: the timer that tells a silent engine was started when an event arrived and ran while that event waited for the caller. The gaps between events from which the limit is learned held the caller's time as well. The class: the caller's time was taken for the engine's. Evidence: TestSlowCallerMakesItsEngineLookSilent, a caller with small buffers that reads about 200 kB/s: before, the engine was asked to stop the stream (1 call); now it is not. Change: silence and gaps are counted from the moment at which the VM begins to wait for the engine's next event. Result: the test passes, as do those on silent engines (TestSilentEngine, TestSilenceWhileBackupCannotBeReached, TestEngineThatIsSlow...).

--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -29,9 +29,10 @@
 	return max(floor, gaps.mean+deviationFactor*gaps.deviation), true
 }
 
-// watchSilence restarts the timer that ends the wait for the next event. Only a stream with a backup has one. The caller
-// must be the relay.
+// watchSilence begins the wait for the next event, and starts the timer that ends it. Only a stream with a backup has one. The
+// caller must be the relay.
 func (s *stream) watchSilence(lease *placement.Lease) {
+	s.awaitingSince = time.Now()
 	limit, known := silenceLimit(s.gaps, s.route.MaxGap)
 	if !known || !s.hasUsableBackup() {
 		return
@@ -46,6 +47,13 @@
 	s.silenceTimer.Reset(limit)
 }
 
+// pauseSilenceWatch stops the timer until the next call of watchSilence.
+func (s *stream) pauseSilenceWatch() {
+	if s.silenceTimer != nil {
+		s.silenceTimer.Stop()
+	}
+}
+
 // stopWatchingSilence stops the timer once the target's response has ended.
 func (s *stream) stopWatchingSilence() {
 	if s.silenceTimer != nil {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -27,9 +27,11 @@
 	// firstEventDelay is the time from the request's arrival to its first event, and longestGap the longest time
 	// between two events.
 	firstEventDelay, longestGap time.Duration
-	// gaps and silenceTimer are used by the relay only.
-	gaps         smoothed
-	silenceTimer *time.Timer
+	// gaps, awaitingSince and silenceTimer are used by the relay only. gaps are the times that the relay has waited for events, and
+	// awaitingSince is when the wait for the next one began.
+	gaps          smoothed
+	awaitingSince time.Time
+	silenceTimer  *time.Timer
 
 	// mu guards writes to events and the fields below, which the relay shares with the evacuation of a leaving target.
 	mu       sync.Mutex
@@ -337,11 +339,14 @@
 		if err := s.sendEvent(source, next); err != nil {
 			return err
 		}
+		s.watchSilence(lease)
 	}
 }
 
-// sendEvent passes an event on to the caller.
+// sendEvent passes an event on to the caller. While the caller does not take it, the engine's next events are not read, so that
+// their lack is no silence.
 func (s *stream) sendEvent(source *delivery.Source, next delivery.NextEvent) error {
+	s.pauseSilenceWatch()
 	s.setSending(true)
 	defer s.setSending(false)
 	return source.Send(next)
@@ -389,8 +394,7 @@
 		}
 	}
 	if !isFirstOfTarget {
-		s.gaps.observe(now.Sub(s.lastEventAt))
+		s.gaps.observe(now.Sub(s.awaitingSince))
 	}
 	s.lastEventAt = now
-	s.watchSilence(lease)
 }
