forward: a call to stop a run that has no answer does not make a stated end worthless

Cause: a stream counted as one that its engine may have stopped from the moment at which a call to stop it was prepared, and only the answer 404 took that back. Calls that were never sent, that a crowded engine reset or that it refused counted in the same way. The class: a question was taken for its answer. Change: what is known of the calls is kept with the target (stopCalls). Calls that were not sent or were refused count for nothing. A call that the engine broke off counts until an event comes for which the VM has waited since, which no stopped run makes. Where a stated end comes with nothing else known, the engine is asked again, as long as when a run is left (5 s); it denies the run or gives the memory from which the stream goes on. Why it works: a run that goes on proves that it was not stopped, and a run that has ended is denied by its engine.

--- a/internal/entry/last_copy_test.go
+++ b/internal/entry/last_copy_test.go
@@ -6,10 +6,13 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"godwitcart/platform/platformtest"
 )
 
 // TestStreamStoppedForItsLastCopyEndsAsComplete guards against a stream that looks whole since its engine stopped it for the last copy and the
@@ -114,3 +117,41 @@
 	require.NoError(t, err)
 	require.Equal(t, eventTexts(1, endedEvents), string(body))
 }
+
+// TestStatedEndIsLostAfterACallToStopWasReset guards against a whole stream that ends as broken since a call to stop it had no answer.
+func TestStatedEndIsLostAfterACallToStopWasReset(t *testing.T) {
+	const events = 100
+	d := newDeployment(t)
+	var asked atomic.Int64
+	for _, id := range []string{"e1", "e2"} {
+		d.wrappedTarget(id, platformtest.EngineService, func(w http.ResponseWriter, r *http.Request) bool {
+			switch {
+			case r.URL.Path == "/v1/kv-move":
+				asked.Add(1)
+				conn := hijack(w)
+				_ = conn.(*net.TCPConn).SetLinger(0)
+				conn.Close()
+				return true
+			case r.Header.Get("X-Token-Usage") == "":
+				return false
+			case isForBackup(r):
+				refuseRun(w, r)
+				return true
+			}
+			s := startRawStream(w, r, inChunks, 0)
+			for number := 1; number <= events; number++ {
+				s.write(eventText(number))
+				time.Sleep(10 * time.Millisecond)
+				if number == 60 {
+					time.Sleep(400 * time.Millisecond) // preempted
+				}
+			}
+			s.end()
+			return true
+		}, "")
+	}
+	d.configure("key-1")
+	v := d.start("vm-1", nil)
+	v.requireWhole([]*http.Request{v.generation("/letters/1", events, 10)}, events)
+	require.NotZero(t, asked.Load(), "the engine was not asked to stop")
+}
--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -65,7 +65,7 @@
 // A source that may have been stopped is not relied on. It requires mu.
 func (s *stream) giveUpBackup() {
 	h := s.handover
-	if h == nil || !h.isOver || h.isGivenUp || s.stopRequested || s.response == nil {
+	if h == nil || !h.isOver || h.isGivenUp || s.stops.mayHaveStopped() || s.response == nil {
 		return
 	}
 	if h.sourceSent || s.isSending {
--- a/internal/forward/release.go
+++ b/internal/forward/release.go
@@ -24,7 +24,7 @@
 	s.moveDone = nil
 	switch {
 	case next == nil || s.response == nil:
-	case s.stopRequested:
+	case s.stops.mayHaveStopped():
 		response := s.response
 		time.AfterFunc(stoppedEndTime, func() { response.CloseConnection(closedForNext) })
 	default:
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -41,8 +41,8 @@
 	targetSentEvent bool
 	// firstOfTargetAt is when the current target sent its first event.
 	firstOfTargetAt time.Time
-	// stopRequested is set while the current target may have stopped the generation for its last copy.
-	stopRequested bool
+	// stops is what is known of calls to stop the generation at the current target. It is replaced with the target.
+	stops *stopCalls
 	// backup is the reservation at the engine that holds a copy of the generation's KV cache; nil for none.
 	backup *placement.Lease
 	// unfitBackups are the engines that have refused or failed to continue the generation.
@@ -87,7 +87,7 @@
 			return err
 		}
 	}
-	s := &stream{exchange: x, ctx: ctx}
+	s := &stream{exchange: x, ctx: ctx, stops: &stopCalls{}}
 	defer s.release()
 	for {
 		next, err := s.nextAttempt(ctx)
@@ -185,6 +185,9 @@
 	s.unregister(response.End())
 	// A whole answer needs no continuation. What its engine may have stopped is whole only if the engine denies that.
 	hasMoved := (s.wasAskedToStop() || !response.End().IsStated()) && s.awaitMove(ctx)
+	if err == nil && !hasMoved && s.wasAskedToStop() && !s.hasStopped() && response.End().IsStated() {
+		s.askForEnd(ctx, next.lease.Target)
+	}
 	if err == nil && (hasMoved || s.wasAskedToStop()) {
 		err = errStopped
 		if hasMoved && response.End().IsStated() {
@@ -274,7 +277,7 @@
 func (s *stream) register(lease *placement.Lease, response *answer) {
 	s.mayHaveRun = true
 	s.mu.Lock()
-	s.lease, s.response, s.stopRequested = lease, response, false
+	s.lease, s.response, s.stops = lease, response, &stopCalls{}
 	s.ended = make(chan struct{})
 	s.mu.Unlock()
 	s.freeUnused(s.takeLeft())
@@ -310,6 +313,7 @@
 	events := eventstream.NewReader(response, response)
 	defer events.Close()
 	for {
+		awaitedSince := time.Now()
 		event, err := events.Next()
 		if err == io.EOF {
 			return nil
@@ -332,6 +336,7 @@
 		if !isNew {
 			continue
 		}
+		s.refuteStops(awaitedSince)
 		if !s.versionFixed {
 			s.fixVersion(lease)
 		}
