forward: a source is given up for the next event, not for an answer

What callers saw: streams broken off in the middle though their engine worked on: the backup had answered with a success that continues nothing (an empty body, JSON, HTML, events after a gap). Cause: the connection to the source was closed at the head of the backup's answer; what follows the head was looked at only then. The class: an answer of any kind was taken for the one that was asked for. Change: a handover waits for the first event of the backup's answer and checks the head and the event (delivery.CheckHead, MayFollow) before the source is given up; the relay begins with that event. Until then the backup counts as one that has not answered.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -34,8 +34,8 @@
 	return mediaType
 }
 
-// Answer is the answer to one caller. Its methods are called by one goroutine, except HasBegun and LastEvent, which may be
-// called by any.
+// Answer is the answer to one caller. Its methods are called by one goroutine, except HasBegun, LastEvent, CheckHead and MayFollow,
+// which may be called by any.
 type Answer struct {
 	w          http.ResponseWriter
 	r          *http.Request
@@ -43,9 +43,8 @@
 	// onBegin is called before the head is sent.
 	onBegin func()
 
-	// events is the number of events in this answer; isConsecutive is set while their ids count up by one.
-	events        int
-	isConsecutive bool
+	// events is the number of events in this answer.
+	events int
 	// endedBy names the target whose answer ended in order after the last event, though that proves nothing by itself; empty
 	// for none. endedAs is how it ended.
 	endedBy string
@@ -56,6 +55,8 @@
 	head Head
 	// lastEvent is the id of the last event that the caller has.
 	lastEvent string
+	// isConsecutive is set while the ids of the events count up by one. Only the goroutine of the answer writes it.
+	isConsecutive bool
 }
 
 // New returns the answer to a request. Nothing of it has been sent.
@@ -181,12 +182,28 @@
 	a.lastEvent = id
 }
 
+func (a *Answer) setConsecutive(isConsecutive bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.isConsecutive = isConsecutive
+}
+
+// MayFollow reports whether an event with the id may come next from a target that is to continue the stream: there is no gap before
+// it. An id that the caller has already is one that such a target repeats.
+func (a *Answer) MayFollow(id string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	last, isLastNumber := number(a.lastEvent)
+	next, isNumber := number(id)
+	return !isLastNumber || isNumber && (next <= last+1 || !a.isConsecutive)
+}
+
 // recordEvent records that the caller has received the event.
 func (a *Answer) recordEvent(id string) {
 	last, hasLast := number(a.lastEvent)
 	next, isNumber := number(id)
 	isFirst := a.events == 0 && !hasLast
-	a.isConsecutive = isNumber && (isFirst && next <= 1 || next == last+1 && (a.isConsecutive || a.events == 0))
+	a.setConsecutive(isNumber && (isFirst && next <= 1 || next == last+1 && (a.isConsecutive || a.events == 0)))
 	a.events++
 	a.endedBy = ""
 	if id != "" {
--- a/internal/delivery/source.go
+++ b/internal/delivery/source.go
@@ -53,20 +53,28 @@
 // From returns the source for the answer of a target. The error is marked with ErrNotContinued if the caller has the head
 // of a stream that such an answer cannot continue.
 func (a *Answer) From(target string, head Head) (*Source, error) {
+	if err := a.CheckHead(head); err != nil {
+		return nil, err
+	}
+	return &Source{answer: a, target: target, head: head}, nil
+}
+
+// CheckHead returns an error marked with ErrNotContinued if the caller has the head of a stream that an answer with the given head
+// cannot continue.
+func (a *Answer) CheckHead(head Head) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	var reason error
 	switch {
-	case !a.HasBegun():
+	case a.head.Status == 0:
 	case head.Status != a.head.Status:
 		reason = errors.Newf("the target answered with status %d in the middle of a stream", head.Status)
 	case head.mediaType() != eventStreamType && head.mediaType() != a.head.mediaType():
 		reason = errors.Newf("the target answered with a body of type %q in the middle of a stream", head.mediaType())
-	case a.LastEvent() == "":
+	case a.lastEvent == "":
 		reason = errors.New("the events that the caller has received have no ids")
 	}
-	if reason != nil {
-		return nil, errors.Mark(reason, ErrNotContinued)
-	}
-	return &Source{answer: a, target: target, head: head}, nil
+	return errors.Mark(reason, ErrNotContinued)
 }
 
 // Admit returns the event as one that can be sent, and false if the caller has it already: an engine that continues a run
--- a/internal/entry/given_up_test.go
+++ b/internal/entry/given_up_test.go
@@ -121,3 +121,32 @@
 		})
 	}
 }
+
+// TestSourceIsGivenUpForAWrongAnswer guards against a working engine that is given up since another has answered, though not with the next event.
+func TestSourceIsGivenUpForAWrongAnswer(t *testing.T) {
+	const events = 200
+	for name, answer := range platformtest.WrongContinuations {
+		if name == "from the start" {
+			continue // a right answer: what the caller has is dropped
+		}
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			for number := range 3 {
+				target := d.target(fmt.Sprint("e", number), platformtest.EngineService)
+				target.SetRefuseCopies(true)
+				target.SetContinuation(func(t *platformtest.Target, w http.ResponseWriter, r *http.Request) bool {
+					return isForBackup(r) && answer(t, w, r)
+				})
+			}
+			d.configure("key-1")
+			v := d.start("vm-1", nil)
+			time.AfterFunc(800*time.Millisecond, func() { d.MarkLeaving("e0") })
+			var requests []*http.Request
+			for range 6 {
+				requests = append(requests, v.generation("/letters/1", events, 10))
+			}
+			v.requireWhole(requests, events)
+		})
+	}
+}
--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"godwitcart/internal/eventstream"
+	"godwitcart/internal/placement"
 )
 
 // maxOverlap is how long a backup may take to answer while the source still works. A backup that refuses usually does so at once, but
@@ -73,3 +76,62 @@
 		h.cancel()
 	}
 }
+
+// awaitNextEvent waits until the answer of the backup has brought an event that continues the stream: an answer that brings none, or
+// another one, is no reason to give the source up. The error is that of an answer which does not continue the stream.
+func (s *stream) awaitNextEvent(next *continuation, response *answer) *attemptError {
+	if response.StatusCode/100 != 2 {
+		return rejectBackup(next, response, errors.Newf("the backup answered with status %d", response.StatusCode))
+	}
+	if err := s.caller.CheckHead(s.headOf(response)); err != nil {
+		return rejectBackup(next, response, err)
+	}
+	next.startReading(response)
+	for {
+		event, err := next.events.Next()
+		switch {
+		case err != nil:
+			return rejectBackup(next, response, errors.Wrap(err, "the answer of the backup brought no event"))
+		case event.IsComment || event.ID == "":
+		case !s.caller.MayFollow(event.ID):
+			return rejectBackup(next, response, errors.Newf("the backup went on with event %q", event.ID))
+		default:
+			next.first, next.response = &event, response
+			return nil
+		}
+	}
+}
+
+// rejectBackup closes an answer of the backup with which the generation does not go on.
+func rejectBackup(next *continuation, response *answer, cause error) *attemptError {
+	next.stopReading()
+	next.response, next.first = nil, nil
+	response.trial.Done()
+	response.Close(true)
+	return &attemptError{outcome: placement.Failed, cause: cause}
+}
+
+// startReading prepares the events of the response for nextEvent, unless that has been done.
+func (c *continuation) startReading(response *answer) {
+	if c.events == nil {
+		c.events = eventstream.NewReader(response, response)
+	}
+}
+
+// stopReading ends the use of the events.
+func (c *continuation) stopReading() {
+	if c.events != nil {
+		c.events.Close()
+		c.events = nil
+	}
+}
+
+// nextEvent returns the next event of the response, which is valid until the next call.
+func (c *continuation) nextEvent() (eventstream.Event, error) {
+	if c.first != nil {
+		event := *c.first
+		c.first = nil
+		return event, nil
+	}
+	return c.events.Next()
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -71,9 +71,12 @@
 	from  *KVCacheRef
 	// source is the engine that was stopped for a move and keeps the memory; nil if the generation was not moved.
 	source *roster.Target
-	// response is the target's response if the call has been sent already, and cancel aborts it.
+	// response is the target's response if the call has been sent already, and cancel aborts it. events reads it, and first is its
+	// first event, which has not been passed on.
 	response *answer
 	cancel   context.CancelFunc
+	events   *eventstream.Reader
+	first    *eventstream.Event
 }
 
 // serveStream serves a call whose response is a stream of events.
@@ -170,6 +173,7 @@
 	}
 	source, err := s.caller.From(next.lease.Target.ID, s.headOf(response))
 	if err != nil {
+		next.stopReading()
 		return s.rejectContinuation(next.lease, response, err)
 	}
 	if response.StatusCode/100 != 2 {
@@ -180,7 +184,7 @@
 		return failure
 	}
 	s.register(next.lease, response)
-	err = s.relay(next.lease, response, source)
+	err = s.relay(next, response, source)
 	s.stopWatchingSilence()
 	s.unregister(response.End())
 	// A whole answer needs no continuation. What its engine may have stopped is whole only if the engine denies that.
@@ -309,12 +313,13 @@
 }
 
 // relay forwards events as they arrive, until the target's response ends.
-func (s *stream) relay(lease *placement.Lease, response *answer, source *delivery.Source) error {
-	events := eventstream.NewReader(response, response)
-	defer events.Close()
+func (s *stream) relay(next *continuation, response *answer, source *delivery.Source) error {
+	lease := next.lease
+	next.startReading(response)
+	defer next.events.Close()
 	for {
 		awaitedSince := time.Now()
-		event, err := events.Next()
+		event, err := next.nextEvent()
 		if err == io.EOF {
 			return nil
 		}
@@ -329,7 +334,7 @@
 			continue
 		}
 		response.trial.Answered()
-		next, isNew, err := source.Admit(event)
+		admitted, isNew, err := source.Admit(event)
 		if err != nil {
 			return err
 		}
@@ -341,7 +346,7 @@
 			s.fixVersion(lease)
 		}
 		s.recordEvent(lease)
-		if err := s.sendEvent(source, next); err != nil {
+		if err := s.sendEvent(source, admitted); err != nil {
 			return err
 		}
 		s.watchSilence(lease)
--- a/internal/forward/switch.go
+++ b/internal/forward/switch.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"godwitcart/internal/placement"
 	"godwitcart/internal/roster"
 )
@@ -99,24 +97,18 @@
 	// While a connection is being made, the source is the only engine that works on the generation.
 	attempt.Sending = func() { s.beginHandover(h) }
 	response, failure := s.sendAttempt(ctx, next.lease, attempt)
-	isGivenUp := s.endHandover()
-	switch {
-	case failure != nil:
-	case isGivenUp:
-		response.trial.Done()
-		response.Close(true)
-		failure = &attemptError{outcome: placement.Canceled, cause: errSourceWorks}
-	case response.StatusCode/100 != 2:
-		response.trial.Done()
-		response.Close(true)
-		failure = &attemptError{outcome: placement.Failed, cause: errors.Newf("the backup answered with status %d", response.StatusCode)}
+	if failure == nil {
+		failure = s.awaitNextEvent(next, response)
 	}
-	if isGivenUp {
-		failure.cause = errSourceWorks
+	isGivenUp := s.endHandover()
+	if failure == nil && !isGivenUp {
+		return true
 	}
 	if failure == nil {
-		next.response = response
-		return true
+		failure = rejectBackup(next, response, errSourceWorks)
+	}
+	if isGivenUp {
+		failure.outcome, failure.cause = placement.Canceled, errSourceWorks
 	}
 	cancel()
 	if !failure.notRun {
