delivery: an engine that states the end of a run twice has ended it

Cause: an engine that is asked to stop a run right after its last event says that it has stopped it and states the end of its answer as well. The generation goes on from the memory that it keeps, and the second run states its end without an event. That counted for nothing, since both words were of one target. Evidence: TestStreamStoppedAfterItsLastEventLooksBroken failed before (unexpected EOF after the last event). Change: a stated end without events proves what another answer has stated, also one of the same target; ends that nothing states still need two targets.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -45,9 +45,9 @@
 
 	// events is the number of events in this answer.
 	events int
-	// endedBy names the target whose answer ended in order after the last event, though that proves nothing by itself; empty
-	// for none. endedAs is how it ended.
-	endedBy string
+	// endedBy is the source that ended in order after the last event, though that proves nothing by itself; nil for none. endedAs
+	// is how it ended.
+	endedBy *Source
 	endedAs upstream.End
 
 	mu sync.Mutex
@@ -205,7 +205,7 @@
 	isFirst := a.events == 0 && !hasLast
 	a.setConsecutive(isNumber && (isFirst && next <= 1 || next == last+1 && (a.isConsecutive || a.events == 0)))
 	a.events++
-	a.endedBy = ""
+	a.endedBy = nil
 	if id != "" {
 		a.setLastEvent(id)
 	}
--- a/internal/delivery/source.go
+++ b/internal/delivery/source.go
@@ -176,7 +176,7 @@
 // source after the same event then proves the end of the stream.
 func (s *Source) RecordEnd(end upstream.End) {
 	if s.sentLast() {
-		s.answer.endedBy, s.answer.endedAs = s.target, end
+		s.answer.endedBy, s.answer.endedAs = s, end
 	}
 }
 
@@ -187,17 +187,18 @@
 
 // proves reports whether the end of the source proves that of the stream. A stated end after the last event does. So does
 // the second of two targets that end in order after sending the same last event (RecordEnd). A source without events proves
-// only what another one has stated, since a target that should continue a stream may answer wrongly; where the caller has no
-// part of this answer yet, it is a target's whole answer.
+// only what another one has stated, since a target that should continue a stream may answer wrongly; that may be one of the same
+// target, which was to stop its first run and states that the second one, from its memory, has nothing to add. Where the caller
+// has no part of this answer yet, it is a target's whole answer.
 func (s *Source) proves(end upstream.End) bool {
 	a := s.answer
-	isSecond := a.endedBy != "" && a.endedBy != s.target
+	isSecond := a.endedBy != nil && a.endedBy != s
 	switch {
 	case end.IsStated() && s.lastID == "" && s.sent == 0 && !s.drops:
 		return isSecond && a.endedAs.IsStated() || !a.HasBegun()
 	case end.IsStated():
 		return s.sentLast()
 	default:
-		return end.IsUnstated() && isSecond && s.sentLast()
+		return end.IsUnstated() && isSecond && a.endedBy.target != s.target && s.sentLast()
 	}
 }
--- a/internal/entry/last_copy_test.go
+++ b/internal/entry/last_copy_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -155,3 +156,44 @@
 	v.requireWhole([]*http.Request{v.generation("/letters/1", events, 10)}, events)
 	require.NotZero(t, asked.Load(), "the engine was not asked to stop")
 }
+
+// TestStreamStoppedAfterItsLastEventLooksBroken guards against a whole stream that ends as broken since its engine, asked to stop it, states the end twice.
+func TestStreamStoppedAfterItsLastEventLooksBroken(t *testing.T) {
+	d := newDeployment(t)
+	stop := make(chan struct{})
+	var stopOnce sync.Once
+	d.wrappedTarget("e1", platformtest.EngineService, func(w http.ResponseWriter, r *http.Request) bool {
+		switch {
+		case r.URL.Path == "/v1/kv-move":
+			body, _ := io.ReadAll(r.Body)
+			if !strings.Contains(string(body), `"last":true`) {
+				return false
+			}
+			stopOnce.Do(func() { close(stop) })
+			w.WriteHeader(http.StatusServiceUnavailable)
+			fmt.Fprint(w, `{"transfer_handle":"h","created":10}`)
+			return true
+		case r.Header.Get("X-Token-Usage") == "":
+			return false
+		case r.Header.Get("Kv-From") != "":
+			continuesWhole(w, r)
+			return true
+		}
+		s := startRawStream(w, r, inChunks, 0)
+		s.write(eventTexts(1, endedEvents))
+		<-stop
+		s.end()
+		return true
+	}, `{"transfer_handle":"h","created":10}`)
+	d.configure("key-1")
+	v := d.start("vm-1", nil)
+	request := v.generation("/letters/1", endedEvents, 1)
+	request.Header.Set("X-Token-Usage", "9000,9000") // a usage that leaves no memory for backups
+	response, err := v.client.Do(request)
+	require.NoError(t, err)
+	d.target("e2", platformtest.EngineService)
+	require.True(t, d.MarkLeaving("e1"))
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Equal(t, eventTexts(1, endedEvents), string(body))
+}
