forward: a stream goes on from the memory that an engine keeps of it

What callers saw: streams broken off though an engine kept all that was needed to go on: the connection to the engine was reset while it worked on and there was no backup, or the engine that was to go on (a backup, the destination of a move) reset the call. Cause: the memory of a stopped run was used only after an engine that was to go on had refused in words. A reset counted as an engine that may run the generation, and the stream as lost; the memory was freed at the head of the next answer, before its first event; and the memory of a run that was stopped after its connection had broken was never used. Change: an engine that fails before its first event is asked to stop, and the stream goes on from what it keeps, else from the memory of the run before, which is kept until the first event of the next. A run whose connection breaks with no backup is asked to stop as before, and the stream goes on from its memory if the engine has some within 1.5 s. Why it works: a request that goes on from memory counts as the same run, and a memory can be used once.

--- a/internal/entry/given_up_test.go
+++ b/internal/entry/given_up_test.go
@@ -3,14 +3,18 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"godwitcart/internal/settings"
+	"godwitcart/internal/stand/rig"
 	"godwitcart/platform/platformtest"
 )
 
@@ -150,3 +154,85 @@
 		})
 	}
 }
+
+// TestRunIsLostWithItsConnection guards against a stream that ends with the connection to an engine that still works on it.
+func TestRunIsLostWithItsConnection(t *testing.T) {
+	for name, backup := range map[string]func(http.ResponseWriter, *http.Request){"backup refuses": refuseRun, "backup resets": resetConnection, "no backup": nil} {
+		t.Run(name, func(t *testing.T) { testRunIsLostWithItsConnection(t, backup) })
+	}
+}
+
+// testRunIsLostWithItsConnection starts the second engine before the stream, to be its backup, or after it if backup is nil.
+func testRunIsLostWithItsConnection(t *testing.T, backup func(http.ResponseWriter, *http.Request)) {
+	const events = 200
+	d := newDeployment(t)
+	start := func(id string) {
+		d.stubbornTargets(id)[id].SetOverride(func(w http.ResponseWriter, r *http.Request) bool {
+			if isForBackup(r) {
+				backup(w, r)
+			}
+			return isForBackup(r)
+		})
+	}
+	start("e1")
+	if backup != nil {
+		start("e2")
+	}
+	d.configure("key-1")
+	path, err := rig.NewPath(freePort(t), "")
+	require.NoError(t, err)
+	t.Cleanup(path.Close)
+	link, err := rig.NewLink(freePort(t), path.Address)
+	require.NoError(t, err)
+	v := d.start("vm-1", func(s *settings.Deployment) { s.Targets.Proxy = link.Address })
+	request := v.generation("/letters/1", events, 10)
+	response, err := v.client.Do(request)
+	require.NoError(t, err)
+	readEvents(t, response, events, func(number int) {
+		if number == 10 && backup == nil {
+			start("e2")
+		}
+		if number == 60 {
+			link.Reset()
+		}
+	})
+	d.requireNoOverlap(request.Header.Get("X-Attempt-Id"))
+}
+
+// resetConnection ends the connection of a request without an answer.
+func resetConnection(w http.ResponseWriter, _ *http.Request) {
+	conn := hijack(w)
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	conn.Close()
+}
+
+// TestMoveIsLostWhenItsDestinationResets guards against a stream that is lost since the engine to which it was moved resets the call.
+func TestMoveIsLostWhenItsDestinationResets(t *testing.T) {
+	const events = 150
+	d := newDeployment(t)
+	var reset atomic.Bool
+	for _, id := range []string{"e1", "e2"} {
+		d.target(id, platformtest.EngineService).SetOverride(func(w http.ResponseWriter, r *http.Request) bool {
+			switch {
+			case isForBackup(r):
+				refuseRun(w, r)
+			case strings.Contains(r.Header.Get("Kv-From"), "/h-") && !reset.Swap(true):
+				resetConnection(w, r)
+			default:
+				return false
+			}
+			return true
+		})
+	}
+	d.configure("key-1")
+	v := d.start("vm-1", nil)
+	request := v.generation("/letters/1", events, 10)
+	response, err := v.client.Do(request)
+	require.NoError(t, err)
+	readEvents(t, response, events, func(number int) {
+		if number == 30 {
+			d.MarkLeaving(d.Cluster.Runs(request.Header.Get("X-Attempt-Id"))[0].Target)
+		}
+	})
+	require.True(t, reset.Load())
+}
--- a/internal/entry/last_copy_test.go
+++ b/internal/entry/last_copy_test.go
@@ -129,9 +129,7 @@
 			switch {
 			case r.URL.Path == "/v1/kv-move":
 				asked.Add(1)
-				conn := hijack(w)
-				_ = conn.(*net.TCPConn).SetLinger(0)
-				conn.Close()
+				resetConnection(w, r)
 				return true
 			case r.Header.Get("X-Token-Usage") == "":
 				return false
--- a/internal/forward/backup.go
+++ b/internal/forward/backup.go
@@ -126,10 +126,7 @@
 		return false
 	}
 	s.metrics.backupSwitches.Inc(1)
-	s.mu.Lock()
-	s.continuation = next
-	s.mu.Unlock()
-	return true
+	return s.setContinuation(next)
 }
 
 // claimBackup replaces the backup's reservation by one for running the generation there.
--- a/internal/forward/continuation.go
+++ b/internal/forward/continuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"godwitcart/internal/placement"
 )
@@ -12,14 +13,18 @@
 	if failure.outcome == placement.Moved {
 		return true
 	}
+	if previous.from != nil && !s.isRepeatable() && !s.hasTargetSentEvent() {
+		return s.continueFromStopped(ctx, previous, left) // starting from the prompt would run the call twice
+	}
 	if !failure.notRun && s.hasUsableBackup() && !s.mayHaveEnded(ctx, failure, left, wasAskedToStop) {
 		s.awaitLeft(left, nil)
 		if s.continueFromBackup() {
 			return true
 		}
 	}
-	if previous.from != nil && failure.notRun && !s.isRepeatable() {
-		return s.continueFromStopped(previous) // starting from the prompt would run the call twice
+	if !failure.notRun && !s.isRepeatable() {
+		s.mayHaveRun = true
+		return s.continueFromLeft(ctx, left)
 	}
 	if !s.prepareRetry(ctx, failure, previous.lease.Target.ID) {
 		return false
@@ -28,19 +33,45 @@
 	return true
 }
 
-// continueFromStopped prepares to continue from the memory of a run that was stopped, after the engine with its copy has refused or
-// could not be reached.
-func (s *stream) continueFromStopped(previous *continuation) bool {
+// leftMemoryWait is how long an engine may take to answer that it has stopped a run which nothing else can go on from: it answers
+// once a copy of the run is made.
+const leftMemoryWait = 1500 * time.Millisecond
+
+// continueFromLeft prepares to continue from the memory of a run whose answer broke off while its engine worked on: the engine has
+// been asked to stop it. It reports false if the engine does not keep such a run, or is not known to.
+func (s *stream) continueFromLeft(ctx context.Context, left *departure) bool {
+	if left == nil || s.caller.LastEvent() == "" || !left.awaitMemory(ctx, leftMemoryWait) {
+		return false
+	}
+	if s.leftFrom(left.source) == left {
+		s.takeLeft() // its memory is not to be freed
+	}
+	return s.setContinuation(s.resumeAfterRefusal(left.source, left.source, left.result.KVCache))
+}
+
+// continueFromStopped prepares to continue from the memory of a run that was stopped, after the engine with its copy has refused,
+// could not be reached, or has answered without an event. That engine may run the generation all the same; left is its run then,
+// and what it keeps comes first.
+func (s *stream) continueFromStopped(ctx context.Context, previous *continuation, left *departure) bool {
+	if s.continueFromLeft(ctx, left) {
+		return true
+	}
+	s.freeUnused(left)
 	s.mu.Lock()
-	left := s.left
+	source := s.left
 	s.mu.Unlock()
 	var next *continuation
 	switch {
 	case previous.source != nil:
 		next = s.resumeAfterRefusal(*previous.source, previous.lease.Target, *previous.from)
-	case left != nil:
-		next = s.continueStopped(left.source, previous.lease.Target)
+	case source != nil:
+		next = s.continueStopped(source.source, previous.lease.Target)
 	}
+	return s.setContinuation(next)
+}
+
+// setContinuation sets where the generation continues, and reports whether that is anywhere.
+func (s *stream) setContinuation(next *continuation) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.continuation = next
--- a/internal/forward/leave.go
+++ b/internal/forward/leave.go
@@ -102,6 +102,30 @@
 	}
 }
 
+// awaitMemory waits up to the limit for the engine's answer, unless it cannot be reached, and reports whether it keeps the memory of
+// the run.
+func (d *departure) awaitMemory(ctx context.Context, limit time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	select {
+	case <-d.settled:
+	case <-ctx.Done():
+		return false
+	}
+	if d.outcome == leftUnreachable {
+		return false
+	}
+	select {
+	case <-d.done:
+		return d.hasMemory()
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// hasMemory reports whether the engine has stopped the run and keeps its memory. It requires that the engine is not asked any more.
+func (d *departure) hasMemory() bool { return d.result.KVCache.Handle != "" }
+
 // isAbsent reports whether the engine has said that it does not run the generation.
 func (d *departure) isAbsent() bool {
 	select {
@@ -148,6 +172,12 @@
 	s.freeUnused(s.startLeaving(target, s.stopDestination(target), closeNoticeTime))
 }
 
+// leaveNext leaves the run of a target that was to continue the generation from the memory of another run and has sent no event. The
+// run that was left before stays the last one, since its memory is still needed.
+func (s *stream) leaveNext(target roster.Target) *departure {
+	return s.startLeaving(target, s.stopDestination(target), 0)
+}
+
 func (s *stream) startLeaving(source roster.Target, destination string, delay time.Duration) *departure {
 	left := &departure{source: source, settled: make(chan struct{}), kept: make(chan struct{}), done: make(chan struct{})}
 	s.leaving.Add(1)
@@ -234,13 +264,17 @@
 
 // leaveFailed leaves the run of an attempt that has failed, unless that has been done; it returns nil if there is none that
 // may still work.
-func (s *stream) leaveFailed(ctx context.Context, failure *attemptError, source roster.Target) *departure {
+func (s *stream) leaveFailed(ctx context.Context, failure *attemptError, attempted *continuation) *departure {
+	source := attempted.lease.Target
 	if failure.notRun || failure.targetResponse != nil || failure.outcome == placement.Moved || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return nil
 	}
 	if ctx.Err() != nil { // nothing waits for the end of the run
 		return s.leaveOnce(source, s.stopDestination(source), closeNoticeTime)
 	}
+	if attempted.from != nil && !s.hasTargetSentEvent() && !s.isRepeatable() {
+		return s.leaveNext(source)
+	}
 	return s.leaveOnce(source, s.stopDestination(source), 0)
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -108,7 +108,7 @@
 			return nil
 		}
 		wasAskedToStop := s.wasAskedToStop()
-		left := s.leaveFailed(ctx, failure, next.lease.Target)
+		left := s.leaveFailed(ctx, failure, next)
 		if ctx.Err() == nil && s.prepareContinuation(ctx, failure, next, left, wasAskedToStop) {
 			continue
 		}
@@ -284,7 +284,6 @@
 	s.lease, s.response, s.stops = lease, response, &stopCalls{}
 	s.ended = make(chan struct{})
 	s.mu.Unlock()
-	s.freeUnused(s.takeLeft())
 	s.streams.add(lease.Target.ID, s)
 }
 
@@ -391,6 +390,7 @@
 	s.mu.Unlock()
 	lease.Progress(s.events * tokensPerEvent)
 	if isFirstOfTarget {
+		s.freeUnused(s.takeLeft())
 		lease.FirstEvent(now)
 		s.gaps = smoothed{}
 		if s.options.Table.IsLeaving(lease.Target) {
--- a/internal/forward/switch.go
+++ b/internal/forward/switch.go
@@ -81,7 +81,7 @@
 		return nil
 	}
 	s.takeLeft() // its memory is not to be freed, and a source at which the generation stays has not been left
-	if left.result.KVCache.Handle == "" {
+	if !left.hasMemory() {
 		return nil
 	}
 	return s.resumeAfterRefusal(source, refused, left.result.KVCache)
