forward: a move off a leaving engine is tried again after a call that had no answer

What callers saw: streams that ended with their leaving engine though another had room for them. Cause: the first call for a copy that failed without an answer ended the move. Crowded engines reset new connections (PROTOCOL.md), and each call for a copy opens one. Evidence: TestMoveIsGivenUpAfterOneReset, two calls of which are reset, failed before with unexpected EOF when the engine ended. Change: such a call is followed by another after moveRetryDelay, like one for a generation that does not run at the moment, until the stream has left or the time for moves is over. Result: the test passes, as do those on moves, leaving engines and evacuations.

--- a/internal/entry/given_up_test.go
+++ b/internal/entry/given_up_test.go
@@ -236,3 +236,38 @@
 	})
 	require.True(t, reset.Load())
 }
+
+// TestMoveIsGivenUpAfterOneReset guards against a stream that stays at a leaving engine, and ends with it, since one call for a copy was reset.
+func TestMoveIsGivenUpAfterOneReset(t *testing.T) {
+	const (
+		events = 300
+		resets = 2
+		notice = 1700 * time.Millisecond
+	)
+	d := newDeployment(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	source := d.AddVersion("e1", listener.Addr().String(), platformtest.EngineService, zone, "v1")
+	var copies atomic.Int64
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/kv-move" && copies.Add(1) <= resets {
+			resetConnection(w, r)
+			return
+		}
+		source.ServeHTTP(w, r)
+	})}
+	go server.Serve(listener)
+	t.Cleanup(func() { server.Close() })
+	d.configure("key-1")
+	v := d.start("vm-1", nil)
+	response, err := v.client.Do(v.generation("/letters/1", events, 10))
+	require.NoError(t, err)
+	d.target("e2", platformtest.EngineService) // too late to be the backup
+	readEvents(t, response, events, func(number int) {
+		if number == 30 {
+			d.MarkLeaving("e1")
+			time.AfterFunc(notice, source.Kill)
+		}
+	})
+	require.Greater(t, copies.Load(), int64(resets))
+}
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -157,7 +157,7 @@
 	finalCopyShare   = 1.0 / 3
 	defaultFinalCopy = 60 * time.Millisecond
 	// moveRetryDelay is the wait before the next try if the generation is not running at its source, for example
-	// because it was preempted, or if no other engine has capacity.
+	// because it was preempted, if the source did not answer, or if no other engine has capacity.
 	moveRetryDelay = 150 * time.Millisecond
 	// crossZoneTransferFactor is how much longer a transfer between zones takes than one within a zone.
 	crossZoneTransferFactor = 2
@@ -167,7 +167,7 @@
 
 // move copies the generation's KV cache to another engine while it runs, until little is left; then it stops the
 // generation, copies the rest and returns the continuation. It returns nil if the generation stays at its source. It calls
-// blocked when no target has room, or when the source does not run the generation.
+// blocked when no target has room, or when the source does not answer or does not run the generation.
 func (s *stream) move(leaving roster.Target, noticedAt time.Time, blocked func()) *continuation {
 	ctx, cancel := context.WithTimeout(s.ctx, s.moveTimeout(leaving, noticedAt))
 	defer cancel()
@@ -194,9 +194,7 @@
 		lease.Done(placement.Canceled, time.Now())
 		s.recordMoveFailure(leaving, lease.Target.ID, err, "refused", result.Refused, "unknown", result.Unknown)
 		switch {
-		case err != nil:
-			return nil
-		case result.Unknown:
+		case err != nil || result.Unknown: // a crowded engine resets new connections, and one may have preempted the generation
 			blocked()
 			pause.For(ctx, moveRetryDelay)
 		case result.KVCache.Handle != "": // stopped for the final copy, which was refused
