forward: callers that read slowly do not hold the places of engines that have sent all they had

Cause: an engine's answer was read only as fast as the caller took it, and its place was kept until the caller had the last event. A caller that took nothing kept it beyond the deadline: nothing ended a write to a caller. The class: what an engine is charged for followed the caller. Change: once a caller takes an event for longer than 100 ms, a goroutine of the stream reads ahead, up to 1 MiB a stream and only while less than half of the memory budget is in use; nobody is given up for it (membudget.GrowIfSpare). With the stated end of the answer the places at the engine and at the backup are free. At the deadline the write in progress ends. Why it works: the engine is read at its own pace; where there is no memory to spare, it waits for the caller as before. Streams that are taken in time start no goroutine and copy nothing.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -83,6 +84,12 @@
 // CloseConnection makes the caller's connection end with the answer, unless it has begun.
 func (a *Answer) CloseConnection() { a.w.Header().Set("Connection", "close") }
 
+// EndWrites makes a write to the caller that is in progress, and later ones, fail at once. It may be called by any goroutine; the
+// connection must be closed afterwards.
+func (a *Answer) EndWrites() {
+	_ = http.NewResponseController(a.w).SetWriteDeadline(time.Now()) // an error means that the connection is closed already
+}
+
 // CanStream reports whether the caller can tell the end of a stream from that of this process. HTTP/1.0 has no chunks.
 func (a *Answer) CanStream() bool {
 	_, flushes := a.w.(http.Flusher)
--- a/internal/entry/slow_caller_test.go
+++ b/internal/entry/slow_caller_test.go
@@ -75,3 +75,51 @@
 	require.EqualValues(t, 1, runs.Load())
 	require.Zero(t, stops.Load(), "the engine was asked to stop a stream that it was sending")
 }
+
+// TestSlowCallersKeepThePlacesOfIdleEngines guards against engines that count as full though they have sent all they had, because callers read slowly.
+func TestSlowCallersKeepThePlacesOfIdleEngines(t *testing.T) {
+	const (
+		slots  = 4
+		events = 150
+		size   = 2 << 10
+	)
+	d := newDeployment(t)
+	var running atomic.Int64
+	d.wrappedTarget("e1", platformtest.EngineService, func(w http.ResponseWriter, r *http.Request) bool {
+		if r.Header.Get("X-Token-Usage") == "" {
+			return false
+		}
+		running.Add(1)
+		defer running.Add(-1)
+		s := startRawStream(w, r, inChunks, 0)
+		for number := 1; number <= events; number++ {
+			s.write(fmt.Sprintf("id: %d\ndata: %s\n\n", number, strings.Repeat("x", size)))
+		}
+		s.end()
+		return true
+	}, "")
+	d.Store.Put("servers", "e1", slotsEntry(d, "e1", slots))
+	d.configure("key-1")
+	v := d.start("vm-1", nil)
+	for range slots {
+		conn := slowConn(t, v.callerAddress)
+		require.NoError(t, v.generation("/letters/1", events, 1).Write(conn))
+		_, err := conn.Read(make([]byte, 1))
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool { return running.Load() == 0 }, waitTimeout, pollInterval)
+	time.Sleep(300 * time.Millisecond)
+	response, _ := v.do(v.generation("/letters/1", events, 1))
+	require.Equal(t, http.StatusOK, response.StatusCode, "refused though the engine is idle")
+}
+
+// slotsEntry returns the registry entry of a target with another number of places.
+func slotsEntry(d *deployment, id string, slots int) map[string]any {
+	for _, target := range d.Targets() {
+		if target.ID == id {
+			target.Slots = slots
+			return target.RegistryEntry(platformtest.EngineService, zone, "ready")
+		}
+	}
+	return nil
+}
--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -76,6 +76,12 @@
 	r.raw = nil
 }
 
+// Detach leaves the last event to its user: it stays valid after the next call of Next, and is not accounted for any more.
+func (r *Reader) Detach() {
+	r.holder.Shrink(cap(r.raw))
+	r.raw = nil
+}
+
 // Close ends the use of the reader and of the last event.
 func (r *Reader) Close() { r.release() }
 
--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -6,7 +6,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"godwitcart/internal/eventstream"
 	"godwitcart/internal/placement"
 )
 
@@ -86,17 +85,17 @@
 	if err := s.caller.CheckHead(s.headOf(response)); err != nil {
 		return rejectBackup(next, response, err)
 	}
-	next.startReading(response)
+	next.reading = newReading(response)
 	for {
-		event, err := next.events.Next()
+		got, err := next.reading.next()
 		switch {
 		case err != nil:
 			return rejectBackup(next, response, errors.Wrap(err, "the answer of the backup brought no event"))
-		case event.IsComment || event.ID == "":
-		case !s.caller.MayFollow(event.ID):
-			return rejectBackup(next, response, errors.Newf("the backup went on with event %q", event.ID))
+		case got.event.IsComment || got.event.ID == "":
+		case !s.caller.MayFollow(got.event.ID):
+			return rejectBackup(next, response, errors.Newf("the backup went on with event %q", got.event.ID))
 		default:
-			next.first, next.response = &event, response
+			next.reading.first, next.response = &got, response
 			return nil
 		}
 	}
@@ -104,34 +103,17 @@
 
 // rejectBackup closes an answer of the backup with which the generation does not go on.
 func rejectBackup(next *continuation, response *answer, cause error) *attemptError {
-	next.stopReading()
-	next.response, next.first = nil, nil
+	next.closeReading()
+	next.response = nil
 	response.trial.Done()
 	response.Close(true)
 	return &attemptError{outcome: placement.Failed, cause: cause}
 }
 
-// startReading prepares the events of the response for nextEvent, unless that has been done.
-func (c *continuation) startReading(response *answer) {
-	if c.events == nil {
-		c.events = eventstream.NewReader(response, response)
+// closeReading ends the use of the response, if it has begun.
+func (c *continuation) closeReading() {
+	if c.reading != nil {
+		c.reading.close()
+		c.reading = nil
 	}
 }
-
-// stopReading ends the use of the events.
-func (c *continuation) stopReading() {
-	if c.events != nil {
-		c.events.Close()
-		c.events = nil
-	}
-}
-
-// nextEvent returns the next event of the response, which is valid until the next call.
-func (c *continuation) nextEvent() (eventstream.Event, error) {
-	if c.first != nil {
-		event := *c.first
-		c.first = nil
-		return event, nil
-	}
-	return c.events.Next()
-}
--- a/internal/forward/lastcopy.go
+++ b/internal/forward/lastcopy.go
@@ -74,15 +74,14 @@
 // minEventWait is the least time for which the VM has waited for an event that had not arrived before.
 const minEventWait = time.Millisecond
 
-// refuteStops records that an event has arrived for which the VM has waited since the given time. One that was there at once may have
-// been made before.
-func (s *stream) refuteStops(awaitedSince time.Time) {
-	if time.Since(awaitedSince) < minEventWait {
+// refuteStops records that an event has arrived. One that was there at once may have been made before the VM began to wait for it.
+func (s *stream) refuteStops(got arrival) {
+	if got.waited < minEventWait {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stops.recordEvent(awaitedSince)
+	s.stops.recordEvent(got.awaitedSince)
 }
 
 // stopsOf returns the record of calls to the target if it is the current one, else nil: a call to a target that has been left says
--- /dev/null
+++ b/internal/forward/reading.go
@@ -0,0 +1,230 @@
+package forward
+
+import (
+	"bytes"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"godwitcart/internal/eventstream"
+)
+
+const (
+	// slowCallerTime is how long a caller may take for an event until the next ones are read meanwhile.
+	slowCallerTime = 100 * time.Millisecond
+	// maxAheadBytes bounds the events of one stream that are read and wait for the caller. It holds a long generation whole; the
+	// memory of all of them is bounded by the budget for answers.
+	maxAheadBytes = 1 << 20
+)
+
+// closedUnread is why the connection to an engine is closed whose answer is not read to its end, for the log.
+const closedUnread = "the stream has ended"
+
+var errNotRead = errors.New("the answer is not read any more")
+
+// arrival is an event of an answer. The VM has waited for it since awaitedSince.
+type arrival struct {
+	event        eventstream.Event
+	awaitedSince time.Time
+	waited       time.Duration
+}
+
+// reading reads the events of one answer for the relay. Once a caller takes an event slowly, the following ones are read ahead: the
+// engine is not held up, its place becomes free with the end of its answer, and it does not cut the answer off as unread.
+//
+// Invariant: events is used by the relay until ahead is set, and by the goroutine of ahead from then on.
+type reading struct {
+	response *answer
+	events   *eventstream.Reader
+	// first was read before the relay began; nil for none.
+	first *arrival
+	// ended is called when the answer was read to its end while events of it wait for the caller.
+	ended func()
+
+	mu sync.Mutex
+	// isSending is set while the caller takes an event, and timer ends slowCallerTime.
+	isSending, isClosed bool
+	timer               *time.Timer
+	ahead               *readAhead
+}
+
+func newReading(response *answer) *reading {
+	return &reading{response: response, events: eventstream.NewReader(response, response), ended: func() {}}
+}
+
+// next returns the next event, which is valid until the next call.
+func (r *reading) next() (arrival, error) {
+	if first := r.first; first != nil {
+		r.first = nil
+		return *first, nil
+	}
+	r.mu.Lock()
+	ahead := r.ahead
+	r.mu.Unlock()
+	if ahead != nil {
+		return ahead.pop()
+	}
+	return r.read()
+}
+
+func (r *reading) read() (arrival, error) {
+	since := time.Now()
+	event, err := r.events.Next()
+	return arrival{event: event, awaitedSince: since, waited: time.Since(since)}, err
+}
+
+// while calls pass, which passes the last event on to the caller. If that takes long, reading ahead begins.
+func (r *reading) while(pass func() error) error {
+	r.setSending(true)
+	defer r.setSending(false)
+	return pass()
+}
+
+func (r *reading) setSending(isSending bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isSending = isSending
+	switch {
+	case r.ahead != nil:
+	case !isSending:
+		r.timer.Stop()
+	case r.timer == nil:
+		r.timer = time.AfterFunc(slowCallerTime, r.beginAhead)
+	default:
+		r.timer.Reset(slowCallerTime)
+	}
+}
+
+func (r *reading) beginAhead() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.isSending || r.isClosed || r.ahead != nil {
+		return
+	}
+	r.events.Detach() // the caller still takes the last event
+	r.ahead = newReadAhead(r.response)
+	go r.readAhead(r.ahead)
+}
+
+func (r *reading) readAhead(ahead *readAhead) {
+	for {
+		got, err := r.read()
+		if err == nil {
+			got.event.Raw = bytes.Clone(got.event.Raw)
+			err = ahead.push(got)
+		}
+		if err != nil {
+			ahead.end(err)
+			r.ended()
+			return
+		}
+	}
+}
+
+// close ends the reading. An answer that is still read ahead is given up.
+func (r *reading) close() {
+	r.mu.Lock()
+	r.isClosed = true
+	ahead := r.ahead
+	r.mu.Unlock()
+	if ahead != nil {
+		ahead.stop(func() { r.response.CloseConnection(closedUnread) })
+	}
+	r.events.Close()
+}
+
+// readAhead holds events that wait for a slow caller. What they take is accounted for with their answer.
+type readAhead struct {
+	response *answer
+	// over is closed when the answer is not read any more.
+	over chan struct{}
+
+	mu      sync.Mutex
+	changed *sync.Cond
+	waiting []arrival
+	// held is the size of the waiting events and of the one that was taken last, whose size is taken.
+	held, taken int
+	isStopped   bool
+	// err is how the answer has ended; nil while it is read.
+	err error
+}
+
+func newReadAhead(response *answer) *readAhead {
+	a := &readAhead{response: response, over: make(chan struct{})}
+	a.changed = sync.NewCond(&a.mu)
+	return a
+}
+
+// push adds an event, once there is room for it. One event has room as it has without reading ahead.
+func (a *readAhead) push(got arrival) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	size := len(got.event.Raw)
+	for a.held > 0 && !a.isStopped && (a.held+size > maxAheadBytes || !a.response.GrowIfSpare(size)) {
+		a.changed.Wait()
+	}
+	if a.isStopped {
+		return errNotRead
+	}
+	if a.held == 0 {
+		if err := a.response.Grow(size); err != nil {
+			return err
+		}
+	}
+	a.held += size
+	a.waiting = append(a.waiting, got)
+	a.changed.Broadcast()
+	return nil
+}
+
+// pop takes the next event, or returns how the answer has ended after the last one.
+func (a *readAhead) pop() (arrival, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.release(a.taken)
+	a.taken = 0
+	for len(a.waiting) == 0 && a.err == nil {
+		a.changed.Wait()
+	}
+	if len(a.waiting) == 0 {
+		return arrival{}, a.err
+	}
+	next := a.waiting[0]
+	a.waiting[0] = arrival{}
+	a.waiting = a.waiting[1:]
+	a.taken = len(next.event.Raw)
+	return next, nil
+}
+
+// release requires mu.
+func (a *readAhead) release(size int) {
+	a.response.Shrink(size)
+	a.held -= size
+	a.changed.Broadcast()
+}
+
+func (a *readAhead) end(err error) {
+	a.mu.Lock()
+	a.err = err
+	a.changed.Broadcast()
+	a.mu.Unlock()
+	close(a.over)
+}
+
+// stop ends the reading, by abort if the answer has not ended, and forgets the events that wait.
+func (a *readAhead) stop(abort func()) {
+	a.mu.Lock()
+	a.isStopped = true
+	hasEnded := a.err != nil
+	a.changed.Broadcast()
+	a.mu.Unlock()
+	if !hasEnded {
+		abort()
+	}
+	<-a.over
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.release(a.held)
+	a.waiting, a.taken = nil, 0
+}
--- a/internal/forward/release.go
+++ b/internal/forward/release.go
@@ -54,7 +54,7 @@
 	}
 	next.lease.Done(placement.Canceled, time.Now())
 	if next.response != nil {
-		next.stopReading()
+		next.closeReading()
 		next.response.Close(true)
 		next.cancel()
 		s.leaveUnused(next.lease.Target)
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -32,7 +32,6 @@
 // watchSilence begins the wait for the next event, and starts the timer that ends it. Only a stream with a backup has one. The
 // caller must be the relay.
 func (s *stream) watchSilence(lease *placement.Lease) {
-	s.awaitingSince = time.Now()
 	limit, known := silenceLimit(s.gaps, s.route.MaxGap)
 	if !known || !s.hasUsableBackup() {
 		return
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -11,7 +11,6 @@
 
 	"godwitcart/internal/apierror"
 	"godwitcart/internal/delivery"
-	"godwitcart/internal/eventstream"
 	"godwitcart/internal/placement"
 	"godwitcart/internal/roster"
 	"godwitcart/internal/upstream"
@@ -27,11 +26,9 @@
 	// firstEventDelay is the time from the request's arrival to its first event, and longestGap the longest time
 	// between two events.
 	firstEventDelay, longestGap time.Duration
-	// gaps, awaitingSince and silenceTimer are used by the relay only. gaps are the times that the relay has waited for events, and
-	// awaitingSince is when the wait for the next one began.
-	gaps          smoothed
-	awaitingSince time.Time
-	silenceTimer  *time.Timer
+	// gaps and silenceTimer are used by the relay only. gaps are the times that the VM has waited for events.
+	gaps         smoothed
+	silenceTimer *time.Timer
 
 	// mu guards writes to events and the fields below, which the relay shares with the evacuation of a leaving target.
 	mu       sync.Mutex
@@ -71,12 +68,10 @@
 	from  *KVCacheRef
 	// source is the engine that was stopped for a move and keeps the memory; nil if the generation was not moved.
 	source *roster.Target
-	// response is the target's response if the call has been sent already, and cancel aborts it. events reads it, and first is its
-	// first event, which has not been passed on.
+	// response is the target's response if the call has been sent already, and cancel aborts it. reading reads it, once that has begun.
 	response *answer
 	cancel   context.CancelFunc
-	events   *eventstream.Reader
-	first    *eventstream.Event
+	reading  *reading
 }
 
 // serveStream serves a call whose response is a stream of events.
@@ -92,6 +87,13 @@
 	}
 	s := &stream{exchange: x, ctx: ctx, stops: &stopCalls{}}
 	defer s.release()
+	// A caller that takes nothing any more would hold what the stream holds for as long as it stays.
+	keepWriting := context.AfterFunc(ctx, func() {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			x.caller.EndWrites()
+		}
+	})
+	defer keepWriting()
 	for {
 		next, err := s.nextAttempt(ctx)
 		if err != nil {
@@ -173,7 +175,7 @@
 	}
 	source, err := s.caller.From(next.lease.Target.ID, s.headOf(response))
 	if err != nil {
-		next.stopReading()
+		next.closeReading()
 		return s.rejectContinuation(next.lease, response, err)
 	}
 	if response.StatusCode/100 != 2 {
@@ -314,17 +316,20 @@
 // relay forwards events as they arrive, until the target's response ends.
 func (s *stream) relay(next *continuation, response *answer, source *delivery.Source) error {
 	lease := next.lease
-	next.startReading(response)
-	defer next.events.Close()
+	if next.reading == nil {
+		next.reading = newReading(response)
+	}
+	next.reading.ended = func() { s.releaseEnded(lease, response) }
+	defer next.closeReading()
 	for {
-		awaitedSince := time.Now()
-		event, err := next.nextEvent()
+		got, err := next.reading.next()
 		if err == io.EOF {
 			return nil
 		}
 		if err != nil {
 			return err
 		}
+		event := got.event
 		if event.IsComment {
 			// A comment is no progress: an engine that sends nothing else is silent.
 			if err := source.SendComment(event.Raw); err != nil {
@@ -340,12 +345,12 @@
 		if !isNew {
 			continue
 		}
-		s.refuteStops(awaitedSince)
+		s.refuteStops(got)
 		if !s.versionFixed {
 			s.fixVersion(lease)
 		}
-		s.recordEvent(lease)
-		if err := s.sendEvent(source, admitted); err != nil {
+		s.recordEvent(lease, got.waited)
+		if err := next.reading.while(func() error { return s.sendEvent(source, admitted) }); err != nil {
 			return err
 		}
 		s.watchSilence(lease)
@@ -367,8 +372,19 @@
 	s.isSending = isSending
 }
 
-// recordEvent updates the metrics, the lease and the log for an event.
-func (s *stream) recordEvent(lease *placement.Lease) {
+// releaseEnded frees the place at a target, and at the backup, whose answer was read to its stated end while events wait for the
+// caller.
+func (s *stream) releaseEnded(lease *placement.Lease, response *answer) {
+	if !response.End().IsStated() || s.wasAskedToStop() {
+		return
+	}
+	lease.Done(placement.Answered, time.Now())
+	s.releaseBackup(true)
+	s.log("engine's answer read to its end, its caller still takes events", "target", lease.Target.ID)
+}
+
+// recordEvent updates the metrics, the lease and the log for an event for which the relay has waited.
+func (s *stream) recordEvent(lease *placement.Lease, waited time.Duration) {
 	now := time.Now()
 	s.mu.Lock()
 	s.events++
@@ -404,7 +420,7 @@
 		}
 	}
 	if !isFirstOfTarget {
-		s.gaps.observe(now.Sub(s.awaitingSince))
+		s.gaps.observe(waited)
 	}
 	s.lastEventAt = now
 }
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -153,6 +153,24 @@
 	}
 }
 
+// spareShare is the part of the limit up to which memory is taken for what could wait where it is.
+const spareShare = 0.5
+
+// GrowIfSpare adds bytes to the holding and reports true if that leaves the rest of spareShare free. Nothing is given up for it.
+func (h *Holding) GrowIfSpare(bytes int64) bool {
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	added := h.charged(h.held+bytes) - h.charged(h.held)
+	if h.wasGivenUp || float64(b.clients+b.answers+added) > spareShare*float64(b.limit) {
+		return false
+	}
+	h.held += bytes
+	b.charge(h, added)
+	b.updateCandidate(h)
+	return true
+}
+
 // tryGrow is one try of GrowNow. It returns a holding that is to be given up first, if there is one.
 func (h *Holding) tryGrow(bytes int64, force bool) (victim *Holding, released <-chan struct{}, err error) {
 	b := h.budget
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -251,3 +251,17 @@
 	users.Wait()
 	require.Zero(t, b.Used())
 }
+
+// TestSpareMemoryIsTakenFromNobody guards against answers that are given up for what could wait at its engine.
+func TestSpareMemoryIsTakenFromNobody(t *testing.T) {
+	b := membudget.New(8 << 20)
+	other := b.Answer(func() { t.Error("an answer was given up") })
+	require.NoError(t, other.Grow(3<<20))
+	h := b.Answer(func() { t.Error("the answer was given up") })
+	require.True(t, h.GrowIfSpare(512<<10))
+	require.False(t, h.GrowIfSpare(2<<20), "half of the memory is in use")
+	require.EqualValues(t, 512<<10, h.Held())
+	h.Release()
+	other.Release()
+	require.Zero(t, b.Used())
+}
