placement: reports of silent peers lapse by time alone

What callers saw: after two of three VMs were lost, the last one refused every generation with 503 for as long as it was watched, at engines that had nothing to do; plain requests were served. Cause: a report counts for 3 s, but expired ones were dropped only while a digest of another VM was handled. The last VM of a fleet, or of a part that is cut off, hears none: loads, demands for memory, waiting VMs and zone totals of lost VMs counted until a restart, and requests that waited for that capacity were not woken. Change: each decision that counts what peers reported drops what has expired at its time; so do the totals that a zone tells others, the order of moves and the time to return of refused callers. One comparison tells whether any report may have expired. The send loop of fleet does the same for requests that wait and that no digest wakes. A peer that reports again after its report has expired no longer counts as having released memory. Ruled out: nothing else that a peer says is kept until a message arrives. Words on unreachable targets and evacuations bear times, fleet.expire runs by time, and elections and ranks skip peers that are silent. Zone totals that several readers of a zone relay to each other are another fault, which this does not mend. ZoneLoads and TokensAhead take the time, and the tests that call them pass it.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -267,6 +267,7 @@
 		}
 		now := time.Now()
 		f.expire(now)
+		f.options.Table.ExpirePeerReports(now)
 		f.coordinateLimits(now)
 		loads := f.options.Table.OwnLoads()
 		if !urgent && maps.Equal(loads, lastLoads) && now.Sub(sentAt) < f.idleTime(now) {
--- a/internal/fleet/large_test.go
+++ b/internal/fleet/large_test.go
@@ -376,7 +376,7 @@
 		known := func(zone int) (count, total int) {
 			for i := zone; i < len(l.tables); i += 3 {
 				total++
-				if l.tables[i].ZoneLoads("zone-2")[engine].Requests == 1 {
+				if l.tables[i].ZoneLoads("zone-2", time.Now())[engine].Requests == 1 {
 					count++
 				}
 			}
@@ -391,11 +391,29 @@
 		l.fleets[vm].SendSoon()
 		time.Sleep(4 * time.Second)
 		for i := 2; i < len(l.tables); i += 3 {
-			require.Zero(t, l.tables[i].ZoneLoads("zone-2")[engine].Requests)
+			require.Zero(t, l.tables[i].ZoneLoads("zone-2", time.Now())[engine].Requests)
 		}
 	})
 }
 
+// TestRequestsOfTheLastVMWaitForLostOnes guards against requests that wait at the last VM for capacity that lost VMs had taken: no
+// digest wakes them any more.
+func TestRequestsOfTheLastVMWaitForLostOnes(t *testing.T) {
+	runLargeFleet(t, 1, 1, func(l *largeFleet) {
+		loads := make(map[string]placement.Load)
+		for i := range enginesPerZone {
+			loads[fmt.Sprintf("i-%010d", i)] = placement.Load{Requests: 24, MemoryTokens: 33000}
+		}
+		reportedAt := time.Now()
+		l.tables[0].SetPeerLoads(placement.Sender{VM: "vm-lost", Zone: zoneName(0)}, loads, reportedAt)
+		query := placement.Query{Service: "drafter", MemoryTokens: 33000, PromptTokens: 3000, OutputTokens: 400}
+		lease, err := l.tables[0].Acquire(context.Background(), query, 10*time.Second)
+		require.NoError(t, err)
+		require.Less(t, time.Since(reportedAt), 3500*time.Millisecond, "the report counts for three seconds")
+		lease.Done(placement.Answered, time.Now())
+	})
+}
+
 // TestAllVMsOfACutZoneRetryAsLeaders guards against a zone that is cut off from the platform and in which each VM, since no
 // other can read, calls the platform as often as the leader.
 func TestAllVMsOfACutZoneRetryAsLeaders(t *testing.T) {
--- a/internal/fleet/send.go
+++ b/internal/fleet/send.go
@@ -48,7 +48,7 @@
 		zoneTotal.ZoneTotal = true
 		zoneTotal.VMCount = f.zoneSize(now)
 		zoneTotal.WaitingVMs += f.waitingPeers(now)
-		zoneTotal.Loads = packLoads(f.options.Table.ZoneLoads(f.options.Self.Zone))
+		zoneTotal.Loads = packLoads(f.options.Table.ZoneLoads(f.options.Self.Zone, now))
 	}
 	f.mu.Unlock()
 	version, proof := f.options.Configuration.Proof()
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -74,10 +74,10 @@
 // awaitTurn waits until no generation of another VM is to move before the given number of this VM, the first of which is s.
 // It waits at most for as long as moving those takes.
 func (f *Forwarder) awaitTurn(s *stream, streams int, leaving roster.Target, noticedAt time.Time) {
-	tokensAhead := f.options.Table.TokensAhead(leaving.ID)
+	tokensAhead := f.options.Table.TokensAhead(leaving.ID, time.Now())
 	wait := min(transferTime(s.service.Engine, tokensAhead), minNoticeTime)
 	s.log("move waits for those of other VMs", "target", leaving.ID, "streams", streams, "tokens_ahead", tokensAhead, "wait_ms", wait.Milliseconds())
-	for time.Since(noticedAt) < wait && f.options.Table.TokensAhead(leaving.ID) > 0 {
+	for time.Since(noticedAt) < wait && f.options.Table.TokensAhead(leaving.ID, time.Now()) > 0 {
 		if !pause.For(s.ctx, turnCheckInterval) {
 			return
 		}
--- a/internal/placement/loads.go
+++ b/internal/placement/loads.go
@@ -4,15 +4,16 @@
 	"time"
 )
 
-// SetPeerLoads replaces the loads that the peer reported, and drops the reports of other peers that have expired.
+// SetPeerLoads replaces the loads that the peer reported.
 func (t *Table) SetPeerLoads(peer Sender, loads map[string]Load, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expirePeerReports(now)
 	previous := t.peerLoads[peer]
 	t.recordReleases(previous.loads, loads, now)
 	t.removePeer(peer)
-	t.expirePeerLoads(now)
 	t.peerLoads[peer] = peerReport{receivedAt: now, loads: loads, waitingVMs: previous.waitingVMs, demands: previous.demands}
+	t.reportsExpireAt = earlier(t.reportsExpireAt, now.Add(peerLoadTTL))
 	if peer.VM == "" {
 		t.zoneAggregates++
 	}
@@ -20,19 +21,42 @@
 	t.wakeWaiters()
 }
 
-// expirePeerLoads drops the reports that have expired. It looks for them at intervals, since reports arrive many times a
-// second. The caller holds the lock.
-func (t *Table) expirePeerLoads(now time.Time) {
-	if now.Sub(t.peerLoadsCheckedAt) < peerLoadCheckInterval {
+// ExpirePeerReports drops the reports that have expired and wakes the requests that wait for capacity. A VM that hears no
+// peer any more has no other event to wake them.
+func (t *Table) ExpirePeerReports(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expirePeerReports(now)
+}
+
+// expirePeerReports is ExpirePeerReports with the lock held by the caller. Each decision that counts what peers reported calls
+// it, so that reports lapse by time alone. It looks at them only if one may have expired.
+func (t *Table) expirePeerReports(now time.Time) {
+	if now.Before(t.reportsExpireAt) {
 		return
 	}
-	t.peerLoadsCheckedAt = now
+	t.reportsExpireAt = now.Add(peerLoadTTL)
+	hasExpired := false
 	for sender, report := range t.peerLoads {
-		if now.Sub(report.receivedAt) > peerLoadTTL {
-			t.removePeer(sender)
-			t.addPeerDemand(report.demands, -1, now)
+		expiresAt := report.receivedAt.Add(peerLoadTTL)
+		if !now.After(expiresAt) {
+			t.reportsExpireAt = earlier(t.reportsExpireAt, expiresAt)
+			continue
 		}
+		hasExpired = true
+		t.removePeer(sender)
+		t.addPeerDemand(report.demands, -1, now)
+	}
+	if hasExpired {
+		t.wakeWaiters()
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
 	}
+	return a
 }
 
 // SetPeerWaiting records how many of the VMs that the peer's last report covers have requests that wait for capacity.
@@ -116,9 +140,10 @@
 }
 
 // ZoneLoads returns the loads that this VM and its peers have placed on the targets of the zone.
-func (t *Table) ZoneLoads(zone string) map[string]Load {
+func (t *Table) ZoneLoads(zone string, now time.Time) map[string]Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expirePeerReports(now)
 	loads := make(map[string]Load)
 	for id, current := range t.targets {
 		if load := current.ownLoad.Plus(current.peerLoad); current.Zone == zone && load != (Load{}) {
--- a/internal/placement/other.go
+++ b/internal/placement/other.go
@@ -11,6 +11,7 @@
 func (t *Table) OtherTarget(service string, excluded roster.Target, now time.Time) (roster.Target, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expirePeerReports(now)
 	s := t.services[service]
 	if s == nil {
 		return roster.Target{}, false
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -87,6 +87,7 @@
 func (t *Table) Pick(q Query, now time.Time) (*Lease, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expirePeerReports(now)
 	s := t.services[q.Service]
 	if s == nil {
 		return nil, apierror.Newf(apierror.KindNotRun, "come back after the time given", "no target of service %q is known", q.Service)
@@ -255,6 +256,7 @@
 func (t *Table) PickTarget(wanted roster.Target, q Query, now time.Time) (*Lease, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expirePeerReports(now)
 	q.Excluded = nil // a target that failed an earlier attempt still holds the memory
 	current := t.targets[wanted.ID]
 	if current == nil || !current.SameIncarnation(wanted) || !q.accepts(current, now) || !q.Copy && t.takesNoTransfers(current, now) && !t.limits.MayTake(current.Target, now) {
@@ -267,6 +269,7 @@
 func (t *Table) ReserveLeaving(wanted roster.Target, q Query, now time.Time) *Lease {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expirePeerReports(now)
 	current := t.targets[wanted.ID]
 	if current == nil || !current.SameIncarnation(wanted) {
 		current = &target{Target: wanted, leaving: true, service: &service{prefillRate: defaultPrefillRate}}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -180,8 +180,8 @@
 	onLoadChange func()
 	limits       Limiter
 	peerLoads    map[Sender]peerReport
-	// peerLoadsCheckedAt is when expired entries of peerLoads were last dropped.
-	peerLoadsCheckedAt time.Time
+	// reportsExpireAt is a time until which no entry of peerLoads expires.
+	reportsExpireAt time.Time
 	// zoneAggregates counts the entries of peerLoads that are totals of a whole zone.
 	zoneAggregates int
 	// recordedVersions holds what SetRecordedVersions has named, by service.
@@ -250,8 +250,6 @@
 const (
 	// peerLoadTTL is how long a peer's report counts; a stopped VM sends no more reports.
 	peerLoadTTL = 3 * time.Second
-	// peerLoadCheckInterval is the time between two checks for reports that have expired.
-	peerLoadCheckInterval = 100 * time.Millisecond
 )
 
 // NewTable returns a Table without targets.
@@ -299,6 +297,7 @@
 			delete(t.targets, id)
 		}
 	}
+	t.expirePeerReports(now)
 	t.regroupTargets(now)
 	t.wakeWaiters()
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -310,7 +310,7 @@
 		tableB := newTestTable("vm-2", 2, engine(id, zoneA))
 		tableA.SetPeerLoads(Sender{VM: "vm-2", Zone: zoneA}, map[string]Load{id: {MemoryTokens: 20}}, startTime)
 		tableB.SetPeerLoads(Sender{VM: "vm-1", Zone: zoneA}, map[string]Load{id: {MemoryTokens: 10}}, startTime)
-		aheadOfA, aheadOfB := tableA.TokensAhead(id), tableB.TokensAhead(id)
+		aheadOfA, aheadOfB := tableA.TokensAhead(id, startTime), tableB.TokensAhead(id, startTime)
 		require.True(t, aheadOfA == 0 && aheadOfB == 10 || aheadOfA == 20 && aheadOfB == 0)
 		if aheadOfA == 0 {
 			first["vm-1"]++
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -141,6 +141,7 @@
 func (t *Table) pickOrEnqueue(q *Query, maxWait time.Duration, now time.Time) (*Lease, *waiter, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expirePeerReports(now)
 	s := t.services[q.Service]
 	if s == nil {
 		return nil, nil, apierror.Newf(apierror.KindNotRun, "come back after the time given", "no target of service %q is known", q.Service)
@@ -201,6 +202,7 @@
 func (t *Table) pickIfFirst(q *Query, w *waiter, now time.Time) (*Lease, <-chan struct{}, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expirePeerReports(now)
 	s := t.services[q.Service]
 	if s.queueOf(q).head(now) != w {
 		return nil, t.capacityChanged, apierror.Newf(apierror.KindOverloaded, "come back after the time given", "service %q has no room, and other requests go before this one", q.Service)
--- a/internal/placement/release.go
+++ b/internal/placement/release.go
@@ -50,6 +50,7 @@
 func (t *Table) ReturnAfter(q Query, now time.Time) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expirePeerReports(now)
 	s := t.services[q.Service]
 	if s == nil || q.MemoryTokens == 0 || !s.objectivesCompete() {
 		return 0, false
--- a/internal/placement/transfer_order.go
+++ b/internal/placement/transfer_order.go
@@ -3,14 +3,16 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"time"
 )
 
 // TokensAhead returns the memory at the target of the generations of other VMs that move before those of this VM.
 // Concurrent copies share the link of the leaving engine and could all arrive too late, so the VMs copy in order.
 // Each VM computes the order on its own; it differs by target.
-func (t *Table) TokensAhead(id string) int {
+func (t *Table) TokensAhead(id string, now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expirePeerReports(now)
 	tokens := 0
 	for sender, report := range t.peerLoads {
 		if load, found := report.loads[id]; found && precedes(sender, t.self, id) {
--- a/internal/placement/turns.go
+++ b/internal/placement/turns.go
@@ -14,6 +14,7 @@
 func (t *Table) turnWait(q *Query, w *waiter, now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expirePeerReports(now)
 	unknown := 0
 	for _, report := range t.peerLoads {
 		if len(report.demands) == 0 || !w.byObjective {
