platform, inforce: silent connections to the store hold up no newer state

What callers saw: after the open connections between the VMs and the store had gone silent once, requests ran at the service that their route had left, and with a key that had been withdrawn, up to a second later than the bound by VMs in touch. Cause: reads shared a pool of four idle connections. A call that timed out closed its own only, so that the next one was sent on the next silent one. Between the two a VM that hears proofs of peers, and so is not the leader of its zone, waits for one to two seconds (followers of evacuations: four to eight). A call in progress may still be on one that goes silent: the first call that ends so after an answer is repeated at once, in inforce, roster and evacuation; any later failure waits as before. The number of calls is unchanged while it answers (by reading); in an outage each VM makes up to three more in all. Ruled out: closing idle connections after a timeout, as upstream does, still costs a call (1 s) and a wait (1 to 2 s) for each outage, which is beyond the bound. A second call beside a late one would be paid for whenever the store is slow. Left: a watch in progress is given up a second after its wait, 3 s after it was sent, unless TCP keep-alive ends it; and what was removed from the list meanwhile stays a last choice for 2.2 s, as after an outage.

--- a/internal/evacuation/evacuation_test.go
+++ b/internal/evacuation/evacuation_test.go
@@ -183,6 +183,23 @@
 	})
 }
 
+// TestEvacuationWaitsForRetryAfterSilentWatch guards against a VM that learns of an evacuation seconds late since its watch was on a
+// connection that went silent. The calls after an outage stay rare.
+func TestEvacuationWaitsForRetryAfterSilentWatch(t *testing.T) {
+	const silence = 3 * time.Second
+	run(t, func(f *fixture) {
+		f.isLeader.Store(false)
+		f.store.SilenceWatches(silence)
+		f.put("a") // ends the first watch
+		f.requireAfter(0, "a")
+		watches := f.store.Count(objecttest.OpWatch)
+		f.requireAfter(silence, "a")
+		require.Equal(t, watches+1, f.store.Count(objecttest.OpWatch), "the watch is repeated at once")
+		f.requireAfter(silence+3*time.Second, "a")
+		require.Equal(t, watches+1, f.store.Count(objecttest.OpWatch), "the second failure is followed by a wait")
+	})
+}
+
 // TestVMBecomesReader checks that a VM whose reader has fallen silent reads the store in time, though its relaxed watch has
 // brought nothing.
 func TestVMBecomesReader(t *testing.T) {
--- a/internal/evacuation/follower.go
+++ b/internal/evacuation/follower.go
@@ -68,8 +68,9 @@
 // Run follows the objects until ctx is done. After a failure it continues from the last revision.
 func (f *Follower) Run(ctx context.Context) error {
 	object.Follow(ctx, object.Followed{List: f.list, Watch: f.watch, Failed: func(ctx context.Context, err error) {
-		f.recordFailure(ctx, err)
-		f.awaitRetry(ctx)
+		if isFirst := f.recordFailure(ctx, err); !isFirst || !object.IsUnanswered(err) {
+			f.awaitRetry(ctx)
+		}
 	}})
 	return nil
 }
@@ -95,11 +96,14 @@
 	}
 }
 
-func (f *Follower) recordFailure(ctx context.Context, err error) {
-	if ctx.Err() == nil && !f.lost {
-		f.lost = true
-		f.options.Logger.Warn("dependency lost", "dependency", "zones in evacuation", "error", err)
+// recordFailure reports whether the failure is the first since the last answer.
+func (f *Follower) recordFailure(ctx context.Context, err error) (isFirst bool) {
+	if ctx.Err() != nil || f.lost {
+		return false
 	}
+	f.lost = true
+	f.options.Logger.Warn("dependency lost", "dependency", "zones in evacuation", "error", err)
+	return true
 }
 
 func (f *Follower) recordAnswer() {
--- a/internal/inforce/inforce.go
+++ b/internal/inforce/inforce.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 
 	"godwitcart/internal/boottime"
+	"godwitcart/internal/object"
 	"godwitcart/internal/pause"
 	"godwitcart/internal/policy"
 )
@@ -166,8 +167,10 @@
 	for ctx.Err() == nil {
 		readStarted := time.Now()
 		if err := p.read(ctx); err != nil {
-			p.recordFailure(ctx, err)
-			pause.For(ctx, p.retryWait())
+			isFirst := p.recordFailure(ctx, err)
+			if !isFirst || !object.IsUnanswered(err) {
+				pause.For(ctx, p.retryWait())
+			}
 			continue
 		}
 		p.waitUntilDue(ctx, readStarted)
@@ -221,12 +224,14 @@
 	return p.interval
 }
 
-func (p *Poller) recordFailure(ctx context.Context, err error) {
+// recordFailure reports whether the failure is the first since the last answer.
+func (p *Poller) recordFailure(ctx context.Context, err error) (isFirst bool) {
 	if ctx.Err() != nil || p.platformLost.Swap(true) {
-		return
+		return false
 	}
 	age, _ := p.ProofAge()
 	p.options.Logger.Warn("dependency lost", "dependency", "configuration", "proof_age_ms", age.Milliseconds(), "error", err)
+	return true
 }
 
 func (p *Poller) read(ctx context.Context) error {
--- a/internal/inforce/inforce_test.go
+++ b/internal/inforce/inforce_test.go
@@ -14,6 +14,7 @@
 
 	"godwitcart/internal/boottime"
 	"godwitcart/internal/inforce"
+	"godwitcart/internal/object"
 	"godwitcart/internal/pause"
 	"godwitcart/internal/policy"
 )
@@ -25,11 +26,17 @@
 	reads   atomic.Int64
 	// delay is how long a read takes.
 	delay time.Duration
+	// isSilent makes reads wait in vain for an answer.
+	isSilent atomic.Bool
 }
 
 // ReadConfiguration implements inforce.Reader.
 func (p *platform) ReadConfiguration(ctx context.Context) (*policy.RouteTable, error) {
 	p.reads.Add(1)
+	if p.isSilent.Load() {
+		<-ctx.Done()
+		return nil, object.NewUnavailableError(0, false, ctx.Err())
+	}
 	if p.delay > 0 && !pause.For(ctx, p.delay) {
 		return nil, ctx.Err()
 	}
@@ -106,6 +113,40 @@
 	})
 }
 
+// TestVersionWaitsForRetryAfterSilentRead guards against a version that is in force late at a VM that is not the leader of its zone,
+// since one read was on a connection that went silent. The reads after an outage stay rare.
+func TestVersionWaitsForRetryAfterSilentRead(t *testing.T) {
+	const readInterval = time.Second
+	synctest.Test(t, func(t *testing.T) {
+		source := &platform{}
+		source.version.Store(4)
+		poller := inforce.NewPoller(inforce.Options{
+			Reader: source, Logger: log.New(io.Discard), InForceWithin: inForceWithin, RevokedWithin: revokedWithin, IsZoneLeader: func() bool { return false },
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = poller.Run(ctx)
+		}()
+		synctest.Wait()
+		source.isSilent.Store(true)
+		time.Sleep(readInterval + 500*time.Millisecond) // a read is in progress
+		source.isSilent.Store(false)
+		source.version.Store(9)
+		time.Sleep(readInterval)
+		require.Equal(t, uint64(9), poller.Current().Version)
+
+		source.isSilent.Store(true)
+		time.Sleep(5 * time.Second)
+		reads := source.reads.Load()
+		time.Sleep(time.Minute)
+		require.LessOrEqual(t, source.reads.Load()-reads, int64(time.Minute/(2*readInterval)))
+		cancel()
+		<-done
+	})
+}
+
 // TestProofAgesDuringSuspension checks that the age of a proof includes the time for which the VM was suspended.
 func TestProofAgesDuringSuspension(t *testing.T) {
 	run(t, nil, func(poller *inforce.Poller, _ *platform, c *clock) {
--- a/internal/object/errors.go
+++ b/internal/object/errors.go
@@ -1,6 +1,7 @@
 package object
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -103,6 +104,9 @@
 		"the value of object %q has %d bytes, the limit is %d", e.Key, e.Size, e.Limit)
 }
 
+// IsUnanswered reports whether the call's time ran out. Its connection may have gone silent while new ones work.
+func IsUnanswered(err error) bool { return errors.Is(err, context.DeadlineExceeded) }
+
 // IsNotFound reports whether err's chain has a NotFoundError.
 func IsNotFound(err error) bool { return errors.HasType(err, (*NotFoundError)(nil)) }
 
--- a/internal/object/objecttest/store.go
+++ b/internal/object/objecttest/store.go
@@ -40,6 +40,8 @@
 type Fault struct {
 	// Unavailable fails the call without effect.
 	Unavailable bool
+	// Unanswered fails the call without effect once its time has run out, which is Delay.
+	Unanswered bool
 	// LoseRequest drops a write before it takes effect: the outcome is unknown to the writer.
 	LoseRequest bool
 	// LoseResponse drops the response of a write that took effect.
@@ -105,6 +107,16 @@
 	s.notify()
 }
 
+// SilenceWatches makes each watch from now on fail unanswered after the time.
+func (s *Store) SilenceWatches(timeout time.Duration) {
+	s.SetFaults(func(call Call) Fault {
+		if call.Op != OpWatch {
+			return Fault{}
+		}
+		return Fault{Unanswered: true, Delay: timeout}
+	})
+}
+
 // LoseResponses drops the responses of the next n writes, which take effect.
 func (s *Store) LoseResponses(n int) { s.injectWriteFaults(n, Fault{LoseResponse: true}) }
 
@@ -250,6 +262,9 @@
 	if err := ctx.Err(); err != nil {
 		return fault, object.NewUnavailableError(retryAfter, false, err)
 	}
+	if fault.Unanswered {
+		return fault, object.NewUnavailableError(retryAfter, false, context.DeadlineExceeded)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.outage || fault.Unavailable {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -175,7 +175,10 @@
 // if the platform has dropped its history since, or if a removal is due.
 func (f *Follower) Run(ctx context.Context) error {
 	object.Follow(ctx, object.Followed{List: f.list, Watch: f.watch, Failed: func(ctx context.Context, err error) {
-		f.recordFailure(ctx, err)
+		isFirst := f.recordFailure(ctx, err)
+		if isFirst && object.IsUnanswered(err) {
+			return
+		}
 		wait := pause.RetryWait(f.options.IsZoneLeader == nil || f.options.IsZoneLeader())
 		if !f.HasSynced() {
 			wait = min(wait, pause.StartRetryWait())
@@ -185,31 +188,6 @@
 	return nil
 }
 
-func (f *Follower) recordFailure(ctx context.Context, err error) {
-	if ctx.Err() != nil || f.platformLost {
-		return
-	}
-	f.platformLost = true
-	var age time.Duration
-	if !f.lastAnswerAt.IsZero() {
-		age = time.Since(f.lastAnswerAt)
-	}
-	f.options.Logger.Warn("dependency lost", "dependency", "list of targets", "age_ms", age.Milliseconds(), "error", err)
-}
-
-// recordAnswer records that the platform has answered. The first answer after an outage starts the time in which
-// targets may register again.
-func (f *Follower) recordAnswer(now time.Time) {
-	if !f.lastAnswerAt.IsZero() && f.platformLost && now.Sub(f.lastAnswerAt) > minOutage {
-		f.removalsDeferredUntil = now.Add(reRegistrationTime)
-	}
-	if f.platformLost {
-		f.platformLost = false
-		f.options.Logger.Info("dependency regained", "dependency", "list of targets")
-	}
-	f.lastAnswerAt = now
-}
-
 // list reads the whole list, removes the targets that are missing from it, and publishes the result. It returns the
 // revision from which to watch.
 func (f *Follower) list(ctx context.Context) (uint64, error) {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -242,6 +242,34 @@
 	})
 }
 
+// TestChangeWaitsForRetryAfterSilentWatch guards against a VM that learns of a change seconds late since its watch was on a connection
+// that went silent. The calls after an outage stay rare.
+func TestChangeWaitsForRetryAfterSilentWatch(t *testing.T) {
+	const silence = 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		f := &fixture{t: t, store: objecttest.NewStore(), listener: &listener{}, versions: make(map[string]uint64)}
+		f.put("e1", roster.Target{StartedAt: 1})
+		f.store.SilenceWatches(silence)
+		follower := roster.NewFollower(roster.Options{
+			Store: f.store, Prefix: prefix, Decode: decode, Listener: f.listener, Logger: log.New(io.Discard), IsZoneLeader: func() bool { return false },
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = follower.Run(ctx) }()
+		f.settle(time.Second)
+		f.put("e1", roster.Target{StartedAt: 1, Leaving: true})
+		f.settle(silence - time.Second)
+		require.Equal(t, 2, f.store.Count(objecttest.OpWatch), "the watch is repeated at once")
+		f.settle(silence + 500*time.Millisecond)
+		require.Equal(t, 2, f.store.Count(objecttest.OpWatch), "the second failure is followed by a wait")
+		f.store.SetFaults(nil)
+		f.settle(2 * time.Second)
+		require.Empty(t, f.listener.usable())
+		cancel()
+		<-done
+	})
+}
+
 // TestRemovalsAreDeferredAfterOutage checks that targets stay usable during an outage of the platform, that those
 // whose entries expired meanwhile stay for as long as live targets need to register again, and that those still
 // missing after that are removed.
