fleet: readers keep the totals of a lost zone alive no longer

What callers saw: not seen in a deployment; found by reading while the expiry of reports was mended. In a fleet above 128 VMs the targets of a lost zone would count as full at the other zones for as long as a zone there has two readers. Cause: readers relay the totals of other zones to their zone, and whoever hears them counts them as new. While the platform is away a zone has two readers for good (the leader and its deputy, which hears no fresh proof); they relay the totals to each other. Change: a reader relays the totals of a zone until 4 s after that zone has told them itself. Messages are unchanged; a reader of an earlier build that relays them hears nothing back. Test: TestReadersKeepTotalsOfLostZoneAlive; on the code before, the loads are still there 8 s after the only total, and it fails. Result: race tests of fleet pass, the fleets of 300 VMs among them.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -53,6 +53,8 @@
 	guestInterval = time.Second
 	// peerTimeout is the time without a digest after which a peer no longer counts as live.
 	peerTimeout = 2 * time.Second
+	// zoneTimeout is that time for the totals of another zone, whose reader may have to be replaced first.
+	zoneTimeout = 2 * peerTimeout
 	// freshProofShare is the maximum age of a reader's proof at which other VMs rely on that reader.
 	// readerTimeoutShare is how long they rely on it after a digest with such a proof. Both are shares of
 	// Options.InForceWithin. A reader renews its proof within about 0.6 of that bound. The rest of the bound is left
@@ -157,7 +159,9 @@
 	cutOff bool
 	// zoneTotal is set if loads are the totals of the peer's zone.
 	zoneTotal bool
-	vmCount   int
+	// toldAt is when the zone itself last told its totals; zero if only other VMs have relayed them.
+	toldAt  time.Time
+	vmCount int
 	// waitingVMs is the number of those VMs where requests wait for capacity.
 	waitingVMs int
 	loads      map[string]placement.Load
@@ -334,7 +338,7 @@
 			}
 		}
 	}
-	maps.DeleteFunc(f.zones, func(_ string, zone *peer) bool { return now.Sub(zone.heardAt) > 2*peerTimeout })
+	maps.DeleteFunc(f.zones, func(_ string, zone *peer) bool { return now.Sub(zone.heardAt) > zoneTimeout })
 	f.changes = slices.DeleteFunc(f.changes, func(c recentChange) bool { return now.Sub(c.recordedAt) > changeRepeatTime })
 	live := 1
 	for _, remote := range f.peers {
--- a/internal/fleet/receive.go
+++ b/internal/fleet/receive.go
@@ -42,7 +42,7 @@
 	f.mu.Lock()
 	f.peers[received.VM] = &peer{zone: received.Zone, rank: rank{capacity: received.Capacity, hash: nameHash(received.VM)}, heardAt: now, sequence: received.Sequence, reader: received.Reader, platformLost: received.PlatformLost, cutOff: received.CutOff, zoneTotal: received.ZoneTotal, waitingVMs: received.WaitingVMs, loads: loads, limitCoordinator: received.LimitCoordinator}
 	if received.ZoneTotal {
-		f.zones[received.Zone] = &peer{heardAt: now, vmCount: received.VMCount, loads: loads}
+		f.zones[received.Zone] = &peer{heardAt: now, toldAt: now, vmCount: received.VMCount, loads: loads}
 	}
 	for _, zone := range received.OtherZones {
 		f.storeZone(zone, now)
@@ -90,5 +90,9 @@
 
 // storeZone records the loads of another zone, as relayed by a reader. The caller holds mu.
 func (f *Fleet) storeZone(zone zoneLoads, now time.Time) {
-	f.zones[zone.Zone] = &peer{heardAt: now, vmCount: zone.VMCount, loads: unpackLoads(zone.Loads)}
+	stored := &peer{heardAt: now, vmCount: zone.VMCount, loads: unpackLoads(zone.Loads)}
+	if previous := f.zones[zone.Zone]; previous != nil {
+		stored.toldAt = previous.toldAt
+	}
+	f.zones[zone.Zone] = stored
 }
--- a/internal/fleet/send.go
+++ b/internal/fleet/send.go
@@ -38,7 +38,7 @@
 	out.Demands = packDemands(f.options.Table.OwnDemand(now))
 	if hasStatus {
 		f.statusSentAt = now
-		f.addStatus(&out)
+		f.addStatus(&out, now)
 	}
 	sendsTotal := len(crossZone) > 0 && hasStatus
 	// Each reader announces to its zone what it reads from the list itself. A change that it had heard from another zone
@@ -84,13 +84,17 @@
 	return target
 }
 
-// addStatus adds what a reader tells its zone besides the loads. The caller holds mu.
-func (f *Fleet) addStatus(out *digest) {
+// addStatus adds what a reader tells its zone besides the loads. Totals are relayed only while their zone tells them itself:
+// several readers would keep those of a lost zone alive among themselves. The caller holds mu.
+func (f *Fleet) addStatus(out *digest, now time.Time) {
 	out.Echoes = make(map[uint32]uint32, len(f.peers))
 	for _, remote := range f.peers {
 		out.Echoes[remote.rank.hash] = remote.sequence
 	}
 	for name, zone := range f.zones {
+		if now.Sub(zone.toldAt) > zoneTimeout {
+			continue
+		}
 		out.OtherZones = append(out.OtherZones, zoneLoads{Zone: name, VMCount: zone.vmCount, Loads: packLoads(zone.loads)})
 	}
 }
