object: a timeout ends the trust in the other kept connections

After all open connections to the platform had gone silent, a read failed though new connections worked. Cause: the client keeps up to 16 idle connections. An attempt that times out closes its own only, and each of the four attempts of a read took the next silent one. Change: after an attempt that got no answer in its time, the idle connections are closed. The number of calls is unchanged.

--- a/internal/object/client.go
+++ b/internal/object/client.go
@@ -234,6 +234,9 @@
 	}
 	response, err := c.options.HTTPClient.Do(request)
 	if err != nil {
+		if IsUnanswered(err) {
+			c.options.HTTPClient.CloseIdleConnections() // the others may be as silent
+		}
 		return err
 	}
 	defer response.Body.Close()
