forward: a move ends when its source cannot be reached

Change: a call that could not be sent ends the move, as it did before; one that was reset is tried again.

--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -6,10 +6,13 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"godwitcart/internal/pause"
 	"godwitcart/internal/placement"
 	"godwitcart/internal/policy"
 	"godwitcart/internal/roster"
+	"godwitcart/internal/upstream"
 )
 
 // Evacuate moves the running generations off a target that is leaving or whose zone is in evacuation. It does not wait for them.
@@ -193,7 +196,10 @@
 		}
 		lease.Done(placement.Canceled, time.Now())
 		s.recordMoveFailure(leaving, lease.Target.ID, err, "refused", result.Refused, "unknown", result.Unknown)
+		var notSent *upstream.NotSentError
 		switch {
+		case errors.As(err, &notSent): // the source cannot be reached, and holds the place at the destination up
+			return nil
 		case err != nil || result.Unknown: // a crowded engine resets new connections, and one may have preempted the generation
 			blocked()
 			pause.For(ctx, moveRetryDelay)
