forward: an engine that refuses to go on from its memory is asked again

Cause: after the destination of a move had refused, the source was asked once to go on from what it keeps. A refusal ended the stream, though a refused request does not use the memory (PROTOCOL.md) and a crowded engine may have room a moment later.

--- a/internal/entry/given_up_test.go
+++ b/internal/entry/given_up_test.go
@@ -271,3 +271,30 @@
 	})
 	require.Greater(t, copies.Load(), int64(resets))
 }
+
+// TestStreamIsLostAfterItsMemoryIsRefusedOnce guards against a stream that is given up while the engine that was stopped for a move keeps its memory.
+func TestStreamIsLostAfterItsMemoryIsRefusedOnce(t *testing.T) {
+	const events = 150
+	d := newDeployment(t)
+	var refusals atomic.Int64
+	for _, id := range []string{"e1", "e2"} {
+		d.target(id, platformtest.EngineService).SetOverride(func(w http.ResponseWriter, r *http.Request) bool {
+			isRefused := r.Header.Get("Kv-From") != "" && (isForBackup(r) || refusals.Add(1) <= 3) // the destination, and twice the source
+			if isRefused {
+				refuseRun(w, r)
+			}
+			return isRefused
+		})
+	}
+	d.configure("key-1")
+	v := d.start("vm-1", nil)
+	request := v.generation("/letters/1", events, 10)
+	response, err := v.client.Do(request)
+	require.NoError(t, err)
+	readEvents(t, response, events, func(number int) {
+		if number == 30 {
+			d.MarkLeaving(d.Cluster.Runs(request.Header.Get("X-Attempt-Id"))[0].Target)
+		}
+	})
+	require.Greater(t, refusals.Load(), int64(3))
+}
--- a/internal/forward/continuation.go
+++ b/internal/forward/continuation.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"godwitcart/internal/pause"
 	"godwitcart/internal/placement"
 )
 
@@ -14,7 +15,7 @@
 		return true
 	}
 	if previous.from != nil && !s.isRepeatable() && !s.hasTargetSentEvent() {
-		return s.continueFromStopped(ctx, previous, left) // starting from the prompt would run the call twice
+		return s.continueFromStopped(ctx, failure, previous, left) // starting from the prompt would run the call twice
 	}
 	if !failure.notRun && s.hasUsableBackup() && !s.mayHaveEnded(ctx, failure, left, wasAskedToStop) {
 		s.awaitLeft(left, nil)
@@ -52,11 +53,14 @@
 // continueFromStopped prepares to continue from the memory of a run that was stopped, after the engine with its copy has refused,
 // could not be reached, or has answered without an event. That engine may run the generation all the same; left is its run then,
 // and what it keeps comes first.
-func (s *stream) continueFromStopped(ctx context.Context, previous *continuation, left *departure) bool {
+func (s *stream) continueFromStopped(ctx context.Context, failure *attemptError, previous *continuation, left *departure) bool {
 	if s.continueFromLeft(ctx, left) {
 		return true
 	}
 	s.freeUnused(left)
+	if failure.notRun && previous.isAtSource {
+		return s.setContinuation(s.tryMemoryAgain(ctx, previous))
+	}
 	s.mu.Lock()
 	source := s.left
 	s.mu.Unlock()
@@ -70,6 +74,41 @@
 	return s.setContinuation(next)
 }
 
+const (
+	// maxMemoryRefusals is how often an engine may refuse to continue from the memory that it keeps, and firstMemoryRetry the wait
+	// after the first time, which doubles. A refused request has not used the memory, and a crowded engine may have room soon.
+	maxMemoryRefusals = 4
+	firstMemoryRetry  = 100 * time.Millisecond
+)
+
+// tryMemoryAgain returns where the generation continues after an engine has refused to go on from the memory that it keeps: there,
+// after a wait, or nowhere. An engine that leaves is not asked beyond the time for which it is sure to serve.
+func (s *stream) tryMemoryAgain(ctx context.Context, refused *continuation) *continuation {
+	engine := refused.lease.Target
+	wait := firstMemoryRetry << refused.refusals
+	if refused.refusals+1 >= maxMemoryRefusals || !s.options.Budget.Spend(s.service.Name) || !pause.For(ctx, wait) {
+		return nil
+	}
+	if noticedAt := s.leavingNoticed(); s.options.Table.IsLeaving(engine) && time.Since(noticedAt) > minNoticeTime {
+		return nil
+	}
+	next := s.resumeAtSource(engine, *refused.from)
+	next.refusals = refused.refusals + 1
+	return next
+}
+
+func (s *stream) setLeavingNoticed(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leavingNoticedAt = at
+}
+
+func (s *stream) leavingNoticed() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leavingNoticedAt
+}
+
 // setContinuation sets where the generation continues, and reports whether that is anywhere.
 func (s *stream) setContinuation(next *continuation) bool {
 	s.mu.Lock()
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -56,6 +56,8 @@
 	isSending bool
 	// left is the run that was left last, while its memory may be needed; nil for none.
 	left *departure
+	// leavingNoticedAt is when the VM noticed that the current target leaves; zero if it does not.
+	leavingNoticedAt time.Time
 	// departures are those whose engines may still be asked to stop a run of the generation.
 	departures []*departure
 	// isReleased is set once the stream has ended; a move that is still in progress then reserves nothing for it.
@@ -68,6 +70,10 @@
 	from  *KVCacheRef
 	// source is the engine that was stopped for a move and keeps the memory; nil if the generation was not moved.
 	source *roster.Target
+	// isAtSource is set if the generation continues at the engine that was stopped, from the memory that it keeps. refusals counts how
+	// often the engine has refused that.
+	isAtSource bool
+	refusals   int
 	// response is the target's response if the call has been sent already, and cancel aborts it. reading reads it, once that has begun.
 	response *answer
 	cancel   context.CancelFunc
@@ -284,6 +290,7 @@
 	s.mayHaveRun = true
 	s.mu.Lock()
 	s.lease, s.response, s.stops = lease, response, &stopCalls{}
+	s.leavingNoticedAt = time.Time{}
 	s.ended = make(chan struct{})
 	s.mu.Unlock()
 	s.streams.add(lease.Target.ID, s)
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -172,6 +172,7 @@
 // generation, copies the rest and returns the continuation. It returns nil if the generation stays at its source. It calls
 // blocked when no target has room, or when the source does not answer or does not run the generation.
 func (s *stream) move(leaving roster.Target, noticedAt time.Time, blocked func()) *continuation {
+	s.setLeavingNoticed(noticedAt)
 	ctx, cancel := context.WithTimeout(s.ctx, s.moveTimeout(leaving, noticedAt))
 	defer cancel()
 	excluded := []string{leaving.ID}
@@ -279,7 +280,7 @@
 // resumeAtSource continues at the source after the generation was stopped there and could not be copied.
 func (s *stream) resumeAtSource(leaving roster.Target, cache KVCacheRef) *continuation {
 	lease := s.options.Table.ReserveLeaving(leaving, s.query(), time.Now())
-	return &continuation{lease: lease, from: &cache}
+	return &continuation{lease: lease, from: &cache, isAtSource: true}
 }
 
 func (s *stream) recordMoveFailure(leaving roster.Target, destination string, err error, fields ...any) {
