ingress, membudget: what a client holds follows its rate

Callers saw 503 ("no memory left for the body") beside clients that send one byte of a small request every 300 ms: with 600 of them at a VM of 112 MB, ten ordinary requests of 200 KiB took 35 attempts (bodies with a length) or 71 to 80 (in chunks); in own mode none was answered within 30 s.

Cause: a client with a byte in the last second (50 ms for places) counted as making progress whatever its rate, and was not given up for a request that would hold over 96 KiB. Each of the others weighed too little to be given up for a larger one.

Change: each byte pays for the time that it takes at the least rate, 4 KiB/s or what the client holds in 100 s; the time that is not paid for stands in place of the time since the last byte. It holds for heads and bodies, for HTTP/1, HTTP/2 (heads and bodies only: pings do not pay, and a request given up does not begin anew) and messages of peers. A client in pace that would hold up to a 32nd of the budget takes from any that is a second behind, and those behind are given up before the others. Nobody is closed or refused while there is room. Setting limits.client_bytes_per_s, counter ingress.closed_slow with a log line, behind_ms in the lines of closed connections.

Ruled out: weights alone (bytes times seconds behind). A crowd that comes back keeps all its members below two seconds, where 50 KiB never outweigh 250 KiB.

--- a/internal/daemon/listen.go
+++ b/internal/daemon/listen.go
@@ -68,7 +68,7 @@
 func (d *Daemon) openListeners() ([]*httpListener, error) {
 	configured := d.settings.Callers
 	callers, err := d.newHTTPListener(configured.Listen, configured.Security, d.gateway, ingress.Options{
-		Name: "callers", IsPressed: d.controller.HasWaiting, MaxConnections: d.connections(callerConnectionShare), Limits: staticLimits(ingress.Limits{
+		Name: "callers", IsPressed: d.controller.HasWaiting, MaxConnections: d.connections(callerConnectionShare), Limits: d.staticLimits(ingress.Limits{
 			HeadBytes: configured.MaxHeaderBytes, HeadTime: configured.ReadHeaderTimeout, IdleTime: configured.IdleTimeout, BodyPause: configured.ReadBodyPause,
 		}),
 	})
@@ -77,7 +77,7 @@
 	}
 	operators, err := d.newHTTPListener(d.settings.Operators.Listen, d.settings.Operators.Security, d.operatorsHandler(), ingress.Options{
 		Name: "operators", MaxConnections: d.connections(operatorConnectionShare),
-		Limits: staticLimits(defaultLimits),
+		Limits: d.staticLimits(defaultLimits),
 	})
 	if err != nil {
 		callers.listener.Close()
@@ -106,7 +106,9 @@
 	HeadBytes: settings.DefaultMaxHeaderBytes, HeadTime: settings.DefaultReadHeaderTimeout, IdleTime: settings.DefaultIdleTimeout, BodyPause: settings.DefaultReadBodyPause,
 }
 
-func staticLimits(limits ingress.Limits) func() ingress.Limits {
+// staticLimits completes the limits with the least rate of the settings.
+func (d *Daemon) staticLimits(limits ingress.Limits) func() ingress.Limits {
+	limits.LeastRate = d.settings.Limits.ClientBytesPerSecond
 	return func() ingress.Limits { return limits }
 }
 
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -108,7 +108,7 @@
 	}
 	err = server.Serve(ctx, ingress.NewListener(listener, ingress.Options{
 		Name: "peers", Budget: d.memory, MaxConnections: d.connections(peerConnectionShare), IsRaw: true, Logger: d.logger,
-		Limits: staticLimits(defaultLimits),
+		Limits: d.staticLimits(defaultLimits),
 	}))
 	if ctx.Err() != nil {
 		return nil
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -42,7 +42,12 @@
 	if s.limits == nil {
 		s.limits = defaultLimits
 	}
-	guarded := ingress.NewListener(listener, ingress.Options{Name: s.name, Budget: e.memory, MaxConnections: s.maxConnections, Limits: s.limits, Logger: e.logger})
+	limits := func() ingress.Limits {
+		limits := s.limits()
+		limits.LeastRate = e.settings.Load().Limits.ClientBytesPerSecond
+		return limits
+	}
+	guarded := ingress.NewListener(listener, ingress.Options{Name: s.name, Budget: e.memory, MaxConnections: s.maxConnections, Limits: limits, Logger: e.logger})
 	httpServer := &http.Server{
 		Handler: s.handler, MaxHeaderBytes: noHeaderBytes, ConnState: s.stateChanged, ConnContext: ingress.WithConnection,
 		ErrorLog: e.logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -31,8 +32,9 @@
 	net.Conn
 	client *client
 	phase  phase
-	// countsRaw is set for protocols other than HTTP.
+	// countsRaw is set for protocols other than HTTP, and inMessage while a message of one is read and nothing was written after it.
 	countsRaw bool
+	inMessage atomic.Bool
 	head      scanner
 	body      bodyReader
 	// pending holds bytes that were read and not passed on: the head while it is not whole, and what came after the end of a
@@ -71,10 +73,12 @@
 func (c *Conn) Write(p []byte) (int, error) {
 	if c.countsRaw {
 		c.client.holding.ShrinkTo(c.client.base)
+		c.inMessage.Store(false)
 	}
 	c.client.beginWrite()
-	defer c.client.endWrite()
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	c.recordWritten(n)
+	return n, err
 }
 
 // Read implements net.Conn.
@@ -118,6 +122,7 @@
 		if n == 0 {
 			return 0, err
 		}
+		c.client.pace.restart(sinceStart())
 		end, isWhole := c.head.scan(p[:n])
 		if isWhole {
 			return c.passOn(p[:n], end)
@@ -236,6 +241,7 @@
 	switch {
 	case framing == switched && c.head.isHTTP2:
 		c.phase = raw
+		c.client.isHTTP2.Store(true)
 	case framing == switched || framing == unframed:
 		c.phase = raw
 		c.beginWhole()
@@ -290,6 +296,9 @@
 	}
 	n, err := c.readInner(p)
 	if c.countsRaw && n > 0 {
+		if !c.inMessage.Swap(true) {
+			c.client.pace.restart(sinceStart())
+		}
 		if c.client.holding.Grow(rawFactor*int64(n)) != nil {
 			return 0, errRefused
 		}
--- a/internal/ingress/deadline.go
+++ b/internal/ingress/deadline.go
@@ -18,16 +18,31 @@
 		n, err = c.Conn.Read(p)
 	}
 	if n > 0 {
-		c.client.recordProgress()
+		c.recordRead(n)
 		return n, nil
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.isOwnDeadline() {
-		c.client.listener.report.count(c.ownCause, "", c.client.holding.Held(), time.Since(c.client.LastProgress()))
+		c.client.listener.report.count(c.ownCause, "", c.client.holding.Held(), c.client.pace.silence(sinceStart()))
 		return 0, errRefused
 	}
 	return 0, err
 }
 
+// recordRead records bytes that the client has sent. Inside TLS they were recorded underneath.
+func (c *Conn) recordRead(bytes int) {
+	if c.Conn == c.client.raw {
+		c.client.recordRead(bytes)
+	}
+}
+
+// recordWritten follows a write of bytes that the client has taken.
+func (c *Conn) recordWritten(bytes int) {
+	if c.Conn != c.client.raw {
+		bytes = 0
+	}
+	c.client.endWrite(bytes)
+}
+
 // pauseCheck is how often the bound on the pauses of a body is looked at, which depends on whether others wait.
 const pauseCheck = 500 * time.Millisecond
 
@@ -42,14 +57,14 @@
 		c.extendOwnDeadline(closedLateBody, pauseCheck)
 		n, err := c.Conn.Read(p)
 		if n > 0 {
-			c.client.recordProgress()
+			c.recordRead(n)
 			return n, nil
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.isOwnDeadline() {
 			return 0, err
 		}
 		if time.Since(begun) >= listener.bodyPause() && !hasInput(c.client.raw) {
-			listener.report.count(closedLateBody, "", c.client.holding.Held(), time.Since(c.client.LastProgress()))
+			listener.report.count(closedLateBody, "", c.client.holding.Held(), c.client.pace.silence(sinceStart()))
 			return 0, errRefused
 		}
 	}
--- a/internal/ingress/handler.go
+++ b/internal/ingress/handler.go
@@ -75,8 +75,11 @@
 			return
 		}
 		cost := parsedHeadCost(r.Header)
+		c.beginUnended()
+		c.recordContent(headBytes(r.Header))
 		// Without a wait: the parsed head takes its memory meanwhile.
 		if released, err := c.holding.GrowNow(cost, false); err != nil || released != nil {
+			c.endUnended()
 			refuseParsed(w, c)
 			return
 		}
@@ -101,14 +104,22 @@
 
 // parsedHeadCost is headCost for a head that is parsed already.
 func parsedHeadCost(header http.Header) int64 {
-	lines, bytes := 0, 0
+	lines := 0
+	for _, values := range header {
+		lines += len(values)
+	}
+	return headCost(lines, headBytes(header))
+}
+
+// headBytes returns the length of the fields of a parsed head.
+func headBytes(header http.Header) int {
+	bytes := 0
 	for name, values := range header {
 		for _, value := range values {
-			lines++
 			bytes += len(name) + len(value)
 		}
 	}
-	return headCost(lines, bytes)
+	return bytes
 }
 
 // guardedBody is the body of an HTTP/2 request. It ends with an error if the client pauses for too long, and keeps the connection
@@ -128,6 +139,7 @@
 		_ = b.control.SetReadDeadline(time.Now().Add(pause)) // without it, the pause ends with the connection
 	}
 	n, err := b.ReadCloser.Read(p)
+	b.client.recordContent(n)
 	if err == io.EOF {
 		b.setWhole()
 	}
@@ -142,6 +154,7 @@
 	defer b.mu.Unlock()
 	if !b.isWhole {
 		b.isWhole = true
+		b.client.endUnended()
 		b.client.beginWhole()
 	}
 }
@@ -152,6 +165,8 @@
 	defer b.mu.Unlock()
 	if b.isWhole {
 		b.client.endWhole()
+	} else {
+		b.client.endUnended()
 	}
 	b.isWhole = true
 }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -40,7 +40,11 @@
 	if change != nil {
 		change(&options)
 	}
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
 	server := &http.Server{
+		Protocols: protocols,
 		Handler: ingress.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			body, err := io.ReadAll(r.Body)
 			if err != nil {
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -4,7 +4,7 @@
 // Invariants: what a client holds is on account of a memory budget from the acceptance of its connection to its last byte; a head
 // is given to net/http only when it is whole, within the limits and paid for, because its parsed form can be many times its
 // size; a connection is closed for others only while it has no whole request, or does not take its answer; the connections of a
-// listener stay within its share of the descriptors, and the one that has been longest without progress makes room for a new
+// listener stay within its share of the descriptors, and the one that is furthest behind its least rate makes room for a new
 // one.
 package ingress
 
@@ -28,6 +28,9 @@
 	IdleTime time.Duration
 	// BodyPause is the longest time between two bytes of a body; zero for no bound.
 	BodyPause time.Duration
+	// LeastRate is the rate, in bytes per second, at which a client that is not idle is expected to send. One that stays behind
+	// gives way when others need its memory or its place. Zero means DefaultLeastRate.
+	LeastRate int
 }
 
 // Options configures a Listener.
@@ -50,7 +53,7 @@
 // 4 MiB within a second at 10 ms. The kernel's own maximum would be megabytes for each connection.
 const receiveBufferBytes = 64 << 10
 
-// progressTime is the time since its last byte up to which a client makes progress, so that it keeps its place.
+// progressTime is how far a client may be behind its least rate and still make progress, so that it keeps its place.
 const progressTime = 50 * time.Millisecond
 
 // Listener accepts connections of clients. Its connections are *Conn.
@@ -100,7 +103,7 @@
 	return c
 }
 
-// takePlace adds the client. If all places are taken, the client that has been longest without progress loses its own; it
+// takePlace adds the client. If all places are taken, the client that is furthest behind its least rate loses its own; it
 // returns false if all make progress or have whole requests.
 func (l *Listener) takePlace(c *client) bool {
 	for {
@@ -115,11 +118,11 @@
 			continue
 		}
 		l.remove(longest)
-		longest.close(closedForPlace)
+		longest.closeForOthers(closedForPlace)
 	}
 }
 
-// tryPlace adds the client if there is a place; if not, it returns the one that has been longest without progress.
+// tryPlace adds the client if there is a place; if not, it returns the one that is furthest behind.
 func (l *Listener) tryPlace(c *client) (longest *client, isTaken bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -130,12 +133,12 @@
 	return l.longestWaiting(), false
 }
 
-// longestWaiting requires the lock. It returns the client that has been longest without progress of those without a whole
+// longestWaiting requires the lock. It returns the client that is furthest behind its least rate of those without a whole
 // request, or that do not take their answers; nil if there is none.
 func (l *Listener) longestWaiting() *client {
 	var longest *client
 	for c := range l.clients {
-		if c.canMakeRoom() && (longest == nil || c.progress.Load() < longest.progress.Load()) {
+		if c.canMakeRoom() && (longest == nil || c.pace.paidUntil.Load() < longest.pace.paidUntil.Load()) {
 			longest = c
 		}
 	}
--- a/internal/ingress/report.go
+++ b/internal/ingress/report.go
@@ -14,6 +14,7 @@
 const (
 	closedForMemory   cause = "ingress.closed_for_memory"
 	closedForPlace    cause = "ingress.closed_for_descriptors"
+	closedSlow        cause = "ingress.closed_slow"
 	closedLateHead    cause = "ingress.closed_late_head"
 	closedLateBody    cause = "ingress.closed_late_body"
 	closedIdle        cause = "ingress.closed_idle"
@@ -27,7 +28,7 @@
 
 // causes are all of them; their counters exist from the start.
 var causes = []cause{
-	closedForMemory, closedForPlace, closedLateHead, closedLateBody, closedIdle, closedHandshake, closedDesync,
+	closedForMemory, closedForPlace, closedSlow, closedLateHead, closedLateBody, closedIdle, closedHandshake, closedDesync,
 	refusedConnection, refusedForMemory, refusedHead, refusedFraming,
 }
 
@@ -35,6 +36,7 @@
 var messages = map[cause]string{
 	closedForMemory:   "connection closed: its client holds most memory or has been longest without progress, and others need it",
 	closedForPlace:    "connection closed: it has been longest without progress, and all connections of the listener are taken",
+	closedSlow:        "connection closed: its client has sent less than the least rate, and others need its memory or its place",
 	closedLateHead:    "connection closed: the head did not end in time",
 	closedLateBody:    "request given up: its body paused for too long",
 	closedHandshake:   "connection closed: the TLS handshake did not end in time",
@@ -69,15 +71,17 @@
 	return &reporter{listener: listener, logger: logger, lines: make(map[cause]*lineState)}
 }
 
-// count counts the event and logs it, unless a line with its cause was logged just before. reason adds to the cause.
-func (r *reporter) count(c cause, reason string, held int64, silent time.Duration) {
+// count counts the event and logs it, unless a line with its cause was logged just before. reason adds to the cause, and extra
+// are more keys and values of the line.
+func (r *reporter) count(c cause, reason string, held int64, silent time.Duration, extra ...any) {
 	metrics.GetOrRegisterCounter(string(c), nil).Inc(1)
 	message, isLogged := messages[c]
 	if !isLogged {
 		return
 	}
 	if events, isDue := r.due(c); isDue {
-		r.logger.Info(message, "listener", r.listener, "reason", reason, "held_bytes", held, "silent_ms", silent.Milliseconds(), "events", events)
+		pairs := append([]any{"listener", r.listener, "reason", reason, "held_bytes", held, "silent_ms", silent.Milliseconds(), "events", events}, extra...)
+		r.logger.Info(message, pairs...)
 	}
 }
 
--- a/internal/ingress/tls.go
+++ b/internal/ingress/tls.go
@@ -97,6 +97,7 @@
 		conn.Close()
 		return
 	}
+	client.isHTTP2.Store(true)
 	l.hand(secured)
 }
 
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -2,7 +2,7 @@
 // events and bodies of answers that are not passed on yet.
 //
 // Invariants: what all clients and answers hold together stays within the limit, apart from a few KiB that each answer may
-// always hold. When a client needs more than is left, the one that holds most, or has held it longest without progress, is given
+// always hold. When a client needs more than is left, the one that holds most, or is furthest behind its least rate, is given
 // up, or is refused if it is the one that asks. A client whose request is whole is not given up while it takes its answer. When an
 // answer needs more than is left, the answer that holds most is given up. Clients and answers each have a part of the limit that
 // the others cannot take.
@@ -10,6 +10,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,11 +31,14 @@
 	clientShare   = 0.75
 	ordinaryShare = 0.85
 	ordinaryBytes = 96 << 10
-	// progressTime is the time since its last byte up to which a client makes progress; a lost packet is sent again within it.
-	// Such a client is given up only for one that would hold up to ordinaryBytes and less than a progressShare of it: otherwise
-	// clients would take the memory off each other in turn, and none of their requests would become whole.
+	// progressTime is how far a client may be behind its least rate and still make progress; a lost packet is sent again within
+	// it. Such a client is given up only for one that would hold up to ordinaryBytes and less than a progressShare of it:
+	// otherwise clients would take the memory off each other in turn, and none of their requests would become whole.
 	progressTime  = time.Second
 	progressShare = 0.25
+	// paceShare is the part of the limit up to which a client that makes progress takes the memory of any that does not, however
+	// little that holds. Many clients that send slowly would otherwise outlast one ordinary request.
+	paceShare = 1.0 / 32
 	// maxProgressChecks bounds how many clients are asked whether they have made progress before one is given up.
 	maxProgressChecks = 32
 )
@@ -78,13 +82,15 @@
 	return b.clients + b.answers
 }
 
-// Waiter is the client of a holding.
+// Waiter is the client of a holding. Its methods, apart from GiveUp, are called with the budget locked.
 type Waiter interface {
-	// LastProgress is when bytes of the client were last read or taken by it.
+	// LastProgress is the time up to which the client has kept its least rate: that of its last byte, or earlier if it sends more
+	// slowly.
 	LastProgress() time.Time
 	// IsStuck reports whether the client has not taken its answer for so long that its request counts as not whole.
 	IsStuck() bool
-	// HasUnread reports whether bytes of the client have arrived that nobody has read yet. They count as progress from then on.
+	// HasUnread reports whether bytes of the client have arrived that nobody has read yet and that have not counted as sent. They
+	// do from then on.
 	HasUnread() bool
 	// GiveUp ends the connection. It must not block.
 	GiveUp()
@@ -98,7 +104,8 @@
 	giveUp func()
 	// isPinned is set while the holding may not be given up: an answer or a request that is whole.
 	isPinned bool
-	held     int64
+	// held changes under the lock only.
+	held atomic.Int64
 	// isOver is set once the holding was released or given up.
 	isOver, wasGivenUp bool
 }
@@ -161,11 +168,11 @@
 	b := h.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	added := h.charged(h.held+bytes) - h.charged(h.held)
+	added := h.charged(h.held.Load()+bytes) - h.charged(h.held.Load())
 	if h.wasGivenUp || float64(b.clients+b.answers+added) > spareShare*float64(b.limit) {
 		return false
 	}
-	h.held += bytes
+	h.held.Add(bytes)
 	b.charge(h, added)
 	b.updateCandidate(h)
 	return true
@@ -179,11 +186,11 @@
 	if h.wasGivenUp {
 		return nil, nil, h.refusal()
 	}
-	added := h.charged(h.held+bytes) - h.charged(h.held)
+	added := h.charged(h.held.Load()+bytes) - h.charged(h.held.Load())
 	switch {
 	case added <= 0:
 	case b.exceeds(h, bytes, added, b.leavingClients, b.leavingAnswers):
-		victim := b.victim(h, h.held+bytes)
+		victim := b.victim(h, h.held.Load()+bytes)
 		if victim == nil {
 			return nil, nil, h.refusal()
 		}
@@ -192,7 +199,7 @@
 	case !force && b.exceeds(h, bytes, added, 0, 0):
 		return nil, b.released, nil
 	}
-	h.held += bytes
+	h.held.Add(bytes)
 	b.charge(h, added)
 	b.updateCandidate(h)
 	return nil, nil, nil
@@ -216,7 +223,7 @@
 		return false
 	}
 	share := clientShare
-	if h.held+bytes <= ordinaryBytes {
+	if h.held.Load()+bytes <= ordinaryBytes {
 		share = ordinaryShare
 	}
 	return float64(clients+added) > share*float64(b.limit)
@@ -252,44 +259,50 @@
 	return b.heaviestClient(asking, bytes, now)
 }
 
-// heaviestClient returns the client with the most weight, if that is more than the given number of bytes.
-func (b *Budget) heaviestClient(apartFrom *Holding, bytes int64, now time.Time) *Holding {
-	var heaviest *Holding
-	weight := float64(bytes)
+// heaviestClient returns the client that is given up for a holding of that many bytes, or nil: of those without progress the one
+// with most bytes times the seconds for which it is behind; if none of them gives way, the largest of the others.
+func (b *Budget) heaviestClient(asking *Holding, bytes int64, now time.Time) *Holding {
+	leastIdle := float64(bytes)
+	if b.takesFromIdle(asking, bytes, now) {
+		leastIdle = 0
+	}
+	idle, idleWeight := (*Holding)(nil), leastIdle
+	busy, busyWeight := (*Holding)(nil), float64(bytes)
 	for h := range b.candidates {
-		if h == apartFrom || h.waiter == nil {
+		if h == asking || h.waiter == nil || h.isPinned && !h.waiter.IsStuck() {
+			continue
+		}
+		waited := now.Sub(h.waiter.LastProgress())
+		if waited < progressTime {
+			if weight := progressShare * float64(h.held.Load()); weight > busyWeight {
+				busy, busyWeight = h, weight
+			}
 			continue
 		}
-		if own := h.weight(now, bytes); own > weight {
-			heaviest, weight = h, own
+		if weight := float64(h.held.Load()) * (1 + waited.Seconds()); weight > idleWeight {
+			idle, idleWeight = h, weight
 		}
 	}
-	return heaviest
+	if idle == nil && bytes <= ordinaryBytes {
+		return busy
+	}
+	return idle
 }
 
-// weight is how much speaks for giving a client up for one that would hold that many bytes: its own bytes, times the seconds for
-// which it has made no progress.
-func (h *Holding) weight(now time.Time, bytes int64) float64 {
-	if h.isPinned && !h.waiter.IsStuck() {
-		return 0
-	}
-	waited := now.Sub(h.waiter.LastProgress())
-	switch {
-	case waited >= progressTime:
-		return float64(h.held) * (1 + waited.Seconds())
-	case bytes <= ordinaryBytes:
-		return progressShare * float64(h.held)
-	default:
-		return 0
+// takesFromIdle reports whether any client without progress gives way to a holding of that many bytes.
+func (b *Budget) takesFromIdle(asking *Holding, bytes int64, now time.Time) bool {
+	if asking.waiter == nil || float64(bytes) > paceShare*float64(b.limit) {
+		return false
 	}
+	return now.Sub(asking.waiter.LastProgress()) < progressTime
 }
 
 // largestAnswer returns the answer that holds most, if it holds more than that many bytes.
 func (b *Budget) largestAnswer(apartFrom *Holding, bytes int64) *Holding {
 	var largest *Holding
 	for h := range b.candidates {
-		if h != apartFrom && h.waiter == nil && h.held > bytes {
-			largest, bytes = h, h.held
+		if h != apartFrom && h.waiter == nil && h.held.Load() > bytes {
+			largest, bytes = h, h.held.Load()
 		}
 	}
 	return largest
@@ -298,14 +311,14 @@
 func (b *Budget) markGivenUp(h *Holding) {
 	h.wasGivenUp = true
 	_, leaving := b.sums(h)
-	*leaving += h.charged(h.held)
+	*leaving += h.charged(h.held.Load())
 	delete(b.candidates, h)
 }
 
 // updateCandidate keeps candidates.
 func (b *Budget) updateCandidate(h *Holding) {
 	isFixed := h.isPinned && h.waiter == nil
-	if h.isOver || isFixed || h.wasGivenUp || h.charged(h.held) == 0 {
+	if h.isOver || isFixed || h.wasGivenUp || h.charged(h.held.Load()) == 0 {
 		delete(b.candidates, h)
 		return
 	}
@@ -336,12 +349,8 @@
 	}
 }
 
-// Held returns the number of bytes that are held.
-func (h *Holding) Held() int64 {
-	h.budget.mu.Lock()
-	defer h.budget.mu.Unlock()
-	return h.held
-}
+// Held returns the number of bytes that are held. A Waiter may call it.
+func (h *Holding) Held() int64 { return h.held.Load() }
 
 // Shrink takes bytes off the holding.
 func (h *Holding) Shrink(bytes int64) {
@@ -350,25 +359,25 @@
 	if h.isOver {
 		return
 	}
-	h.shrink(min(bytes, h.held))
+	h.shrink(min(bytes, h.held.Load()))
 }
 
 // ShrinkTo takes off what is held beyond that many bytes.
 func (h *Holding) ShrinkTo(bytes int64) {
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
-	if h.isOver || h.held <= bytes {
+	if h.isOver || h.held.Load() <= bytes {
 		return
 	}
-	h.shrink(h.held - bytes)
+	h.shrink(h.held.Load() - bytes)
 }
 
 // shrink requires the lock.
 func (h *Holding) shrink(bytes int64) {
 	b := h.budget
-	freed := h.charged(h.held) - h.charged(h.held-bytes)
+	freed := h.charged(h.held.Load()) - h.charged(h.held.Load()-bytes)
 	b.charge(h, -freed)
-	h.held -= bytes
+	h.held.Add(-bytes)
 	b.updateCandidate(h)
 	if freed > 0 {
 		close(b.released)
@@ -396,7 +405,7 @@
 	if h.isOver {
 		return
 	}
-	h.shrink(h.held)
+	h.shrink(h.held.Load())
 	h.isOver = true
 	h.budget.updateCandidate(h)
 }
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -179,6 +179,43 @@
 	require.False(t, whole.givenUp, "a whole request is never given up")
 }
 
+// TestOrdinaryClientTakesFromManySlowOnes guards against clients that send slowly and hold little each: together they held all
+// memory, and none of them outweighed an ordinary request.
+func TestOrdinaryClientTakesFromManySlowOnes(t *testing.T) {
+	const slowBytes, ordinaryBytes = 50 << 10, 250 << 10
+	b := membudget.New(24 << 20)
+	var slow []*waiter
+	used := int64(0)
+	for ; used < 20<<20; used += slowBytes {
+		slow = append(slow, &waiter{silent: 1500 * time.Millisecond})
+		client(t, b, slow[len(slow)-1], slowBytes)
+	}
+	require.ErrorIs(t, b.Client(&waiter{silent: 2 * time.Second}).Grow(ordinaryBytes), membudget.ErrNoRoom, "it is slow itself")
+	require.ErrorIs(t, b.Client(&waiter{}).Grow(4<<20), membudget.ErrNoRoom, "it needs what many others hold")
+	require.NoError(t, b.Client(&waiter{}).Grow(ordinaryBytes))
+	count := 0
+	for _, w := range slow {
+		if w.givenUp {
+			count++
+		}
+	}
+	const part = 18 << 20 // for clients that hold more than 96 KiB each
+	require.Equal(t, int((used+ordinaryBytes-part)/slowBytes)+1, count, "no more than what it needs")
+}
+
+// TestSlowClientsAreGivenUpFirst guards against large requests that are sent well and are given up while small ones which are not
+// could be.
+func TestSlowClientsAreGivenUpFirst(t *testing.T) {
+	b := membudget.New(1 << 20)
+	large, slow := &waiter{}, &waiter{silent: 1500 * time.Millisecond}
+	client(t, b, large, 700<<10)
+	client(t, b, slow, 60<<10)
+	client(t, b, &waiter{}, 90<<10)
+	require.NoError(t, b.Client(&waiter{}).Grow(30<<10))
+	require.True(t, slow.givenUp)
+	require.False(t, large.givenUp)
+}
+
 // TestClientsThatTakeNoAnswerMakeRoom guards against clients that hold memory with whole requests whose answers they do not take.
 func TestClientsThatTakeNoAnswerMakeRoom(t *testing.T) {
 	b := membudget.New(1 << 20)
--- a/internal/netconn/netconn.go
+++ b/internal/netconn/netconn.go
@@ -51,3 +51,19 @@
 	}
 	return n, peekErr
 }
+
+// Unread returns the number of bytes of the connection that the kernel holds and that were not read; zero if it is closed.
+func Unread(conn syscall.Conn) int {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	unread := 0
+	err = raw.Control(func(fd uintptr) {
+		unread, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) // zero with an error
+	})
+	if err != nil {
+		return 0
+	}
+	return unread
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -57,6 +57,9 @@
 	if limits.MemoryMB < 0 || limits.OpenFiles < 0 {
 		c.report("limits.memory_mb", "a limit is negative", "write the memory in MB and the number of descriptors, or 0 for the bounds of the environment")
 	}
+	if limits.ClientBytesPerSecond < 0 {
+		c.report("limits.client_bytes_per_s", "the least rate of clients is negative", "write bytes per second, or 0 for the default")
+	}
 }
 
 func (c *checker) checkVM(vm VM) {
--- a/internal/settings/deployment.go
+++ b/internal/settings/deployment.go
@@ -66,6 +66,9 @@
 	MemoryMB int `yaml:"memory_mb"`
 	// OpenFiles bounds the number of open file descriptors; zero means the bound of the kernel.
 	OpenFiles int `yaml:"open_files"`
+	// ClientBytesPerSecond is the rate below which clients give way to others when memory or connections are short; zero means
+	// the default of the listeners.
+	ClientBytesPerSecond int `yaml:"client_bytes_per_s"`
 }
 
 // Bounds are the service levels that the operators of the deployment guarantee.
--- a/internal/settings/deployment_test.go
+++ b/internal/settings/deployment_test.go
@@ -72,6 +72,7 @@
 		"budget":        {"bounds.retry_ratio", "-0.1", "bounds.retry_ratio"},
 		"evacuation":    {"bounds.evacuate_ms", "-1", "bounds.evacuation_ms"},
 		"cold overage":  {"bounds.cold_overage", "0.5", "bounds.cold_overage"},
+		"least rate":    {"limits.max_fds", "4100\n  client_bytes_per_s: -1", "limits.client_bytes_per_s"},
 		"not a number":  {"limits.memory_mb", "much", "boot.yaml"},
 	}
 	for name, c := range cases {
