inforce: a VM that is ready accepts keys

Cause: the first configuration was stored, logged and announced before the read that had brought it counted as its proof.

--- a/internal/inforce/inforce.go
+++ b/internal/inforce/inforce.go
@@ -262,6 +262,9 @@
 		return
 	}
 	if current == nil || configuration.Version > current.Version {
+		if current == nil {
+			p.advanceProof(sentAt) // a VM with a configuration is ready, and must accept keys then
+		}
 		p.current.Store(configuration)
 		p.options.Logger.Info("configuration in force", "version", configuration.Version, "routes", configuration.RouteCount(), "services", len(configuration.Services))
 		if p.options.Changed != nil {
--- a/internal/inforce/inforce_test.go
+++ b/internal/inforce/inforce_test.go
@@ -219,3 +219,23 @@
 	require.Greater(t, reads(true), int64(50))
 	require.LessOrEqual(t, reads(false), int64(20))
 }
+
+// TestKeysAreRefusedWhileTheFirstVersionIsAnnounced guards against a VM that is ready and refuses keys as unchecked until its first version has been announced.
+func TestKeysAreRefusedWhileTheFirstVersionIsAnnounced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &platform{}
+		source.version.Store(4)
+		var poller *inforce.Poller
+		accepted := make(chan bool, 1)
+		poller = inforce.NewPoller(inforce.Options{
+			Reader: source, Logger: log.New(io.Discard), InForceWithin: inForceWithin, RevokedWithin: revokedWithin,
+			Now:     (&clock{started: time.Now()}).now,
+			Changed: func(*policy.RouteTable) { accepted <- poller.CanAcceptKeys() },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go poller.Run(ctx)
+		require.True(t, <-accepted)
+		cancel()
+		synctest.Wait()
+	})
+}
