--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -70,7 +70,7 @@
 	if h == nil || !h.isOver || h.isGivenUp || s.stops.mayHaveStopped() || s.response == nil {
 		return
 	}
-	if h.sourceSent || s.isSending {
+	if !s.hasReadEnd && (h.sourceSent || s.isSending) {
 		h.isGivenUp = true
 		h.cancel()
 	}
--- a/internal/forward/reading.go
+++ b/internal/forward/reading.go
@@ -39,7 +39,7 @@
 	events   *eventstream.Reader
 	// first was read before the relay began; nil for none.
 	first *arrival
-	// ended is called when the answer was read to its end while events of it wait for the caller.
+	// ended is called when the answer was read ahead to its end, which may be a broken one.
 	ended func()
 
 	mu sync.Mutex
@@ -74,8 +74,8 @@
 	return arrival{event: event, awaitedSince: since, waited: time.Since(since)}, err
 }
 
-// while calls pass, which passes the last event on to the caller. If that takes long, reading ahead begins.
-func (r *reading) while(pass func() error) error {
+// during calls pass, which passes the last event on to the caller. If that takes long, reading ahead begins.
+func (r *reading) during(pass func() error) error {
 	r.setSending(true)
 	defer r.setSending(false)
 	return pass()
