forward: a leaving source with long gaps is asked to stop beside a late backup

What callers saw: none; two engines worked on one generation for 501, 802 and 1,201 ms where the source sends an event each 500, 800 and 1,200 ms (400 are allowed). Cause: a source that had sent no event since the call to its backup was taken for one that does not work. Change: where the time of the backup is over and the source has sent nothing, the source is asked to stop and keeps its connection and its memory, from which the generation goes on if the backup refuses. The time of a backup beside a source that sends is 250 ms in place of 150: giving a backup up takes one close, and one call 50 ms later.

--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -12,7 +12,7 @@
 // maxOverlap is how long a backup may take to answer while the source still works. A backup that refuses usually does so at once, but
 // a crowded one may be late, and one that answers late may be running the generation already: two engines must not work on it for
 // more than 400 ms. The rest of these is left for stopping the backup.
-const maxOverlap = 150 * time.Millisecond
+const maxOverlap = 250 * time.Millisecond
 
 // errSourceWorks is why a backup is given up that has not answered within maxOverlap.
 var errSourceWorks = errors.New("the backup has not answered in time, and the source still works")
@@ -20,11 +20,12 @@
 // handover is a call to the backup of a stream whose source has not been given up.
 //
 // Invariant: while neither engine has said what becomes of the generation, it is the backup that is given up and not the source, as
-// long as the source sends events. A source that sends nothing costs nothing to keep, and may be all that is left if the backup
-// refuses.
+// long as the source sends events. A source that sends nothing is asked to stop, since it may work all the same, and keeps its
+// connection: it and the memory that it keeps may be all that is left if the backup refuses.
 type handover struct {
-	// cancel ends the call to the backup.
-	cancel context.CancelFunc
+	// cancel ends the call to the backup, and stopSource asks the source to stop the generation and to keep its memory.
+	cancel     context.CancelFunc
+	stopSource func()
 	// sourceSent is set once the source has sent an event since the call was sent.
 	sourceSent bool
 	// isOver is set maxOverlap after the call was sent, and isGivenUp when the call was canceled for that.
@@ -39,9 +40,13 @@
 	s.mu.Unlock()
 	time.AfterFunc(maxOverlap, func() {
 		s.mu.Lock()
-		defer s.mu.Unlock()
 		h.isOver = true
 		s.giveUpBackup()
+		isUndecided := s.handover == h && !h.isGivenUp && s.response != nil && !s.stops.mayHaveStopped()
+		s.mu.Unlock()
+		if isUndecided {
+			h.stopSource()
+		}
 	})
 }
 
--- a/internal/forward/switch.go
+++ b/internal/forward/switch.go
@@ -92,7 +92,7 @@
 func (s *stream) sendToBackup(next *continuation, source roster.Target) bool {
 	ctx, cancel := context.WithDeadline(s.ctx, s.deadline)
 	next.cancel = cancel
-	h := &handover{cancel: cancel}
+	h := &handover{cancel: cancel, stopSource: func() { s.leaveOnce(source, next.lease.Target.Address, 0) }}
 	attempt := Attempt{LastEventID: s.caller.LastEvent(), From: next.from, BackupAddress: s.reserveBackup(next.lease)}
 	// While a connection is being made, the source is the only engine that works on the generation.
 	attempt.Sending = func() { s.beginHandover(h) }
