forward: events that were read ahead hold up no handover and give no stream away

Cause: reading ahead put up to 1 MiB between an engine and the relay: what the relay knew was seconds old, and the bytes counted as the stream's own, so that it was the largest answer. Change: once the generation goes on elsewhere, the events that wait are forgotten unless the answer has a stated end; the next engine sends them again. A source that was read to its end does not count as one that works. What waits is on a holding of its own that gives way to nobody and is taken only from spare memory. The connection of a stopped run is closed only while its answer is read.

--- a/internal/forward/reading.go
+++ b/internal/forward/reading.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"io"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"godwitcart/internal/eventstream"
+	"godwitcart/internal/membudget"
 )
 
 const (
@@ -23,11 +25,13 @@
 
 var errNotRead = errors.New("the answer is not read any more")
 
-// arrival is an event of an answer. The VM has waited for it since awaitedSince.
+// arrival is an event of an answer. The VM has waited for it since awaitedSince. isSpare tells on which holding it is while it waits for
+// the caller.
 type arrival struct {
 	event        eventstream.Event
 	awaitedSince time.Time
 	waited       time.Duration
+	isSpare      bool
 }
 
 // reading reads the events of one answer for the relay. Once a caller takes an event slowly, the following ones are read ahead: the
@@ -39,8 +43,8 @@
 	events   *eventstream.Reader
 	// first was read before the relay began; nil for none.
 	first *arrival
-	// ended is called when the answer was read ahead to its end, which may be a broken one.
-	ended func()
+	// ended is called before the end of an answer that is read ahead is passed on.
+	ended func(error)
 
 	mu sync.Mutex
 	// isSending is set while the caller takes an event, and timer ends slowCallerTime.
@@ -50,7 +54,7 @@
 }
 
 func newReading(response *answer) *reading {
-	return &reading{response: response, events: eventstream.NewReader(response, response), ended: func() {}}
+	return &reading{response: response, events: eventstream.NewReader(response, response), ended: func(error) {}}
 }
 
 // next returns the next event, which is valid until the next call.
@@ -115,13 +119,24 @@
 			err = ahead.push(got)
 		}
 		if err != nil {
+			r.ended(err)
 			ahead.end(err)
-			r.ended()
 			return
 		}
 	}
 }
 
+// forget drops the events that wait for the caller, unless the answer was read to its stated end: where the generation goes on
+// elsewhere, the next target sends them again, and the memory from which it does may lapse before the caller has taken them.
+func (r *reading) forget() {
+	r.mu.Lock()
+	ahead := r.ahead
+	r.mu.Unlock()
+	if ahead != nil {
+		ahead.forget()
+	}
+}
+
 // close ends the reading. An answer that is still read ahead is given up.
 func (r *reading) close() {
 	r.mu.Lock()
@@ -134,24 +149,27 @@
 	r.events.Close()
 }
 
-// readAhead holds events that wait for a slow caller. What they take is accounted for with their answer.
+// readAhead holds events that wait for a slow caller. They are on a holding of their own, so that memory which is spare now does not make
+// the stream one that gives way later; the one event that would be held without reading ahead is on that of the answer.
 type readAhead struct {
 	response *answer
+	spare    *membudget.Holding
 	// over is closed when the answer is not read any more.
 	over chan struct{}
 
 	mu      sync.Mutex
 	changed *sync.Cond
 	waiting []arrival
-	// held is the size of the waiting events and of the one that was taken last, whose size is taken.
-	held, taken int
-	isStopped   bool
+	// taken is the event that was taken last, and held the size of that and of the waiting ones.
+	taken     arrival
+	held      int
+	isStopped bool
 	// err is how the answer has ended; nil while it is read.
 	err error
 }
 
 func newReadAhead(response *answer) *readAhead {
-	a := &readAhead{response: response, over: make(chan struct{})}
+	a := &readAhead{response: response, spare: response.SpareHolding(), over: make(chan struct{})}
 	a.changed = sync.NewCond(&a.mu)
 	return a
 }
@@ -161,13 +179,20 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	size := len(got.event.Raw)
-	for a.held > 0 && !a.isStopped && (a.held+size > maxAheadBytes || !a.response.GrowIfSpare(size)) {
+	for !a.isStopped {
+		if a.held+size <= maxAheadBytes && a.spare.GrowIfSpare(int64(size)) {
+			got.isSpare = true
+			break
+		}
+		if a.held == 0 {
+			break
+		}
 		a.changed.Wait()
 	}
 	if a.isStopped {
 		return errNotRead
 	}
-	if a.held == 0 {
+	if !got.isSpare {
 		if err := a.response.Grow(size); err != nil {
 			return err
 		}
@@ -183,7 +208,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.release(a.taken)
-	a.taken = 0
+	a.taken = arrival{}
 	for len(a.waiting) == 0 && a.err == nil {
 		a.changed.Wait()
 	}
@@ -193,17 +218,40 @@
 	next := a.waiting[0]
 	a.waiting[0] = arrival{}
 	a.waiting = a.waiting[1:]
-	a.taken = len(next.event.Raw)
+	a.taken = next
 	return next, nil
 }
 
 // release requires mu.
-func (a *readAhead) release(size int) {
-	a.response.Shrink(size)
+func (a *readAhead) release(got arrival) {
+	size := len(got.event.Raw)
+	if got.isSpare {
+		a.spare.Shrink(int64(size))
+	} else {
+		a.response.Shrink(size)
+	}
 	a.held -= size
 	a.changed.Broadcast()
 }
 
+// releaseWaiting requires mu.
+func (a *readAhead) releaseWaiting() {
+	for _, got := range a.waiting {
+		a.release(got)
+	}
+	a.waiting = nil
+}
+
+func (a *readAhead) forget() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.err == io.EOF && a.response.End().IsStated() {
+		return
+	}
+	a.isStopped = true
+	a.releaseWaiting()
+}
+
 func (a *readAhead) end(err error) {
 	a.mu.Lock()
 	a.err = err
@@ -225,6 +273,8 @@
 	<-a.over
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.release(a.held)
-	a.waiting, a.taken = nil, 0
+	a.releaseWaiting()
+	a.release(a.taken)
+	a.taken = arrival{}
+	a.spare.Release()
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -14,7 +14,8 @@
 	if next.reading == nil {
 		next.reading = newReading(response)
 	}
-	next.reading.ended = func() { s.releaseEnded(lease, response) }
+	s.setReading(next.reading)
+	next.reading.ended = func(err error) { s.recordReadEnd(lease, response, err) }
 	defer next.closeReading()
 	for {
 		got, err := next.reading.next()
@@ -67,13 +68,23 @@
 	s.isSending = isSending
 }
 
-// releaseEnded follows the end of an answer of which events wait for the caller. Where it is stated, the places at the target and at
-// the backup are free.
-func (s *stream) releaseEnded(lease *placement.Lease, response *answer) {
+func (s *stream) setReading(current *reading) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reading = current
+}
+
+// recordReadEnd follows the end of an answer of which events wait for the caller. Where it is stated, the places at the target and at
+// the backup are free; where it is not and there is a backup, that goes on at once.
+func (s *stream) recordReadEnd(lease *placement.Lease, response *answer, err error) {
 	s.mu.Lock()
 	s.hasReadEnd = true
+	current := s.reading
 	s.mu.Unlock()
-	if !response.End().IsStated() || s.wasAskedToStop() {
+	if err != io.EOF && s.hasUsableBackup() {
+		current.forget()
+	}
+	if err != io.EOF || !response.End().IsStated() || s.wasAskedToStop() {
 		return
 	}
 	lease.Done(placement.Answered, time.Now())
--- a/internal/forward/release.go
+++ b/internal/forward/release.go
@@ -22,11 +22,13 @@
 		s.continuation = next
 	}
 	s.moveDone = nil
+	if next != nil && s.response != nil && s.reading != nil {
+		s.reading.forget()
+	}
 	switch {
 	case next == nil || s.response == nil:
 	case s.stops.mayHaveStopped():
-		response := s.response
-		time.AfterFunc(stoppedEndTime, func() { response.CloseConnection(closedForNext) })
+		time.AfterFunc(stoppedEndTime, s.closeStopped(s.response))
 	default:
 		s.response.CloseConnection(closedForNext)
 	}
@@ -36,6 +38,17 @@
 	}
 }
 
+// closeStopped returns what closes the connection of a response if it is still read: later the connection may serve another call.
+func (s *stream) closeStopped(response *answer) func() {
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.response == response {
+			response.CloseConnection(closedForNext)
+		}
+	}
+}
+
 // release frees the reservations, response and KV cache copies that the stream still holds.
 func (s *stream) release() {
 	s.mu.Lock()
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -54,12 +54,16 @@
 	// handover is the call to the backup that is in progress; nil for none. isSending is set while an event waits for the caller.
 	handover  *handover
 	isSending bool
-	// hasReadEnd is set once the answer of the current target was read ahead to its end.
+	// reading reads the answer of the current target, and hasReadEnd is set once that was read ahead to its end.
+	reading    *reading
 	hasReadEnd bool
 	// left is the run that was left last, while its memory may be needed; nil for none.
 	left *departure
-	// leavingNoticedAt is when the VM noticed that the current target leaves; zero if it does not.
-	leavingNoticedAt time.Time
+	// leavingTarget is the target of the stream that was noticed last as one that leaves, and leavingNoticedAt when that was, also if the
+	// generation has gone on there since. refusedLastCopies counts the times that it was stopped there for nothing.
+	leavingTarget     roster.Target
+	leavingNoticedAt  time.Time
+	refusedLastCopies int
 	// departures are those whose engines may still be asked to stop a run of the generation.
 	departures []*departure
 	// isReleased is set once the stream has ended; a move that is still in progress then reserves nothing for it.
@@ -292,7 +296,7 @@
 	s.mayHaveRun = true
 	s.mu.Lock()
 	s.lease, s.response, s.stops = lease, response, &stopCalls{}
-	s.leavingNoticedAt, s.hasReadEnd = time.Time{}, false
+	s.hasReadEnd, s.reading = false, nil
 	s.ended = make(chan struct{})
 	s.mu.Unlock()
 	s.streams.add(lease.Target.ID, s)
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -223,8 +223,13 @@
 // Grow records that the answer holds more bytes which are not passed on yet. The error is membudget.ErrExceeded if it holds too much.
 func (r *Response) Grow(bytes int) error { return r.holding.Grow(int64(bytes)) }
 
-// GrowIfSpare is Grow for bytes that are held only while there is memory to spare; it reports false if they are not.
-func (r *Response) GrowIfSpare(bytes int) bool { return r.holding.GrowIfSpare(int64(bytes)) }
+// SpareHolding returns a holding for bytes of the answer that are held only while there is memory to spare. It is none of those that
+// are given up where memory is short; it must be released.
+func (r *Response) SpareHolding() *membudget.Holding {
+	holding := r.client.options.Budget.Answer(func() {})
+	holding.Pin()
+	return holding
+}
 
 // Shrink records that bytes are not held any more.
 func (r *Response) Shrink(bytes int) { r.holding.Shrink(int64(bytes)) }
