forward: a generation is not stopped at a leaving engine again and again

An engine that reset the call to go on from its memory lost the stream. Cause: where the last copy is refused, the generation goes on at its source, and its first event began the next move with a notice of its own. A reset was not tried again though the engine says that it does not run the generation. Change: the first notice of an engine's leaving stays for the stream. After a refused last copy the next one waits, longer each time, and none is made once it could not be resumed within the time for which the engine is sure to serve. A call that was reset is tried again if the engine denies the run.

--- a/internal/forward/continuation.go
+++ b/internal/forward/continuation.go
@@ -6,6 +6,7 @@
 
 	"godwitcart/internal/pause"
 	"godwitcart/internal/placement"
+	"godwitcart/internal/roster"
 )
 
 // prepareContinuation reports whether the stream can continue after the failure of its target, and prepares it. left is the run
@@ -58,7 +59,7 @@
 		return true
 	}
 	s.freeUnused(left)
-	if failure.notRun && previous.isAtSource {
+	if previous.isAtSource && (failure.notRun || left != nil && left.isAbsent()) {
 		return s.setContinuation(s.tryMemoryAgain(ctx, previous))
 	}
 	s.mu.Lock()
@@ -89,7 +90,7 @@
 	if refused.refusals+1 >= maxMemoryRefusals || !s.options.Budget.Spend(s.service.Name) || !pause.For(ctx, wait) {
 		return nil
 	}
-	if noticedAt := s.leavingNoticed(); s.options.Table.IsLeaving(engine) && time.Since(noticedAt) > minNoticeTime {
+	if s.options.Table.IsLeaving(engine) && time.Since(s.noticeLeaving(engine, time.Now())) > minNoticeTime {
 		return nil
 	}
 	next := s.resumeAtSource(engine, *refused.from)
@@ -97,16 +98,29 @@
 	return next
 }
 
-func (s *stream) setLeavingNoticed(at time.Time) {
+// noticeLeaving records that the target was noticed at the time as one that leaves, and returns when that was first.
+func (s *stream) noticeLeaving(target roster.Target, at time.Time) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leavingNoticedAt = at
+	if s.leavingNoticedAt.IsZero() || !s.leavingTarget.SameIncarnation(target) {
+		s.leavingTarget, s.leavingNoticedAt, s.refusedLastCopies = target, at, 0
+	}
+	return s.leavingNoticedAt
 }
 
-func (s *stream) leavingNoticed() time.Time {
+// mayStopForCopy waits before the next last copy off a target at which the generation was stopped for nothing, and reports whether it
+// may be made: it must be possible to go on there if it is refused again.
+func (s *stream) mayStopForCopy(ctx context.Context, noticedAt time.Time) bool {
+	s.mu.Lock()
+	refused := s.refusedLastCopies
+	s.mu.Unlock()
+	return refused == 0 || pause.For(ctx, moveRetryDelay<<min(refused, maxMemoryRefusals)) && time.Since(noticedAt) <= minNoticeTime
+}
+
+func (s *stream) recordRefusedLastCopy() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.leavingNoticedAt
+	s.refusedLastCopies++
 }
 
 // setContinuation sets where the generation continues, and reports whether that is anywhere.
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -172,7 +172,7 @@
 // generation, copies the rest and returns the continuation. It returns nil if the generation stays at its source. It calls
 // blocked when no target has room, or when the source does not answer or does not run the generation.
 func (s *stream) move(leaving roster.Target, noticedAt time.Time, blocked func()) *continuation {
-	s.setLeavingNoticed(noticedAt)
+	noticedAt = s.noticeLeaving(leaving, noticedAt)
 	ctx, cancel := context.WithTimeout(s.ctx, s.moveTimeout(leaving, noticedAt))
 	defer cancel()
 	excluded := []string{leaving.ID}
@@ -205,6 +205,7 @@
 			blocked()
 			pause.For(ctx, moveRetryDelay)
 		case result.KVCache.Handle != "": // stopped for the final copy, which was refused
+			s.recordRefusedLastCopy()
 			return s.resumeAfterRefusal(leaving, lease.Target, result.KVCache)
 		default:
 			excluded = append(excluded, lease.Target.ID)
@@ -224,6 +225,9 @@
 			return result, err
 		}
 		if time.Since(startedAt) <= s.finalCopyLimit() || time.Since(noticedAt) > minNoticeTime {
+			if !s.mayStopForCopy(ctx, noticedAt) {
+				return CopyResult{Refused: true}, nil
+			}
 			return s.requestLastCopy(ctx, leaving, lease.Target.Address)
 		}
 	}
