--- a/internal/crowd/trickle_test.go
+++ b/internal/crowd/trickle_test.go
@@ -41,7 +41,7 @@
 // opening sends the beginning of a request and returns what writes one more byte of it.
 type opening func(conn net.Conn, client int) (next func() error, err error)
 
-// gatherTrickling starts the clients and waits until they have settled. A client whose connection is closed comes back after the
+// gatherTrickling starts the clients and waits until they have settled. A client whose connection is closed returns after the
 // pause.
 func gatherTrickling(t *testing.T, address string, open opening) (leave func()) {
 	t.Helper()
--- a/internal/forward/reading.go
+++ b/internal/forward/reading.go
@@ -126,7 +126,7 @@
 	}
 }
 
-// forget drops the events that wait for the caller, unless the answer was read to its stated end: where the generation goes on
+// forget drops the events that wait for the caller, unless the answer was read to its stated end: where the generation continues
 // elsewhere, the next target sends them again, and the memory from which it does may lapse before the caller has taken them.
 func (r *reading) forget() {
 	r.mu.Lock()
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -75,7 +75,7 @@
 }
 
 // recordReadEnd follows the end of an answer of which events wait for the caller. Where it is stated, the places at the target and at
-// the backup are free; where it is not and there is a backup, that goes on at once.
+// the backup are free; where it is not and there is a backup, that one continues at once.
 func (s *stream) recordReadEnd(lease *placement.Lease, response *answer, err error) {
 	s.mu.Lock()
 	s.hasReadEnd = true
--- a/internal/forward/switch.go
+++ b/internal/forward/switch.go
@@ -65,7 +65,7 @@
 }
 
 // continueStopped returns where a generation goes on whose backup, given by refused, does not take it: from the memory of its
-// source if that was asked to stop it and has done so. It returns nil if it goes on at its source, which is asked no more, or
+// source if that was asked to stop it and has done so. It returns nil if it stays at its source, which is asked no more, or
 // nowhere.
 func (s *stream) continueStopped(source, refused roster.Target) *continuation {
 	left := s.leftFrom(source)
--- a/internal/stand/soak/strains.go
+++ b/internal/stand/soak/strains.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	// maxServeOn is how long an engine that leaves late serves on at most, and serveOnInterval how often it is looked at.
+	// maxServeOn is how long an engine that leaves late serves on at most, and serveOnInterval how often that is checked.
 	maxServeOn      = 8 * time.Second
 	serveOnInterval = 20 * time.Millisecond
 	// releaseGap is the time between two targets of a release, which replaces one of releaseEvery.
