forward: an engine's answer outlives that it could not be reached at first

Cause: the outcome of leaving a run is set as unreachable as soon as one connection fails, and the answer that follows (404, the run has ended) was dropped. The stream had ended whole without a length or chunks; the backup was asked to go on, had no copy any more, and ran the request anew. Evidence: the log of the run: "run left" not running after two calls, the first of which was not sent; the call to the backup in the same millisecond. Change: once the engine is asked no more, its last word counts for whether the run may have ended whole.

--- a/internal/forward/leave.go
+++ b/internal/forward/leave.go
@@ -61,6 +61,8 @@
 	// done is closed when the engine is not asked any more. result is its answer.
 	done   chan struct{}
 	result CopyResult
+	// answer is the outcome once done is closed: an engine that could not be reached at first may have answered since.
+	answer leaveOutcome
 	// calls counts the calls to the engine, and lastFailure is what the last one without an answer failed with; for the log.
 	calls       int
 	lastFailure error
@@ -128,6 +130,11 @@
 
 // isAbsent reports whether the engine has said that it does not run the generation.
 func (d *departure) isAbsent() bool {
+	select {
+	case <-d.done:
+		return d.answer == leftAbsent
+	default:
+	}
 	select {
 	case <-d.settled:
 		return d.outcome == leftAbsent
@@ -191,6 +198,7 @@
 		startedAt := time.Now()
 		outcome := s.stopRun(left, destination)
 		left.settle(outcome)
+		left.answer = outcome
 		close(left.done)
 		s.metrics.recordLeft(outcome)
 		s.log("run left", "target", source.ID, "outcome", string(outcome), "asked_ms", time.Since(startedAt).Milliseconds(), "calls", left.calls,
@@ -343,7 +351,7 @@
 	defer timer.Stop()
 	select {
 	case <-d.done:
-		return d.outcome == leftStopped || d.outcome == leftAbsent
+		return d.answer == leftStopped || d.answer == leftAbsent
 	case <-timer.C:
 	case <-ctx.Done():
 	}
