forward: one name for memory that an engine keeps

Cause: the log line on a run that was left asked for the handle itself, where departure.hasMemory says the same. Change: the line calls it; nothing else changes.

--- a/internal/forward/leave.go
+++ b/internal/forward/leave.go
@@ -202,7 +202,7 @@
 		close(left.done)
 		s.metrics.recordLeft(outcome)
 		s.log("run left", "target", source.ID, "outcome", string(outcome), "asked_ms", time.Since(startedAt).Milliseconds(), "calls", left.calls,
-			"memory_kept", left.result.KVCache.Handle != "", "last_failure", left.lastFailure)
+			"memory_kept", left.hasMemory(), "last_failure", left.lastFailure)
 	}()
 	return left
 }
