forward: a stream on a connection that went silent is not awaited until its deadline

What callers saw: a stream stood still in the middle and ended as deadline_exceeded, seconds later, though another engine could go on with it (resumable streams), or though its engine worked on and kept its memory when asked to stop (streams without a backup). Cause: only streams with a backup are watched for silence, and once. Change: a second timer beside that of the silence.

--- a/internal/forward/leave.go
+++ b/internal/forward/leave.go
@@ -81,6 +81,16 @@
 	}
 }
 
+// isDone reports whether the engine is not asked any more.
+func (d *departure) isDone() bool {
+	select {
+	case <-d.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // pauseUnlessKept waits before the next call. It returns false if there is to be none.
 func (d *departure) pauseUnlessKept(ctx context.Context, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -19,7 +19,7 @@
 type requestMetrics struct {
 	responses, callerDisconnects metrics.Counter
 	moves, movesFailed           metrics.Counter
-	backupSwitches               metrics.Counter
+	backupSwitches, stalls       metrics.Counter
 	// runsLeft counts the runs that were left, by what became known of them.
 	runsLeft map[leaveOutcome]metrics.Counter
 	// unprovenEnds counts responses that ended without proof that their stream had.
@@ -41,7 +41,7 @@
 	return &requestMetrics{
 		runsLeft:  runsLeft,
 		responses: counter("answers"), callerDisconnects: counter("callers_left"),
-		moves: counter("moves"), movesFailed: counter("moves_failed"), backupSwitches: counter("from_backup"), unprovenEnds: counter("unproven_ends"),
+		moves: counter("moves"), movesFailed: counter("moves_failed"), backupSwitches: counter("from_backup"), stalls: counter("stalls"), unprovenEnds: counter("unproven_ends"),
 		responseTime: histogram("answer_nanoseconds"), firstEvent: histogram("first_event_nanoseconds"),
 		eventGap: histogram("event_gap_nanoseconds"), resumeGap: histogram("continue_pause_nanoseconds"),
 		roomWait: histogram("room_wait_nanoseconds"),
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -29,34 +29,39 @@
 	return max(floor, gaps.mean+deviationFactor*gaps.deviation), true
 }
 
-// watchSilence begins the wait for the next event, and starts the timer that ends it. Only a stream with a backup has one. The
-// caller must be the relay.
+// watchSilence begins the wait for the next event, and starts the timers that end it: that of a silence for a stream with a backup, and
+// that of a stall. The caller must be the relay.
 func (s *stream) watchSilence(lease *placement.Lease) {
 	limit, known := silenceLimit(s.gaps, s.route.MaxGap)
-	if !known || !s.hasUsableBackup() {
-		return
-	}
-	if s.silenceTimer == nil {
-		target := lease.Target
-		s.silenceTimer = time.AfterFunc(limit, func() {
+	target := lease.Target
+	if known && s.hasUsableBackup() {
+		s.silenceTimer = restartTimer(s.silenceTimer, limit, func() {
 			s.relocate(target, func() *continuation { return s.switchToBackup(target, movedOffSilent, true) })
 		})
-		return
 	}
-	s.silenceTimer.Reset(limit)
+	s.stallTimer = restartTimer(s.stallTimer, stallLimit(limit, known), func() { s.endStall(target) })
 }
 
-// pauseSilenceWatch stops the timer until the next call of watchSilence.
+// restartTimer starts a timer anew; nil for one that has not been made.
+func restartTimer(timer *time.Timer, wait time.Duration, end func()) *time.Timer {
+	if timer == nil {
+		return time.AfterFunc(wait, end)
+	}
+	timer.Reset(wait)
+	return timer
+}
+
+// pauseSilenceWatch stops the timers until the next call of watchSilence.
 func (s *stream) pauseSilenceWatch() {
-	if s.silenceTimer != nil {
-		s.silenceTimer.Stop()
+	for _, timer := range []*time.Timer{s.silenceTimer, s.stallTimer} {
+		if timer != nil {
+			timer.Stop()
+		}
 	}
 }
 
-// stopWatchingSilence stops the timer once the target's response has ended.
+// stopWatchingSilence stops the timers once the target's response has ended.
 func (s *stream) stopWatchingSilence() {
-	if s.silenceTimer != nil {
-		s.silenceTimer.Stop()
-		s.silenceTimer = nil
-	}
+	s.pauseSilenceWatch()
+	s.silenceTimer, s.stallTimer = nil, nil
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -26,9 +26,9 @@
 	// firstEventDelay is the time from the request's arrival to its first event, and longestGap the longest time
 	// between two events.
 	firstEventDelay, longestGap time.Duration
-	// gaps and silenceTimer are used by the relay only. gaps are the times that the VM has waited for events.
-	gaps         smoothed
-	silenceTimer *time.Timer
+	// gaps and the timers are used by the relay only. gaps are the times that the VM has waited for events.
+	gaps                     smoothed
+	silenceTimer, stallTimer *time.Timer
 
 	// mu guards writes to events and the fields below, which the relay shares with the evacuation of a leaving target.
 	mu       sync.Mutex
