forward: an engine that is merely late is not asked to stop before its backup has answered

What callers saw: even streams broke off in the middle in a deployment without a fault. Cause: the limit of a silence is the mean of the gaps and four deviations, and an even stream shows next to no deviation, so that a few milliseconds counted as a silence. The engine was then asked to stop before the backup was asked; the backup refused, and so did the engine where the generation had to be admitted anew. Change: the deviation counts as a sixteenth of the mean at least. The backup of a silent engine is asked while the engine works on, as that of a leaving one is; if the engine sends an event before the backup does, it was late, keeps the generation, and the backup is given up. A silent engine is asked to stop only where a backup has not answered after 250 ms, since both may work then, or where the stream stands still for a second. TestMemoryIsGivenUpThoughItIsKept passes: an engine is asked to stop later, and refuses no longer by then.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -207,7 +207,7 @@
 			return err
 		}
 		if attempt.Sending != nil {
-			attempt.Sending()
+			return attempt.Sending()
 		}
 		return nil
 	}
--- a/internal/forward/continuation.go
+++ b/internal/forward/continuation.go
@@ -19,7 +19,7 @@
 		return s.continueFromStopped(ctx, failure, previous, left) // starting from the prompt would run the call twice
 	}
 	if !failure.notRun && s.hasUsableBackup() && !s.mayHaveEnded(ctx, failure, left, wasAskedToStop) {
-		s.awaitLeft(left, nil)
+		s.awaitLeft(left)
 		if s.continueFromBackup() {
 			return true
 		}
@@ -31,7 +31,7 @@
 	if !s.prepareRetry(ctx, failure, previous.lease.Target.ID) {
 		return false
 	}
-	s.awaitLeft(left, nil)
+	s.awaitLeft(left)
 	return true
 }
 
--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"godwitcart/internal/placement"
+	"godwitcart/internal/roster"
 )
 
 // maxOverlap is how long a backup may take to answer while the source still works. A backup that refuses usually does so at once, but
@@ -14,15 +15,24 @@
 // more than 400 ms. The rest of these is left for stopping the backup.
 const maxOverlap = 250 * time.Millisecond
 
-// errSourceWorks is why a backup is given up that has not answered within maxOverlap.
-var errSourceWorks = errors.New("the backup has not answered in time, and the source still works")
+var (
+	// errSourceWorks is why a backup is given up that has not answered within maxOverlap.
+	errSourceWorks = errors.New("the backup has not answered in time, and the source still works")
+	// errSourceWasLate is why a backup is not asked, or given up, whose source was silent and has sent an event since.
+	errSourceWasLate = errors.New("the source was late and works")
+)
 
 // handover is a call to the backup of a stream whose source has not been given up.
 //
 // Invariant: while neither engine has said what becomes of the generation, it is the backup that is given up and not the source, as
 // long as the source sends events. A source that sends nothing is asked to stop, since it may work all the same, and keeps its
 // connection: it and the memory that it keeps may be all that is left if the backup refuses.
+//
+// A source that is to be left since it was silent keeps the generation once it sends an event: it was merely late.
 type handover struct {
+	// keepsIfLate is set for a source that is not leaving, and eventsBefore is the number of events before the handover.
+	keepsIfLate  bool
+	eventsBefore int
 	// cancel ends the call to the backup, and stopSource asks the source to stop the generation and to keep its memory.
 	cancel     context.CancelFunc
 	stopSource func()
@@ -32,9 +42,25 @@
 	isOver, isGivenUp bool
 }
 
-// beginHandover starts the time that the backup has. It is called when the call is sent: while a connection is being made, the
-// source is the only engine that works on the generation.
-func (s *stream) beginHandover(h *handover) {
+// newHandover returns the handover of the generation from its source to its backup.
+func (s *stream) newHandover(source roster.Target) *handover {
+	_, isEvacuated := s.options.Table.EvacuatedSince(source)
+	return &handover{keepsIfLate: !isEvacuated && !s.options.Table.IsLeaving(source), eventsBefore: s.eventCount()}
+}
+
+// mayBegin reports whether the backup is still to be asked.
+func (s *stream) mayBegin(h *handover) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !h.keepsIfLate || s.events == h.eventsBefore
+}
+
+// beginHandover starts the time that the backup has. It is called when the call is to be sent, which its error prevents: while a
+// connection is being made, the source is the only engine that works on the generation.
+func (s *stream) beginHandover(h *handover) error {
+	if !s.mayBegin(h) {
+		return errSourceWasLate
+	}
 	s.mu.Lock()
 	s.handover = h
 	s.mu.Unlock()
@@ -48,6 +74,7 @@
 			h.stopSource()
 		}
 	})
+	return nil
 }
 
 // endHandover ends the time that the backup has, and reports whether it was given up.
@@ -68,11 +95,19 @@
 	s.giveUpBackup()
 }
 
-// giveUpBackup gives the backup up if its time is over and the source works: it has sent an event, or its events wait for the caller.
-// A source that may have been stopped is not relied on. It requires mu.
+// errGivenUp is why the backup is given up.
+func (h *handover) errGivenUp() error {
+	if h.keepsIfLate {
+		return errSourceWasLate
+	}
+	return errSourceWorks
+}
+
+// giveUpBackup gives the backup up if its time is over, or was given for a source that was merely late, and the source works: it has
+// sent an event, or its events wait for the caller. A source that may have been stopped is not relied on. It requires mu.
 func (s *stream) giveUpBackup() {
 	h := s.handover
-	if h == nil || !h.isOver || h.isGivenUp || s.stops.mayHaveStopped() || s.response == nil {
+	if h == nil || !h.isOver && !h.keepsIfLate || h.isGivenUp || s.stops.mayHaveStopped() || s.response == nil {
 		return
 	}
 	if !s.hasReadEnd && (h.sourceSent || s.isSending) {
--- a/internal/forward/leave.go
+++ b/internal/forward/leave.go
@@ -339,9 +339,9 @@
 	return time.Duration(stopWaitShare * float64(s.route.MaxGap))
 }
 
-// awaitLeft waits until the run is known not to work any more, its engine could not be reached, or stopWait has passed. A run
-// ends with its response: ended is closed then, and nil if that tells nothing. A departure that is nil is over.
-func (s *stream) awaitLeft(left *departure, ended <-chan struct{}) {
+// awaitLeft waits until the run is known not to work any more, its engine could not be reached, or stopWait has passed. A departure
+// that is nil is over.
+func (s *stream) awaitLeft(left *departure) {
 	if left == nil {
 		return
 	}
@@ -349,7 +349,6 @@
 	defer timer.Stop()
 	select {
 	case <-left.settled:
-	case <-ended:
 	case <-timer.C:
 	case <-s.ctx.Done():
 	}
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -14,6 +14,9 @@
 	// a maximum gap use defaultSilence.
 	silenceShare   = 0.7
 	defaultSilence = 100 * time.Millisecond
+	// minDeviationShare is the least deviation of the gaps, as a share of their mean: an even stream shows next to none, and its
+	// next event may still be a few milliseconds late.
+	minDeviationShare = 1.0 / 16
 )
 
 // silenceLimit returns the silence after which a stream with such gaps between its events counts as interrupted. It
@@ -26,7 +29,8 @@
 	if maxGap > 0 {
 		floor = time.Duration(silenceShare * float64(maxGap))
 	}
-	return max(floor, gaps.mean+deviationFactor*gaps.deviation), true
+	deviation := max(gaps.deviation, time.Duration(minDeviationShare*float64(gaps.mean)))
+	return max(floor, gaps.mean+deviationFactor*deviation), true
 }
 
 // watchSilence begins the wait for the next event, and starts the timers that end it: that of a silence for a stream with a backup, and
@@ -36,7 +40,7 @@
 	target := lease.Target
 	if known && s.hasUsableBackup() {
 		s.silenceTimer = restartTimer(s.silenceTimer, limit, func() {
-			s.relocate(target, func() *continuation { return s.switchToBackup(target, movedOffSilent, true) })
+			s.relocate(target, func() *continuation { return s.switchToBackup(target, movedOffSilent) })
 		})
 	}
 	s.stallTimer = restartTimer(s.stallTimer, stallLimit(limit, known), func() { s.endStall(target) })
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -13,7 +13,6 @@
 	"godwitcart/internal/delivery"
 	"godwitcart/internal/placement"
 	"godwitcart/internal/roster"
-	"godwitcart/internal/upstream"
 )
 
 // stream is one streamed response. Its generation may move to other targets while it runs.
@@ -48,9 +47,6 @@
 	continuation *continuation
 	// moveDone is closed when the move in progress has ended; nil if there is none.
 	moveDone chan struct{}
-	// ended is closed when the current target's response has ended; endStated tells whether its length or last chunk stated that.
-	ended     chan struct{}
-	endStated bool
 	// handover is the call to the backup that is in progress; nil for none. isSending is set while an event waits for the caller.
 	handover  *handover
 	isSending bool
@@ -200,7 +196,7 @@
 	s.register(next.lease, response)
 	err = s.relay(next, response, source)
 	s.stopWatchingSilence()
-	s.unregister(response.End())
+	s.unregister()
 	// A whole answer needs no continuation. What its engine may have stopped is whole only if the engine denies that.
 	hasMoved := (s.wasAskedToStop() || !response.End().IsStated()) && s.awaitMove(ctx)
 	if err == nil && !hasMoved && s.wasAskedToStop() && !s.hasStopped() && response.End().IsStated() {
@@ -297,31 +293,15 @@
 	s.mu.Lock()
 	s.lease, s.response, s.stops = lease, response, &stopCalls{}
 	s.hasReadEnd, s.reading = false, nil
-	s.ended = make(chan struct{})
 	s.mu.Unlock()
 	s.streams.add(lease.Target.ID, s)
 }
 
 // unregister hides the stream from evacuations once its target's response has ended.
-func (s *stream) unregister(end upstream.End) {
+func (s *stream) unregister() {
 	s.mu.Lock()
 	id := s.lease.Target.ID
-	s.response, s.endStated = nil, end.IsStated()
-	close(s.ended)
+	s.response = nil
 	s.mu.Unlock()
 	s.streams.remove(id, s)
 }
-
-// responseEnded returns a channel that is closed when the current target's response has ended.
-func (s *stream) responseEnded() <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.ended
-}
-
-// hasStatedEnd reports whether the response that has ended last stated its end.
-func (s *stream) hasStatedEnd() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.endStated
-}
--- a/internal/forward/switch.go
+++ b/internal/forward/switch.go
@@ -11,23 +11,19 @@
 // switchToBackup continues the generation at its backup, and returns nil if there is none or it refuses, for example
 // because it had no capacity for the copy. A switch is logged with the given message.
 //
-// With stopFirst, the source is asked to stop before the backup is asked. Otherwise it works on until the backup has responded. In
-// both cases the source keeps its connection until then, so that a refusal costs nothing, however late it comes; events that both
-// send are deduplicated by their numbers. See handover for how long both may work.
-func (s *stream) switchToBackup(source roster.Target, message string, stopFirst bool) *continuation {
-	if !s.awaitBackup() {
+// The source works on until the backup has responded, and keeps its connection until then, so that a refusal costs nothing, however
+// late it comes; events that both send are deduplicated by their numbers. See handover for how long both may work.
+func (s *stream) switchToBackup(source roster.Target, message string) *continuation {
+	h := s.newHandover(source)
+	if !s.awaitBackup() || !s.mayBegin(h) {
 		return nil
 	}
 	next, found := s.claimBackup()
 	if !found {
 		return nil
 	}
-	if stopFirst && s.endsBeforeSwitch(source, next) {
-		next.lease.Done(placement.Canceled, time.Now())
-		s.restoreBackup(next.lease.Target)
-		return nil
-	}
-	if !s.sendToBackup(next, source) {
+	h.stopSource = func() { s.leaveOnce(source, next.lease.Target.Address, 0) }
+	if !s.sendToBackup(next, source, h) {
 		return s.continueStopped(source, next.lease.Target)
 	}
 	s.leaveOnce(source, next.lease.Target.Address, closeNoticeTime) // its connection is closed as soon as this returns
@@ -36,34 +32,6 @@
 	return next
 }
 
-// endsBeforeSwitch leaves the source of a stream that is to go on elsewhere. It reports whether the stream has ended at the source
-// before it could be stopped.
-func (s *stream) endsBeforeSwitch(source roster.Target, next *continuation) bool {
-	left := s.leaveOnce(source, next.lease.Target.Address, 0)
-	ended := s.responseEnded()
-	s.awaitLeft(left, ended)
-	return s.hasEndedWhole(left, ended)
-}
-
-// hasEndedWhole reports whether the response of a source that was to be left may be the whole one: the source says that it does
-// not run the generation, and its response has ended or does so now.
-func (s *stream) hasEndedWhole(left *departure, ended <-chan struct{}) bool {
-	select {
-	case <-ended:
-		return s.hasStatedEnd() && left.awaitAnswer(s.ctx, askTimeout) && left.isAbsent()
-	default:
-	}
-	if !left.isAbsent() {
-		return false
-	}
-	select {
-	case <-ended:
-		return true
-	case <-time.After(s.stopWait()):
-		return false
-	}
-}
-
 // continueStopped returns where a generation goes on whose backup, given by refused, does not take it: from the memory of its
 // source if that was asked to stop it and has done so. It returns nil if it stays at its source, which is asked no more, or
 // nowhere.
@@ -89,13 +57,12 @@
 
 // sendToBackup sends the call to the backup and reports whether it goes on with the generation. If not, it releases what the
 // continuation holds.
-func (s *stream) sendToBackup(next *continuation, source roster.Target) bool {
+func (s *stream) sendToBackup(next *continuation, source roster.Target, h *handover) bool {
 	ctx, cancel := context.WithDeadline(s.ctx, s.deadline)
-	next.cancel = cancel
-	h := &handover{cancel: cancel, stopSource: func() { s.leaveOnce(source, next.lease.Target.Address, 0) }}
+	next.cancel, h.cancel = cancel, cancel
 	attempt := Attempt{LastEventID: s.caller.LastEvent(), From: next.from, BackupAddress: s.reserveBackup(next.lease)}
 	// While a connection is being made, the source is the only engine that works on the generation.
-	attempt.Sending = func() { s.beginHandover(h) }
+	attempt.Sending = func() error { return s.beginHandover(h) }
 	response, failure := s.sendAttempt(ctx, next.lease, attempt)
 	if failure == nil {
 		failure = s.awaitNextEvent(next, response)
@@ -105,10 +72,10 @@
 		return true
 	}
 	if failure == nil {
-		failure = rejectBackup(next, response, errSourceWorks)
+		failure = rejectBackup(next, response, h.errGivenUp())
 	}
 	if isGivenUp {
-		failure.outcome, failure.cause = placement.Canceled, errSourceWorks
+		failure.outcome, failure.cause = placement.Canceled, h.errGivenUp()
 	}
 	cancel()
 	if !failure.notRun {
--- a/internal/forward/transfer.go
+++ b/internal/forward/transfer.go
@@ -35,7 +35,7 @@
 		case s.route.Resumable: // resumed after its last event once the target stops; most complete before that
 		case s.hasUsableBackup():
 			switching.Go(func() {
-				s.relocate(leaving, func() *continuation { return s.switchToBackup(leaving, movedOffLeaving, false) })
+				s.relocate(leaving, func() *continuation { return s.switchToBackup(leaving, movedOffLeaving) })
 				if s.isServedBy(leaving) {
 					toMove <- s
 				}
@@ -111,7 +111,7 @@
 		return // resumed after its last event once the target stops; most complete before that
 	}
 	s.relocate(leaving, func() *continuation {
-		next := s.switchToBackup(leaving, movedOffLeaving, false)
+		next := s.switchToBackup(leaving, movedOffLeaving)
 		if engine := s.service.Engine; next == nil && engine != nil && engine.SupportsMoves {
 			next = s.move(leaving, noticedAt, blocked)
 		}
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -67,8 +67,9 @@
 	From *KVCacheRef
 	// BackupAddress is the engine that keeps an up-to-date copy of the generation's KV cache; empty for none.
 	BackupAddress string
-	// Sending is called when there is a connection to the target, right before the call is sent; nil for nothing.
-	Sending func()
+	// Sending is called when there is a connection to the target, right before the call is sent, which its error prevents; nil for
+	// nothing.
+	Sending func() error
 }
 
 // KVCacheRef refers to the KV cache of a generation that was stopped, or to a copy of it at another engine.
