forward: a run that its engine denies is not awaited until the deadline

Cause: a denial only kept the engine from being asked again; the stream went back to its connection and waited. An engine also denies a generation that was preempted and waits to be read in again. Change: a stalled stream's engine is asked again after a second. Two denials, between which the engine's report names no queue, end the stream as lost.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -122,7 +122,7 @@
 		Changed: e.configurationChanged,
 	})
 	e.forwarder = forward.New(forward.Options{
-		Codec: platform.Codec{}, Mover: platform.NewMover(e.client), Poller: e.poller, Table: e.table, Client: e.client,
+		Codec: platform.Codec{}, Mover: platform.NewMover(e.client), Reports: platform.NewReports(e.client), Poller: e.poller, Table: e.table, Client: e.client,
 		Budget: e.budget, Lengths: lengths.NewEstimator(0), Limits: e.limits, Origins: e.origins, Versions: e.versions, Poison: e.poison, Logger: logger, Trail: e.trail, Zone: s.VM.Zone, Stopping: e.stopping, ShutdownStarted: e.shutdownStarted, TargetLeaving: e.recordLeaving, TargetPaused: e.sharePause,
 		MaxConfigurationAge: s.Bounds.ConfigurationDelay(), EvacuateWithin: s.Bounds.EvacuationDelay(), Memory: e.memory,
 	})
--- a/internal/entry/stall_test.go
+++ b/internal/entry/stall_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -69,6 +70,60 @@
 	})
 }
 
+// TestDeniedRunIsAwaitedUntilTheDeadline guards against a stream whose engine denies that it runs the generation, and that is awaited until
+// the deadline all the same; and against one that is given up while its generation waits in the queue of the engine, which denies it, too.
+func TestDeniedRunIsAwaitedUntilTheDeadline(t *testing.T) {
+	for name, waits := range map[string]bool{"has ended": false, "waits in the queue": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			pause := 7 * time.Second // nearly until the deadline
+			if waits {
+				pause /= 2
+			}
+			d := newDeployment(t)
+			for _, id := range []string{"e1", "e2"} {
+				d.wrappedTarget(id, platformtest.EngineService, func(w http.ResponseWriter, r *http.Request) bool {
+					switch {
+					case r.URL.Path == "/v1/kv-move":
+						w.WriteHeader(http.StatusNotFound)
+						return true
+					case r.URL.Path == "/v1/report":
+						queued := 0
+						if waits {
+							queued = 1
+						}
+						fmt.Fprintf(w, `{"state":"ready","queued":%d}`, queued)
+						return true
+					case r.Header.Get("X-Token-Usage") == "":
+						return false
+					case r.Header.Get("Kv-From") != "":
+						refuseRun(w, r)
+						return true
+					}
+					s := startRawStream(w, r, inChunks, 0)
+					s.write(eventTexts(1, stallAfter))
+					time.Sleep(pause)
+					if waits {
+						s.write(eventTexts(stallAfter+1, stallEvents))
+						s.end()
+					}
+					return true
+				}, "")
+			}
+			d.configure("key-1")
+			v := d.start("vm-1", nil)
+			sentAt := time.Now()
+			err := v.readWhole(v.generation("/letters/1", stallEvents, 10), stallEvents)
+			if waits {
+				require.NoError(t, err)
+				return
+			}
+			require.Error(t, err)
+			require.Less(t, time.Since(sentAt), maxStallTime)
+		})
+	}
+}
+
 // requireWholeInTime requires a whole answer within maxStallTime.
 func requireWholeInTime(t *testing.T, v *vm, request *http.Request) {
 	t.Helper()
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -34,6 +34,7 @@
 type Options struct {
 	Codec    Codec
 	Mover    Mover
+	Reports  Reports
 	Poller   *inforce.Poller
 	Table    *placement.Table
 	Client   *upstream.Client
--- a/internal/forward/leave.go
+++ b/internal/forward/leave.go
@@ -66,6 +66,8 @@
 	// calls counts the calls to the engine, and lastFailure is what the last one without an answer failed with; for the log.
 	calls       int
 	lastFailure error
+	// isRelayed is set if the engine answered through another VM. It is valid once done is closed.
+	isRelayed bool
 }
 
 // keepRun keeps the engine from being asked again: the generation stays there. A call that is under way may still stop it.
@@ -249,6 +251,7 @@
 		var notSent *upstream.NotSentError
 		switch {
 		case err == nil && result.Unknown:
+			left.isRelayed = result.Relayed
 			return leftAbsent
 		case err == nil && (!result.Refused && !result.InProgress || result.KVCache.Handle != ""):
 			left.result = result
--- a/internal/forward/stall.go
+++ b/internal/forward/stall.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -18,8 +19,18 @@
 	unknownStall = 2 * time.Second
 	// stallCheckInterval is the time between two checks whether a stalled stream has gone on.
 	stallCheckInterval = 20 * time.Millisecond
+	// minDenials is how often an engine denies a generation until that counts: one that was preempted is denied while it waits.
+	minDenials = 2
+	// Callers abandon a stream after minPatience without an event, patienceObjectives times the latency objective of its route or
+	// patienceGaps times its longest gap, whichever is longest.
+	minPatience        = 2 * time.Second
+	patienceObjectives = 4
+	patienceGaps       = 8
 )
 
+// closedDenied is why this VM closes the connection to an engine that does not have the generation any more, for the log.
+const closedDenied = "the engine denies that it runs the generation"
+
 // stallLimit returns the time without an event after which a stream counts as stalled, by the limit of a silence if that is known.
 func stallLimit(limit time.Duration, known bool) time.Duration {
 	if !known {
@@ -35,40 +46,93 @@
 	response *answer
 	// events is the number of events before the stall.
 	events int
+	// denials counts the times that the engine has said that it does not run the generation, the first of which was at deniedAt.
+	// isRelayed is set if the last of these came through another VM.
+	denials   int
+	deniedAt  time.Time
+	isRelayed bool
+}
+
+func (t *stall) isDenied() bool { return t.denials > 0 }
+
+func (t *stall) recordDenial(isRelayed bool) {
+	if t.denials == 0 {
+		t.deniedAt = time.Now()
+	}
+	t.denials++
+	t.isRelayed = isRelayed
 }
 
 // endStall takes the generation of a stalled stream off its connection: a stream that may be resumed goes on elsewhere after its last
 // event, any other from the memory that its engine keeps when it is asked to stop. While neither can be done, the stream keeps its
-// connection, and both are tried again.
+// connection, and both are tried again, until the engine is known not to have the generation any more.
 func (s *stream) endStall(source roster.Target) {
 	s.mu.Lock()
-	stalled := stall{source: source, response: s.response, events: s.events}
+	stalled := &stall{source: source, response: s.response, events: s.events}
 	s.mu.Unlock()
-	for s.isStalled(stalled) && !s.options.Table.IsLeaving(source) {
-		s.log("stream stalled", "target", source.ID, "events", stalled.events)
+	for ; s.isStalled(stalled) && !s.options.Table.IsLeaving(source); pause.For(s.ctx, minStall) {
+		if stalled.isDenied() && s.hasQueue(source) {
+			continue // it may wait there, to be read in again
+		}
+		s.log("stream stalled", "target", source.ID, "events", stalled.events, "denials", stalled.denials)
 		s.metrics.stalls.Inc(1)
 		s.relocate(source, func() *continuation { return s.leaveStalled(stalled) })
-		if !pause.For(s.ctx, minStall) {
-			return
+		if s.isGone(stalled) {
+			s.giveUpStalled(stalled)
 		}
 	}
 }
 
 // isStalled reports whether the stream still stands still at the engine, for which its caller is not the cause.
-func (s *stream) isStalled(stalled stall) bool {
+func (s *stream) isStalled(stalled *stall) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.response != nil && s.response == stalled.response && s.events == stalled.events && !s.isSending && !s.hasReadEnd
+	return s.ctx.Err() == nil && s.response != nil && s.response == stalled.response && s.events == stalled.events && !s.isSending && !s.hasReadEnd
+}
+
+// hasQueue reports whether requests wait at the engine, by its own report.
+func (s *stream) hasQueue(engine roster.Target) bool {
+	ctx, cancel := context.WithTimeout(s.ctx, askTimeout)
+	defer cancel()
+	report, err := s.options.Reports.Report(ctx, engine.Address)
+	return err == nil && report.Queued > 0
 }
 
-func (s *stream) leaveStalled(stalled stall) *continuation {
+// isGone reports whether no more events can come from the engine: it has denied the generation twice, between which it had no queue, and
+// what it may have sent before is not held up on the way. It may be where the engine is reached through another VM alone.
+func (s *stream) isGone(stalled *stall) bool {
+	if stalled.denials < minDenials {
+		return false
+	}
+	return !stalled.isRelayed || time.Since(stalled.deniedAt) > s.callerPatience()
+}
+
+// callerPatience returns the time without an event after which callers abandon a stream.
+func (s *stream) callerPatience() time.Duration {
+	return max(minPatience, patienceObjectives*s.route.LatencyObjective, patienceGaps*s.route.MaxGap)
+}
+
+// giveUpStalled ends the answer of an engine that does not have the generation any more.
+func (s *stream) giveUpStalled(stalled *stall) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.response == stalled.response && s.events == stalled.events {
+		s.response.CloseConnection(closedDenied)
+	}
+}
+
+func (s *stream) leaveStalled(stalled *stall) *continuation {
 	if s.route.Resumable {
 		return s.resumeElsewhere(stalled.source)
 	}
 	left := s.leaveOnce(stalled.source, s.stopDestination(stalled.source), 0)
 	for s.isStalled(stalled) && !left.isDone() && pause.For(s.ctx, stallCheckInterval) {
 	}
-	return s.continueStopped(stalled.source, stalled.source)
+	next := s.continueStopped(stalled.source, stalled.source)
+	if left.isDone() && left.isAbsent() {
+		stalled.recordDenial(left.isRelayed)
+	}
+	return next
 }
 
 // resumeElsewhere returns where a stream continues that may be resumed after its last event; nil if that may be nowhere.
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"godwitcart/internal/roster"
+	"godwitcart/internal/selfreport"
 	"godwitcart/internal/targetlimit"
 )
 
@@ -115,6 +116,8 @@
 	Refused bool
 	// Unknown is true if the source is not running the generation.
 	Unknown bool
+	// Relayed is true if the source answered through another VM.
+	Relayed bool
 	// InProgress is true if the source is still serving an earlier call for the generation, and did nothing.
 	InProgress bool
 }
@@ -127,3 +130,9 @@
 	// Free frees a KV cache from which no generation will continue.
 	Free(ctx context.Context, cache KVCacheRef) error
 }
+
+// Reports reads what engines say of themselves.
+type Reports interface {
+	// Report reads the report of the engine at an address.
+	Report(ctx context.Context, address string) (selfreport.Report, error)
+}
--- a/internal/selfreport/selfreport.go
+++ b/internal/selfreport/selfreport.go
@@ -40,6 +40,8 @@
 	Leaving bool
 	// StartedAt is when the process that answered started, in Unix milliseconds, or zero if it does not say.
 	StartedAt int64
+	// Queued is the number of requests that wait at the target, some hundred milliseconds ago.
+	Queued int
 }
 
 // Source reads a target's report.
