forward: a backup that has not begun is not given up while a leaving source works

What callers saw: of 32 streams, 8 at an engine that leaves and ends 2 s later, four broke off when their backups began after 300 ms (TestManyStreamsOfALeavingEngineWhoseBackupsAreLate/300; beside load also /200, where passed). Cause: a backup that has not answered after 250 ms may be running the generation, so that it was given up; the moves that were left did not all fit into the notice. Ruled out by runs: to stop the source after 250 ms and to wait for the backup with the memory that the source keeps. Change: after 250 ms the backup is asked whether it runs the generation, by a call for a copy that stops nothing. While it denies that, the source is the only engine at work, and the wait goes on, up to 750 ms. A backup that does not deny it is given up as before, or the silent source is asked to stop. Engine test doubles deny a generation that they do not run at once, as engines do, and not after the time of a copy. The backup of TestBackupThatAnswersLateRunsBesideItsSource runs at once, as its comment says, and no longer denies that; what it asserts is as it was.

--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -172,7 +172,7 @@
 		target.SetOverride(func(_ http.ResponseWriter, r *http.Request) bool {
 			if r.Header.Get("Kv-From") != "" {
 				continued <- time.Now()
-				time.Sleep(answerDelay)
+				r.Header.Set(platformtest.HeaderPrefillMillis, fmt.Sprint(answerDelay.Milliseconds()))
 			}
 			return false
 		})
--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -6,14 +6,20 @@
 
 	"github.com/cockroachdb/errors"
 
+	"godwitcart/internal/pause"
 	"godwitcart/internal/placement"
 	"godwitcart/internal/roster"
 )
 
-// maxOverlap is how long a backup may take to answer while the source still works. A backup that refuses usually does so at once, but
-// a crowded one may be late, and one that answers late may be running the generation already: two engines must not work on it for
-// more than 400 ms. The rest of these is left for stopping the backup.
-const maxOverlap = 250 * time.Millisecond
+const (
+	// maxOverlap is how long a backup that may be running the generation already may take to answer while the source still works: two
+	// engines must not work on it for more than 400 ms. The rest of these is left for asking and stopping the backup.
+	maxOverlap = 250 * time.Millisecond
+	// beginAskTimeout bounds the question whether the backup has begun. One that has not says so at once.
+	beginAskTimeout = 100 * time.Millisecond
+	// maxBackupWait is how long a backup that has not begun may take in all. Most of the notice of a leaving source is left for a move.
+	maxBackupWait = 750 * time.Millisecond
+)
 
 var (
 	// errSourceWorks is why a backup is given up that has not answered within maxOverlap.
@@ -24,6 +30,9 @@
 
 // handover is a call to the backup of a stream whose source has not been given up.
 //
+// A crowded backup refuses late, or begins late. For as long as it says that it does not run the generation, the source is the only engine
+// that works on it, and both keep their parts.
+//
 // Invariant: while neither engine has said what becomes of the generation, it is the backup that is given up and not the source, as
 // long as the source sends events. A source that sends nothing is asked to stop, since it may work all the same, and keeps its
 // connection: it and the memory that it keeps may be all that is left if the backup refuses.
@@ -33,12 +42,15 @@
 	// keepsIfLate is set for a source that is not leaving, and eventsBefore is the number of events before the handover.
 	keepsIfLate  bool
 	eventsBefore int
+	// backup is the engine that was called, at sentAt.
+	backup roster.Target
+	sentAt time.Time
 	// cancel ends the call to the backup, and stopSource asks the source to stop the generation and to keep its memory.
 	cancel     context.CancelFunc
 	stopSource func()
 	// sourceSent is set once the source has sent an event since the call was sent.
 	sourceSent bool
-	// isOver is set maxOverlap after the call was sent, and isGivenUp when the call was canceled for that.
+	// isOver is set once the backup may have run the generation for maxOverlap, and isGivenUp when the call was canceled for that.
 	isOver, isGivenUp bool
 }
 
@@ -61,22 +73,50 @@
 	if !s.mayBegin(h) {
 		return errSourceWasLate
 	}
+	h.sentAt = time.Now()
 	s.mu.Lock()
 	s.handover = h
 	s.mu.Unlock()
-	time.AfterFunc(maxOverlap, func() {
-		s.mu.Lock()
-		h.isOver = true
-		s.giveUpBackup()
-		isUndecided := s.handover == h && !h.isGivenUp && s.response != nil && !s.stops.mayHaveStopped()
-		s.mu.Unlock()
-		if isUndecided {
-			h.stopSource()
-		}
-	})
+	time.AfterFunc(maxOverlap, func() { s.decideHandover(h) })
 	return nil
 }
 
+// decideHandover waits on while the backup has not begun. Then it ends one part: the backup is given up, or the source is asked to stop.
+func (s *stream) decideHandover(h *handover) {
+	for time.Since(h.sentAt) < maxBackupWait && s.isUndecided(h) {
+		askedAt := time.Now()
+		if s.mayHaveBegun(h) || !pause.For(s.ctx, time.Until(askedAt.Add(maxOverlap))) {
+			break
+		}
+	}
+	s.mu.Lock()
+	h.isOver = true
+	s.giveUpBackup()
+	s.mu.Unlock()
+	if s.isUndecided(h) {
+		h.stopSource()
+	}
+}
+
+// isUndecided reports whether nothing is known yet of the backup, and of a source that may work.
+func (s *stream) isUndecided(h *handover) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.handover == h && !h.isGivenUp && s.response != nil && !s.stops.mayHaveStopped()
+}
+
+// mayHaveBegun asks the backup whether it runs the generation, and reports false if it denies that. The call asks for a copy, which a run
+// outlives; one that is made is freed.
+func (s *stream) mayHaveBegun(h *handover) bool {
+	ctx, cancel := context.WithTimeout(s.ctx, beginAskTimeout)
+	defer cancel()
+	result, err := s.requestCopy(ctx, h.backup, s.stopDestination(h.backup), false)
+	if result.KVCache.Handle != "" {
+		go s.freeMemory(result.KVCache)
+	}
+	return err != nil || !result.Unknown
+}
+
 // endHandover ends the time that the backup has, and reports whether it was given up.
 func (s *stream) endHandover() bool {
 	s.mu.Lock()
--- a/internal/forward/switch.go
+++ b/internal/forward/switch.go
@@ -60,6 +60,7 @@
 func (s *stream) sendToBackup(next *continuation, source roster.Target, h *handover) bool {
 	ctx, cancel := context.WithDeadline(s.ctx, s.deadline)
 	next.cancel, h.cancel = cancel, cancel
+	h.backup = next.lease.Target
 	attempt := Attempt{LastEventID: s.caller.LastEvent(), From: next.from, BackupAddress: s.reserveBackup(next.lease)}
 	// While a connection is being made, the source is the only engine that works on the generation.
 	attempt.Sending = func() error { return s.beginHandover(h) }
