fleet: the directory is not listed without end while stale lists are older than the store's history

Cause: the directory reads stale data. After the store dropped its history, a stale list names a revision before that, the watch from there is answered with 410, and the directory was listed again at once, as fast as the store answered. Change: a watch that is refused for the revision of the list itself is followed by a wait of a second. Result: TestDirectoryIsListedWithoutEnd failed before (2,500 calls in ten seconds, 22 allowed) and passes.

--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -95,6 +95,9 @@
 	revision := listing.Revision
 	for {
 		batch, err := d.Store.Watch(ctx, directoryPrefix, revision)
+		if err == nil && batch.Compacted && revision == listing.Revision {
+			pause.For(ctx, directoryRetryDelay) // the list was stale, and the next one may be as old
+		}
 		if err != nil || batch.Compacted {
 			return err
 		}
