forward: the time in which a comment waits for the caller is not its engine's silence

What callers saw: a stream whose engine sends comments between its events was taken off that engine while its caller read slowly. Change: the timers of a silence and of a stall are paused while a comment is passed on, and then go on where they were: a comment is no progress. Result: TestCommentsForASlowCallerMakeItsEngineLookSilent failed always before and passes four times in a row under the race detector.

--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -28,7 +28,7 @@
 		event := got.event
 		if event.IsComment {
 			// A comment is no progress: an engine that sends nothing else is silent.
-			if err := source.SendComment(event.Raw); err != nil {
+			if err := s.sendComment(source, event.Raw); err != nil {
 				return err
 			}
 			continue
@@ -62,6 +62,15 @@
 	return source.Send(next)
 }
 
+// sendComment passes a comment on to the caller. The time that it waits for the caller is not the engine's silence.
+func (s *stream) sendComment(source *delivery.Source, text []byte) error {
+	s.pauseSilenceWatch()
+	defer s.resumeSilenceWatch()
+	s.setSending(true)
+	defer s.setSending(false)
+	return source.SendComment(text)
+}
+
 func (s *stream) setSending(isSending bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -39,33 +39,59 @@
 	limit, known := silenceLimit(s.gaps, s.route.MaxGap)
 	target := lease.Target
 	if known && s.hasUsableBackup() {
-		s.silenceTimer = restartTimer(s.silenceTimer, limit, func() {
+		s.silence.start(limit, func() {
 			s.relocate(target, func() *continuation { return s.switchToBackup(target, movedOffSilent) })
 		})
 	}
-	s.stallTimer = restartTimer(s.stallTimer, stallLimit(limit, known), func() { s.endStall(target) })
+	s.stall.start(stallLimit(limit, known), func() { s.endStall(target) })
 }
 
-// restartTimer starts a timer anew; nil for one that has not been made.
-func restartTimer(timer *time.Timer, wait time.Duration, end func()) *time.Timer {
-	if timer == nil {
-		return time.AfterFunc(wait, end)
-	}
-	timer.Reset(wait)
-	return timer
+// pauseSilenceWatch holds the timers until the next call of watchSilence or resumeSilenceWatch.
+func (s *stream) pauseSilenceWatch() {
+	s.silence.pause()
+	s.stall.pause()
 }
 
-// pauseSilenceWatch stops the timers until the next call of watchSilence.
-func (s *stream) pauseSilenceWatch() {
-	for _, timer := range []*time.Timer{s.silenceTimer, s.stallTimer} {
-		if timer != nil {
-			timer.Stop()
-		}
-	}
+// resumeSilenceWatch goes on with the timers where they were paused.
+func (s *stream) resumeSilenceWatch() {
+	s.silence.resume()
+	s.stall.resume()
 }
 
 // stopWatchingSilence stops the timers once the target's response has ended.
 func (s *stream) stopWatchingSilence() {
 	s.pauseSilenceWatch()
-	s.silenceTimer, s.stallTimer = nil, nil
+	s.silence, s.stall = waitTimer{}, waitTimer{}
+}
+
+// waitTimer is a timer that can be paused. The zero value has not been started.
+type waitTimer struct {
+	timer  *time.Timer
+	endsAt time.Time
+	// left is the time that was left when the timer was paused; zero if it was not, or had ended by then.
+	left time.Duration
+}
+
+// start starts the timer anew. What is called at its end is that of the first start.
+func (t *waitTimer) start(wait time.Duration, end func()) {
+	t.endsAt, t.left = time.Now().Add(wait), 0
+	if t.timer == nil {
+		t.timer = time.AfterFunc(wait, end)
+		return
+	}
+	t.timer.Reset(wait)
+}
+
+func (t *waitTimer) pause() {
+	if t.timer != nil && t.timer.Stop() {
+		t.left = max(time.Until(t.endsAt), 1)
+	}
+}
+
+func (t *waitTimer) resume() {
+	if t.left > 0 {
+		t.endsAt = time.Now().Add(t.left)
+		t.timer.Reset(t.left)
+		t.left = 0
+	}
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -26,8 +26,8 @@
 	// between two events.
 	firstEventDelay, longestGap time.Duration
 	// gaps and the timers are used by the relay only. gaps are the times that the VM has waited for events.
-	gaps                     smoothed
-	silenceTimer, stallTimer *time.Timer
+	gaps           smoothed
+	silence, stall waitTimer
 
 	// mu guards writes to events and the fields below, which the relay shares with the evacuation of a leaving target.
 	mu       sync.Mutex
