--- a/internal/forward/stall.go
+++ b/internal/forward/stall.go
@@ -63,7 +63,7 @@
 	t.isRelayed = isRelayed
 }
 
-// endStall takes the generation of a stalled stream off its connection: a stream that may be resumed goes on elsewhere after its last
+// endStall is called once the stream stands still at the engine. It takes the generation off its connection: a stream that may be resumed goes on elsewhere after its last
 // event, any other from the memory that its engine keeps when it is asked to stop. While neither can be done, the stream keeps its
 // connection, and both are tried again, until the engine is known not to have the generation any more.
 func (s *stream) endStall(source roster.Target) {
@@ -121,6 +121,8 @@
 	}
 }
 
+// leaveStalled returns where the generation continues off its connection; nil if it stays, after which stalled tells whether the engine has
+// denied it.
 func (s *stream) leaveStalled(stalled *stall) *continuation {
 	if s.route.Resumable {
 		return s.resumeElsewhere(stalled.source)
